--- /dev/null
+++ b/node/src/core/attempt.rs
@@ -0,0 +1,81 @@
+//! How an attempt can fail, told by how far it had come, and what the decisions make of it.
+use corkbay::Outcome;
+
+/// Why nothing more is heard of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The connection broke.
+    Broken,
+    /// No answer came in time.
+    Silent,
+    /// The attempt was called off.
+    GivenUp,
+    /// The worker may be sent nothing more, or no descriptor was left for it.
+    Barred,
+}
+
+/// What a worker answers in place of a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The model is not loaded there; not run.
+    Miss,
+    /// Not taken; not run.
+    Full,
+    /// An error; it may have run.
+    Failed,
+    /// The request was over already; not run.
+    Over,
+}
+
+/// The end of an attempt that brought no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptError {
+    /// No connection came up.
+    Unconnected,
+    /// It was not whole on the wire: it never ran.
+    Unfinished(Cause),
+    /// It was whole on the wire: it may have run.
+    Unanswered(Cause),
+    /// The worker answered.
+    Answered(Verdict),
+}
+
+impl AttemptError {
+    /// The outcome that the decisions are told: the one place where errors become outcomes.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            AttemptError::Unconnected | AttemptError::Unfinished(Cause::Broken | Cause::Silent) => {
+                Outcome::ConnectFailed
+            }
+            AttemptError::Unfinished(Cause::GivenUp | Cause::Barred) => Outcome::Moot,
+            AttemptError::Unanswered(Cause::Broken) => Outcome::Reset,
+            AttemptError::Unanswered(Cause::Silent) => Outcome::Timeout,
+            AttemptError::Unanswered(Cause::GivenUp | Cause::Barred) => Outcome::Cancelled,
+            AttemptError::Answered(Verdict::Miss) => Outcome::Miss,
+            AttemptError::Answered(Verdict::Full) => Outcome::Full,
+            AttemptError::Answered(Verdict::Failed) => Outcome::Error,
+            AttemptError::Answered(Verdict::Over) => Outcome::Moot,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the rule on repeats: only what was never whole on a wire, or what the worker itself
+    /// disclaimed, may count as proof that nothing ran.
+    #[test]
+    fn only_what_cannot_have_run_proves_it() {
+        for cause in [Cause::Broken, Cause::Silent, Cause::GivenUp, Cause::Barred] {
+            assert!(AttemptError::Unfinished(cause).outcome().proves_not_run(), "{cause:?}");
+            assert!(!AttemptError::Unanswered(cause).outcome().proves_not_run(), "{cause:?}");
+        }
+        assert!(AttemptError::Unconnected.outcome().proves_not_run());
+        for (verdict, proof) in
+            [(Verdict::Miss, true), (Verdict::Full, true), (Verdict::Over, true), (Verdict::Failed, false)]
+        {
+            assert_eq!(AttemptError::Answered(verdict).outcome().proves_not_run(), proof, "{verdict:?}");
+        }
+    }
+}
--- /dev/null
+++ b/node/src/core/invoker.rs
@@ -0,0 +1,362 @@
+//! The one dispatcher and the life of each request round it.
+use super::{now_ms, until, Answer, AttemptError, Call, Cause, Exchange, Failure, Workers};
+use crate::memory::counters::Counters;
+use crate::memory::roster::{Directory, Host, Listing};
+use corkbay::{
+    Action, Dispatcher, Event, Finished, Ms, Names, Outcome, RequestId, Settings, Warmth, WorkerId,
+};
+use may::sync::{mpsc, Condvar, Mutex};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long after its time a request waits for the decisions' last word before it is failed here.
+const LAST_WORD_MS: Ms = 10.0;
+
+/// What reaches the task of a request.
+#[derive(Debug)]
+enum Note {
+    Send { worker: WorkerId, within: Ms },
+    Cancel { attempt: u32 },
+    Refuse { retry_after: Ms },
+    Fail,
+    Withdrawn,
+    Ended { attempt: u32, end: Result<Vec<u8>, AttemptError> },
+}
+
+/// The mailbox of one request's task.
+pub struct Inbox {
+    notes: mpsc::Receiver<Note>,
+    sender: mpsc::Sender<Note>,
+}
+
+/// A request that was taken: a place in the books that ends with its final answer.
+pub struct Taken {
+    invoker: Arc<Invoker>,
+    call: Arc<Call>,
+    inbox: Inbox,
+}
+
+/// An attempt that is out.
+struct Flight {
+    attempt: u32,
+    worker: WorkerId,
+    started: Ms,
+    until: Ms,
+    exchange: Box<dyn Exchange>,
+}
+
+struct Core {
+    dispatcher: Dispatcher,
+    open: HashMap<RequestId, mpsc::Sender<Note>>,
+}
+
+/// Spans for what the decisions do not time themselves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Spans {
+    pub order: Duration,
+    pub probe: Duration,
+}
+
+/// Owns the dispatcher, feeds it events and hands its actions to whom they concern.
+pub struct Invoker {
+    core: Mutex<Core>,
+    directory: Mutex<Directory>,
+    workers: Arc<dyn Workers>,
+    spans: Spans,
+    owed: Mutex<usize>,
+    settled: Condvar,
+    /// Numbers and names of classes, tenants, zones and kinds.
+    pub names: Names,
+    /// What the decisions were told at the start.
+    pub settings: Settings,
+    /// What was taken, sent and answered.
+    pub counters: Counters,
+}
+
+impl Invoker {
+    /// An invoker with the platform's settings object, a seed and a way to the workers.
+    pub fn new(setup: &serde_json::Value, seed: u64, workers: Arc<dyn Workers>) -> Arc<Self> {
+        let settings = Settings::from_json(setup);
+        let names = Names::from_json(setup);
+        let span = |value: &serde_json::Value, default: f64| {
+            Duration::from_secs_f64(value.as_f64().filter(|ms| *ms > 0.0).unwrap_or(default) / 1000.0)
+        };
+        let spans = Spans {
+            order: span(&setup["specifics"]["answerWithinMs"], 10_000.0),
+            probe: span(&setup["ceilings"]["connectTimeoutMs"], 250.0),
+        };
+        let core = Core { dispatcher: Dispatcher::new(settings.clone(), seed), open: HashMap::new() };
+        Arc::new(Invoker {
+            core: Mutex::new(core),
+            directory: Mutex::new(Directory::new(&names)),
+            workers,
+            spans,
+            owed: Mutex::new(0),
+            settled: Condvar::new(),
+            names,
+            settings,
+            counters: Counters::default(),
+        })
+    }
+
+    /// Takes a request in; `None` if its id is open already.
+    pub fn take(self: &Arc<Self>, call: Call) -> Option<Taken> {
+        let (sender, notes) = mpsc::channel();
+        {
+            let mut core = lock(&self.core);
+            if core.open.contains_key(&call.id) {
+                return None;
+            }
+            core.open.insert(call.id, sender.clone());
+        }
+        *lock(&self.owed) += 1;
+        self.counters.taken.add();
+        Some(Taken { invoker: self.clone(), call: Arc::new(call), inbox: Inbox { notes, sender } })
+    }
+
+    /// Nobody waits for the request any more.
+    pub fn withdraw(&self, id: RequestId) {
+        if let Some(inbox) = lock(&self.core).open.get(&id) {
+            let _ = inbox.send(Note::Withdrawn);
+        }
+    }
+
+    /// News of the workers; what is barred is barred before the decisions hear of it.
+    pub fn news(self: &Arc<Self>, listings: Vec<Listing>, whole: bool, remembered: bool) {
+        let roster = lock(&self.directory).apply(listings, whole, remembered);
+        self.feed(Event::Roster(roster));
+    }
+
+    /// Waits until nothing is owed; false if that took longer than the time given.
+    pub fn settle(&self, within: Duration) -> bool {
+        let end = now_ms() + within.as_secs_f64() * 1000.0;
+        let mut owed = lock(&self.owed);
+        while *owed > 0 {
+            if now_ms() >= end {
+                return false;
+            }
+            owed = match self.settled.wait_timeout(owed, until(end)) {
+                Ok((guard, _)) => guard,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+        true
+    }
+
+    /// Requests that are owed an answer.
+    pub fn owed(&self) -> usize {
+        *lock(&self.owed)
+    }
+
+    fn host(&self, worker: WorkerId) -> Option<Arc<Host>> {
+        lock(&self.directory).host(worker)
+    }
+
+    /// Tells the dispatcher one event and routes what it asks for, in order.
+    fn feed(self: &Arc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        let mut core = lock(&self.core);
+        core.dispatcher.handle(now_ms(), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, worker, within } => core.note(id, Note::Send { worker, within }),
+                Action::Cancel { id, attempt } => core.note(id, Note::Cancel { attempt }),
+                Action::Refuse { id, retry_after } => core.note(id, Note::Refuse { retry_after }),
+                Action::Fail { id } => core.note(id, Note::Fail),
+                Action::Timer { token, delay } => self.spawn(move |invoker| {
+                    may::coroutine::sleep(Duration::from_secs_f64(delay.clamp(0.0, 4e6) / 1000.0));
+                    invoker.feed(Event::Timer { token });
+                }),
+                Action::Load { worker, model, copies } => self.spawn(move |invoker| {
+                    let started = now_ms();
+                    let (end, copies) = match invoker.host(worker) {
+                        Some(host) => {
+                            invoker.counters.orders.add();
+                            invoker.workers.load(&host, model, copies, invoker.spans.order)
+                        }
+                        None => (Err(AttemptError::Unconnected), 0),
+                    };
+                    let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
+                    let took = now_ms() - started;
+                    invoker.feed(Event::Loaded { worker, model, outcome, copies, took });
+                }),
+                // At once, so that it goes out before the load that wants the room.
+                Action::Evict { worker, model } => {
+                    if let Some(host) = self.host(worker) {
+                        self.counters.evictions.add();
+                        self.workers.evict(&host, model);
+                    }
+                }
+                Action::Probe { worker } => self.spawn(move |invoker| {
+                    let started = now_ms();
+                    let end = match invoker.host(worker) {
+                        Some(host) => invoker.workers.probe(&host, invoker.spans.probe),
+                        None => Err(AttemptError::Unconnected),
+                    };
+                    let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
+                    invoker.feed(Event::Probed { worker, outcome, took: now_ms() - started, report: None });
+                }),
+                // The command channel is read all the time; there is nothing to subscribe to.
+                Action::Subscribe => {}
+            }
+        }
+    }
+
+    fn spawn(self: &Arc<Self>, task: impl FnOnce(&Arc<Invoker>) + Send + 'static) {
+        let invoker = self.clone();
+        crate::life::spawn(move || task(&invoker));
+    }
+}
+
+impl Core {
+    fn note(&self, id: RequestId, note: Note) {
+        if let Some(inbox) = self.open.get(&id) {
+            let _ = inbox.send(note);
+        }
+    }
+}
+
+impl Taken {
+    /// The life of the request, from its first event to its one final answer.
+    pub fn serve(&self) -> Answer {
+        let (invoker, call) = (&self.invoker, &self.call);
+        let mut flights: Vec<Flight> = Vec::new();
+        let (mut sent, mut may_have_run) = (0, false);
+        invoker.feed(Event::Request(call.request()));
+        let answer = loop {
+            let due = flights.iter().map(|flight| flight.until).fold(call.expires + LAST_WORD_MS, f64::min);
+            match self.inbox.next(due) {
+                Some(Note::Send { worker, within }) => {
+                    let flight = self.start(sent, worker, within);
+                    sent += 1;
+                    match flight {
+                        Some(flight) => flights.push(flight),
+                        None => self.finished(sent - 1, worker, now_ms(), Outcome::Moot, false),
+                    }
+                }
+                Some(Note::Ended { attempt, end }) => {
+                    let Some(at) = flights.iter().position(|flight| flight.attempt == attempt) else {
+                        continue;
+                    };
+                    let flight = flights.swap_remove(at);
+                    match end {
+                        Ok(body) => {
+                            self.finished(attempt, flight.worker, flight.started, Outcome::Ok, true);
+                            break Answer::Served(body);
+                        }
+                        Err(error) => may_have_run |= self.lost(&flight, error, false),
+                    }
+                }
+                Some(Note::Cancel { attempt }) => {
+                    let Some(at) = flights.iter().position(|flight| flight.attempt == attempt) else {
+                        continue;
+                    };
+                    if let Some(error) = flights[at].exchange.give_up(Cause::GivenUp) {
+                        let flight = flights.swap_remove(at);
+                        may_have_run |= self.lost(&flight, error, false);
+                    }
+                }
+                Some(Note::Refuse { retry_after }) => break Answer::Refused { retry_after },
+                Some(Note::Fail) => break Answer::Failed(Failure { may_have_run, late: self.late() }),
+                Some(Note::Withdrawn) => {
+                    invoker.feed(Event::Withdrawn { id: call.id });
+                    break Answer::Withdrawn;
+                }
+                None => {
+                    let now = now_ms();
+                    let over = flights.iter().position(|flight| flight.until <= now);
+                    if let Some(at) = over {
+                        // An end that is on its way already comes as the next note.
+                        let mut flight = flights.swap_remove(at);
+                        match flight.exchange.give_up(Cause::Silent) {
+                            Some(error) => may_have_run |= self.lost(&flight, error, false),
+                            None => flights.push(Flight { until: now + LAST_WORD_MS, ..flight }),
+                        }
+                    } else if now >= call.expires {
+                        invoker.feed(Event::Withdrawn { id: call.id });
+                        break Answer::Failed(Failure { may_have_run, late: true });
+                    }
+                }
+            }
+        };
+        // What is still out is called off; the decisions hear of each end.
+        for mut flight in flights {
+            if let Some(error) = flight.exchange.give_up(Cause::GivenUp) {
+                self.lost(&flight, error, true);
+            } else {
+                self.finished(flight.attempt, flight.worker, flight.started, Outcome::Cancelled, true);
+            }
+        }
+        answer
+    }
+
+    /// The call.
+    pub fn call(&self) -> &Arc<Call> {
+        &self.call
+    }
+
+    fn late(&self) -> bool {
+        now_ms() + 2.0 * self.invoker.settings.tick + 25.0 >= self.call.expires
+    }
+
+    fn start(&self, attempt: u32, worker: WorkerId, within: Ms) -> Option<Flight> {
+        let host = self.invoker.host(worker)?;
+        let started = now_ms();
+        let until = if within > 0.0 { self.call.expires.min(started + within) } else { self.call.expires };
+        let sender = self.inbox.sender.clone();
+        let end = Box::new(move |end| _ = sender.send(Note::Ended { attempt, end }));
+        self.invoker.counters.sent.add();
+        let exchange = self.invoker.workers.send(&host, &self.call, until, end);
+        Some(Flight { attempt, worker, started, until, exchange })
+    }
+
+    /// Tells of an attempt that brought nothing; true if it may have run.
+    fn lost(&self, flight: &Flight, error: AttemptError, closed: bool) -> bool {
+        let outcome = error.outcome();
+        self.invoker.counters.lost(outcome);
+        self.finished(flight.attempt, flight.worker, flight.started, outcome, closed);
+        !outcome.proves_not_run()
+    }
+
+    fn finished(&self, attempt: u32, worker: WorkerId, started: Ms, outcome: Outcome, closed: bool) {
+        self.invoker.feed(Event::Finished(Finished {
+            id: self.call.id,
+            attempt,
+            worker,
+            closed,
+            outcome,
+            took: now_ms() - started,
+            warmth: Warmth::Untold,
+            crowd: None,
+            report: None,
+        }));
+    }
+}
+
+impl Drop for Taken {
+    /// The place in the books ends with the request, also when its task panics.
+    fn drop(&mut self) {
+        lock(&self.invoker.core).open.remove(&self.call.id);
+        if std::thread::panicking() {
+            self.invoker.feed(Event::Withdrawn { id: self.call.id });
+        }
+        let mut owed = lock(&self.invoker.owed);
+        *owed -= 1;
+        if *owed == 0 {
+            self.invoker.settled.notify_all();
+        }
+    }
+}
+
+impl Inbox {
+    /// The next note; `None` once that time has come.
+    fn next(&self, at: Ms) -> Option<Note> {
+        self.notes.try_recv().ok().or_else(|| self.notes.recv_timeout(until(at)).ok())
+    }
+}
+
+/// A lock that outlives a panic elsewhere: what it guards is changed in whole steps only.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> may::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/node/src/core/mod.rs
@@ -0,0 +1,52 @@
+//! Requests, attempts and outcomes. No wire is known here: fronts hand calls in and carry answers
+//! away, [`Workers`] carry attempts and orders out.
+mod attempt;
+mod call;
+mod invoker;
+
+pub use attempt::{AttemptError, Cause, Verdict};
+pub use call::{Answer, Call, Failure};
+pub(crate) use invoker::lock;
+pub use invoker::{Inbox, Invoker, Taken};
+
+use crate::memory::roster::Host;
+use corkbay::{ModelId, Ms};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// The system's Unix clock in milliseconds: the only clock of the decisions.
+pub fn now_ms() -> Ms {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
+}
+
+/// The span from now to a point on the clock; zero once it has passed.
+pub fn until(at: Ms) -> Duration {
+    Duration::from_secs_f64((at - now_ms()).clamp(0.0, 1e9) / 1000.0)
+}
+
+/// Told once how an attempt ended: with the worker's body, or how far it had come.
+pub type Ending = Box<dyn FnOnce(Result<Vec<u8>, AttemptError>) + Send>;
+
+/// An attempt that is out.
+pub trait Exchange: Send {
+    /// Gives the attempt up and tells how far it had come; `None` when its end was told already.
+    fn give_up(&mut self, cause: Cause) -> Option<AttemptError>;
+}
+
+/// The way to the workers, whatever is spoken there.
+pub trait Workers: Send + Sync + 'static {
+    /// Starts an attempt that the client waits for until `expires`; never blocks.
+    fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange>;
+    /// Orders copies of a model held (0 only asks) and waits for the word on it: how many stand.
+    fn load(
+        &self,
+        host: &Arc<Host>,
+        model: ModelId,
+        copies: u32,
+        within: Duration,
+    ) -> (Result<(), AttemptError>, u32);
+    /// Has the idle copies of a model unloaded; nothing is heard of it.
+    fn evict(&self, host: &Arc<Host>, model: ModelId);
+    /// Asks whether the worker lives.
+    fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError>;
+}
--- /dev/null
+++ b/node/src/life/config.rs
@@ -0,0 +1,100 @@
+//! What a process is told at its start. An error names the key at fault in one line.
+use crate::wire::channel::News;
+use serde::Deserialize;
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// A configuration that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    /// The key at fault.
+    pub key: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl ConfigError {
+    /// An error at a key.
+    pub fn new(key: impl Into<String>, what: impl fmt::Display) -> Self {
+        let what = what.to_string().replace('\n', " ");
+        ConfigError { key: key.into(), what }
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}: {}", self.key, self.what)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// The platform's configuration.
+#[derive(Debug)]
+pub struct Platform {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Most descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where the command channel listens.
+    pub channel: SocketAddr,
+    /// Number of the last event known.
+    pub cursor: u64,
+    /// The events known, in order.
+    pub known: Vec<News>,
+    /// The settings object.
+    pub settings: Value,
+}
+
+/// Descriptors where the configuration sets no limit.
+const SOCKETS: usize = 1024;
+
+impl Platform {
+    /// Reads the configuration's text; `listen` overrides its own where given.
+    pub fn read(text: &str, listen: Option<&str>) -> Result<Self, ConfigError> {
+        let config: Value =
+            serde_json::from_str(text).map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
+        let listen = listen.or_else(|| config["listen"].as_str());
+        let known: Known =
+            Deserialize::deserialize(&config["known"]).map_err(|error| ConfigError::new("known", error))?;
+        let settings = &config["settings"];
+        if settings["classes"].as_array().is_none_or(Vec::is_empty) {
+            return Err(ConfigError::new("settings.classes", "no list of classes"));
+        }
+        Ok(Platform {
+            listen: address("listen", listen)?,
+            seed: seed(&config["seed"])?,
+            sockets: config["limits"]["sockets"].as_u64().map_or(SOCKETS, |limit| limit as usize),
+            channel: address("channel", config["channel"].as_str())?,
+            cursor: known.cursor,
+            known: known.cmds,
+            settings: settings.clone(),
+        })
+    }
+}
+
+#[derive(Deserialize)]
+struct Known {
+    #[serde(default)]
+    cursor: u64,
+    #[serde(default)]
+    cmds: Vec<News>,
+}
+
+/// The address at a key.
+pub fn address(key: &str, text: Option<&str>) -> Result<SocketAddr, ConfigError> {
+    let text = text.ok_or_else(|| ConfigError::new(key, "missing"))?;
+    text.parse().map_err(|_| ConfigError::new(key, format!("{text:?} is no address and port")))
+}
+
+fn seed(value: &Value) -> Result<u64, ConfigError> {
+    let bad = || ConfigError::new("seed", "neither a number nor up to 16 hex digits");
+    match value {
+        Value::String(text) => u64::from_str_radix(text, 16).map_err(|_| bad()),
+        Value::Number(number) => number.as_u64().ok_or_else(bad),
+        _ => Err(bad()),
+    }
+}
--- /dev/null
+++ b/node/src/life/mod.rs
@@ -0,0 +1,13 @@
+//! Configuration, start and stop.
+pub mod config;
+pub mod platform;
+
+use may::coroutine::JoinHandle;
+
+/// Starts a coroutine.
+pub fn spawn<T: Send + 'static>(task: impl FnOnce() -> T + Send + 'static) -> JoinHandle<T> {
+    // SAFETY: a coroutine may resume on another thread, so it must hold no thread-local state across a
+    // wait, and its stack is bounded. No task here uses thread-locals of its own, none recurses without
+    // a bound, and the stacks are sized for the deepest path with room to spare.
+    unsafe { may::coroutine::spawn(task) }
+}
--- /dev/null
+++ b/node/src/life/platform.rs
@@ -0,0 +1,79 @@
+//! The daemon on the platform: start, service, drain.
+use super::config::{ConfigError, Platform};
+use super::spawn;
+use crate::core::Invoker;
+use crate::wire::workers::{FrameWorkers, Limits};
+use crate::wire::{channel, front};
+use may::net::TcpListener;
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Words of a coroutine's stack: 128 KiB of address space, of which only what is touched is memory.
+const STACK_WORDS: usize = 0x4000;
+/// After SIGTERM the platform's front goes on sending for up to 0.6 s.
+const STILL_TAKING: Duration = Duration::from_millis(900);
+/// Longest wait for what is owed after that: the longest deadline, and SIGKILL comes soon after it.
+const DRAIN: Duration = Duration::from_secs(5);
+/// Descriptors for all but clients and workers.
+const RESERVE: usize = 48;
+/// Each connection costs two descriptors: its halves are waited for apart.
+const PER_CONNECTION: usize = 2;
+
+/// Sets the coroutine library up; before the first coroutine.
+pub fn set_up_coroutines() {
+    // One core: more workers would only contend. Pinned, all invokers of a machine would share core 0.
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
+}
+
+/// Serves until a signal ends it and nothing is owed; true if all was answered.
+pub fn run(config: Platform) -> Result<bool, ConfigError> {
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|error| ConfigError::new("signals", error))?;
+    let clients = config.sockets / 3;
+    let left = config.sockets.saturating_sub(PER_CONNECTION * clients + RESERVE);
+    let workers = FrameWorkers::new(limits(&config.settings, left / PER_CONNECTION));
+    let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers));
+    for news in config.known {
+        news.tell(&invoker, true);
+    }
+    let listener = bind(config.listen).map_err(|error| ConfigError::new("listen", error))?;
+    let (ours, cursor, address) = (invoker.clone(), config.cursor, config.channel);
+    spawn(move || channel::follow(&ours, address, cursor));
+    let ours = invoker.clone();
+    spawn(move || front::accept(&ours, &listener, clients.max(1)));
+    Ok(serve_until_signalled(&invoker, &mut signals))
+}
+
+/// Waits for signals on the main thread; drains on the first that ends the process.
+pub fn serve_until_signalled(invoker: &Arc<Invoker>, signals: &mut Signals) -> bool {
+    for signal in signals.forever() {
+        if signal != SIGUSR1 {
+            break;
+        }
+        eprintln!("{}", invoker.counters);
+    }
+    std::thread::sleep(STILL_TAKING);
+    let settled = invoker.settle(DRAIN);
+    eprintln!("{}", invoker.counters);
+    settled
+}
+
+fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+}
+
+fn limits(settings: &serde_json::Value, connections: usize) -> Limits {
+    let ceiling = |key: &str, default: f64| {
+        settings["ceilings"][key].as_f64().filter(|value| *value > 0.0).unwrap_or(default)
+    };
+    Limits {
+        streams: ceiling("streamsPerConn", 32.0) as usize,
+        connect: Duration::from_secs_f64(ceiling("connectTimeoutMs", 250.0) / 1000.0),
+        // Sooner than the worker's own, so that no request crosses its close.
+        idle: Duration::from_secs_f64(ceiling("connIdleMs", 15_000.0) * 0.7 / 1000.0),
+        connections: connections.max(1),
+    }
+}
--- /dev/null
+++ b/node/src/memory/counters.rs
@@ -0,0 +1,101 @@
+//! Counters of what is taken in, sent and answered.
+use crate::core::Answer;
+use corkbay::Outcome;
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A number that only grows.
+#[derive(Debug, Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    /// One more.
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The number now.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// All counters of a process; their text form is one line of `name=number`.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests taken.
+    pub taken: Counter,
+    /// Attempts started.
+    pub sent: Counter,
+    /// Load orders, questions included.
+    pub orders: Counter,
+    /// Orders to unload.
+    pub evictions: Counter,
+    /// Answers by kind.
+    pub served: Counter,
+    /// Refusals.
+    pub refused: Counter,
+    /// Failures.
+    pub failed: Counter,
+    /// Requests that clients gave up.
+    pub withdrawn: Counter,
+    /// Requests that could not be read.
+    pub malformed: Counter,
+    /// Attempts that brought nothing, by outcome.
+    lost: [Counter; 9],
+}
+
+const OUTCOMES: [(Outcome, &str); 9] = [
+    (Outcome::Ok, "ok"),
+    (Outcome::Error, "error"),
+    (Outcome::Full, "full"),
+    (Outcome::Timeout, "timeout"),
+    (Outcome::ConnectFailed, "connect_failed"),
+    (Outcome::Reset, "reset"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::Moot, "moot"),
+    (Outcome::Miss, "miss"),
+];
+
+impl Counters {
+    /// An attempt brought nothing.
+    pub fn lost(&self, outcome: Outcome) {
+        if let Some(place) = OUTCOMES.iter().position(|known| known.0 == outcome) {
+            self.lost[place].add();
+        }
+    }
+
+    /// A request has its final answer.
+    pub fn answered(&self, answer: &Answer) {
+        match answer {
+            Answer::Served(_) => self.served.add(),
+            Answer::Refused { .. } => self.refused.add(),
+            Answer::Failed(_) => self.failed.add(),
+            Answer::Withdrawn => self.withdrawn.add(),
+        }
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let named = [
+            ("taken", &self.taken),
+            ("sent", &self.sent),
+            ("orders", &self.orders),
+            ("evictions", &self.evictions),
+            ("served", &self.served),
+            ("refused", &self.refused),
+            ("failed", &self.failed),
+            ("withdrawn", &self.withdrawn),
+            ("malformed", &self.malformed),
+        ];
+        write!(f, "counters")?;
+        for (name, counter) in named {
+            write!(f, " {name}={}", counter.get())?;
+        }
+        for ((_, name), counter) in OUTCOMES.iter().zip(&self.lost).skip(1) {
+            write!(f, " lost_{name}={}", counter.get())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/node/src/wire/channel.rs
@@ -0,0 +1,139 @@
+//! The command channel: news of the workers as numbered events.
+use super::sse::Stream;
+use crate::core::Invoker;
+use crate::memory::roster::Listing;
+use corkbay::Standing;
+use may::net::TcpStream;
+use serde::Deserialize;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A comment comes each second: a channel silent for longer is dead, and news may be waiting.
+const SILENCE: Duration = Duration::from_millis(1300);
+const CONNECT: Duration = Duration::from_millis(300);
+/// Pause before a channel that failed is called again.
+const PAUSE: Duration = Duration::from_millis(50);
+const CHUNK: usize = 4096;
+
+/// One event of the channel.
+#[derive(Clone, Debug, Deserialize)]
+pub struct News {
+    /// Its number.
+    #[serde(default)]
+    pub cursor: u64,
+    nodes: Option<Nodes>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Nodes {
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<Endpoint>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Endpoint {
+    name: String,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default = "no_cell")]
+    group: i64,
+    status: Status,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Status {
+    Up,
+    Draining,
+    Removed,
+}
+
+fn no_cell() -> i64 {
+    -1
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl From<Endpoint> for Listing {
+    fn from(endpoint: Endpoint) -> Self {
+        Listing {
+            name: endpoint.name,
+            address: endpoint.address,
+            zone: endpoint.zone,
+            kind: endpoint.kind,
+            cell: endpoint.group,
+            standing: match endpoint.status {
+                Status::Up => Standing::Ready,
+                Status::Draining => Standing::Draining,
+                Status::Removed => Standing::Gone,
+            },
+            weight: endpoint.weight,
+            born: endpoint.since_ms,
+        }
+    }
+}
+
+impl News {
+    /// Passes the event on; `remembered` where it was known at the start.
+    pub fn tell(self, invoker: &Arc<Invoker>, remembered: bool) {
+        if let Some(nodes) = self.nodes {
+            let listings = nodes.endpoints.into_iter().map(Listing::from).collect();
+            invoker.news(listings, nodes.snapshot, remembered);
+        }
+    }
+}
+
+/// Reads the channel for as long as the process lives: each time it ends it is called again at once.
+pub fn follow(invoker: &Arc<Invoker>, address: SocketAddr, mut cursor: u64) {
+    loop {
+        let before = cursor;
+        if let Err(error) = listen(invoker, address, &mut cursor) {
+            eprintln!("command channel: {error}");
+        }
+        if cursor == before {
+            may::coroutine::sleep(PAUSE);
+        }
+    }
+}
+
+fn listen(invoker: &Arc<Invoker>, address: SocketAddr, cursor: &mut u64) -> io::Result<()> {
+    let mut socket = TcpStream::connect_timeout(&address, CONNECT)?;
+    socket.set_nodelay(true)?;
+    socket.set_read_timeout(Some(SILENCE))?;
+    socket.set_write_timeout(Some(SILENCE))?;
+    let call = format!(
+        "GET /cmd/next HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {cursor}\r\n\r\n"
+    );
+    socket.write_all(call.as_bytes())?;
+    let (mut stream, mut chunk) = (Stream::default(), vec![0; CHUNK]);
+    while !stream.ended() {
+        let size = socket.read(&mut chunk)?;
+        if size == 0 {
+            break;
+        }
+        let events = stream.feed(&chunk[..size]).map_err(io::Error::other)?;
+        for event in events {
+            let news: News = serde_json::from_str(&event.data).map_err(io::Error::other)?;
+            let number = event.id.and_then(|id| id.parse().ok()).unwrap_or(news.cursor);
+            // What was read before the connection ended may come once more.
+            if number > *cursor {
+                *cursor = number;
+                news.tell(invoker, false);
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/node/src/wire/mod.rs
@@ -0,0 +1,7 @@
+//! What is spoken on the wire. Codecs are pure and bounded; each has its sockets in a module beside it.
+pub mod channel;
+pub mod frames;
+pub mod front;
+pub mod sse;
+pub mod thrift;
+pub mod workers;
--- /dev/null
+++ b/node/src/wire/thrift.rs
@@ -0,0 +1,353 @@
+//! Thrift's strict binary protocol in framed transport, as far as the platform's front speaks it.
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Largest frame that is read; a larger one ends its connection.
+pub const MAX_FRAME: usize = 1 << 20;
+/// Largest body of a request.
+pub const MAX_BODY: usize = 16 << 10;
+const MAX_FIELDS: usize = 64;
+const MAX_TEXT: usize = 4096;
+const MAX_DEPTH: u32 = 8;
+const VERSION: u32 = 0x8001_0000;
+
+const CALL: u8 = 1;
+const REPLY: u8 = 2;
+const EXCEPTION: u8 = 3;
+const ONEWAY: u8 = 4;
+
+const STOP: u8 = 0;
+const BOOL: u8 = 2;
+const I32: u8 = 8;
+const STRING: u8 = 11;
+const STRUCT: u8 = 12;
+const MAP: u8 = 13;
+
+/// The fields of a request or an answer.
+pub type Fields = BTreeMap<String, String>;
+
+/// A message of a client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// A request.
+    Dispatch {
+        /// Its sequence number.
+        seqid: i32,
+        /// Its fields.
+        fields: Fields,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// Nobody waits for that request any more.
+    Cancel {
+        /// The request's sequence number.
+        seqid: i32,
+    },
+    /// Asks whether this invoker is ready.
+    Alive {
+        /// Its sequence number.
+        seqid: i32,
+    },
+}
+
+/// Why a message can't be read, with the sequence number as far as it is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed {
+    /// The sequence number and method of a call that waits for an answer.
+    pub call: Option<(i32, String)>,
+    /// What is wrong.
+    pub what: &'static str,
+    /// The method is not one of ours.
+    pub unknown_method: bool,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "malformed message: {}", self.what)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// What a client is answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// `Answer`.
+    Answer(Vec<u8>),
+    /// `Rejected`, with the time to stay away.
+    Rejected(Fields),
+    /// `Crashed`.
+    Crashed(Fields),
+}
+
+type Read<T> = Result<T, &'static str>;
+
+struct Reader<'a>(&'a [u8]);
+
+impl<'a> Reader<'a> {
+    fn take(&mut self, size: usize) -> Read<&'a [u8]> {
+        if size > self.0.len() {
+            return Err("cut short");
+        }
+        let (head, rest) = self.0.split_at(size);
+        self.0 = rest;
+        Ok(head)
+    }
+
+    fn u8(&mut self) -> Read<u8> {
+        Ok(self.take(1)?[0])
+    }
+
+    fn i32(&mut self) -> Read<i32> {
+        let bytes = self.take(4)?;
+        Ok(i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+
+    fn bytes(&mut self) -> Read<&'a [u8]> {
+        let size = usize::try_from(self.i32()?).map_err(|_| "negative length")?;
+        self.take(size)
+    }
+
+    fn text(&mut self) -> Read<String> {
+        let bytes = self.bytes()?;
+        if bytes.len() > MAX_TEXT {
+            return Err("text too long");
+        }
+        std::str::from_utf8(bytes).map(str::to_string).map_err(|_| "text is no UTF-8")
+    }
+
+    fn map(&mut self) -> Read<Fields> {
+        let kinds = (self.u8()?, self.u8()?);
+        let size = usize::try_from(self.i32()?).map_err(|_| "negative size")?;
+        if size > MAX_FIELDS {
+            return Err("too many fields");
+        }
+        if size > 0 && kinds != (STRING, STRING) {
+            return Err("fields are no texts");
+        }
+        (0..size).map(|_| Ok((self.text()?, self.text()?))).collect()
+    }
+
+    /// The fields of a struct, each handed to `each`, which reads it or says that it is not its own.
+    fn fields(&mut self, mut each: impl FnMut(&mut Self, u8, i16) -> Read<bool>) -> Read<()> {
+        loop {
+            let kind = self.u8()?;
+            if kind == STOP {
+                return Ok(());
+            }
+            let bytes = self.take(2)?;
+            if !each(self, kind, i16::from_be_bytes([bytes[0], bytes[1]]))? {
+                self.skip(kind, 0)?;
+            }
+        }
+    }
+
+    fn skip(&mut self, kind: u8, depth: u32) -> Read<()> {
+        if depth > MAX_DEPTH {
+            return Err("nested too deep");
+        }
+        match kind {
+            BOOL | 3 => self.take(1).map(|_| ()),
+            6 => self.take(2).map(|_| ()),
+            I32 => self.take(4).map(|_| ()),
+            4 | 10 => self.take(8).map(|_| ()),
+            STRING => self.bytes().map(|_| ()),
+            STRUCT => loop {
+                let kind = self.u8()?;
+                if kind == STOP {
+                    return Ok(());
+                }
+                self.take(2)?;
+                self.skip(kind, depth + 1)?;
+            },
+            MAP => {
+                let (key, value) = (self.u8()?, self.u8()?);
+                for _ in 0..self.i32()? {
+                    self.skip(key, depth + 1)?;
+                    self.skip(value, depth + 1)?;
+                }
+                Ok(())
+            }
+            14 | 15 => {
+                let kind = self.u8()?;
+                for _ in 0..self.i32()? {
+                    self.skip(kind, depth + 1)?;
+                }
+                Ok(())
+            }
+            _ => Err("unknown type"),
+        }
+    }
+}
+
+/// Takes one frame's content off the front of `buffer`; `None` while it is not whole.
+pub fn unframe(buffer: &mut Vec<u8>) -> Result<Option<Vec<u8>>, Malformed> {
+    let Some(head) = buffer.first_chunk::<4>() else { return Ok(None) };
+    let size = u32::from_be_bytes(*head) as usize;
+    if size > MAX_FRAME {
+        return Err(Malformed { call: None, what: "frame too long", unknown_method: false });
+    }
+    if buffer.len() < 4 + size {
+        return Ok(None);
+    }
+    let message = buffer[4..4 + size].to_vec();
+    buffer.drain(..4 + size);
+    Ok(Some(message))
+}
+
+/// Reads a client's message.
+pub fn read(message: &[u8]) -> Result<Message, Malformed> {
+    let mut reader = Reader(message);
+    let mut head = || -> Read<(u8, String, i32)> {
+        let version = reader.i32()? as u32;
+        if version & 0xffff_0000 != VERSION {
+            return Err("not the strict binary protocol");
+        }
+        Ok((version as u8, reader.text()?, reader.i32()?))
+    };
+    let (kind, name, seqid) = head().map_err(|what| Malformed { call: None, what, unknown_method: false })?;
+    let call = (kind == CALL).then(|| (seqid, name.clone()));
+    if kind != CALL && kind != ONEWAY {
+        return Err(Malformed { call, what: "neither a call nor a oneway", unknown_method: false });
+    }
+    let (mut fields, mut body, mut number) = (None, None, None);
+    let arguments = reader.fields(|reader, kind, id| {
+        match (name.as_str(), id, kind) {
+            ("dispatch", 1, MAP) => fields = Some(reader.map()?),
+            ("dispatch", 2, STRING) => body = Some(reader.bytes()?.to_vec()),
+            ("cancelRequest", 1, I32) => number = Some(reader.i32()?),
+            _ => return Ok(false),
+        }
+        Ok(true)
+    });
+    let bad = |what| Malformed { call: call.clone(), what, unknown_method: false };
+    arguments.map_err(bad)?;
+    match name.as_str() {
+        "dispatch" if kind == CALL => {
+            let fields = fields.ok_or_else(|| bad("no fields"))?;
+            Ok(Message::Dispatch { seqid, fields, body: body.unwrap_or_default() })
+        }
+        "cancelRequest" => Ok(Message::Cancel { seqid: number.ok_or_else(|| bad("no sequence number"))? }),
+        "alive" if kind == CALL => Ok(Message::Alive { seqid }),
+        _ => Err(Malformed { call: call.clone(), what: "unknown method", unknown_method: true }),
+    }
+}
+
+struct Writer(Vec<u8>);
+
+impl Writer {
+    fn message(kind: u8, name: &str, seqid: i32) -> Self {
+        let mut writer = Writer(vec![0; 4]);
+        writer.0.extend((VERSION | u32::from(kind)).to_be_bytes());
+        writer.bytes(name.as_bytes());
+        writer.0.extend(seqid.to_be_bytes());
+        writer
+    }
+
+    fn field(&mut self, kind: u8, id: i16) {
+        self.0.push(kind);
+        self.0.extend(id.to_be_bytes());
+    }
+
+    fn bytes(&mut self, bytes: &[u8]) {
+        self.0.extend((bytes.len() as u32).to_be_bytes());
+        self.0.extend(bytes);
+    }
+
+    fn map(&mut self, fields: &Fields) {
+        self.0.extend([STRING, STRING]);
+        self.0.extend((fields.len() as u32).to_be_bytes());
+        for (name, value) in fields {
+            self.bytes(name.as_bytes());
+            self.bytes(value.as_bytes());
+        }
+    }
+
+    fn frame(mut self) -> Vec<u8> {
+        let size = (self.0.len() - 4) as u32;
+        self.0[..4].copy_from_slice(&size.to_be_bytes());
+        self.0
+    }
+}
+
+/// The framed reply to a call of `method`.
+pub fn reply(method: &str, seqid: i32, reply: &Reply) -> Vec<u8> {
+    let mut writer = Writer::message(REPLY, method, seqid);
+    match reply {
+        Reply::Answer(body) => {
+            writer.field(STRUCT, 0);
+            writer.field(STRING, 1);
+            writer.bytes(body);
+            writer.field(MAP, 2);
+            writer.map(&Fields::new());
+            writer.field(BOOL, 3);
+            writer.0.push(1);
+        }
+        Reply::Rejected(fields) | Reply::Crashed(fields) => {
+            writer.field(STRUCT, if matches!(reply, Reply::Rejected(_)) { 1 } else { 2 });
+            writer.field(MAP, 1);
+            writer.map(fields);
+        }
+    }
+    writer.0.extend([STOP, STOP]);
+    writer.frame()
+}
+
+/// The framed application exception that answers a call which can't be read.
+pub fn exception(method: &str, seqid: i32, unknown_method: bool, what: &str) -> Vec<u8> {
+    let mut writer = Writer::message(EXCEPTION, method, seqid);
+    writer.field(STRING, 1);
+    writer.bytes(what.as_bytes());
+    writer.field(I32, 2);
+    // 1: unknown method, 7: protocol error.
+    writer.0.extend(if unknown_method { 1i32 } else { 7 }.to_be_bytes());
+    writer.0.push(STOP);
+    writer.frame()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn dispatch(seqid: i32, fields: &Fields, body: &[u8]) -> Vec<u8> {
+        let mut writer = Writer::message(CALL, "dispatch", seqid);
+        writer.field(MAP, 1);
+        writer.map(fields);
+        writer.field(STRING, 2);
+        writer.bytes(body);
+        writer.0.push(STOP);
+        writer.frame()
+    }
+
+    proptest! {
+        #[test]
+        fn dispatch_is_read_back(seqid in any::<i32>(), name in "[a-z]{1,8}", value in ".{0,20}",
+                                 body in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let fields = Fields::from([(name, value)]);
+            let mut buffer = dispatch(seqid, &fields, &body);
+            let message = unframe(&mut buffer).expect("framed").expect("whole");
+            prop_assert_eq!(read(&message), Ok(Message::Dispatch { seqid, fields, body }));
+        }
+
+        /// Guards against a client's bytes taking the process down.
+        #[test]
+        fn any_bytes_are_read_or_turned_down(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+            let _ = read(&bytes);
+            let mut head = Writer::message(CALL, "dispatch", 7).frame().split_off(4);
+            head.extend(bytes);
+            if let Err(malformed) = read(&head) {
+                prop_assert_eq!(malformed.call, Some((7, "dispatch".to_string())));
+            }
+        }
+    }
+
+    #[test]
+    fn lengths_beyond_the_message_are_turned_down() {
+        let mut message = Writer::message(CALL, "dispatch", 3);
+        message.field(STRING, 2);
+        message.0.extend(i32::MAX.to_be_bytes());
+        assert_eq!(read(&message.frame()[4..]).expect_err("cut").what, "cut short");
+        assert!(unframe(&mut vec![0xff; 8]).is_err());
+    }
+}
--- /dev/null
+++ b/node/src/wire/workers.rs
@@ -0,0 +1,346 @@
+//! Worker connections that carry binary frames: many exchanges on one connection, in any order.
+use super::frames::{code, Frame, FROM_WORKER};
+use crate::core::{lock, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
+use crate::life::spawn;
+use crate::memory::link::{Link, Stage};
+use crate::memory::roster::Host;
+use corkbay::{ModelId, Ms, WorkerId};
+use may::io::SplitIo;
+use may::net::TcpStream;
+use may::sync::mpsc::{channel, Receiver, Sender};
+use may::sync::Mutex;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time for which a worker may stop reading while a frame is written to it.
+const WRITE_STALL: Duration = Duration::from_secs(2);
+const CHUNK: usize = 4096;
+
+type Waiter = Box<dyn FnOnce(Result<Frame, AttemptError>) + Send>;
+
+/// Figures for connections to workers.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Exchanges that one connection carries at once.
+    pub streams: usize,
+    /// A connection not made by then has failed.
+    pub connect: Duration,
+    /// An idle connection is closed after this.
+    pub idle: Duration,
+    /// Most connections in all.
+    pub connections: usize,
+}
+
+/// One frame on its way out.
+struct Outgoing {
+    frame: Frame,
+    /// Somebody waits for an answer to it.
+    tracked: bool,
+    /// It is new work, which a barred worker must not be sent.
+    work: bool,
+}
+
+enum Out {
+    Frame(Outgoing),
+    Stop,
+}
+
+struct Connection {
+    link: Mutex<Link<Waiter>>,
+    outbox: Sender<Out>,
+}
+
+/// The connections to one worker.
+type Pool = Vec<Arc<Connection>>;
+
+/// The pools, by worker and address.
+pub struct FrameWorkers {
+    limits: Limits,
+    pools: Mutex<HashMap<(WorkerId, SocketAddr), Pool>>,
+    connections: Arc<AtomicUsize>,
+    order: AtomicU64,
+}
+
+struct FrameExchange {
+    connection: Option<Arc<Connection>>,
+    id: u64,
+}
+
+impl FrameWorkers {
+    /// No connections yet.
+    pub fn new(limits: Limits) -> Self {
+        FrameWorkers {
+            limits,
+            pools: Mutex::new(HashMap::new()),
+            connections: Arc::new(AtomicUsize::new(0)),
+            order: AtomicU64::new(1 << 62),
+        }
+    }
+
+    /// Puts a frame on a connection to the host, a new one where none has room. With a waiter, the
+    /// frame opens an exchange there.
+    fn open(
+        &self,
+        host: &Arc<Host>,
+        frame: Frame,
+        work: bool,
+        mut waiter: Option<Waiter>,
+    ) -> Option<Arc<Connection>> {
+        let tracked = waiter.is_some();
+        let barred = |waiter: Option<Waiter>| {
+            waiter.into_iter().for_each(|waiter| waiter(Err(AttemptError::Unfinished(Cause::Barred))));
+        };
+        if work && host.barred() {
+            barred(waiter);
+            return None;
+        }
+        let mut pools = lock(&self.pools);
+        pools.retain(|_, pool| {
+            pool.retain(|connection| !lock(&connection.link).is_closed());
+            !pool.is_empty()
+        });
+        let pool = pools.entry((host.id, host.address)).or_default();
+        let mut enlist = |connection: &Arc<Connection>| {
+            let mut link = lock(&connection.link);
+            let fits = if tracked { link.admits(frame.id) } else { !link.is_closed() };
+            if fits {
+                waiter = waiter.take().and_then(|waiter| link.open(frame.id, waiter).err());
+            }
+            fits
+        };
+        let found = pool.iter().find(|connection| enlist(connection)).cloned();
+        let connection = found.or_else(|| {
+            let fresh = self.dial(host)?;
+            enlist(&fresh);
+            pool.push(fresh.clone());
+            Some(fresh)
+        });
+        drop(pools);
+        match &connection {
+            Some(connection) => _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, work })),
+            None => barred(waiter),
+        }
+        connection
+    }
+
+    /// A new connection, as far as the budget of descriptors goes; it is made in a task of its own.
+    fn dial(&self, host: &Arc<Host>) -> Option<Arc<Connection>> {
+        let place = Place(self.connections.clone());
+        if self.connections.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+            return None;
+        }
+        let (outbox, queue) = channel();
+        let connection = Arc::new(Connection { link: Mutex::new(Link::new(self.limits.streams)), outbox });
+        let (host, limits, ours) = (host.clone(), self.limits, connection.clone());
+        spawn(move || {
+            ours.run(&host, &limits, &queue);
+            drop(place);
+        });
+        Some(connection)
+    }
+
+    /// Sends a command and waits for the frame that answers it.
+    fn ask(
+        &self,
+        host: &Arc<Host>,
+        frame: Frame,
+        work: bool,
+        within: Duration,
+    ) -> Result<Frame, AttemptError> {
+        let id = frame.id;
+        let (sender, answer) = channel();
+        let waiter: Waiter = Box::new(move |end| _ = sender.send(end));
+        let connection = self.open(host, frame, work, Some(waiter));
+        match answer.recv_timeout(within) {
+            Ok(end) => end,
+            Err(_) => {
+                let given_up = connection.and_then(|connection| lock(&connection.link).give_up(id));
+                let error = given_up.map(|(stage, _)| broken(stage, Cause::Silent));
+                Err(error.unwrap_or(AttemptError::Unanswered(Cause::Silent)))
+            }
+        }
+    }
+
+    fn order_id(&self) -> u64 {
+        self.order.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// A place in the budget of connections, given back when its holder ends in any way.
+struct Place(Arc<AtomicUsize>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn broken(stage: Stage, cause: Cause) -> AttemptError {
+    match stage {
+        Stage::Queued => AttemptError::Unfinished(cause),
+        // A frame that was begun is finished unless the connection breaks.
+        Stage::Writing if cause == Cause::Broken => AttemptError::Unfinished(cause),
+        Stage::Writing | Stage::Whole => AttemptError::Unanswered(cause),
+    }
+}
+
+fn verdict(frame: Frame) -> Result<Frame, AttemptError> {
+    match frame.code {
+        code::OK | code::ALIVE => Ok(frame),
+        code::MISS => Err(AttemptError::Answered(Verdict::Miss)),
+        code::FULL => Err(AttemptError::Answered(Verdict::Full)),
+        code::OVER => Err(AttemptError::Answered(Verdict::Over)),
+        _ => Err(AttemptError::Answered(Verdict::Failed)),
+    }
+}
+
+fn expected(code: u8) -> bool {
+    (code::MISS..=code::AILING).contains(&code) || code == code::OK
+}
+
+impl Connection {
+    /// The life of a connection: made, written to, ended. What was open on it ends with it.
+    fn run(self: &Arc<Self>, host: &Host, limits: &Limits, queue: &Receiver<Out>) {
+        let mut guard = EndGuard(self.clone(), AttemptError::Unconnected);
+        let Ok(stream) = TcpStream::connect_timeout(&host.address, limits.connect) else { return };
+        guard.1 = AttemptError::Unfinished(Cause::Broken);
+        let ready = stream.set_nodelay(true).and_then(|()| stream.set_write_timeout(Some(WRITE_STALL)));
+        let Ok((mut reader, mut writer)) = ready.and_then(|()| stream.split()) else { return };
+        let ours = self.clone();
+        let reading = spawn(move || {
+            let _guard = EndGuard(ours.clone(), AttemptError::Unfinished(Cause::Broken));
+            ours.read(&mut reader);
+            let _ = reader.inner().shutdown(Shutdown::Both);
+            let _ = ours.outbox.send(Out::Stop);
+        });
+        self.write(&mut writer, host, limits.idle, queue);
+        let _ = writer.inner().shutdown(Shutdown::Both);
+        drop(guard);
+        let _ = reading.join();
+    }
+
+    fn write(&self, socket: &mut impl Write, host: &Host, idle: Duration, queue: &Receiver<Out>) {
+        loop {
+            let out = match queue.recv_timeout(idle) {
+                Ok(Out::Frame(out)) => out,
+                Ok(Out::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) if lock(&self.link).close_idle() => return,
+                Err(RecvTimeoutError::Timeout) => continue,
+            };
+            let id = out.frame.id;
+            if out.work && host.barred() {
+                // Told to drain while the frame waited: it must not go out any more.
+                let given_up = lock(&self.link).give_up(id);
+                if let Some((_, waiter)) = given_up {
+                    waiter(Err(AttemptError::Unfinished(Cause::Barred)));
+                }
+                continue;
+            }
+            if out.tracked && !lock(&self.link).begin(id) {
+                continue;
+            }
+            if socket.write_all(&out.frame.encode()).is_err() {
+                return;
+            }
+            if out.tracked {
+                lock(&self.link).whole(id);
+            }
+        }
+    }
+
+    fn read(&self, socket: &mut impl Read) {
+        let (mut buffer, mut chunk) = (Vec::new(), vec![0; CHUNK]);
+        loop {
+            match Frame::decode(&mut buffer, FROM_WORKER) {
+                Ok(Some(frame)) if expected(frame.code) => {
+                    let waiter = lock(&self.link).answered(frame.id);
+                    if let Some(waiter) = waiter {
+                        waiter(verdict(frame));
+                    }
+                }
+                Ok(Some(frame)) => return eprintln!("worker connection closed: code {}", frame.code),
+                Err(error) => return eprintln!("worker connection closed: {error}"),
+                Ok(None) => match socket.read(&mut chunk) {
+                    Ok(0) | Err(_) => return,
+                    Ok(size) => buffer.extend(&chunk[..size]),
+                },
+            }
+        }
+    }
+}
+
+/// Ends all that is open on a connection, however its task ends.
+struct EndGuard(Arc<Connection>, AttemptError);
+
+impl Drop for EndGuard {
+    fn drop(&mut self) {
+        let open = lock(&self.0.link).close();
+        for (stage, waiter) in open {
+            let end = if self.1 == AttemptError::Unconnected { self.1 } else { broken(stage, Cause::Broken) };
+            waiter(Err(end));
+        }
+    }
+}
+
+impl Exchange for FrameExchange {
+    fn give_up(&mut self, cause: Cause) -> Option<AttemptError> {
+        let connection = self.connection.take()?;
+        let (stage, _) = lock(&connection.link).give_up(self.id)?;
+        if stage != Stage::Queued {
+            let frame = Frame::command(code::GIVE_UP, self.id, String::new(), Vec::new());
+            let _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked: false, work: false }));
+        }
+        Some(broken(stage, cause))
+    }
+}
+
+impl Workers for FrameWorkers {
+    fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange> {
+        let mut fields = format!(
+            "kind={},obj={:016x},ms={}",
+            call.class_name,
+            call.model.0,
+            until(expires).as_millis().max(1)
+        );
+        if let Some(key) = &call.key {
+            fields.push_str(",token=");
+            fields.push_str(key);
+        }
+        let frame = Frame::command(code::REQUEST, call.id.0, fields, call.body.clone());
+        let waiter: Waiter = Box::new(move |answer| end(answer.map(|frame| frame.body)));
+        let connection = self.open(host, frame, true, Some(waiter));
+        Box::new(FrameExchange { connection, id: call.id.0 })
+    }
+
+    fn load(
+        &self,
+        host: &Arc<Host>,
+        model: ModelId,
+        copies: u32,
+        within: Duration,
+    ) -> (Result<(), AttemptError>, u32) {
+        let fields = format!("obj={:016x},replicas={copies}", model.0);
+        let frame = Frame::command(code::LOAD, self.order_id(), fields, Vec::new());
+        match self.ask(host, frame, copies > 0, within) {
+            Ok(frame) => {
+                (Ok(()), frame.field("replicas").and_then(|count| count.parse().ok()).unwrap_or(copies))
+            }
+            Err(error) => (Err(error), 0),
+        }
+    }
+
+    fn evict(&self, host: &Arc<Host>, model: ModelId) {
+        let frame = Frame::command(code::EVICT, model.0, String::new(), Vec::new());
+        self.open(host, frame, false, None);
+    }
+
+    fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
+        let frame = Frame::command(code::PROBE, self.order_id(), String::new(), Vec::new());
+        self.ask(host, frame, false, within).map(|_| ())
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision of larchlift. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of corkbay. Its types, events and actions are in `src/interface.rs`.
 //!
 //! The ordinary path is the paper's: a call goes to a believed-idle warm instance, own zone first,
 //! across zones only when that is cheaper than a load; before a load on a full worker, idle models
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! larchlift decides, for one front end, where each call of a small model goes: which worker gets
+//! corkbay decides, for one front end, where each call of a small model goes: which worker gets
 //! it, where a missing model is loaded, and which idle models give way. It does no I/O, owns no
 //! clock and starts no thread: the host feeds [`Event`]s in and carries [`Action`]s out.
 #![forbid(unsafe_code)]
@@ -6,10 +6,12 @@
 
 mod brain;
 mod interface;
+mod settings;
 mod state;
 
 pub use brain::Dispatcher;
 pub use interface::*;
+pub use settings::{position, Names};
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,6 +1,6 @@
 //! The mechanism of the paper, as the ordinary path follows it.
 mod support;
-use larchlift::*;
+use corkbay::*;
 use support::*;
 
 /// A front end that was told by questions that `holders` hold model 5.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,6 +1,6 @@
 //! The five rules: each by a dialogue, then all under seeded streams of random legal events.
 mod support;
-use larchlift::*;
+use corkbay::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
 use support::*;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Small helpers: settings, a front end under test, and the events it is fed.
 #![allow(dead_code)]
-use larchlift::*;
+use corkbay::*;
 
 pub fn class(effect: Effect, worth: f64) -> Class {
     Class { aim: 1000.0, worth, late_worth: 0.2, effect }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -1,6 +1,6 @@
 //! Each kind of trouble, odd input, and the limits of the module's text.
 mod support;
-use larchlift::*;
+use corkbay::*;
 use support::*;
 
 /// Settles a model at a worker of its own choosing by answering orders; gives the worker.
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts larchlift dispatchers on the simulator's wire: parse, translate, frame, nothing more.
+//! Hosts corkbay dispatchers on the simulator's wire: parse, translate, frame, nothing more.
 #![forbid(unsafe_code)]
 
 mod wire;
@@ -16,13 +16,13 @@
         let ended = match input.read_until(b'\n', &mut line) {
             Ok(size) => size == 0,
             Err(error) => {
-                eprintln!("larchlift-wirehost: line {number}: {error}");
+                eprintln!("corkbay-drill: line {number}: {error}");
                 return ExitCode::FAILURE;
             }
         };
         if ended {
             if host.in_batch() {
-                eprintln!("larchlift-wirehost: line {number}: input ends inside a batch");
+                eprintln!("corkbay-drill: line {number}: input ends inside a batch");
                 return ExitCode::FAILURE;
             }
             return ExitCode::SUCCESS;
@@ -39,7 +39,7 @@
                 }
             }
             Err(problem) => {
-                eprintln!("larchlift-wirehost: line {number}: {problem}");
+                eprintln!("corkbay-drill: line {number}: {problem}");
                 return ExitCode::FAILURE;
             }
         }
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The line protocol: one [`Host`] keeps the instances of one process apart and turns lines into
 //! events and actions into lines.
 
-use larchlift::*;
+use corkbay::*;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
@@ -23,11 +23,7 @@
 /// One simulated front end with the names it knows.
 struct Instance {
     dispatcher: Dispatcher,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    fields: Vec<String>,
+    names: Names,
     crowd: bool,
     workers: Vec<String>,
     numbers: HashMap<String, WorkerId>,
@@ -285,94 +281,11 @@
     })
 }
 
-fn position(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|known| known == name)
-}
-
-fn names(list: &Value, of: impl Fn(&Value) -> &Value) -> Vec<String> {
-    let items = list.as_array().map(Vec::as_slice).unwrap_or_default();
-    items.iter().map(|item| of(item).as_str().unwrap_or_default().to_string()).collect()
-}
-
-/// Reads the settings; what is missing or odd falls back to the safer reading.
 fn launch(setup: &Value, salt: u64) -> Instance {
-    let number = |group: &str, key: &str, default: f64| {
-        let value = if group.is_empty() { &setup[key] } else { &setup[group][key] };
-        value.as_f64().filter(|number| *number >= 0.0).unwrap_or(default)
-    };
-    let flag = |group: &str, key: &str| setup[group][key].as_bool().unwrap_or(false);
-    let zones = names(&setup["zones"], |zone| zone);
-    let list = |key: &str| setup[key].as_array().cloned().unwrap_or_default();
-    let class = |class: &Value| {
-        let field = |key: &str, default: f64| class[key].as_f64().unwrap_or(default);
-        let group = match class["dedupScope"].as_str() {
-            Some("all") => Group::All,
-            Some("zone") => Group::Zone,
-            _ => Group::Cell,
-        };
-        let give_up = field("giveUpMs", 1000.0);
-        Class {
-            aim: field("aimMs", give_up),
-            worth: field("worth", 1.0),
-            late_worth: field("lateWorth", 0.0),
-            effect: match class["idempotency"].as_str() {
-                Some("pure") => Effect::Repeatable,
-                Some("token") => Effect::Keyed(group, field("dedupWindowMs", 0.0)),
-                _ => Effect::Unsafe,
-            },
-        }
-    };
-    let memory = &setup["specifics"]["ramMbByKind"];
-    let settings = Settings {
-        zone: position(&zones, setup["myZone"].as_str().unwrap_or_default()).unwrap_or(0),
-        tick: number("", "periodMs", 1.0),
-        front_ends: number("", "balancers", 1.0).clamp(1.0, 1e6) as u32,
-        classes: list("classes").iter().map(class).collect(),
-        tenants: list("customers")
-            .iter()
-            .map(|tenant| Tenant { quota_per_s: tenant["quotaPerS"].as_f64().unwrap_or(0.0) })
-            .collect(),
-        over_share_worth: number("", "overShareWorth", 1.0),
-        worth_by_work: setup["worthBy"].as_str() == Some("work"),
-        kind_memory: memory
-            .as_array()
-            .map(|kinds| kinds.iter().map(|mb| mb.as_f64().unwrap_or(0.0)).collect())
-            .unwrap_or_default(),
-        max_attempts: number("ceilings", "attemptsCap", 1.0).clamp(1.0, 1e6) as u32,
-        cancel: flag("ceilings", "cancel"),
-        probes: flag("ceilings", "probes"),
-        second_copies: flag("ceilings", "secondCopies"),
-        retry_after: flag("ceilings", "retryAfter"),
-        max_retry_after: number("ceilings", "maxRetryAfterMs", 0.0),
-        roster_on_request: setup["registryMode"].as_str() == Some("on_request"),
-        ask_within: number("safety", "askWithinMs", 10000.0),
-        drain_grace: number("safety", "drainGraceMs", 0.0),
-        cold_from: number("safety", "coldFrom", 0.0),
-        cold_span: number("safety", "coldMs", 0.0),
-        fall_multiple: number("safety", "fallMultiple", 1.0),
-        fall_span: number("safety", "fallMs", 0.0),
-        lacking: match setup["specifics"]["notLoaded"].as_str() {
-            Some("load") => Lacking::Loads,
-            _ => Lacking::Misses,
-        },
-        orders: flag("specifics", "placementCalls"),
-        keep: number("specifics", "keepMs", 0.0),
-        load_free: number("specifics", "loadFloor", 0.0),
-        load_share: number("specifics", "loadPart", 0.0),
-        load_window: number("specifics", "loadSpanMs", 0.0),
-        tells_warm: flag("specifics", "saysWarm"),
-        price_cross: number("prices", "crossZone", 0.0),
-        price_fetch: number("prices", "origin", 0.0),
-    };
-    let name = |item: &Value| item["name"].as_str().unwrap_or_default().to_string();
     Instance {
-        dispatcher: Dispatcher::new(settings, salt),
-        classes: list("classes").iter().map(name).collect(),
-        tenants: list("customers").iter().map(name).collect(),
-        zones,
-        kinds: names(&setup["models"], |kind| kind),
-        fields: names(&setup["report"]["fields"], |field| field),
-        crowd: flag("specifics", "tellsCrowd"),
+        dispatcher: Dispatcher::new(Settings::from_json(setup), salt),
+        names: Names::from_json(setup),
+        crowd: setup["specifics"]["tellsCrowd"].as_bool().unwrap_or(false),
         workers: Vec::new(),
         numbers: HashMap::new(),
     }
@@ -393,8 +306,8 @@
         RosterEntry {
             worker: self.number(&entry.worker),
             name: entry.worker.clone(),
-            zone: position(&self.zones, &entry.zone).unwrap_or(usize::MAX),
-            kind: position(&self.kinds, &entry.kind).unwrap_or(usize::MAX),
+            zone: position(&self.names.zones, &entry.zone).unwrap_or(usize::MAX),
+            kind: position(&self.names.kinds, &entry.kind).unwrap_or(usize::MAX),
             cell: entry.cell,
             standing: entry.standing,
             weight: entry.weight,
@@ -407,8 +320,8 @@
         let bits = parts.whole_or("stateBits", 0)?;
         Ok(Request {
             id: parts.request()?,
-            class: position(&self.classes, class).map_or_else(|| parts.bad("kind", class), Ok)?,
-            tenant: parts.get("userGroup").and_then(|name| position(&self.tenants, name)),
+            class: position(&self.names.classes, class).map_or_else(|| parts.bad("kind", class), Ok)?,
+            tenant: parts.get("userGroup").and_then(|name| position(&self.names.tenants, name)),
             model: ModelId(parts.whole_or("function", 0)?),
             memory: parts.maybe_number("memoryMb")?.unwrap_or(0.0),
             lanes: parts.maybe_number("width")?.unwrap_or(1.0),
@@ -421,7 +334,7 @@
     fn report(&self, parts: &Parts) -> Res<Option<Report>> {
         let Some(text) = parts.get("serverStats").filter(|text| !text.is_empty()) else { return Ok(None) };
         let mut report = Report::default();
-        for (field, value) in self.fields.iter().zip(text.split(',')) {
+        for (field, value) in self.names.fields.iter().zip(text.split(',')) {
             if value.is_empty() {
                 continue;
             }
--- a/wirehost/tests/dialogue.rs
+++ b/wirehost/tests/dialogue.rs
@@ -5,7 +5,7 @@
 const SETUP: &str = r#"{"balancers":1,"classes":[{"name":"look","aimMs":1000.0,"giveUpMs":5000.0,"idempotency":"pure","worth":1.0,"later":"unknown key"}],"ceilings":{"attemptsCap":3,"cancel":true},"specifics":{"keepMs":8000.0,"notLoaded":"load","placementCalls":true,"ramMbByKind":[1000.0]},"models":["std"],"zones":["a"],"myZone":"a","periodMs":2.0,"safety":{"coldFrom":0.2,"coldMs":5000.0,"fallMultiple":2.0,"fallMs":1500.0,"drainGraceMs":1000.0}}"#;
 
 fn talk(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_larchlift-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_corkbay-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -102,6 +102,6 @@
         assert!(!output.status.success(), "{input}");
         let said = String::from_utf8(output.stderr).expect("text");
         assert_eq!(said.lines().count(), 1, "{said}");
-        assert!(said.starts_with("larchlift-wirehost: line "), "{said}");
+        assert!(said.starts_with("corkbay-drill: line "), "{said}");
     }
 }
