--- a/node/src/core/call.rs
+++ b/node/src/core/call.rs
@@ -1,5 +1,6 @@
 //! A call as the core knows it, and what becomes of it.
 use corkbay::{ModelId, Ms, Request, RequestId};
+use serde::{Deserialize, Serialize};
 
 /// One request with its body.
 #[derive(Clone, Debug, Default)]
@@ -12,6 +13,8 @@
     pub class_name: String,
     /// Number of its tenant, if any.
     pub tenant: Option<usize>,
+    /// Name of the function, where the front knows functions by name.
+    pub function: String,
     /// The model it calls.
     pub model: ModelId,
     /// Size of one copy, MB.
@@ -47,8 +50,8 @@
     }
 }
 
-/// What is known of a call that failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What is known of a call that was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
     /// An attempt was whole on a wire and no proof came that it did not run.
     pub may_have_run: bool,
@@ -57,14 +60,21 @@
 }
 
 /// The one final answer of a call.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase", tag = "state")]
 pub enum Answer {
-    /// The body that a worker gave.
-    Served(Vec<u8>),
+    /// Done.
+    Served {
+        /// The body that a worker gave.
+        #[serde(with = "super::base64_text")]
+        body: Vec<u8>,
+    },
     /// Not done; another try is harmless, after that many milliseconds.
     Refused {
         /// Advice when to come again; 0 for none.
         retry_after: Ms,
+        /// What is known of it.
+        known: Failure,
     },
     /// Not done, and nothing is promised.
     Failed(Failure),
--- a/node/src/core/invoker.rs
+++ b/node/src/core/invoker.rs
@@ -7,12 +7,16 @@
 };
 use may::sync::{mpsc, Condvar, Mutex};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// How long after its time a request waits for the decisions' last word before it is failed here.
 const LAST_WORD_MS: Ms = 10.0;
 
+/// A request that ends unserved this short before its time, as the decisions do, ends for want of time.
+const LAST_CALL_MS: Ms = 40.0;
+
 /// What reaches the task of a request.
 #[derive(Debug)]
 enum Note {
@@ -24,6 +28,15 @@
     Ended { attempt: u32, end: Result<Vec<u8>, AttemptError> },
 }
 
+/// Why a request was not taken; nothing of it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// Its id is open already.
+    Open,
+    /// The process is about to end.
+    Draining,
+}
+
 /// The mailbox of one request's task.
 pub struct Inbox {
     notes: mpsc::Receiver<Note>,
@@ -66,6 +79,7 @@
     spans: Spans,
     owed: Mutex<usize>,
     settled: Condvar,
+    draining: AtomicBool,
     /// Numbers and names of classes, tenants, zones and kinds.
     pub names: Names,
     /// What the decisions were told at the start.
@@ -94,25 +108,29 @@
             spans,
             owed: Mutex::new(0),
             settled: Condvar::new(),
+            draining: AtomicBool::new(false),
             names,
             settings,
             counters: Counters::default(),
         })
     }
 
-    /// Takes a request in; `None` if its id is open already.
-    pub fn take(self: &Arc<Self>, call: Call) -> Option<Taken> {
+    /// Takes a request in: from here on it is owed a final answer.
+    pub fn take(self: &Arc<Self>, call: Call) -> Result<Taken, NotTaken> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(NotTaken::Draining);
+        }
         let (sender, notes) = mpsc::channel();
         {
             let mut core = lock(&self.core);
             if core.open.contains_key(&call.id) {
-                return None;
+                return Err(NotTaken::Open);
             }
             core.open.insert(call.id, sender.clone());
         }
         *lock(&self.owed) += 1;
         self.counters.taken.add();
-        Some(Taken { invoker: self.clone(), call: Arc::new(call), inbox: Inbox { notes, sender } })
+        Ok(Taken { invoker: self.clone(), call: Arc::new(call), inbox: Inbox { notes, sender } })
     }
 
     /// Nobody waits for the request any more.
@@ -128,6 +146,11 @@
         self.feed(Event::Roster(roster));
     }
 
+    /// Takes nothing more from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
     /// Waits until nothing is owed; false if that took longer than the time given.
     pub fn settle(&self, within: Duration) -> bool {
         let end = now_ms() + within.as_secs_f64() * 1000.0;
@@ -224,7 +247,7 @@
         let mut flights: Vec<Flight> = Vec::new();
         let (mut sent, mut may_have_run) = (0, false);
         invoker.feed(Event::Request(call.request()));
-        let answer = loop {
+        let mut answer = loop {
             let due = flights.iter().map(|flight| flight.until).fold(call.expires + LAST_WORD_MS, f64::min);
             match self.inbox.next(due) {
                 Some(Note::Send { worker, within }) => {
@@ -243,7 +266,7 @@
                     match end {
                         Ok(body) => {
                             self.finished(attempt, flight.worker, flight.started, Outcome::Ok, true);
-                            break Answer::Served(body);
+                            break Answer::Served { body };
                         }
                         Err(error) => may_have_run |= self.lost(&flight, error, false),
                     }
@@ -257,8 +280,10 @@
                         may_have_run |= self.lost(&flight, error, false);
                     }
                 }
-                Some(Note::Refuse { retry_after }) => break Answer::Refused { retry_after },
-                Some(Note::Fail) => break Answer::Failed(Failure { may_have_run, late: self.late() }),
+                Some(Note::Refuse { retry_after }) => {
+                    break Answer::Refused { retry_after, known: self.known() }
+                }
+                Some(Note::Fail) => break Answer::Failed(self.known()),
                 Some(Note::Withdrawn) => {
                     invoker.feed(Event::Withdrawn { id: call.id });
                     break Answer::Withdrawn;
@@ -275,18 +300,19 @@
                         }
                     } else if now >= call.expires {
                         invoker.feed(Event::Withdrawn { id: call.id });
-                        break Answer::Failed(Failure { may_have_run, late: true });
+                        break Answer::Failed(self.known());
                     }
                 }
             }
         };
         // What is still out is called off; the decisions hear of each end.
         for mut flight in flights {
-            if let Some(error) = flight.exchange.give_up(Cause::GivenUp) {
-                self.lost(&flight, error, true);
-            } else {
-                self.finished(flight.attempt, flight.worker, flight.started, Outcome::Cancelled, true);
-            }
+            let error = flight.exchange.give_up(Cause::GivenUp);
+            may_have_run |=
+                self.lost(&flight, error.unwrap_or(AttemptError::Unanswered(Cause::GivenUp)), true);
+        }
+        if let Answer::Refused { known, .. } | Answer::Failed(known) = &mut answer {
+            known.may_have_run = may_have_run;
         }
         answer
     }
@@ -296,8 +322,9 @@
         &self.call
     }
 
-    fn late(&self) -> bool {
-        now_ms() + 2.0 * self.invoker.settings.tick + 25.0 >= self.call.expires
+    /// What is known at the end; how far the attempts had come is added when all have ended.
+    fn known(&self) -> Failure {
+        Failure { may_have_run: false, late: now_ms() + LAST_CALL_MS >= self.call.expires }
     }
 
     fn start(&self, attempt: u32, worker: WorkerId, within: Ms) -> Option<Flight> {
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -7,7 +7,7 @@
 pub use attempt::{AttemptError, Cause, Verdict};
 pub use call::{Answer, Call, Failure};
 pub(crate) use invoker::lock;
-pub use invoker::{Inbox, Invoker, Taken};
+pub use invoker::{Inbox, Invoker, NotTaken, Taken};
 
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms};
@@ -50,3 +50,17 @@
     /// Asks whether the worker lives.
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError>;
 }
+
+/// Bodies as base64 text in records.
+mod base64_text {
+    use base64::{engine::general_purpose::STANDARD, Engine};
+    use serde::{de::Error, Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(body: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(body))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+        STANDARD.decode(String::deserialize(deserializer)?).map_err(D::Error::custom)
+    }
+}
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -1,6 +1,9 @@
 //! Configuration, start and stop.
 pub mod config;
+pub mod deploy;
+pub mod import;
 pub mod platform;
+pub mod service;
 
 use may::coroutine::JoinHandle;
 
--- a/node/src/life/platform.rs
+++ b/node/src/life/platform.rs
@@ -2,12 +2,12 @@
 use super::config::{ConfigError, Platform};
 use super::spawn;
 use crate::core::Invoker;
+use crate::wire::accept::accept;
 use crate::wire::workers::{FrameWorkers, Limits};
 use crate::wire::{channel, front};
 use may::net::TcpListener;
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
-use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,9 +18,9 @@
 /// Longest wait for what is owed after that: the longest deadline, and SIGKILL comes soon after it.
 const DRAIN: Duration = Duration::from_secs(5);
 /// Descriptors for all but clients and workers.
-const RESERVE: usize = 48;
+pub const RESERVE: usize = 48;
 /// Each connection costs two descriptors: its halves are waited for apart.
-const PER_CONNECTION: usize = 2;
+pub const PER_CONNECTION: usize = 2;
 
 /// Sets the coroutine library up; before the first coroutine.
 pub fn set_up_coroutines() {
@@ -39,11 +39,11 @@
     for news in config.known {
         news.tell(&invoker, true);
     }
-    let listener = bind(config.listen).map_err(|error| ConfigError::new("listen", error))?;
+    let listener = TcpListener::bind(config.listen).map_err(|error| ConfigError::new("listen", error))?;
     let (ours, cursor, address) = (invoker.clone(), config.cursor, config.channel);
     spawn(move || channel::follow(&ours, address, cursor));
     let ours = invoker.clone();
-    spawn(move || front::accept(&ours, &listener, clients.max(1)));
+    spawn(move || accept(&listener, clients.max(1), move |stream| front::serve(&ours, stream)));
     Ok(serve_until_signalled(&invoker, &mut signals))
 }
 
@@ -56,16 +56,14 @@
         eprintln!("{}", invoker.counters);
     }
     std::thread::sleep(STILL_TAKING);
+    invoker.drain();
     let settled = invoker.settle(DRAIN);
     eprintln!("{}", invoker.counters);
     settled
 }
 
-fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address)
-}
-
-fn limits(settings: &serde_json::Value, connections: usize) -> Limits {
+/// Figures for worker connections, from the settings object.
+pub fn limits(settings: &serde_json::Value, connections: usize) -> Limits {
     let ceiling = |key: &str, default: f64| {
         settings["ceilings"][key].as_f64().filter(|value| *value > 0.0).unwrap_or(default)
     };
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,11 +1,29 @@
-//! Starts the daemon: on the platform as `PROXY_CONFIG` says.
+//! Starts the daemon: on the platform as `PROXY_CONFIG` says, elsewhere as a deploy file says.
 use corkbay_node::life::config::{ConfigError, Platform};
-use corkbay_node::life::platform;
+use corkbay_node::life::deploy::Deploy;
+use corkbay_node::life::{import, platform, service};
+use std::path::Path;
 use std::process::ExitCode;
 
+const USAGE: &str = "usage: corkbay                          on the platform, as PROXY_CONFIG says
+       corkbay serve [DEPLOY_FILE]        the invoke API; without a file, deploy/invoke.toml
+       corkbay import FILE [--output FILE]  Apache worker files to [[worker]] entries";
+
 fn main() -> ExitCode {
-    platform::set_up_coroutines();
-    match start() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let end = match arguments.as_slice() {
+        [] => on_platform(),
+        ["serve"] => serve("deploy/invoke.toml"),
+        ["serve", path] => serve(path),
+        ["import", path] => return import::run(Path::new(path), None),
+        ["import", path, "--output", output] => return import::run(Path::new(path), Some(Path::new(output))),
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match end {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
@@ -15,9 +33,17 @@
     }
 }
 
-fn start() -> Result<bool, ConfigError> {
+fn on_platform() -> Result<bool, ConfigError> {
     let path = std::env::var("PROXY_CONFIG").map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
     let text = std::fs::read_to_string(&path).map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
     let listen = std::env::var("PROXY_LISTEN").ok();
-    platform::run(Platform::read(&text, listen.as_deref())?)
+    let config = Platform::read(&text, listen.as_deref())?;
+    platform::set_up_coroutines();
+    platform::run(config)
+}
+
+fn serve(path: &str) -> Result<bool, ConfigError> {
+    let deploy = Deploy::load(Path::new(path))?;
+    platform::set_up_coroutines();
+    service::run(&deploy)
 }
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -68,7 +68,7 @@
     /// A request has its final answer.
     pub fn answered(&self, answer: &Answer) {
         match answer {
-            Answer::Served(_) => self.served.add(),
+            Answer::Served { .. } => self.served.add(),
             Answer::Refused { .. } => self.refused.add(),
             Answer::Failed(_) => self.failed.add(),
             Answer::Withdrawn => self.withdrawn.add(),
--- a/node/src/wire/front.rs
+++ b/node/src/wire/front.rs
@@ -1,11 +1,11 @@
 //! The platform's front: Thrift in, calls to the core, answers out.
 use super::thrift::{self, Fields, Malformed, Message, Reply};
-use crate::core::{lock, now_ms, Answer, Call, Failure, Invoker};
+use crate::core::{lock, now_ms, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
 use corkbay::{position, Effect, ModelId, RequestId};
 use may::io::SplitIo;
-use may::net::{TcpListener, TcpStream};
-use may::sync::{Mutex, Semphore};
+use may::net::TcpStream;
+use may::sync::Mutex;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::Shutdown;
@@ -19,49 +19,18 @@
 const IDLE: Duration = Duration::from_secs(30);
 /// Longest time for which a client may stop reading while an answer is written to it.
 const WRITE_STALL: Duration = Duration::from_secs(2);
-/// Pause after an accept that failed, for want of descriptors above all.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const CHUNK: usize = 4096;
 /// Advice to a client that opens more than it may.
 const CROWDED_MS: f64 = 100.0;
+/// Advice to a client of a process that is about to end.
+const DRAINING_MS: f64 = 200.0;
 const MAX_KEY: usize = 128;
 
 type Open = Arc<Mutex<HashMap<i32, RequestId>>>;
 type Answers = Arc<Mutex<Box<dyn Write + Send>>>;
 
-/// Accepts clients for as long as the process lives, at most `most` at a time.
-pub fn accept(invoker: &Arc<Invoker>, listener: &TcpListener, most: usize) {
-    let places = Arc::new(Semphore::new(most));
-    loop {
-        places.wait();
-        match listener.accept() {
-            Ok((stream, _)) => {
-                let (invoker, places) = (invoker.clone(), places.clone());
-                spawn(move || {
-                    let _place = Place(places);
-                    serve(&invoker, stream);
-                });
-            }
-            Err(error) => {
-                places.post();
-                eprintln!("accept: {error}");
-                may::coroutine::sleep(ACCEPT_PAUSE);
-            }
-        }
-    }
-}
-
-/// A client's place, given back however its task ends.
-struct Place(Arc<Semphore>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.post();
-    }
-}
-
 /// The life of one client connection.
-fn serve(invoker: &Arc<Invoker>, stream: TcpStream) {
+pub fn serve(invoker: &Arc<Invoker>, stream: TcpStream) {
     let ready = stream.set_nodelay(true).and_then(|()| {
         stream.set_write_timeout(Some(WRITE_STALL))?;
         stream.set_read_timeout(Some(IDLE))
@@ -149,13 +118,20 @@
     }
     let taken = call(invoker, fields, body).and_then(|call| {
         let id = call.id;
-        let free = !lock(open).contains_key(&seqid);
-        let taken = free.then(|| invoker.take(call)).flatten().ok_or("open already")?;
-        lock(open).insert(seqid, id);
+        let mut open = lock(open);
+        if open.contains_key(&seqid) {
+            return Err("the sequence number is open already");
+        }
+        let taken = invoker.take(call);
+        if taken.is_ok() {
+            open.insert(seqid, id);
+        }
         Ok(taken)
     });
     match taken {
-        Ok(taken) => {
+        Ok(Err(NotTaken::Draining)) => answer_now(rejected(DRAINING_MS)),
+        Ok(Err(NotTaken::Open)) => answer_now(crashed("the request is open already")),
+        Ok(Ok(taken)) => {
             let (invoker, open, answers) = (invoker.clone(), open.clone(), answers.clone());
             spawn(move || {
                 let answer = catch_unwind(AssertUnwindSafe(|| taken.serve()))
@@ -163,8 +139,8 @@
                 lock(&open).remove(&seqid);
                 invoker.counters.answered(&answer);
                 let reply = match answer {
-                    Answer::Served(body) => Some(Reply::Answer(body)),
-                    Answer::Refused { retry_after } => Some(rejected(retry_after)),
+                    Answer::Served { body } => Some(Reply::Answer(body)),
+                    Answer::Refused { retry_after, .. } => Some(rejected(retry_after)),
                     Answer::Failed(_) => Some(Reply::Crashed(Fields::new())),
                     Answer::Withdrawn => None,
                 };
@@ -178,7 +154,7 @@
         Err(what) => {
             invoker.counters.malformed.add();
             eprintln!("request turned down: {what}");
-            answer_now(Reply::Crashed(Fields::from([("reason".to_string(), what.to_string())])));
+            answer_now(crashed(what));
         }
     }
 }
@@ -191,6 +167,10 @@
     Reply::Rejected(fields)
 }
 
+fn crashed(what: &str) -> Reply {
+    Reply::Crashed(Fields::from([("reason".to_string(), what.to_string())]))
+}
+
 fn write(answers: &Answers, bytes: &[u8]) {
     // A client that can't be written to is seen by the reading side of its connection.
     let _ = lock(answers).write_all(bytes);
@@ -236,6 +216,7 @@
         class,
         class_name: class_name.to_string(),
         tenant,
+        function: String::new(),
         model: ModelId(hex("lookup").ok_or("lookup is no 16 hex digits")?),
         memory: extras.get("memory_mb").copied().unwrap_or(0.0),
         lanes: extras.get("lanes").copied().unwrap_or(1.0),
--- /dev/null
+++ b/node/src/wire/http_workers.rs
@@ -0,0 +1,298 @@
+//! Workers that speak the invoke API themselves, called in either of its styles: the exchange is held
+//! until the answer comes, or handed over and collected later.
+use super::http::{Body, ResponseHead};
+use super::invoke::{DEADLINE_HEADER, MAY_HAVE_RUN_HEADER};
+use crate::core::{lock, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
+use crate::life::spawn;
+use crate::memory::link::{Link, Stage};
+use crate::memory::roster::Host;
+use corkbay::{ModelId, Ms};
+use may::net::TcpStream;
+use may::sync::Mutex;
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest answer that is read.
+const MAX_ANSWER: usize = 1 << 20;
+/// Longest time for which one call to collect is held.
+const COLLECT_WAIT: Duration = Duration::from_secs(10);
+const WRITE_STALL: Duration = Duration::from_secs(2);
+const CHUNK: usize = 4096;
+
+/// How an answer travels from a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Style {
+    /// On the exchange that carried the call.
+    Held,
+    /// Collected later, from where the worker said.
+    Deferred,
+}
+
+/// Figures for these calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A connection not made by then has failed.
+    pub connect: Duration,
+    /// Most attempts that are out at once.
+    pub connections: usize,
+}
+
+/// The way to workers that speak HTTP. Each call has a connection of its own: one that was kept and is
+/// closed by the worker under a call would look like a call that may have run.
+pub struct HttpWorkers {
+    style: Style,
+    limits: Limits,
+    out: Arc<AtomicUsize>,
+}
+
+/// One attempt, shared by its task and its holder.
+struct Attempt {
+    link: Mutex<Link<Ending>>,
+    id: u64,
+    /// What to shut down, and where to call off, when the attempt is given up.
+    socket: Mutex<Option<std::net::TcpStream>>,
+    location: Mutex<Option<String>>,
+}
+
+struct HttpExchange {
+    attempt: Arc<Attempt>,
+    host: Arc<Host>,
+    connect: Duration,
+}
+
+struct Answered {
+    head: ResponseHead,
+    body: Vec<u8>,
+}
+
+impl HttpWorkers {
+    /// Calls workers in that style.
+    pub fn new(style: Style, limits: Limits) -> Self {
+        HttpWorkers { style, limits, out: Arc::new(AtomicUsize::new(0)) }
+    }
+}
+
+impl Workers for HttpWorkers {
+    fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange> {
+        let id = call.id.0;
+        let attempt = Arc::new(Attempt {
+            link: Mutex::new(Link::new(1)),
+            id,
+            socket: Mutex::default(),
+            location: Mutex::default(),
+        });
+        let refused = lock(&attempt.link).open(id, end).err();
+        debug_assert!(refused.is_none(), "a fresh link has room");
+        let exchange =
+            HttpExchange { attempt: attempt.clone(), host: host.clone(), connect: self.limits.connect };
+        if self.out.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+            self.out.fetch_sub(1, Ordering::Relaxed);
+            attempt.settle(Err(AttemptError::Unfinished(Cause::Barred)));
+            return Box::new(exchange);
+        }
+        let (style, limits, out) = (self.style, self.limits, self.out.clone());
+        let (host, call) = (host.clone(), call.clone());
+        spawn(move || {
+            let _end = EndGuard(attempt.clone(), out);
+            let end = attempt.run(&host, &call, expires, style, &limits);
+            attempt.settle(end);
+        });
+        Box::new(exchange)
+    }
+
+    /// These workers load by themselves; nothing is ordered of them.
+    fn load(&self, _: &Arc<Host>, _: ModelId, _: u32, _: Duration) -> (Result<(), AttemptError>, u32) {
+        (Err(AttemptError::Answered(Verdict::Failed)), 0)
+    }
+
+    fn evict(&self, _: &Arc<Host>, _: ModelId) {}
+
+    fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
+        TcpStream::connect_timeout(&host.address, within).map(|_| ()).map_err(|_| AttemptError::Unconnected)
+    }
+}
+
+/// Ends an attempt however its task ends.
+struct EndGuard(Arc<Attempt>, Arc<AtomicUsize>);
+
+impl Drop for EndGuard {
+    fn drop(&mut self) {
+        self.1.fetch_sub(1, Ordering::Relaxed);
+        let open = lock(&self.0.link).close();
+        for (stage, end) in open {
+            end(Err(after(stage, Cause::Broken)));
+        }
+    }
+}
+
+fn after(stage: Stage, cause: Cause) -> AttemptError {
+    match stage {
+        Stage::Queued | Stage::Writing => AttemptError::Unfinished(cause),
+        Stage::Whole => AttemptError::Unanswered(cause),
+    }
+}
+
+impl Attempt {
+    /// Tells the end, unless the attempt was given up before.
+    fn settle(&self, end: Result<Vec<u8>, AttemptError>) {
+        let waiter = lock(&self.link).give_up(self.id);
+        if let Some((_, waiter)) = waiter {
+            waiter(end);
+        }
+    }
+
+    /// The life of an attempt, in both styles.
+    fn run(
+        &self,
+        host: &Host,
+        call: &Call,
+        expires: Ms,
+        style: Style,
+        limits: &Limits,
+    ) -> Result<Vec<u8>, AttemptError> {
+        let mut socket = self.connect(host, limits.connect, expires)?;
+        if host.barred() {
+            return Err(AttemptError::Unfinished(Cause::Barred));
+        }
+        if !lock(&self.link).begin(self.id) {
+            return Err(AttemptError::Unfinished(Cause::GivenUp));
+        }
+        let request = post(host, call, expires, style);
+        socket.write_all(&request).map_err(|_| AttemptError::Unfinished(Cause::Broken))?;
+        lock(&self.link).whole(self.id);
+        let mut answered = receive(&mut socket).map_err(|error| AttemptError::Unanswered(cause(&error)))?;
+        drop(socket);
+        while let Some(location) = place(&answered, style) {
+            *lock(&self.location) = Some(location.clone());
+            let wait = until(expires).min(COLLECT_WAIT);
+            let mut socket = self
+                .connect(host, limits.connect, expires)
+                .map_err(|_| AttemptError::Unanswered(Cause::Broken))?;
+            let request = format!(
+                "GET {location} HTTP/1.1\r\nHost: {}\r\nPrefer: wait={}\r\nConnection: close\r\n\r\n",
+                host.address,
+                wait.as_secs().max(1)
+            );
+            let exchange = socket.write_all(request.as_bytes()).and_then(|()| receive(&mut socket));
+            answered = exchange.map_err(|error| AttemptError::Unanswered(cause(&error)))?;
+        }
+        judge(answered)
+    }
+
+    fn connect(&self, host: &Host, within: Duration, expires: Ms) -> Result<TcpStream, AttemptError> {
+        let unconnected = |_| AttemptError::Unconnected;
+        let stream = TcpStream::connect_timeout(&host.address, within).map_err(unconnected)?;
+        stream.set_nodelay(true).map_err(unconnected)?;
+        stream.set_write_timeout(Some(WRITE_STALL)).map_err(unconnected)?;
+        let silence = until(expires).max(Duration::from_millis(1));
+        stream.set_read_timeout(Some(silence)).map_err(unconnected)?;
+        *lock(&self.socket) = Some(stream.inner().try_clone().map_err(unconnected)?);
+        Ok(stream)
+    }
+}
+
+impl Exchange for HttpExchange {
+    fn give_up(&mut self, cause: Cause) -> Option<AttemptError> {
+        let (stage, _) = lock(&self.attempt.link).give_up(self.attempt.id)?;
+        if let Some(socket) = lock(&self.attempt.socket).take() {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+        let location = lock(&self.attempt.location).take();
+        if let Some(location) = location {
+            let (host, connect) = (self.host.clone(), self.connect);
+            spawn(move || {
+                // As good as the worker can be told; nothing hangs on it.
+                let request = format!(
+                    "DELETE {location} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+                    host.address
+                );
+                let told = TcpStream::connect_timeout(&host.address, connect).and_then(|mut socket| {
+                    socket.set_read_timeout(Some(WRITE_STALL))?;
+                    socket.write_all(request.as_bytes())?;
+                    receive(&mut socket)
+                });
+                if let Err(error) = told {
+                    eprintln!("worker {}: not called off: {error}", host.name);
+                }
+            });
+        }
+        // What is being written may still come whole.
+        Some(if stage == Stage::Writing { AttemptError::Unanswered(cause) } else { after(stage, cause) })
+    }
+}
+
+fn cause(error: &io::Error) -> Cause {
+    match error.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Cause::Silent,
+        _ => Cause::Broken,
+    }
+}
+
+fn post(host: &Host, call: &Call, expires: Ms, style: Style) -> Vec<u8> {
+    let mut head = format!(
+        "POST /v1/functions/{}/invocations HTTP/1.1\r\nHost: {}\r\nContent-Type: application/octet-stream\r\nContent-Length: {}\r\n{DEADLINE_HEADER}: {}\r\nConnection: close\r\n",
+        call.function,
+        host.address,
+        call.body.len(),
+        until(expires).as_millis().max(1),
+    );
+    if let Some(key) = &call.key {
+        head.push_str(&format!("Idempotency-Key: {key}\r\n"));
+    }
+    if style == Style::Deferred {
+        head.push_str("Prefer: respond-async\r\n");
+    }
+    head.push_str("\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.extend(&call.body);
+    bytes
+}
+
+fn receive(socket: &mut TcpStream) -> io::Result<Answered> {
+    let (mut raw, mut chunk) = (Vec::new(), vec![0; CHUNK]);
+    let mut fill = |raw: &mut Vec<u8>| {
+        let size = socket.read(&mut chunk)?;
+        raw.extend(&chunk[..size]);
+        Ok::<_, io::Error>(size)
+    };
+    let mut head = loop {
+        match ResponseHead::decode(&mut raw).map_err(io::Error::other)? {
+            Some(head) => break head,
+            None if fill(&mut raw)? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            None => {}
+        }
+    };
+    let mut body = Vec::new();
+    while !head.body.feed(&mut raw, &mut body, MAX_ANSWER).map_err(io::Error::other)? {
+        if fill(&mut raw)? == 0 {
+            // Only a body of no told length may end so.
+            if head.body == Body::ToEnd {
+                break;
+            }
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(Answered { head, body })
+}
+
+/// Where the answer is to be collected, if it is not there yet.
+fn place(answered: &Answered, style: Style) -> Option<String> {
+    let location = answered.head.headers.get("location")?;
+    let plain = location.starts_with('/') && location.bytes().all(|byte| byte.is_ascii_graphic());
+    (style == Style::Deferred && answered.head.status == 202 && plain).then(|| location.to_string())
+}
+
+/// What a worker's response says of the attempt. Without its word that nothing ran, it may have run.
+fn judge(answered: Answered) -> Result<Vec<u8>, AttemptError> {
+    let not_run = answered.head.headers.get(MAY_HAVE_RUN_HEADER) == Some("false");
+    match answered.head.status {
+        200 => Ok(answered.body),
+        404 if not_run => Err(AttemptError::Answered(Verdict::Miss)),
+        410 if not_run => Err(AttemptError::Answered(Verdict::Over)),
+        _ if not_run => Err(AttemptError::Answered(Verdict::Full)),
+        _ => Err(AttemptError::Answered(Verdict::Failed)),
+    }
+}
--- /dev/null
+++ b/node/src/wire/invoke.rs
@@ -0,0 +1,434 @@
+//! The invoke API: HTTP/1.1, synchronous and deferred calls, with the functions and workers beside them.
+//!
+//! Both styles go through [`Desk::run`]; they differ only in how the answer travels.
+use super::http::{BadHttp, RequestHead, Response};
+use crate::core::{lock, now_ms, Answer, Call, Failure, Invoker, NotTaken, Taken};
+use crate::life::spawn;
+use crate::memory::catalog::{Catalog, CatalogError, Function, Worker};
+use crate::memory::invocations::{Deferred, Invocations, Key, Repeat};
+use crate::memory::store::StoreError;
+use corkbay::{position, Effect, RequestId};
+use may::coroutine::JoinHandle;
+use may::io::SplitIo;
+use may::net::TcpStream;
+use may::sync::Mutex;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::Shutdown;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The client's time for a call, in milliseconds from now.
+pub const DEADLINE_HEADER: &str = "Corkbay-Deadline-Ms";
+/// Whether a call that was not served may have run, in lower case.
+pub const MAY_HAVE_RUN_HEADER: &str = "corkbay-may-have-run";
+/// Largest body of a request.
+pub const MAX_BODY: usize = 16 << 10;
+/// Longest time for which a client may hold a call for a deferred answer.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Longest wait for a withdrawn call to come to its end.
+const WITHDRAW_WAIT: Duration = Duration::from_secs(2);
+const IDLE: Duration = Duration::from_secs(60);
+const WRITE_STALL: Duration = Duration::from_secs(5);
+const MAX_KEY: usize = 128;
+const CHUNK: usize = 4096;
+/// Advice to a client of a process that is about to end, in seconds.
+const DRAINING_S: u64 = 1;
+
+/// What the API works on.
+pub struct Desk {
+    /// The core.
+    pub invoker: Arc<Invoker>,
+    /// Keys and deferred calls.
+    pub invocations: Invocations,
+    /// Functions and workers.
+    pub catalog: Catalog,
+}
+
+type Writer = Arc<Mutex<Box<dyn Write + Send>>>;
+
+/// A call whose answer goes out on the connection.
+struct Current {
+    id: RequestId,
+    task: JoinHandle<bool>,
+}
+
+/// What a request comes to.
+enum Next {
+    /// This response, at once.
+    Respond(Response),
+    /// The answer of this task, which writes it itself.
+    Held(Current),
+}
+
+/// A call that is to be run.
+struct Job {
+    taken: Taken,
+    key: Option<Key>,
+    deferred: Option<Deferred>,
+}
+
+/// The life of one client connection.
+pub fn serve(desk: &Arc<Desk>, stream: TcpStream) {
+    let ready = stream.set_nodelay(true).and_then(|()| {
+        stream.set_write_timeout(Some(WRITE_STALL))?;
+        stream.set_read_timeout(Some(IDLE))
+    });
+    let Ok((mut reader, writer)) = ready.and_then(|()| stream.split()) else { return };
+    let writer: Writer = Arc::new(Mutex::new(Box::new(writer)));
+    let mut current = None;
+    // The end of the connection, however it comes, leaves nobody to wait for a held call.
+    let end = converse(desk, &mut reader, &writer, &mut current);
+    if let (Some(Current { id, .. }), Err(_)) = (&current, &end) {
+        desk.invoker.withdraw(*id);
+    }
+    if let Some(current) = current {
+        let _ = current.task.join();
+    }
+    let _ = reader.inner().shutdown(Shutdown::Both);
+}
+
+/// Answers requests in the order they come; `Ok` once the last is answered or about to be.
+fn converse(
+    desk: &Arc<Desk>,
+    socket: &mut impl Read,
+    writer: &Writer,
+    current: &mut Option<Current>,
+) -> io::Result<()> {
+    let (mut raw, mut chunk) = (Vec::new(), vec![0; CHUNK]);
+    let mut fill = |raw: &mut Vec<u8>, busy: bool| loop {
+        match socket.read(&mut chunk) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(size) => {
+                raw.extend(&chunk[..size]);
+                return Ok(());
+            }
+            // While a call is held, the client has nothing to say.
+            Err(error) if busy && matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
+            Err(error) => return Err(error),
+        }
+    };
+    loop {
+        let mut head = loop {
+            match RequestHead::decode(&mut raw) {
+                Ok(Some(head)) => break head,
+                Ok(None) => fill(&mut raw, current.is_some())?,
+                Err(error) => return refuse_to_read(writer, current, error),
+            }
+        };
+        if head.headers.get("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
+            lock(writer).write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+        }
+        let mut body = Vec::new();
+        loop {
+            match head.body.feed(&mut raw, &mut body, MAX_BODY) {
+                Ok(true) => break,
+                Ok(false) => fill(&mut raw, current.is_some())?,
+                Err(error) => return refuse_to_read(writer, current, error),
+            }
+        }
+        // One answer after the other, in the order of the requests.
+        if let Some(before) = current.take() {
+            if !before.task.join().unwrap_or(false) {
+                return Err(ErrorKind::BrokenPipe.into());
+            }
+        }
+        match route(desk, &head, body, writer) {
+            Next::Respond(response) => lock(writer).write_all(&response.encode(head.keep_alive))?,
+            Next::Held(held) => *current = Some(held),
+        }
+        if !head.keep_alive {
+            return Ok(());
+        }
+    }
+}
+
+fn refuse_to_read(writer: &Writer, current: &mut Option<Current>, error: BadHttp) -> io::Result<()> {
+    if let Some(before) = current.take() {
+        let _ = before.task.join();
+    }
+    let status = if error == BadHttp::Long { 413 } else { 400 };
+    lock(writer).write_all(&problem(status, "malformed", &error.to_string(), Some(false)).encode(false))
+}
+
+fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, writer: &Writer) -> Next {
+    let parts: Vec<&str> = head.path.trim_matches('/').split('/').collect();
+    Next::Respond(match (head.method.as_str(), parts.as_slice()) {
+        ("POST", ["v1", "functions", function, "invocations"]) => {
+            return match desk.admit(function, head, body) {
+                Ok(Admitted::Run(job)) => desk.start(job, head.keep_alive, writer),
+                Ok(Admitted::Respond(response)) | Err(response) => Next::Respond(response),
+            };
+        }
+        ("GET", ["v1", "invocations", id]) => match id_of(id) {
+            Some(id) => desk.look_up(id, wait_of(head)),
+            None => problem(404, "unknown-invocation", "no such invocation", None),
+        },
+        ("DELETE", ["v1", "invocations", id]) => match id_of(id) {
+            Some(id) => desk.withdraw(id),
+            None => problem(404, "unknown-invocation", "no such invocation", None),
+        },
+        ("GET", ["v1", "functions"]) => json_response(200, &desk.catalog.functions()),
+        ("GET", ["v1", "workers"]) => json_response(200, &desk.catalog.workers()),
+        ("PUT", ["v1", "functions", name]) => put(&body, |function: Function| {
+            desk.check_function(&function)?;
+            desk.catalog.put_function(name, &function)
+        }),
+        ("PUT", ["v1", "workers", name]) => put(&body, |worker: Worker| {
+            desk.catalog.put_worker(name, &worker)?;
+            desk.catalog.announce(&desk.invoker);
+            Ok(())
+        }),
+        ("DELETE", ["v1", "functions", name]) => changed(desk.catalog.remove_function(name)),
+        ("DELETE", ["v1", "workers", name]) => changed(desk.catalog.remove_worker(name).map(|()| {
+            desk.catalog.announce(&desk.invoker);
+        })),
+        (_, ["v1", "invocations", _] | ["v1", "functions"] | ["v1", "workers"])
+        | (_, ["v1", "functions" | "workers", _] | ["v1", "functions", _, "invocations"]) => {
+            problem(405, "method", "the method does not apply here", Some(false))
+        }
+        _ => problem(404, "unknown-path", "nothing stands here", Some(false)),
+    })
+}
+
+/// A call that may be run, or what its key is answered.
+enum Admitted {
+    Run(Job),
+    Respond(Response),
+}
+
+impl Desk {
+    /// Reads a call and takes it in, unless it repeats an earlier one.
+    fn admit(&self, name: &str, head: &RequestHead, body: Vec<u8>) -> Result<Admitted, Response> {
+        let bad = |detail: &str| problem(400, "malformed", detail, Some(false));
+        let function = self.catalog.function(name);
+        let function = function
+            .ok_or_else(|| problem(404, "unknown-function", &format!("no function {name:?}"), Some(false)))?;
+        let invoker = &self.invoker;
+        let class = position(&invoker.names.classes, &function.class).ok_or_else(|| {
+            problem(404, "unknown-class", "the function's class is unknown here", Some(false))
+        })?;
+        let most = self.catalog.give_up(class);
+        let allowed = match head.headers.get(&DEADLINE_HEADER.to_ascii_lowercase()) {
+            None => most,
+            Some(text) => match text.parse::<u32>() {
+                Ok(span) if span > 0 => f64::from(span).min(most),
+                _ => return Err(bad("the deadline is no whole number of milliseconds above 0")),
+            },
+        };
+        let expires = now_ms() + allowed;
+        let id = RequestId(rand::random());
+        let is_deferred = head.headers.preferences().any(|preference| preference == "respond-async");
+        let (key, window) = match invoker.settings.classes[class].effect {
+            Effect::Keyed(_, window) => {
+                let key = head.headers.get("idempotency-key").unwrap_or_default();
+                let plain = key.bytes().all(|byte| byte.is_ascii_graphic() && byte != b',' && byte != b'=');
+                if key.is_empty() || key.len() > MAX_KEY || !plain {
+                    return Err(bad(
+                        "calls of this class carry an Idempotency-Key of 1 to 128 plain characters",
+                    ));
+                }
+                (Some((name.to_string(), key.to_string())), window)
+            }
+            _ => (None, 0.0),
+        };
+        let repeats_until = expires + window;
+        if let Some(key) = &key {
+            match self.invocations.admit(key, id, &body, repeats_until) {
+                Repeat::Fresh => {}
+                Repeat::Done(first, _) | Repeat::Open(first)
+                    if is_deferred && self.invocations.get(first).is_some() =>
+                {
+                    return Ok(Admitted::Respond(accepted(first)));
+                }
+                Repeat::Done(_, answer) => return Ok(Admitted::Respond(respond(&answer))),
+                Repeat::Open(_) => {
+                    let detail = "the first call with this key is still open";
+                    return Err(problem(409, "open", detail, Some(true)));
+                }
+                Repeat::Mismatch => {
+                    let detail = "the key came with another body before";
+                    return Err(problem(422, "key-reused", detail, Some(false)));
+                }
+            }
+        }
+        let deferred = is_deferred.then(|| Deferred {
+            function: name.to_string(),
+            key: key.as_ref().map(|key| key.1.clone()),
+            body_check: crc32fast::hash(&body),
+            repeats_until,
+            answer: None,
+        });
+        let call = Call {
+            id,
+            class,
+            class_name: function.class.clone(),
+            tenant: position(&invoker.names.tenants, &function.tenant),
+            function: name.to_string(),
+            model: function.model(name),
+            memory: function.memory_mb,
+            lanes: f64::from(function.lanes),
+            load_hint: None,
+            cost_hint: function.cost_ms,
+            expires,
+            key: key.as_ref().map(|key| key.1.clone()),
+            body,
+        };
+        let refused = match invoker.take(call) {
+            Ok(taken) => {
+                match deferred.as_ref().map_or(Ok(()), |deferred| self.invocations.accept(id, deferred)) {
+                    Ok(()) => return Ok(Admitted::Run(Job { taken, key, deferred })),
+                    Err(error) => problem(503, "refused", &error.to_string(), Some(false)),
+                }
+            }
+            Err(NotTaken::Draining) => problem(503, "refused", "this node is about to end", Some(false))
+                .with("Retry-After", DRAINING_S),
+            Err(NotTaken::Open) => problem(503, "refused", "the id is taken", Some(false)),
+        };
+        key.iter().for_each(|key| self.invocations.forget(key));
+        Err(refused)
+    }
+
+    /// The one path of every call, whatever its style.
+    fn run(&self, job: &Job) -> Answer {
+        let answer = catch_unwind(AssertUnwindSafe(|| job.taken.serve()))
+            .unwrap_or(Answer::Failed(Failure { may_have_run: true, late: false }));
+        self.invoker.counters.answered(&answer);
+        let id = job.taken.call().id;
+        self.invocations.finish(id, job.key.as_ref(), &answer, job.deferred.clone());
+        answer
+    }
+
+    /// Starts the task of a call. A deferred one is accepted; it runs on without its client.
+    fn start(self: &Arc<Self>, job: Job, keep_alive: bool, writer: &Writer) -> Next {
+        let (desk, writer) = (self.clone(), writer.clone());
+        let (id, is_deferred) = (job.taken.call().id, job.deferred.is_some());
+        let task = spawn(move || {
+            let answer = desk.run(&job);
+            let gone = is_deferred || answer == Answer::Withdrawn;
+            gone || lock(&writer).write_all(&respond(&answer).encode(keep_alive)).is_ok()
+        });
+        if is_deferred {
+            Next::Respond(accepted(id))
+        } else {
+            Next::Held(Current { id, task })
+        }
+    }
+
+    fn look_up(&self, id: RequestId, wait: Duration) -> Response {
+        match self.invocations.wait(id, wait) {
+            None => problem(404, "unknown-invocation", "no such invocation", None),
+            Some((_, Deferred { answer: Some(answer), .. })) => respond(&answer),
+            Some(_) => accepted(id),
+        }
+    }
+
+    /// Withdraws a deferred call; only the node that accepted it can.
+    fn withdraw(&self, id: RequestId) -> Response {
+        let Some((record, _)) = self.invocations.get(id) else {
+            return problem(404, "unknown-invocation", "no such invocation", None);
+        };
+        if record.node != self.catalog.node() {
+            let detail = format!("only node {} can withdraw it", record.node);
+            return problem(409, "foreign", &detail, None);
+        }
+        self.invoker.withdraw(id);
+        match self.invocations.wait(id, WITHDRAW_WAIT) {
+            Some((_, Deferred { answer: Some(Answer::Withdrawn), .. })) => Response::bare(204),
+            Some((record, _)) if record.is_final => problem(409, "final", "it has its final answer", None),
+            _ => accepted(id),
+        }
+    }
+
+    fn check_function(&self, function: &Function) -> Result<(), CatalogError> {
+        if position(&self.invoker.names.classes, &function.class).is_none() {
+            return Err(CatalogError::Value(format!("class: {:?} is unknown", function.class)));
+        }
+        let tenants = &self.invoker.names.tenants;
+        if !tenants.is_empty() && position(tenants, &function.tenant).is_none() {
+            return Err(CatalogError::Value(format!("tenant: {:?} is unknown", function.tenant)));
+        }
+        Ok(())
+    }
+}
+
+fn id_of(text: &str) -> Option<RequestId> {
+    let hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| hex).map(RequestId)
+}
+
+fn wait_of(head: &RequestHead) -> Duration {
+    let seconds = head.headers.preferences().find_map(|one| one.strip_prefix("wait=")?.parse().ok());
+    Duration::from_secs(seconds.unwrap_or(0)).min(MAX_WAIT)
+}
+
+fn put<T: DeserializeOwned>(body: &[u8], write: impl FnOnce(T) -> Result<(), CatalogError>) -> Response {
+    match serde_json::from_slice(body) {
+        Ok(value) => changed(write(value)),
+        Err(error) => problem(400, "malformed", &error.to_string(), Some(false)),
+    }
+}
+
+fn changed(end: Result<(), CatalogError>) -> Response {
+    match end {
+        Ok(()) => Response::bare(204),
+        Err(CatalogError::Value(what)) => problem(400, "malformed", &what, Some(false)),
+        Err(CatalogError::Store(error @ StoreError::Log(_))) => {
+            problem(503, "refused", &error.to_string(), Some(false))
+        }
+        Err(CatalogError::Store(error)) => problem(409, "conflict", &error.to_string(), Some(false)),
+    }
+}
+
+fn json_response(status: u16, value: &impl serde::Serialize) -> Response {
+    Response::new(status, "application/json", serde_json::to_vec(value).unwrap_or_default())
+}
+
+fn accepted(id: RequestId) -> Response {
+    let location = format!("/v1/invocations/{:016x}", id.0);
+    let body = json!({"id": format!("{:016x}", id.0), "state": "accepted"});
+    json_response(202, &body).with("Location", location)
+}
+
+/// The response that carries a final answer, the same in every style.
+pub fn respond(answer: &Answer) -> Response {
+    match answer {
+        Answer::Served { body } => Response::new(200, "application/octet-stream", body.clone()),
+        Answer::Refused { known: Failure { may_have_run, late: true }, .. } => {
+            problem(504, "deadline", "the deadline passed; another try is harmless", Some(*may_have_run))
+        }
+        Answer::Refused { retry_after, known } => {
+            let seconds = (retry_after / 1000.0).ceil().max(1.0) as u64;
+            let detail = "not taken; another try is harmless";
+            problem(503, "refused", detail, Some(known.may_have_run)).with("Retry-After", seconds)
+        }
+        Answer::Failed(Failure { may_have_run, late: true }) => {
+            problem(504, "deadline", "the deadline passed", Some(*may_have_run))
+        }
+        Answer::Failed(Failure { may_have_run, .. }) => {
+            problem(502, "failed", "no worker served the call", Some(*may_have_run))
+        }
+        Answer::Withdrawn => problem(410, "withdrawn", "the call was withdrawn", Some(true)),
+    }
+}
+
+/// An error as problem+json; tells whether the call may have run, where there was one.
+fn problem(status: u16, kind: &str, detail: &str, may_have_run: Option<bool>) -> Response {
+    let mut body = json!({
+        "type": format!("urn:corkbay:problem:{kind}"),
+        "title": super::http::reason(status),
+        "status": status,
+        "detail": detail,
+    });
+    if let Some(may_have_run) = may_have_run {
+        body["may_have_run"] = may_have_run.into();
+    }
+    let response =
+        Response::new(status, "application/problem+json", serde_json::to_vec(&body).unwrap_or_default());
+    match may_have_run {
+        Some(may_have_run) => response.with("Corkbay-May-Have-Run", may_have_run),
+        None => response,
+    }
+}
--- /dev/null
+++ b/node/src/wire/replicate.rs
@@ -0,0 +1,134 @@
+//! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
+use super::accept::accept;
+use crate::life::spawn;
+use crate::memory::store::{Record, Stamp, Store};
+use may::net::{TcpListener, TcpStream};
+use may::sync::mpsc;
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const CONNECT: Duration = Duration::from_millis(500);
+const STALL: Duration = Duration::from_secs(5);
+/// Largest message.
+const MAX_MESSAGE: usize = 32 << 20;
+const HEAD: usize = 8;
+/// Nodes that may call at a time.
+const CALLERS: usize = 32;
+
+#[derive(Serialize, Deserialize)]
+struct Digest {
+    stamps: BTreeMap<String, Stamp>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Records {
+    records: Vec<Record>,
+    /// The digest of who sends, where it wants to be sent something in turn.
+    #[serde(default)]
+    digest: Option<Digest>,
+}
+
+/// Called after records of others came in.
+pub type OnNews = Arc<dyn Fn() + Send + Sync>;
+
+/// Answers other nodes for as long as the process lives.
+pub fn listen(store: Arc<Store>, listener: TcpListener, on_news: OnNews) {
+    spawn(move || {
+        accept(&listener, CALLERS, move |mut socket| {
+            if let Err(error) = answer(&store, &mut socket, &on_news) {
+                eprintln!("replication: a caller: {error}");
+            }
+        });
+    });
+}
+
+/// Calls a peer at each interval, and at once when the handle is sent something.
+pub fn follow(store: Arc<Store>, peer: SocketAddr, interval: Duration, on_news: OnNews) -> mpsc::Sender<()> {
+    let (nudge, nudges) = mpsc::channel();
+    spawn(move || {
+        let mut reachable = true;
+        loop {
+            let end = call(&store, peer, &on_news);
+            if let (Err(error), true) = (&end, reachable) {
+                eprintln!("replication: peer {peer}: {error}");
+            }
+            reachable = end.is_ok();
+            match nudges.recv_timeout(interval) {
+                // What has piled up meanwhile is one reason to call.
+                Ok(()) => while nudges.try_recv().is_ok() {},
+                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {}
+                Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    });
+    nudge
+}
+
+fn call(store: &Store, peer: SocketAddr, on_news: &OnNews) -> io::Result<()> {
+    let mut socket = TcpStream::connect_timeout(&peer, CONNECT)?;
+    timeouts(&socket)?;
+    send(&mut socket, &Digest { stamps: store.digest() })?;
+    let theirs: Records = receive(&mut socket)?;
+    take(store, theirs.records, on_news)?;
+    if let Some(digest) = theirs.digest {
+        send(&mut socket, &Records { records: store.lacking(&digest.stamps), digest: None })?;
+        // The peer closes once it has kept them.
+        socket.read_to_end(&mut Vec::new())?;
+    }
+    Ok(())
+}
+
+fn answer(store: &Store, socket: &mut TcpStream, on_news: &OnNews) -> io::Result<()> {
+    timeouts(socket)?;
+    let theirs: Digest = receive(socket)?;
+    let ours = Digest { stamps: store.digest() };
+    send(socket, &Records { records: store.lacking(&theirs.stamps), digest: Some(ours) })?;
+    let rest: Records = receive(socket)?;
+    take(store, rest.records, on_news)
+}
+
+fn take(store: &Store, records: Vec<Record>, on_news: &OnNews) -> io::Result<()> {
+    if store.merge(records).map_err(io::Error::other)? > 0 {
+        on_news();
+    }
+    Ok(())
+}
+
+fn timeouts(socket: &TcpStream) -> io::Result<()> {
+    socket.set_nodelay(true)?;
+    socket.set_read_timeout(Some(STALL))?;
+    socket.set_write_timeout(Some(STALL))
+}
+
+fn send(socket: &mut impl Write, message: &impl Serialize) -> io::Result<()> {
+    let text = serde_json::to_vec(message)?;
+    if text.len() > MAX_MESSAGE {
+        return Err(io::Error::other("message too long"));
+    }
+    let mut bytes = Vec::with_capacity(HEAD + text.len());
+    bytes.extend((text.len() as u32).to_be_bytes());
+    bytes.extend(crc32fast::hash(&text).to_be_bytes());
+    bytes.extend(text);
+    socket.write_all(&bytes)
+}
+
+fn receive<T: DeserializeOwned>(socket: &mut impl Read) -> io::Result<T> {
+    let mut head = [0; HEAD];
+    socket.read_exact(&mut head)?;
+    let size = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    let check = u32::from_be_bytes([head[4], head[5], head[6], head[7]]);
+    if size > MAX_MESSAGE {
+        return Err(io::Error::other("message too long"));
+    }
+    // Memory follows what has come, not what was promised.
+    let mut text = Vec::new();
+    socket.take(size as u64).read_to_end(&mut text)?;
+    if text.len() < size || crc32fast::hash(&text) != check {
+        return Err(io::Error::other("damaged message"));
+    }
+    Ok(serde_json::from_slice(&text)?)
+}
--- a/node/src/wire/sse.rs
+++ b/node/src/wire/sse.rs
@@ -1,9 +1,8 @@
 //! HTTP responses that carry server-sent events, as bytes in and events out.
+use super::http::{BadHttp, Body, ResponseHead};
 use std::fmt;
 
-const MAX_HEAD: usize = 16 << 10;
 const MAX_EVENT: usize = 4 << 20;
-const MAX_HEADERS: usize = 32;
 
 /// One server-sent event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -17,12 +16,10 @@
 /// Why a response can't be read any further.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BadStream {
-    /// The head is no HTTP.
-    Head,
+    /// It is no HTTP.
+    Http(BadHttp),
     /// The status is not 200.
     Status(u16),
-    /// The chunked framing is broken.
-    Chunk,
     /// A line or event is longer than is read.
     Long,
 }
@@ -30,9 +27,8 @@
 impl fmt::Display for BadStream {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            BadStream::Head => write!(f, "no HTTP response"),
+            BadStream::Http(error) => write!(f, "{error}"),
             BadStream::Status(status) => write!(f, "status {status}"),
-            BadStream::Chunk => write!(f, "broken chunk"),
             BadStream::Long => write!(f, "event too long"),
         }
     }
@@ -40,44 +36,36 @@
 
 impl std::error::Error for BadStream {}
 
-enum Stage {
-    Head,
-    /// The body as it is.
-    Plain,
-    /// Bytes left of the present chunk; 0 where a chunk's head is due.
-    Chunked(usize),
-    Ended,
+impl From<BadHttp> for BadStream {
+    fn from(error: BadHttp) -> Self {
+        BadStream::Http(error)
+    }
 }
 
 /// Reads one response.
+#[derive(Default)]
 pub struct Stream {
-    stage: Stage,
+    body: Option<Body>,
     raw: Vec<u8>,
     text: Vec<u8>,
     event: Event,
     has_data: bool,
 }
 
-impl Default for Stream {
-    fn default() -> Self {
-        Stream {
-            stage: Stage::Head,
-            raw: Vec::new(),
-            text: Vec::new(),
-            event: Event::default(),
-            has_data: false,
-        }
-    }
-}
-
 impl Stream {
     /// Takes bytes in and gives the events that they complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Event>, BadStream> {
         self.raw.extend(bytes);
-        if matches!(self.stage, Stage::Head) && !self.head()? {
-            return Ok(Vec::new());
+        if self.body.is_none() {
+            let Some(head) = ResponseHead::decode(&mut self.raw)? else { return Ok(Vec::new()) };
+            if head.status != 200 {
+                return Err(BadStream::Status(head.status));
+            }
+            self.body = Some(head.body);
+        }
+        if let Some(body) = &mut self.body {
+            body.feed(&mut self.raw, &mut self.text, MAX_EVENT)?;
         }
-        self.unwrap_body()?;
         let mut events = Vec::new();
         while let Some(end) = self.text.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = self.text.drain(..=end).collect();
@@ -92,63 +80,7 @@
 
     /// Whether the body has come to its end.
     pub fn ended(&self) -> bool {
-        matches!(self.stage, Stage::Ended)
-    }
-
-    fn head(&mut self) -> Result<bool, BadStream> {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut response = httparse::Response::new(&mut headers);
-        match response.parse(&self.raw) {
-            Ok(httparse::Status::Complete(size)) => {
-                let status = response.code.unwrap_or(0);
-                if status != 200 {
-                    return Err(BadStream::Status(status));
-                }
-                let chunked = response.headers.iter().any(|header| {
-                    header.name.eq_ignore_ascii_case("transfer-encoding")
-                        && header.value.eq_ignore_ascii_case(b"chunked")
-                });
-                self.stage = if chunked { Stage::Chunked(0) } else { Stage::Plain };
-                self.raw.drain(..size);
-                Ok(true)
-            }
-            Ok(httparse::Status::Partial) if self.raw.len() <= MAX_HEAD => Ok(false),
-            _ => Err(BadStream::Head),
-        }
-    }
-
-    fn unwrap_body(&mut self) -> Result<(), BadStream> {
-        loop {
-            match self.stage {
-                Stage::Chunked(0) => {
-                    // A chunk's head may follow the line end of the chunk before it.
-                    let skip = if self.raw.starts_with(b"\r\n") { 2 } else { 0 };
-                    match httparse::parse_chunk_size(&self.raw[skip..]) {
-                        Ok(httparse::Status::Complete((_, 0))) => self.stage = Stage::Ended,
-                        Ok(httparse::Status::Complete((used, size))) => {
-                            let size = usize::try_from(size).ok().filter(|size| *size <= MAX_EVENT);
-                            self.stage = Stage::Chunked(size.ok_or(BadStream::Long)?);
-                            self.raw.drain(..skip + used);
-                        }
-                        Ok(httparse::Status::Partial) => return Ok(()),
-                        Err(_) => return Err(BadStream::Chunk),
-                    }
-                }
-                Stage::Chunked(left) => {
-                    let size = left.min(self.raw.len());
-                    self.text.extend(self.raw.drain(..size));
-                    self.stage = Stage::Chunked(left - size);
-                    if size < left {
-                        return Ok(());
-                    }
-                }
-                Stage::Plain => {
-                    self.text.append(&mut self.raw);
-                    return Ok(());
-                }
-                Stage::Head | Stage::Ended => return Ok(()),
-            }
-        }
+        self.body == Some(Body::Done)
     }
 
     fn line(&mut self, line: &str, events: &mut Vec<Event>) {
@@ -202,6 +134,6 @@
     #[test]
     fn what_is_no_stream_is_turned_down() {
         assert_eq!(Stream::default().feed(b"HTTP/1.1 503 No\r\n\r\n"), Err(BadStream::Status(503)));
-        assert_eq!(Stream::default().feed(b"SSH-2.0\r\n\r\n"), Err(BadStream::Head));
+        assert_eq!(Stream::default().feed(b"SSH-2.0\r\n\r\n"), Err(BadStream::Http(BadHttp::Head)));
     }
 }
--- /dev/null
+++ b/node/tests/styles.rs
@@ -0,0 +1,298 @@
+//! The same scenarios in every style, from clients and toward workers: equal outcomes, equal sends.
+mod support;
+
+use support::workers::{Act, Fleet, Sent};
+use support::{ask, start, until, Daemon, Folder, Response};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Client {
+    Synchronous,
+    Deferred,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Server {
+    Held,
+    Deferred,
+    Frames,
+}
+
+const STYLES: [(Client, Server); 6] = [
+    (Client::Synchronous, Server::Held),
+    (Client::Synchronous, Server::Deferred),
+    (Client::Synchronous, Server::Frames),
+    (Client::Deferred, Server::Held),
+    (Client::Deferred, Server::Deferred),
+    (Client::Deferred, Server::Frames),
+];
+
+const CLASSES: &str = r#"
+[[class]]
+name = "check"
+aim_ms = 1500
+give_up_ms = 8000
+effect = "pure"
+[[class]]
+name = "post"
+aim_ms = 750
+give_up_ms = 8000
+effect = "token"
+dedup_scope = "cell"
+dedup_window_ms = 20000
+[[class]]
+name = "once"
+aim_ms = 750
+give_up_ms = 8000
+effect = "side_effect"
+[[function]]
+name = "check"
+class = "check"
+[[function]]
+name = "post"
+class = "post"
+[[function]]
+name = "once"
+class = "once"
+"#;
+
+/// A started daemon with two workers in racks of their own.
+struct Bench {
+    client: Client,
+    daemon: Daemon,
+    fleet: Fleet,
+    addresses: [String; 2],
+    _folder: Folder,
+}
+
+/// How a call ended: what a client is told of it.
+#[derive(Debug, PartialEq)]
+struct End {
+    status: u16,
+    may_have_run: Option<String>,
+    body: String,
+}
+
+impl Bench {
+    fn new((client, server): (Client, Server), script: &[Act], cells: [u32; 2]) -> Self {
+        let fleet = Fleet::new(script);
+        let worker = |name: &str| match server {
+            Server::Frames => fleet.frames(name).to_string(),
+            Server::Held | Server::Deferred => fleet.http(name).to_string(),
+        };
+        let addresses = [worker("w1"), worker("w2")];
+        let transport = match server {
+            Server::Held => "protocol = \"http\"\nstyle = \"held\"",
+            Server::Deferred => "protocol = \"http\"\nstyle = \"deferred\"",
+            Server::Frames => "protocol = \"frames\"",
+        };
+        let workers = format!(
+            "[[worker]]\nname = \"w1\"\naddress = \"{}\"\ncell = {}\n[[worker]]\nname = \"w2\"\naddress = \"{}\"\ncell = {}\n",
+            addresses[0], cells[0], addresses[1], cells[1]
+        );
+        let folder = Folder::new();
+        let deploy = folder.write(
+            "invoke.toml",
+            &format!(
+                "node = \"n\"\nlisten = \"127.0.0.1:0\"\ndata_dir = \"data\"\n[transport]\n{transport}\n{CLASSES}{workers}"
+            ),
+        );
+        let daemon = Daemon::serve(&deploy);
+        Bench { client, daemon, fleet, addresses, _folder: folder }
+    }
+
+    fn call(&self, function: &str, deadline_ms: u32) -> End {
+        self.call_with(function, deadline_ms, "key-1")
+    }
+
+    fn call_with(&self, function: &str, deadline_ms: u32, key: &str) -> End {
+        let path = format!("/v1/functions/{function}/invocations");
+        let deadline = deadline_ms.to_string();
+        let mut headers = vec![("Corkbay-Deadline-Ms", deadline.as_str()), ("Idempotency-Key", key)];
+        if self.client == Client::Synchronous {
+            return end(&ask(self.daemon.address, "POST", &path, &headers, b"input"));
+        }
+        headers.push(("Prefer", "respond-async"));
+        let accepted = ask(self.daemon.address, "POST", &path, &headers, b"input");
+        if accepted.status != 202 {
+            return end(&accepted);
+        }
+        let location = accepted.header("location").expect("where the answer will be").to_string();
+        end(&ask(self.daemon.address, "GET", &location, &[("Prefer", "wait=30")], b""))
+    }
+
+    fn workers_sent_to(&self) -> Vec<String> {
+        self.fleet.sent().into_iter().map(|sent: Sent| sent.worker).collect()
+    }
+}
+
+fn end(response: &Response) -> End {
+    let may_have_run = response.header("corkbay-may-have-run").map(str::to_string);
+    let body = String::from_utf8_lossy(&response.body).into_owned();
+    End { status: response.status, may_have_run, body }
+}
+
+/// Plays a scenario in all styles and gives what all of them came to.
+fn in_all_styles<T: PartialEq + std::fmt::Debug>(
+    script: &[Act],
+    cells: [u32; 2],
+    play: impl Fn(&Bench) -> T,
+) -> T {
+    let mut ends = STYLES.iter().map(|style| (style, play(&Bench::new(*style, script, cells))));
+    let (_, first) = ends.next().expect("styles");
+    for (style, end) in ends {
+        assert_eq!(end, first, "{style:?} comes to something else than {:?}", STYLES[0]);
+    }
+    first
+}
+
+fn one_call(function: &'static str) -> impl Fn(&Bench) -> (End, Vec<String>) {
+    move |bench| {
+        let end = bench.call(function, 8000);
+        (end, bench.workers_sent_to())
+    }
+}
+
+#[test]
+fn served() {
+    for function in ["check", "post", "once"] {
+        let (end, sent) = in_all_styles(&[Act::Serve], [0, 1], one_call(function));
+        assert_eq!((end.status, end.body.as_str(), sent.len()), (200, "done: input", 1));
+    }
+}
+
+#[test]
+fn a_refusal_or_a_miss_proves_that_nothing_ran_so_any_class_goes_on() {
+    for act in [Act::Refuse, Act::Miss] {
+        for function in ["check", "post", "once"] {
+            let (end, sent) = in_all_styles(&[act, Act::Serve], [0, 1], one_call(function));
+            assert_eq!((end.status, sent.len()), (200, 2), "{act:?} {function}");
+        }
+    }
+}
+
+#[test]
+fn refused_by_all_until_the_attempts_are_used_up() {
+    let (end, sent) = in_all_styles(&[Act::Refuse], [0, 1], one_call("post"));
+    assert_eq!((end.status, end.may_have_run.as_deref(), sent.len()), (503, Some("false"), 5));
+}
+
+/// Guards the class of a call: what may have run goes out again only where the class allows it.
+#[test]
+fn a_late_reset_is_repeated_only_as_the_class_allows() {
+    let (end, sent) = in_all_styles(&[Act::Reset, Act::Serve], [0, 1], one_call("check"));
+    assert_eq!((end.status, sent.len()), (200, 2));
+    let (end, sent) = in_all_styles(&[Act::Reset, Act::Serve], [0, 1], one_call("post"));
+    assert!(sent.iter().all(|worker| *worker == sent[0]), "a repeat left its rack: {sent:?}");
+    assert_eq!((end.status, sent.len()), (200, 2));
+    let (end, sent) = in_all_styles(&[Act::Reset, Act::Serve], [0, 1], one_call("once"));
+    assert_eq!((end.status, end.may_have_run.as_deref(), sent.len()), (502, Some("true"), 1));
+}
+
+#[test]
+fn an_error_may_have_run() {
+    let (end, sent) = in_all_styles(&[Act::Error, Act::Serve], [0, 1], one_call("once"));
+    assert_eq!((end.status, end.may_have_run.as_deref(), sent.len()), (502, Some("true"), 1));
+}
+
+#[test]
+fn an_early_reset_never_ran_so_even_unsafe_calls_go_on() {
+    for function in ["check", "post", "once"] {
+        let (end, sent) = in_all_styles(&[Act::Serve], [0, 1], |bench| {
+            // Nobody listens on port 1: the connection is reset before a byte of the call is out.
+            for (name, address) in [("w1", "127.0.0.1:1"), ("w2", &bench.addresses[1])] {
+                let body = format!("{{\"address\":\"{address}\",\"cell\":0}}");
+                let put =
+                    ask(bench.daemon.address, "PUT", &format!("/v1/workers/{name}"), &[], body.as_bytes());
+                assert_eq!(put.status, 204);
+            }
+            one_call(function)(bench)
+        });
+        assert_eq!((end.status, sent), (200, vec!["w2".to_string()]), "{function}");
+    }
+}
+
+/// Guards what a client is told: a call that is still out at its deadline may have run.
+#[test]
+fn silence_ends_at_the_deadline() {
+    for function in ["check", "post", "once"] {
+        let (end, sent) = in_all_styles(&[Act::Silence], [0, 1], |bench| {
+            let end = bench.call(function, 700);
+            (end, bench.workers_sent_to().len())
+        });
+        assert_eq!(
+            (end.status, end.may_have_run.as_deref(), sent),
+            (504, Some(may_have_run), 1),
+            "{function}"
+        );
+    }
+}
+
+#[test]
+fn a_draining_worker_is_sent_nothing_more() {
+    for drained in [0, 1] {
+        let sent = in_all_styles(&[Act::Serve], [0, 1], |bench| {
+            let name = ["w1", "w2"][drained];
+            let body = format!("{{\"address\":\"{}\",\"state\":\"draining\"}}", bench.addresses[drained]);
+            let path = format!("/v1/workers/{name}");
+            assert_eq!(ask(bench.daemon.address, "PUT", &path, &[], body.as_bytes()).status, 204);
+            for number in 0..3 {
+                assert_eq!(bench.call_with("post", 8000, &format!("key-{number}")).status, 200);
+            }
+            bench.workers_sent_to()
+        });
+        assert_eq!(sent, vec![["w2", "w1"][drained].to_string(); 3]);
+    }
+}
+
+#[test]
+fn a_repeated_key_is_answered_without_another_send() {
+    let (ends, sends, runs) = in_all_styles(&[Act::Serve], [0, 1], |bench| {
+        let ends = (0..3).map(|_| bench.call("post", 8000)).collect::<Vec<_>>();
+        (ends, bench.fleet.sent().len(), bench.fleet.runs())
+    });
+    assert!(ends.iter().all(|end| *end == ends[0] && end.status == 200), "{ends:?}");
+    assert_eq!((sends, runs), (1, 1));
+}
+
+/// Guards the hard case of the deferred style: nobody is there, and one final answer is still due.
+#[test]
+fn a_deferred_post_whose_client_vanishes_reaches_one_final_answer() {
+    for server in [Server::Held, Server::Deferred, Server::Frames] {
+        let bench = Bench::new((Client::Deferred, server), &[Act::Hold], [0, 1]);
+        let headers = [("Prefer", "respond-async"), ("Idempotency-Key", "gone")];
+        let socket =
+            start(bench.daemon.address, "POST", "/v1/functions/post/invocations", &headers, b"input");
+        until("the call is out", || bench.fleet.sent().len() == 1);
+        drop(socket);
+        bench.fleet.release();
+        // The client's successor comes with the same key and finds the one answer.
+        let end = bench.call_with("post", 8000, "gone");
+        assert_eq!((end.status, end.body.as_str()), (200, "done: input"), "{server:?}");
+        assert_eq!((bench.fleet.sent().len(), bench.fleet.runs()), (1, 1), "{server:?}");
+    }
+}
+
+#[test]
+fn a_synchronous_call_whose_client_vanishes_is_called_off() {
+    for server in [Server::Deferred, Server::Frames] {
+        let bench = Bench::new((Client::Synchronous, server), &[Act::Silence], [0, 1]);
+        let socket = start(bench.daemon.address, "POST", "/v1/functions/check/invocations", &[], b"input");
+        until("the call is out", || bench.fleet.sent().len() == 1);
+        drop(socket);
+        until("it is called off", || bench.fleet.called_off() == 1);
+    }
+}
+
+#[test]
+fn a_deferred_call_can_be_withdrawn() {
+    let bench = Bench::new((Client::Deferred, Server::Frames), &[Act::Silence], [0, 1]);
+    let headers = [("Prefer", "respond-async"), ("Idempotency-Key", "k")];
+    let accepted = ask(bench.daemon.address, "POST", "/v1/functions/post/invocations", &headers, b"input");
+    let location = accepted.header("location").expect("location").to_string();
+    until("the call is out", || bench.fleet.sent().len() == 1);
+    assert_eq!(ask(bench.daemon.address, "GET", &location, &[], b"").status, 202);
+    assert_eq!(ask(bench.daemon.address, "DELETE", &location, &[], b"").status, 204);
+    assert_eq!(ask(bench.daemon.address, "GET", &location, &[], b"").status, 410);
+    assert_eq!(ask(bench.daemon.address, "DELETE", &location, &[], b"").status, 204);
+    until("it is called off", || bench.fleet.called_off() == 1);
+}
--- /dev/null
+++ b/node/tests/support/mod.rs
@@ -0,0 +1,217 @@
+//! The program under test as a child process, a plain HTTP client, and stand-in workers.
+#![allow(dead_code)] // Each test file uses a part of this.
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+pub mod workers;
+
+/// Longest wait for anything that must come.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A folder of a test's own, gone with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("corkbay-test-{}-{number}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("folder");
+        Folder(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The started program.
+pub struct Daemon {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub replication: Option<SocketAddr>,
+    errors: Arc<Mutex<String>>,
+}
+
+impl Daemon {
+    /// Starts the invoke API and waits until it listens.
+    pub fn serve(deploy: &Path) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_corkbay"));
+        command.arg("serve").arg(deploy);
+        let mut child = spawn(&mut command);
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let errors = gather(&mut child);
+        let mut replication = None;
+        let address = loop {
+            let Some(Ok(line)) = lines.next() else { panic!("did not start: {}", text(&errors)) };
+            if let Some(address) = line.strip_prefix("replication on ") {
+                replication = Some(address.parse().expect("address"));
+            }
+            if let Some(address) = line.strip_prefix("invoke API on ") {
+                break address.parse().expect("address");
+            }
+        };
+        Daemon { child, address, replication, errors }
+    }
+
+    /// Starts the platform's front and waits until it listens.
+    pub fn platform(config: &Path, address: SocketAddr) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_corkbay"));
+        command.env("PROXY_CONFIG", config).env("PROXY_LISTEN", address.to_string());
+        let mut child = spawn(&mut command);
+        let errors = gather(&mut child);
+        until("it listens", || TcpStream::connect(address).is_ok());
+        Daemon { child, address, replication: None, errors }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let line = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").arg("-c").arg(line).status().expect("sh").success());
+    }
+
+    /// What it has written to standard error so far.
+    pub fn errors(&self) -> String {
+        text(&self.errors)
+    }
+
+    /// Waits for its end and gives its exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("own child") {
+                return status.code();
+            }
+            assert!(start.elapsed() < PATIENCE, "still running: {}", self.errors());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(command: &mut Command) -> Child {
+    command.stdout(Stdio::piped()).stderr(Stdio::piped()).stdin(Stdio::null()).spawn().expect("starts")
+}
+
+fn gather(child: &mut Child) -> Arc<Mutex<String>> {
+    let errors = Arc::new(Mutex::new(String::new()));
+    let (pipe, ours) = (child.stderr.take().expect("piped"), errors.clone());
+    std::thread::spawn(move || {
+        for line in BufReader::new(pipe).lines().map_while(Result::ok) {
+            let mut text = ours.lock().expect("whole");
+            text.push_str(&line);
+            text.push('\n');
+        }
+    });
+    errors
+}
+
+fn text(errors: &Mutex<String>) -> String {
+    errors.lock().expect("whole").clone()
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A free port; nothing listens there until the caller does.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
+}
+
+/// A response as a client sees it; header names in lower case.
+#[derive(Debug)]
+pub struct Response {
+    pub status: u16,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).expect("JSON")
+    }
+}
+
+/// Writes a request on a connection of its own and leaves the answer unread.
+pub fn start(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> TcpStream {
+    let mut socket = TcpStream::connect(address).expect("connects");
+    socket.set_read_timeout(Some(PATIENCE)).expect("set");
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: test\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    socket.write_all(&[head.as_bytes(), body].concat()).expect("written");
+    socket
+}
+
+/// Asks and waits for the answer.
+pub fn ask(address: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Response {
+    receive(&mut BufReader::new(start(address, method, path, headers, body)))
+}
+
+/// Reads one response.
+pub fn receive(reader: &mut impl BufRead) -> Response {
+    let (first, headers) = head(reader).expect("a response");
+    let status = first.split(' ').nth(1).and_then(|code| code.parse().ok()).expect("a status");
+    let size = headers.get("content-length").and_then(|size| size.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; size];
+    reader.read_exact(&mut body).expect("a whole body");
+    Response { status, headers, body }
+}
+
+/// The first line and the headers of a message; `None` at the end of a connection.
+pub fn head(reader: &mut impl BufRead) -> Option<(String, HashMap<String, String>)> {
+    let mut line = || {
+        let mut line = String::new();
+        let size = reader.read_line(&mut line).ok()?;
+        (size > 0).then(|| line.trim_end().to_string())
+    };
+    let first = line()?;
+    let mut headers = HashMap::new();
+    loop {
+        let line = line()?;
+        match line.split_once(':') {
+            Some((name, value)) => {
+                headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+            }
+            None => return Some((first, headers)),
+        }
+    }
+}
--- /dev/null
+++ b/node/tests/support/workers.rs
@@ -0,0 +1,240 @@
+//! Stand-in workers: each send takes the next act of a script that all workers of a test share.
+use super::head;
+use corkbay_node::wire::frames::{code, Frame, FROM_INVOKER, FROM_WORKER};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+/// What a worker does with a call that has come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    Serve,
+    Refuse,
+    Miss,
+    Error,
+    /// The connection breaks after the call has come whole.
+    Reset,
+    /// Nothing is ever heard.
+    Silence,
+    /// Served once the test lets it.
+    Hold,
+}
+
+/// A call that came to a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sent {
+    pub worker: String,
+    pub key: Option<String>,
+    pub body: Vec<u8>,
+}
+
+#[derive(Default)]
+struct Shared {
+    script: Vec<Act>,
+    sent: Vec<Sent>,
+    /// Answers by key: a rack drops repeats.
+    served: HashMap<String, Vec<u8>>,
+    runs: usize,
+    called_off: usize,
+    released: bool,
+}
+
+/// What the workers of a test share.
+#[derive(Clone, Default)]
+pub struct Fleet {
+    shared: Arc<(Mutex<Shared>, Condvar)>,
+}
+
+impl Fleet {
+    /// The last act goes for all further sends.
+    pub fn new(script: &[Act]) -> Self {
+        let fleet = Fleet::default();
+        fleet.shared.0.lock().expect("whole").script = script.to_vec();
+        fleet
+    }
+
+    pub fn sent(&self) -> Vec<Sent> {
+        self.shared.0.lock().expect("whole").sent.clone()
+    }
+
+    /// Calls that were carried out, repeats of a key left out.
+    pub fn runs(&self) -> usize {
+        self.shared.0.lock().expect("whole").runs
+    }
+
+    pub fn called_off(&self) -> usize {
+        self.shared.0.lock().expect("whole").called_off
+    }
+
+    /// Lets held calls be served.
+    pub fn release(&self) {
+        self.shared.0.lock().expect("whole").released = true;
+        self.shared.1.notify_all();
+    }
+
+    fn take(&self, worker: &str, key: Option<String>, body: &[u8]) -> Act {
+        let mut shared = self.shared.0.lock().expect("whole");
+        let act = shared.script[shared.sent.len().min(shared.script.len() - 1)];
+        shared.sent.push(Sent { worker: worker.to_string(), key, body: body.to_vec() });
+        act
+    }
+
+    fn run(&self, key: Option<&String>, body: &[u8]) -> Vec<u8> {
+        let mut shared = self.shared.0.lock().expect("whole");
+        if let Some(known) = key.and_then(|key| shared.served.get(key)) {
+            return known.clone();
+        }
+        shared.runs += 1;
+        let answer = [b"done: ", body].concat();
+        if let Some(key) = key {
+            shared.served.insert(key.clone(), answer.clone());
+        }
+        answer
+    }
+
+    fn hold(&self) {
+        let shared = self.shared.0.lock().expect("whole");
+        let wait = self.shared.1.wait_timeout_while(shared, super::PATIENCE, |shared| !shared.released);
+        drop(wait.expect("whole"));
+    }
+
+    fn note_called_off(&self) {
+        self.shared.0.lock().expect("whole").called_off += 1;
+    }
+
+    /// A worker that speaks the invoke API, in whichever style it is called.
+    pub fn http(&self, worker: &str) -> SocketAddr {
+        let (fleet, worker) = (self.clone(), worker.to_string());
+        let jobs: Arc<Mutex<Vec<Job>>> = Arc::default();
+        listen(move |socket| fleet.converse(&worker, &jobs, socket))
+    }
+
+    /// A worker that speaks binary frames.
+    pub fn frames(&self, worker: &str) -> SocketAddr {
+        let (fleet, worker) = (self.clone(), worker.to_string());
+        listen(move |socket| fleet.frame_by_frame(&worker, socket))
+    }
+
+    fn converse(&self, worker: &str, jobs: &Mutex<Vec<Job>>, socket: TcpStream) {
+        let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
+        let Some((first, headers)) = head(&mut reader) else { return };
+        let size = headers.get("content-length").and_then(|size| size.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; size];
+        if reader.read_exact(&mut body).is_err() {
+            return;
+        }
+        let words: Vec<&str> = first.split(' ').collect();
+        let number = |path: &str| path.rsplit('/').next().and_then(|last| last.parse::<usize>().ok());
+        match (words[0], words[1]) {
+            ("POST", path) if path.starts_with("/v1/functions/") => {
+                let key = headers.get("idempotency-key").cloned();
+                let job = Job { act: self.take(worker, key.clone(), &body), key, body };
+                if headers.get("prefer").is_some_and(|prefer| prefer == "respond-async") {
+                    let mut jobs = jobs.lock().expect("whole");
+                    jobs.push(job);
+                    let location = format!("Location: /v1/invocations/{}\r\n", jobs.len() - 1);
+                    respond(&socket, 202, &location, b"");
+                } else {
+                    self.perform(&job, socket, reader);
+                }
+            }
+            ("GET", path) => {
+                let job = number(path).and_then(|at| jobs.lock().expect("whole").get(at).cloned());
+                self.perform(&job.expect("a job that was handed over"), socket, reader);
+            }
+            _ => {
+                self.note_called_off();
+                respond(&socket, 204, "", b"");
+            }
+        }
+    }
+
+    fn perform(&self, job: &Job, socket: TcpStream, mut reader: BufReader<TcpStream>) {
+        let not_run = "Corkbay-May-Have-Run: false\r\n";
+        match job.act {
+            Act::Serve => respond(&socket, 200, "", &self.run(job.key.as_ref(), &job.body)),
+            Act::Refuse => respond(&socket, 503, not_run, b""),
+            Act::Miss => respond(&socket, 404, not_run, b""),
+            Act::Error => respond(&socket, 500, "", b""),
+            Act::Reset => drop(socket),
+            // Until the caller leaves.
+            Act::Silence => _ = reader.fill_buf().map(<[u8]>::len),
+            Act::Hold => {
+                self.hold();
+                respond(&socket, 200, "", &self.run(job.key.as_ref(), &job.body));
+            }
+        }
+    }
+
+    fn frame_by_frame(&self, worker: &str, mut socket: TcpStream) {
+        let (mut buffer, mut chunk) = (Vec::new(), [0; 4096]);
+        loop {
+            let frame = match Frame::decode(&mut buffer, FROM_INVOKER).expect("a good frame") {
+                Some(frame) => frame,
+                None => match socket.read(&mut chunk) {
+                    Ok(0) | Err(_) => return,
+                    Ok(size) => {
+                        buffer.extend(&chunk[..size]);
+                        continue;
+                    }
+                },
+            };
+            let mut answer = |code, body| {
+                let answer =
+                    Frame { mark: FROM_WORKER, code, id: frame.id, fields: "replicas=1".into(), body };
+                let _ = socket.write_all(&answer.encode());
+            };
+            match frame.code {
+                code::GIVE_UP => self.note_called_off(),
+                code::LOAD => answer(code::OK, Vec::new()),
+                code::REQUEST => {
+                    let key = frame.field("token").map(str::to_string);
+                    match self.take(worker, key.clone(), &frame.body) {
+                        Act::Serve => answer(code::OK, self.run(key.as_ref(), &frame.body)),
+                        Act::Refuse => answer(code::FULL, Vec::new()),
+                        Act::Miss => answer(code::MISS, Vec::new()),
+                        Act::Error => answer(code::ERROR, Vec::new()),
+                        Act::Reset => return,
+                        Act::Silence => {}
+                        Act::Hold => {
+                            self.hold();
+                            answer(code::OK, self.run(key.as_ref(), &frame.body));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Job {
+    act: Act,
+    key: Option<String>,
+    body: Vec<u8>,
+}
+
+fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for socket in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            let _ = socket.set_read_timeout(Some(Duration::from_secs(60)));
+            std::thread::spawn(move || serve(socket));
+        }
+    });
+    address
+}
+
+fn respond(mut socket: &TcpStream, status: u16, headers: &str, body: &[u8]) {
+    let head = format!(
+        "HTTP/1.1 {status} Status\r\n{headers}Content-Length: {}\r\nConnection: close\r\n\r\n",
+        body.len()
+    );
+    let _ = socket.write_all(&[head.as_bytes(), body].concat());
+}
