--- /dev/null
+++ b/node/tests/invoke.rs
@@ -0,0 +1,245 @@
+//! The invoke API's own ground: malformed requests, connections, restarts, replicas, and the commands.
+mod support;
+
+use serde_json::json;
+use std::io::{BufReader, Write};
+use std::process::Command;
+use support::workers::{Act, Fleet};
+use support::{ask, free_address, receive, start, until, Daemon, Folder};
+
+const CLASSES: &str = r#"
+[[class]]
+name = "check"
+aim_ms = 1500
+give_up_ms = 8000
+effect = "pure"
+[[class]]
+name = "post"
+aim_ms = 750
+give_up_ms = 8000
+effect = "token"
+dedup_window_ms = 20000
+[[function]]
+name = "check"
+class = "check"
+[[function]]
+name = "post"
+class = "post"
+"#;
+
+const CHECK: &str = "/v1/functions/check/invocations";
+const POST: &str = "/v1/functions/post/invocations";
+
+fn deploy(node: &str, worker: Option<std::net::SocketAddr>, more: &str) -> String {
+    let worker = worker.map(|address| format!("[[worker]]\nname = \"w1\"\naddress = \"{address}\"\n"));
+    format!(
+        "node = \"{node}\"\nlisten = \"127.0.0.1:0\"\ndata_dir = \"data-{node}\"\n{more}\n{CLASSES}{}",
+        worker.unwrap_or_default()
+    )
+}
+
+#[test]
+fn errors_are_problems_that_say_whether_the_call_may_have_run() {
+    let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), "")));
+    let at = daemon.address;
+    let key = ("Idempotency-Key", "k");
+    for (method, path, headers, body, status) in [
+        ("POST", "/v1/functions/none/invocations", vec![], vec![], 404),
+        ("POST", "/elsewhere", vec![], vec![], 404),
+        ("PATCH", CHECK, vec![], vec![], 405),
+        ("POST", POST, vec![], vec![], 400),
+        ("POST", POST, vec![("Idempotency-Key", "a,b")], vec![], 400),
+        ("POST", POST, vec![key, ("Corkbay-Deadline-Ms", "soon")], vec![], 400),
+        ("POST", POST, vec![key, ("Corkbay-Deadline-Ms", "0")], vec![], 400),
+        ("POST", POST, vec![key], vec![7; (16 << 10) + 1], 413),
+        ("PUT", "/v1/functions/f", vec![], b"{\"class\":\"none\"}".to_vec(), 400),
+        ("PUT", "/v1/workers/w", vec![], b"{\"address\":\"x\"}".to_vec(), 400),
+    ] {
+        let response = ask(at, method, path, &headers, &body);
+        assert_eq!(response.status, status, "{method} {path}");
+        assert_eq!(response.header("content-type"), Some("application/problem+json"));
+        let problem = response.json();
+        assert_eq!((&problem["status"], &problem["may_have_run"]), (&json!(status), &json!(false)));
+    }
+    assert_eq!(ask(at, "GET", "/v1/invocations/0123456789abcdef", &[], b"").status, 404);
+    assert_eq!(ask(at, "POST", POST, &[key], &[7; 16 << 10]).status, 200);
+    assert_eq!(ask(at, "POST", POST, &[key], b"other").status, 422, "a key stands for one body");
+    assert_eq!(fleet.sent().len(), 1);
+}
+
+#[test]
+fn no_worker_means_refused_with_advice() {
+    let folder = Folder::new();
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", None, "")));
+    let response = ask(daemon.address, "POST", CHECK, &[("Corkbay-Deadline-Ms", "300")], b"");
+    assert_eq!((response.status, response.header("corkbay-may-have-run")), (503, Some("false")));
+    assert_eq!(response.header("retry-after"), Some("1"));
+}
+
+#[test]
+fn a_connection_carries_one_request_after_the_other_in_order() {
+    let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), "")));
+    let mut socket = start(daemon.address, "POST", CHECK, &[], b"one");
+    // The second does not wait for the first one's answer, and comes in chunks.
+    let chunked =
+        format!("POST {CHECK} HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ntw\r\n1\r\no\r\n0\r\n\r\n");
+    socket.write_all(chunked.as_bytes()).expect("written");
+    socket.write_all(b"GET /v1/functions HTTP/1.1\r\nConnection: close\r\n\r\n").expect("written");
+    let mut reader = BufReader::new(socket);
+    assert_eq!(receive(&mut reader).body, b"done: one");
+    assert_eq!(receive(&mut reader).body, b"done: two");
+    assert_eq!(receive(&mut reader).json()["post"]["class"], "post");
+}
+
+#[test]
+fn a_repeat_of_a_key_that_is_open_is_told_so() {
+    let (fleet, folder) = (Fleet::new(&[Act::Hold]), Folder::new());
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), "")));
+    let key = ("Idempotency-Key", "k");
+    let first = start(daemon.address, "POST", POST, &[key], b"x");
+    until("it is out", || fleet.sent().len() == 1);
+    assert_eq!(ask(daemon.address, "POST", POST, &[key], b"x").status, 409);
+    fleet.release();
+    assert_eq!(receive(&mut BufReader::new(first)).body, b"done: x");
+}
+
+/// Guards the class of a call across a crash: what was accepted and not finished may have run, so it
+/// fails, and is not sent again, not even when its key comes once more. What was final stays as it was.
+#[test]
+fn after_a_kill_open_calls_fail_and_final_ones_stand() {
+    let (fleet, folder) = (Fleet::new(&[Act::Serve, Act::Silence]), Folder::new());
+    let path = folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), ""));
+    let mut daemon = Daemon::serve(&path);
+    let deferred = |key| [("Idempotency-Key", key), ("Prefer", "respond-async")];
+    let accept = |daemon: &Daemon, key| {
+        let accepted = ask(daemon.address, "POST", POST, &deferred(key), b"x");
+        assert_eq!(accepted.status, 202);
+        accepted.header("location").expect("location").to_string()
+    };
+    let done = accept(&daemon, "done");
+    assert_eq!(ask(daemon.address, "GET", &done, &[("Prefer", "wait=20")], b"").status, 200);
+    let open = accept(&daemon, "open");
+    until("it is out", || fleet.sent().len() == 2);
+    daemon.child.kill().expect("killed");
+    daemon.child.wait().expect("ended");
+    let daemon = Daemon::serve(&path);
+    assert_eq!(ask(daemon.address, "GET", &done, &[], b"").body, b"done: x");
+    let failed = ask(daemon.address, "GET", &open, &[], b"");
+    assert_eq!((failed.status, failed.header("corkbay-may-have-run")), (502, Some("true")));
+    assert_eq!(accept(&daemon, "open"), open);
+    assert_eq!(fleet.sent().len(), 2);
+}
+
+#[test]
+fn replicas_share_configuration_and_answers_but_only_the_accepting_node_withdraws() {
+    let (fleet, folder) = (Fleet::new(&[Act::Hold]), Folder::new());
+    let peers = [free_address(), free_address()];
+    let replication = |own: usize| {
+        format!(
+            "[replication]\nlisten = \"{}\"\npeers = [\"{}\"]\ninterval_ms = 100\n",
+            peers[own],
+            peers[1 - own]
+        )
+    };
+    let one = folder.write("one.toml", &deploy("one", Some(fleet.http("w1")), &replication(0)));
+    // The other node's file names no worker: it learns of it.
+    let two = folder.write("two.toml", &deploy("two", None, &replication(1)));
+    let (one, two) = (Daemon::serve(&one), Daemon::serve(&two));
+    until("the worker is known there", || {
+        ask(two.address, "GET", "/v1/workers", &[], b"").json()["w1"].is_object()
+    });
+    let headers = [("Idempotency-Key", "k"), ("Prefer", "respond-async")];
+    let accepted = ask(one.address, "POST", POST, &headers, b"x");
+    let location = accepted.header("location").expect("location").to_string();
+    until("the call is known there", || ask(two.address, "GET", &location, &[], b"").status == 202);
+    assert_eq!(ask(two.address, "DELETE", &location, &[], b"").status, 409);
+    until("it is out", || fleet.sent().len() == 1);
+    fleet.release();
+    let answer = ask(two.address, "GET", &location, &[("Prefer", "wait=20")], b"");
+    assert_eq!((answer.status, answer.body.as_slice()), (200, b"done: x".as_slice()));
+    assert_eq!(ask(two.address, "POST", CHECK, &[], b"y").body, b"done: y", "the worker serves both");
+    let function = json!({"class": "check"}).to_string();
+    assert_eq!(ask(two.address, "PUT", "/v1/functions/fresh", &[], function.as_bytes()).status, 204);
+    until("the function is known at the first", || {
+        ask(one.address, "GET", "/v1/functions", &[], b"").json()["fresh"].is_object()
+    });
+}
+
+#[test]
+fn sigterm_sees_deferred_calls_to_their_end() {
+    let (fleet, folder) = (Fleet::new(&[Act::Hold]), Folder::new());
+    let path = folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), ""));
+    let mut daemon = Daemon::serve(&path);
+    let headers = [("Idempotency-Key", "k"), ("Prefer", "respond-async")];
+    let accepted = ask(daemon.address, "POST", POST, &headers, b"x");
+    let location = accepted.header("location").expect("location").to_string();
+    until("it is out", || fleet.sent().len() == 1);
+    daemon.signal("TERM");
+    fleet.release();
+    assert_eq!(daemon.exit_code(), Some(0));
+    assert!(daemon.errors().contains("taken=1 sent=1"), "{}", daemon.errors());
+    assert!(daemon.errors().contains("served=1"), "{}", daemon.errors());
+    let daemon = Daemon::serve(&path);
+    assert_eq!(ask(daemon.address, "GET", &location, &[], b"").body, b"done: x");
+}
+
+#[test]
+fn counters_are_printed_on_request() {
+    let folder = Folder::new();
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", None, "")));
+    daemon.signal("USR1");
+    until("they are printed", || daemon.errors().contains("counters taken=0 sent=0"));
+}
+
+fn corkbay(arguments: &[&str]) -> std::process::Output {
+    Command::new(env!("CARGO_BIN_EXE_corkbay"))
+        .args(arguments)
+        .env_remove("PROXY_CONFIG")
+        .output()
+        .expect("runs")
+}
+
+#[test]
+fn a_bad_deploy_file_is_named_by_its_key() {
+    let folder = Folder::new();
+    let path = folder.write("d.toml", &deploy("n", None, "sockets = \"many\""));
+    let output = corkbay(&["serve", path.to_str().expect("text")]);
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(errors.contains("sockets:") && errors.lines().count() == 1, "{errors}");
+}
+
+/// Guards against an import that leaves half of a file, and shows that the daemon loads what it writes.
+#[test]
+fn what_is_imported_is_served_and_errors_change_nothing() {
+    let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
+    let address = fleet.http("w1");
+    let source = format!(
+        "<Proxy balancer://fleet>\n  BalancerMember http://{address} route=w1 loadfactor=2\n  ProxySet lbmethod=byrequests\n</Proxy>\n"
+    );
+    let (good, bad) =
+        (folder.write("good.conf", &source), folder.write("bad.conf", "<Proxy balancer://x>\n"));
+    let output = folder.0.join("workers.toml");
+    let (good, bad, output) =
+        (good.to_str().expect("text"), bad.to_str().expect("text"), output.to_str().expect("text"));
+    let end = corkbay(&["import", good, "--output", output]);
+    let remarks = String::from_utf8_lossy(&end.stderr).into_owned();
+    assert_eq!(end.status.code(), Some(0), "{remarks}");
+    assert!(remarks.contains("line 3: ProxySet is not supported"), "{remarks}");
+    let written = std::fs::read_to_string(output).expect("written");
+    let end = corkbay(&["import", bad, "--output", output]);
+    assert_eq!(end.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&end.stderr).contains("line 1: <Proxy> is not closed"));
+    assert_eq!(std::fs::read_to_string(output).expect("still there"), written);
+    let path = folder.write("d.toml", &deploy("n", None, "workers_file = \"workers.toml\""));
+    let daemon = Daemon::serve(&path);
+    assert_eq!(ask(daemon.address, "POST", CHECK, &[], b"x").body, b"done: x");
+}
+
+#[test]
+fn the_deploy_file_of_the_repository_is_good() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/invoke.toml");
+    corkbay_node::life::deploy::Deploy::load(std::path::Path::new(path)).expect("loads");
+}
--- /dev/null
+++ b/node/tests/platform.rs
@@ -0,0 +1,377 @@
+//! The started program on the platform's protocol: Thrift clients, framed workers, a command channel.
+mod support;
+
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::time::{Duration, Instant};
+use support::workers::{Act, Fleet};
+use support::{free_address, head, until, Daemon, Folder};
+
+/// A command channel that a test speaks through.
+struct Channel {
+    address: SocketAddr,
+    events: Sender<String>,
+    calls: std::sync::mpsc::Receiver<String>,
+}
+
+impl Channel {
+    /// Serves one connection after the other; a line `hang up` ends the present one.
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (events, queue) = channel::<String>();
+        let (called, calls) = channel();
+        std::thread::spawn(move || {
+            for mut socket in listener.incoming().map_while(Result::ok) {
+                let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
+                let Some((_, headers)) = head(&mut reader) else { continue };
+                let _ = called.send(headers.get("last-event-id").cloned().unwrap_or_default());
+                let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+                loop {
+                    match queue.recv_timeout(Duration::from_millis(300)) {
+                        Ok(event) if event == "hang up" => break,
+                        Ok(event) => _ = socket.write_all(event.as_bytes()),
+                        Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {
+                            if socket.write_all(b":\n\n").is_err() {
+                                break;
+                            }
+                        }
+                        Err(_) => return,
+                    }
+                }
+            }
+        });
+        Channel { address, events, calls }
+    }
+
+    fn tell(&self, cursor: u64, name: &str, address: SocketAddr, status: &str) {
+        let data = nodes(cursor, false, &[(name, address, status)]);
+        self.events.send(format!("id: {cursor}\ndata: {data}\n\n")).expect("channel");
+    }
+}
+
+fn nodes(cursor: u64, whole: bool, hosts: &[(&str, SocketAddr, &str)]) -> serde_json::Value {
+    let endpoint = |host: &(&str, SocketAddr, &str)| {
+        json!({"name": host.0, "address": host.1.to_string(), "zone": "east", "type": "std", "group": 0,
+               "status": host.2, "weight": 1, "since_ms": 0})
+    };
+    let endpoints: Vec<_> = hosts.iter().map(endpoint).collect();
+    json!({"cursor": cursor, "nodes": {"index": cursor, "snapshot": whole, "endpoints": endpoints}})
+}
+
+/// The program with its surroundings.
+struct Bench {
+    daemon: Daemon,
+    fleet: Fleet,
+    channel: Channel,
+    hosts: Vec<SocketAddr>,
+    _folder: Folder,
+}
+
+impl Bench {
+    fn new(script: &[Act], hosts: usize) -> Self {
+        let fleet = Fleet::new(script);
+        let hosts: Vec<SocketAddr> = (0..hosts).map(|number| fleet.frames(&format!("h{number}"))).collect();
+        let channel = Channel::new();
+        let names: Vec<String> = (0..hosts.len()).map(|number| format!("h{number}")).collect();
+        let known: Vec<_> = names.iter().zip(&hosts).map(|(name, at)| (name.as_str(), *at, "up")).collect();
+        let config = json!({
+            "name": "n0", "listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "channel": channel.address.to_string(),
+            "known": {"cursor": 1, "cmds": [nodes(1, true, &known)]},
+            "settings": {
+                "balancers": 1, "periodMs": 4.0, "zones": ["east"], "myZone": "east", "models": ["std"],
+                "customers": [{"name": "acme", "quotaPerS": 100.0}],
+                "classes": [
+                    {"name": "check", "aimMs": 1500.0, "giveUpMs": 4000.0, "idempotency": "pure", "worth": 1.0},
+                    {"name": "post", "aimMs": 750.0, "giveUpMs": 3000.0, "idempotency": "token",
+                     "dedupScope": "cell", "dedupWindowMs": 6000.0, "worth": 2.0}],
+                "ceilings": {"attemptsCap": 5, "cancel": true, "connIdleMs": 15000.0, "streamsPerConn": 32,
+                             "connectTimeoutMs": 250.0, "secondCopies": true, "retryAfter": true,
+                             "maxRetryAfterMs": 500.0},
+                "specifics": {"answerWithinMs": 10000.0, "keepMs": 8000.0, "notLoaded": "load",
+                              "placementCalls": false, "ramMbByKind": [10000.0]},
+                "safety": {"drainGraceMs": 2000.0, "coldFrom": 1.0, "coldMs": 0.0, "fallMs": 2000.0, "fallMultiple": 2.0}
+            }
+        });
+        let folder = Folder::new();
+        let path = folder.write("config.json", &config.to_string());
+        let daemon = Daemon::platform(&path, free_address());
+        Bench { daemon, fleet, channel, hosts, _folder: folder }
+    }
+
+    fn client(&self) -> Client {
+        Client::new(self.daemon.address)
+    }
+}
+
+/// A Thrift client, written apart from the program's own codec.
+struct Client {
+    socket: TcpStream,
+}
+
+#[derive(Debug, PartialEq)]
+enum Reply {
+    Answer(Vec<u8>),
+    Rejected(BTreeMap<String, String>),
+    Crashed,
+    Exception(i32),
+}
+
+fn text(bytes: &[u8]) -> Vec<u8> {
+    [&(bytes.len() as u32).to_be_bytes(), bytes].concat()
+}
+
+fn message(kind: u8, method: &str, seqid: i32, arguments: &[u8]) -> Vec<u8> {
+    let head = [&[0x80, 1, 0, kind][..], &text(method.as_bytes()), &seqid.to_be_bytes(), arguments].concat();
+    text(&head)
+}
+
+fn dispatch(seqid: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut arguments = vec![13, 0, 1, 11, 11];
+    arguments.extend((fields.len() as u32).to_be_bytes());
+    for (name, value) in fields {
+        arguments.extend([text(name.as_bytes()), text(value.as_bytes())].concat());
+    }
+    arguments.extend([&[11, 0, 2][..], &text(body), &[0]].concat());
+    message(1, "dispatch", seqid, &arguments)
+}
+
+fn fields<'a>(class: &'a str, id: &'a str, allow: &'a str) -> Vec<(&'a str, &'a str)> {
+    vec![
+        ("service", class),
+        ("ref", id),
+        ("allow", allow),
+        ("project", "acme"),
+        ("replay", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
+        ("lookup", "000000000000d655"),
+        ("effort", "8.2"),
+        ("info", "memory_mb:512;lanes:2"),
+    ]
+}
+
+impl Client {
+    fn new(address: SocketAddr) -> Self {
+        let socket = TcpStream::connect(address).expect("connects");
+        socket.set_read_timeout(Some(support::PATIENCE)).expect("set");
+        Client { socket }
+    }
+
+    fn send(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).expect("written");
+    }
+
+    /// The next reply with its sequence number; `None` once the connection has ended.
+    fn receive(&mut self) -> Option<(i32, Reply)> {
+        let mut size = [0; 4];
+        self.socket.read_exact(&mut size).ok()?;
+        let mut bytes = vec![0; u32::from_be_bytes(size) as usize];
+        self.socket.read_exact(&mut bytes).expect("a whole frame");
+        let mut at = 0;
+        let mut take = |size: usize| {
+            at += size;
+            bytes[at - size..at].to_vec()
+        };
+        let number = |bytes: Vec<u8>| i32::from_be_bytes(bytes.try_into().expect("four bytes"));
+        let kind = take(4)[3];
+        let size = number(take(4)) as usize;
+        take(size);
+        let seqid = number(take(4));
+        let field = take(3);
+        if kind == 3 {
+            let size = number(take(4)) as usize;
+            take(size + 3);
+            return Some((seqid, Reply::Exception(number(take(4)))));
+        }
+        Some((
+            seqid,
+            match field[2] {
+                0 => {
+                    assert_eq!(take(3), [11, 0, 1]);
+                    let size = number(take(4)) as usize;
+                    Reply::Answer(take(size))
+                }
+                1 => {
+                    assert_eq!(take(5), [13, 0, 1, 11, 11]);
+                    let mut fields = BTreeMap::new();
+                    for _ in 0..number(take(4)) {
+                        let mut word = || {
+                            let size = number(take(4)) as usize;
+                            String::from_utf8(take(size)).expect("text")
+                        };
+                        let name = word();
+                        fields.insert(name, word());
+                    }
+                    Reply::Rejected(fields)
+                }
+                _ => Reply::Crashed,
+            },
+        ))
+    }
+}
+
+#[test]
+fn alive_and_served_in_any_order() {
+    let bench = Bench::new(&[Act::Hold, Act::Serve], 2);
+    let mut client = bench.client();
+    client.send(&message(1, "alive", 1, &[2, 0, 1, 1, 0]));
+    assert_eq!(client.receive(), Some((1, Reply::Answer(Vec::new()))));
+    client.send(&dispatch(2, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"slow"));
+    until("the first is out", || bench.fleet.sent().len() == 1);
+    client.send(&dispatch(3, &fields("check", "9b1f03aa5c7e2d42", "4000"), b"\x00\xff"));
+    let second = client.receive();
+    bench.fleet.release();
+    // Both go to the warm worker, whose stand-in answers one after the other.
+    let first = client.receive();
+    let mut seqids: Vec<i32> =
+        [&second, &first].iter().map(|reply| reply.as_ref().expect("answered").0).collect();
+    seqids.sort_unstable();
+    assert_eq!(seqids, [2, 3]);
+}
+
+#[test]
+fn a_body_and_its_key_pass_on_unchanged() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("post", "9b1f03aa5c7e2d41", "3000"), b"\x00\xff,="));
+    assert_eq!(client.receive(), Some((1, Reply::Answer(b"done: \x00\xff,=".to_vec()))));
+    let sent = &bench.fleet.sent()[0];
+    assert_eq!(sent.key.as_deref(), Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+    assert_eq!(sent.body, b"\x00\xff,=");
+}
+
+#[test]
+fn what_cannot_be_read_fails_under_its_number_and_the_connection_goes_on() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    let mut client = bench.client();
+    let good = fields("check", "9b1f03aa5c7e2d41", "4000");
+    let changed = |name: &str, value: &'static str| {
+        let change =
+            |field: &(&'static str, &'static str)| if field.0 == name { (field.0, value) } else { *field };
+        good.iter().map(change).collect::<Vec<_>>()
+    };
+    client.send(&dispatch(1, &changed("service", "nonesuch"), b""));
+    assert_eq!(client.receive(), Some((1, Reply::Crashed)));
+    client.send(&dispatch(2, &changed("project", "nobody"), b""));
+    assert_eq!(client.receive(), Some((2, Reply::Crashed)));
+    client.send(&dispatch(3, &changed("ref", "xyz"), b""));
+    assert_eq!(client.receive(), Some((3, Reply::Crashed)));
+    client.send(&dispatch(4, &good, &[7; (16 << 10) + 1]));
+    assert_eq!(client.receive(), Some((4, Reply::Crashed)));
+    client.send(&message(1, "dispatch", 5, &[13, 0, 1, 11, 11, 0, 0, 0, 9]));
+    assert_eq!(client.receive(), Some((5, Reply::Exception(7))));
+    client.send(&message(1, "nonesuch", 6, &[0]));
+    assert_eq!(client.receive(), Some((6, Reply::Exception(1))));
+    client.send(&dispatch(7, &good, &[7; 16 << 10]));
+    assert!(matches!(client.receive(), Some((7, Reply::Answer(_)))));
+    client.send(&[0, 0, 0, 4, 1, 2, 3, 4]);
+    assert_eq!(client.receive(), None, "no number is known, so the connection ends");
+    assert_eq!(bench.fleet.sent().len(), 1);
+}
+
+#[test]
+fn each_request_ends_before_its_time_is_up() {
+    let bench = Bench::new(&[Act::Silence], 2);
+    let mut client = bench.client();
+    let start = Instant::now();
+    client.send(&dispatch(1, &fields("post", "9b1f03aa5c7e2d41", "600"), b"x"));
+    assert_eq!(client.receive(), Some((1, Reply::Crashed)));
+    // Its own 600 ms count, not the 3 s of its class.
+    assert!(start.elapsed() < Duration::from_millis(2500), "{:?}", start.elapsed());
+    assert_eq!(bench.fleet.sent().len(), 1);
+}
+
+#[test]
+fn a_cancelled_request_is_owed_no_answer_and_its_work_is_called_off() {
+    let bench = Bench::new(&[Act::Silence, Act::Serve], 1);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"x"));
+    until("it is out", || bench.fleet.sent().len() == 1);
+    client.send(&message(4, "cancelRequest", 2, &[8, 0, 1, 0, 0, 0, 1, 0]));
+    until("it is called off", || bench.fleet.called_off() == 1);
+    client.send(&dispatch(3, &fields("check", "9b1f03aa5c7e2d42", "4000"), b"y"));
+    assert!(matches!(client.receive(), Some((3, Reply::Answer(_)))), "only the second is answered");
+}
+
+/// Guards the rule on drains: nothing new goes to a host once the channel told of it, also when the
+/// telling followed a broken connection.
+#[test]
+fn a_host_that_drains_is_sent_nothing_more() {
+    let bench = Bench::new(&[Act::Serve], 2);
+    let mut client = bench.client();
+    assert_eq!(bench.channel.calls.recv_timeout(support::PATIENCE).as_deref(), Ok("1"));
+    bench.channel.tell(2, "h9", free_address(), "removed");
+    bench.channel.events.send("hang up".into()).expect("channel");
+    assert_eq!(
+        bench.channel.calls.recv_timeout(support::PATIENCE).as_deref(),
+        Ok("2"),
+        "it resumes where it was"
+    );
+    bench.channel.tell(3, "h0", bench.hosts[0], "draining");
+    std::thread::sleep(Duration::from_millis(500));
+    for number in 0..6 {
+        let id = format!("9b1f03aa5c7e2d4{number}");
+        client.send(&dispatch(number + 1, &fields("check", &id, "4000"), b"x"));
+        assert!(matches!(client.receive(), Some((_, Reply::Answer(_)))));
+    }
+    assert!(bench.fleet.sent().iter().all(|sent| sent.worker == "h1"), "{:?}", bench.fleet.sent());
+}
+
+#[test]
+fn refused_at_once_when_no_host_takes_it() {
+    let bench = Bench::new(&[Act::Refuse], 1);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("post", "9b1f03aa5c7e2d41", "3000"), b"x"));
+    let reply = client.receive();
+    assert!(matches!(&reply, Some((1, Reply::Rejected(_)))), "{reply:?}");
+    assert_eq!(bench.fleet.sent().len(), 5);
+}
+
+#[test]
+fn sigterm_lets_what_was_taken_end_and_exits_with_0() {
+    let mut bench = Bench::new(&[Act::Hold], 1);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"x"));
+    until("it is out", || bench.fleet.sent().len() == 1);
+    bench.daemon.signal("TERM");
+    // Connections and requests still come for a while, and are taken.
+    std::thread::sleep(Duration::from_millis(100));
+    let mut late = bench.client();
+    late.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d42", "4000"), b"y"));
+    std::thread::sleep(Duration::from_millis(100));
+    bench.fleet.release();
+    assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
+    assert!(matches!(late.receive(), Some((1, Reply::Answer(_)))));
+    assert_eq!(bench.daemon.exit_code(), Some(0));
+    assert!(bench.daemon.errors().contains("taken=2 "), "{}", bench.daemon.errors());
+}
+
+#[test]
+fn bad_configuration_is_named_in_one_line() {
+    let folder = Folder::new();
+    for (text, key) in [
+        ("{", "PROXY_CONFIG"),
+        ("{\"listen\":\"nowhere\",\"seed\":1,\"known\":{},\"settings\":{\"classes\":[{}]}}", "listen"),
+        (
+            "{\"listen\":\"127.0.0.1:1\",\"seed\":\"xyz\",\"known\":{},\"settings\":{\"classes\":[{}]}}",
+            "seed",
+        ),
+        ("{\"listen\":\"127.0.0.1:1\",\"seed\":1,\"known\":{},\"settings\":{}}", "settings.classes"),
+        ("{\"listen\":\"127.0.0.1:1\",\"seed\":1,\"known\":{},\"settings\":{\"classes\":[{}]}}", "channel"),
+        (
+            "{\"listen\":\"127.0.0.1:1\",\"seed\":1,\"known\":{\"cmds\":3},\"settings\":{\"classes\":[{}]}}",
+            "known",
+        ),
+    ] {
+        let path = folder.write("config.json", text);
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_corkbay"));
+        let output = command.env("PROXY_CONFIG", path).env_remove("PROXY_LISTEN").output().expect("runs");
+        let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{errors}");
+        assert!(errors.contains(&format!("{key}:")) && errors.lines().count() == 1, "{key}: {errors}");
+    }
+}
