Advise clients when to come back with every refusal of the decisions

Seen: refusals carried no cooldown (brain.rs, request and end pushed retry_after 0.0), though the site passes advice on. Ruled out: holding the answer back, which is not wanted. Conclusion: costs nothing, and real clients are told to stay away as long as they heed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -301,7 +301,7 @@
             return None;
         }
         if request.class >= self.set.classes.len() {
-            act.push(Action::Refuse { id, retry_after: 0.0 });
+            act.push(self.refusal(id));
             return None;
         }
         let model = self.models.entry(name).or_default();
@@ -328,7 +328,7 @@
         let below = (0..self.set.classes.len()).filter(|class| self.value(*class) < value).count();
         let shed = (self.shed - below as f64).min(MOST_SHED);
         if shed > 0.0 && self.rng.random::<f64>() < shed {
-            act.push(Action::Refuse { id, retry_after: 0.0 });
+            act.push(self.refusal(id));
             return None;
         }
         self.models.entry(name).or_default().waiting.push(id);
@@ -350,10 +350,16 @@
             Effect::Repeatable | Effect::Keyed(Group::All, _) => true,
             _ => pending.ran.is_empty(),
         };
-        act.push(if harmless { Action::Refuse { id, retry_after: 0.0 } } else { Action::Fail { id } });
+        act.push(if harmless { self.refusal(id) } else { Action::Fail { id } });
         self.call_off(id, act);
     }
 
+    /// A refusal tells when to come back: what is short is short for longer than a client's pause, and
+    /// those who heed the advice stay away as long as it may keep them.
+    fn refusal(&self, id: RequestId) -> Action {
+        Action::Refuse { id, retry_after: if self.set.retry_after { self.set.max_retry_after } else { 0.0 } }
+    }
+
     /// Stops the work for a request that nobody waits for any more: it counts as late, so that clients
     /// who leave early and come back at once do not pile work on work.
     fn call_off(&mut self, id: RequestId, act: &mut Vec<Action>) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -403,3 +403,16 @@
         assert!(taken > 500 && served > 5, "seed {seed}: {served} of {taken}");
     }
 }
+
+/// Guards clients against coming back at once: a call that is given up ends at once, and its refusal says
+/// when to return where the site passes that on.
+#[test]
+fn a_refusal_advises_when_to_come_back_where_advice_is_passed_on() {
+    for (retry_after, advice) in [(true, 500.0), (false, 0.0)] {
+        let mut front = Front::new(Settings { retry_after, ..settings() }, vec![]);
+        let mut act = front.ask(call(1, 0, 5, front.now + 2000.0));
+        act.extend(front.wait(2000.0));
+        let refused = Action::Refuse { id: RequestId(1), retry_after: advice };
+        assert!(act.contains(&refused), "{act:?}");
+    }
+}
