End what a panic leaves out, bound the store, push writes to peers, test the lack of descriptors

Seen: by reading, a panic in a request's task left its attempts open at the workers and counted as out by the decisions; the store took in deferred calls without a bound; each write made peers swap whole digests. Lines at fault: Taken::serve, Store::put, replicate::follow. Now a guard gives up what is out and tells the decisions, a store of 64 MiB takes nothing new, and writes are pushed while digests are swapped at intervals. Seen: one test run failed with a reset connection. Checked: may's listeners set SO_REUSEPORT, so two daemons of a test file could bind the port that was free for both. Each address of a test is its own now.

--- a/node/src/core/invoker.rs
+++ b/node/src/core/invoker.rs
@@ -65,6 +65,36 @@
     exchange: Box<dyn Exchange>,
 }
 
+/// The attempts of a request that are out. However its task ends, each is given up and the decisions hear
+/// of it.
+struct Out<'a> {
+    taken: &'a Taken,
+    flights: Vec<Flight>,
+}
+
+impl Out<'_> {
+    fn position(&self, attempt: u32) -> Option<usize> {
+        self.flights.iter().position(|flight| flight.attempt == attempt)
+    }
+
+    /// Calls off what is still out; true if any of it may have run.
+    fn call_off(&mut self) -> bool {
+        let mut may_have_run = false;
+        for mut flight in self.flights.drain(..) {
+            let error = flight.exchange.give_up(Cause::GivenUp);
+            let error = error.unwrap_or(AttemptError::Unanswered(Cause::GivenUp));
+            may_have_run |= self.taken.lost(&flight, error, true);
+        }
+        may_have_run
+    }
+}
+
+impl Drop for Out<'_> {
+    fn drop(&mut self) {
+        self.call_off();
+    }
+}
+
 struct Core {
     dispatcher: Dispatcher,
     open: HashMap<RequestId, mpsc::Sender<Note>>,
@@ -253,25 +283,26 @@
     /// The life of the request, from its first event to its one final answer.
     pub fn serve(&self) -> Answer {
         let (invoker, call) = (&self.invoker, &self.call);
-        let mut flights: Vec<Flight> = Vec::new();
+        let mut out = Out { taken: self, flights: Vec::new() };
         let (mut sent, mut may_have_run) = (0, false);
         invoker.feed(Event::Request(call.request()));
         let mut answer = loop {
-            let due = flights.iter().map(|flight| flight.until).fold(call.expires + LAST_WORD_MS, f64::min);
+            let due =
+                out.flights.iter().map(|flight| flight.until).fold(call.expires + LAST_WORD_MS, f64::min);
             match self.inbox.next(due) {
                 Some(Note::Send { worker, within }) => {
                     let flight = self.start(sent, worker, within);
                     sent += 1;
                     match flight {
-                        Some(flight) => flights.push(flight),
+                        Some(flight) => out.flights.push(flight),
                         None => self.finished(sent - 1, worker, now_ms(), Outcome::Moot, false),
                     }
                 }
                 Some(Note::Ended { attempt, end }) => {
-                    let Some(at) = flights.iter().position(|flight| flight.attempt == attempt) else {
+                    let Some(at) = out.position(attempt) else {
                         continue;
                     };
-                    let flight = flights.swap_remove(at);
+                    let flight = out.flights.swap_remove(at);
                     match end {
                         Ok(body) => {
                             self.finished(attempt, flight.worker, flight.started, Outcome::Ok, true);
@@ -281,11 +312,11 @@
                     }
                 }
                 Some(Note::Cancel { attempt }) => {
-                    let Some(at) = flights.iter().position(|flight| flight.attempt == attempt) else {
+                    let Some(at) = out.position(attempt) else {
                         continue;
                     };
-                    if let Some(error) = flights[at].exchange.give_up(Cause::GivenUp) {
-                        let flight = flights.swap_remove(at);
+                    if let Some(error) = out.flights[at].exchange.give_up(Cause::GivenUp) {
+                        let flight = out.flights.swap_remove(at);
                         may_have_run |= self.lost(&flight, error, false);
                     }
                 }
@@ -299,13 +330,13 @@
                 }
                 None => {
                     let now = now_ms();
-                    let over = flights.iter().position(|flight| flight.until <= now);
+                    let over = out.flights.iter().position(|flight| flight.until <= now);
                     if let Some(at) = over {
                         // An end that is on its way already comes as the next note.
-                        let mut flight = flights.swap_remove(at);
+                        let mut flight = out.flights.swap_remove(at);
                         match flight.exchange.give_up(Cause::Silent) {
                             Some(error) => may_have_run |= self.lost(&flight, error, false),
-                            None => flights.push(Flight { until: now + LAST_WORD_MS, ..flight }),
+                            None => out.flights.push(Flight { until: now + LAST_WORD_MS, ..flight }),
                         }
                     } else if now >= call.expires {
                         invoker.feed(Event::Withdrawn { id: call.id });
@@ -314,12 +345,7 @@
                 }
             }
         };
-        // What is still out is called off; the decisions hear of each end.
-        for mut flight in flights {
-            let error = flight.exchange.give_up(Cause::GivenUp);
-            may_have_run |=
-                self.lost(&flight, error.unwrap_or(AttemptError::Unanswered(Cause::GivenUp)), true);
-        }
+        may_have_run |= out.call_off();
         if let Answer::Refused { known, .. } | Answer::Failed(known) = &mut answer {
             known.may_have_run = may_have_run;
         }
@@ -396,3 +422,71 @@
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> may::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::Ending;
+    use corkbay::{ModelId, Standing};
+    use std::sync::atomic::AtomicUsize;
+
+    /// Workers whose first send panics and whose others serve.
+    #[derive(Default)]
+    struct Panicking(AtomicUsize);
+
+    struct Over;
+
+    impl Exchange for Over {
+        fn give_up(&mut self, _: Cause) -> Option<AttemptError> {
+            None
+        }
+    }
+
+    impl Workers for Panicking {
+        fn send(&self, _: &Arc<Host>, call: &Arc<Call>, _: Ms, end: Ending) -> Box<dyn Exchange> {
+            assert!(self.0.fetch_add(1, Ordering::Relaxed) > 0, "the first send panics");
+            end(Ok(call.body.clone()));
+            Box::new(Over)
+        }
+
+        fn load(&self, _: &Arc<Host>, _: ModelId, _: u32, _: Duration) -> (Result<(), AttemptError>, u32) {
+            (Err(AttemptError::Unconnected), 0)
+        }
+
+        fn evict(&self, _: &Arc<Host>, _: ModelId) {}
+
+        fn probe(&self, _: &Arc<Host>, _: Duration) -> Result<(), AttemptError> {
+            Ok(())
+        }
+    }
+
+    /// Guards against a panic that takes more down than its request: nothing stays owed, and the next
+    /// request is served.
+    #[test]
+    fn a_panic_ends_its_request_and_no_other() {
+        let setup = serde_json::json!({
+            "classes": [{"name": "check", "aimMs": 1000.0, "giveUpMs": 4000.0, "idempotency": "pure"}],
+            "zones": ["a"], "myZone": "a", "ceilings": {"attemptsCap": 5, "cancel": true},
+            "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
+        });
+        let invoker = Invoker::new(&setup, 1, Arc::new(Panicking::default()));
+        let address = "127.0.0.1:1".parse().expect("address");
+        let (name, zone, kind) = ("w".to_string(), "a".to_string(), String::new());
+        let (standing, weight, born) = (Standing::Ready, 1.0, 0.0);
+        let listing = Listing { name, address, zone, kind, cell: 0, standing, weight, born };
+        invoker.news(vec![listing], true, true);
+        let call =
+            |id| Call { id: RequestId(id), expires: now_ms() + 4000.0, body: vec![7], ..Call::default() };
+        let taken = invoker.take(call(1)).expect("taken");
+        assert_eq!(invoker.take(call(1)).err(), Some(NotTaken::Open));
+        let end = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || taken.serve()));
+        assert!(end.is_err());
+        assert_eq!(invoker.owed(), 0);
+        let taken = invoker.take(call(2)).expect("taken");
+        assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
+        drop(taken);
+        invoker.drain();
+        assert!(invoker.settle(Duration::ZERO));
+        assert_eq!(invoker.take(call(3)).err(), Some(NotTaken::Draining));
+    }
+}
--- a/node/src/life/deploy.rs
+++ b/node/src/life/deploy.rs
@@ -193,7 +193,7 @@
     /// Where they are called.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
-    /// Longest time between two calls.
+    /// Time between two swaps of digests; writes are pushed at once.
     #[serde(default = "interval")]
     pub interval_ms: u64,
 }
@@ -279,7 +279,7 @@
 }
 
 fn interval() -> u64 {
-    1000
+    2000
 }
 
 fn one() -> f64 {
--- a/node/src/life/service.rs
+++ b/node/src/life/service.rs
@@ -86,8 +86,9 @@
         ours.invocations.wake();
     });
     replicate::listen(store.clone(), listener, on_news.clone());
-    let nudges = peers.iter().map(|peer| replicate::follow(store.clone(), *peer, interval, on_news.clone()));
-    store.on_write(nudges.collect());
+    let listeners =
+        peers.iter().map(|peer| replicate::follow(store.clone(), *peer, interval, on_news.clone()));
+    store.on_write(listeners.collect());
 }
 
 fn seed(catalog: &Catalog, deploy: &Deploy) -> Result<(), Box<dyn std::error::Error>> {
--- a/node/src/memory/store.rs
+++ b/node/src/memory/store.rs
@@ -12,10 +12,16 @@
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 
 /// Largest value, as text.
 pub const MAX_VALUE: usize = 256 << 10;
 
+/// Bytes of all records at which nothing new is taken.
+const MOST_BYTES: usize = 64 << 20;
+/// What a record costs beside its key and value, roughly.
+const RECORD_COST: usize = 200;
+
 /// One version of what stands under a key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -77,6 +83,10 @@
         self.value.as_ref().map(Value::to_string).unwrap_or_default()
     }
 
+    fn size(&self) -> usize {
+        RECORD_COST + self.key.len() + self.text().len()
+    }
+
     fn expired(&self, now: Ms) -> bool {
         self.expires > 0.0 && self.expires <= now
     }
@@ -91,6 +101,8 @@
     Foreign(String),
     /// The value is larger than is kept.
     Large,
+    /// The store holds as much as it may; what is there can still be changed.
+    Full,
     /// It could not be made to last.
     Log(LogError),
 }
@@ -101,6 +113,7 @@
             StoreError::Final => write!(f, "the record is final"),
             StoreError::Foreign(node) => write!(f, "only node {node} writes this record"),
             StoreError::Large => write!(f, "the value is larger than is kept"),
+            StoreError::Full => write!(f, "the store is full"),
             StoreError::Log(error) => write!(f, "{error}"),
         }
     }
@@ -130,7 +143,10 @@
     /// Held from the decision to write until the write lasts and shows: nobody sees what a crash could
     /// take back, and no compaction misses a write.
     writing: Mutex<()>,
-    nudges: Mutex<Vec<mpsc::Sender<()>>>,
+    listeners: Mutex<Vec<mpsc::Sender<Record>>>,
+    /// Bytes of what stands, and the most at which something new is taken.
+    bytes: AtomicUsize,
+    most: usize,
     log: Option<Log>,
 }
 
@@ -141,7 +157,9 @@
             node: node.to_string(),
             records: Mutex::default(),
             writing: Mutex::new(()),
-            nudges: Mutex::default(),
+            listeners: Mutex::default(),
+            bytes: AtomicUsize::new(0),
+            most: MOST_BYTES,
             log: None,
         }
     }
@@ -154,8 +172,8 @@
     }
 
     /// Has these told of each write of this node.
-    pub fn on_write(&self, nudges: Vec<mpsc::Sender<()>>) {
-        *lock(&self.nudges) = nudges;
+    pub fn on_write(&self, listeners: Vec<mpsc::Sender<Record>>) {
+        *lock(&self.listeners) = listeners;
     }
 
     /// The name of this node.
@@ -195,6 +213,9 @@
             }
             _ => {}
         }
+        if old.is_none() && self.bytes.load(Relaxed) >= self.most {
+            return Err(StoreError::Full);
+        }
         let version = old.map_or(0, |old| old.version) + 1;
         let record =
             Record { key: key.to_string(), is_final, version, node: self.node.clone(), expires, value };
@@ -203,7 +224,7 @@
         }
         self.keep(std::slice::from_ref(&record))?;
         self.show(record.clone());
-        lock(&self.nudges).iter().for_each(|nudge| _ = nudge.send(()));
+        lock(&self.listeners).iter().for_each(|listener| _ = listener.send(record.clone()));
         Ok(record)
     }
 
@@ -247,7 +268,13 @@
         let now = now_ms();
         let live: Vec<Record> = {
             let mut records = lock(&self.records);
-            records.retain(|_, record| !record.expired(now));
+            records.retain(|_, record| {
+                let kept = !record.expired(now);
+                if !kept {
+                    self.bytes.fetch_sub(record.size(), Relaxed);
+                }
+                kept
+            });
             records.values().cloned().collect()
         };
         match &self.log {
@@ -260,9 +287,13 @@
     fn show(&self, record: Record) {
         let mut records = lock(&self.records);
         let merged = match records.remove(&record.key) {
-            Some(old) => old.merge(record),
+            Some(old) => {
+                self.bytes.fetch_sub(old.size(), Relaxed);
+                old.merge(record)
+            }
             None => record,
         };
+        self.bytes.fetch_add(merged.size(), Relaxed);
         records.insert(merged.key.clone(), merged);
     }
 
@@ -334,6 +365,22 @@
         assert!(matches!(late, Err(StoreError::Final)));
     }
 
+    /// Guards memory against clients that hand calls over faster than records expire: nothing new is
+    /// taken, but what was accepted still reaches its end.
+    #[test]
+    fn a_full_store_takes_nothing_new_and_lets_the_old_end() {
+        let store = Store { most: 500, ..Store::in_memory("one") };
+        let put =
+            |key: &str, is_final| store.put(key, Some("x".repeat(200).into()), is_final, 0.0, Writers::First);
+        put("a", false).expect("room");
+        put("b", false).expect("room");
+        assert!(matches!(put("c", false), Err(StoreError::Full)));
+        put("a", true).expect("an end");
+        store
+            .merge(vec![Record { expires: 1.0, is_final: true, version: 9, ..put("b", false).expect("old") }])
+            .expect("merged");
+    }
+
     #[test]
     fn what_has_expired_is_neither_told_nor_taken_back() {
         let (one, two) = (Store::in_memory("one"), Store::in_memory("two"));
--- a/node/src/wire/invoke.rs
+++ b/node/src/wire/invoke.rs
@@ -375,7 +375,7 @@
     match end {
         Ok(()) => Response::bare(204),
         Err(CatalogError::Value(what)) => problem(400, "malformed", &what, Some(false)),
-        Err(CatalogError::Store(error @ StoreError::Log(_))) => {
+        Err(CatalogError::Store(error @ (StoreError::Log(_) | StoreError::Full))) => {
             problem(503, "refused", &error.to_string(), Some(false))
         }
         Err(CatalogError::Store(error)) => problem(409, "conflict", &error.to_string(), Some(false)),
--- a/node/src/wire/replicate.rs
+++ b/node/src/wire/replicate.rs
@@ -1,5 +1,6 @@
 //! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
 use super::accept::accept;
+use crate::core::{now_ms, until};
 use crate::life::spawn;
 use crate::memory::store::{Record, Stamp, Store};
 use may::net::{TcpListener, TcpStream};
@@ -8,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +21,16 @@
 /// Nodes that may call at a time.
 const CALLERS: usize = 32;
 
+/// What a caller begins with.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Hello {
+    /// Its digest: the two swap what each lacks.
+    Digest(Digest),
+    /// Records that it has just written; nothing is answered.
+    Push(Vec<Record>),
+}
+
 #[derive(Serialize, Deserialize)]
 struct Digest {
     stamps: BTreeMap<String, Stamp>,
@@ -46,9 +58,15 @@
     });
 }
 
-/// Calls a peer at each interval, and at once when the handle is sent something.
-pub fn follow(store: Arc<Store>, peer: SocketAddr, interval: Duration, on_news: OnNews) -> mpsc::Sender<()> {
-    let (nudge, nudges) = mpsc::channel();
+/// Swaps digests with a peer at each interval, and pushes at once what the handle is sent. A push that is
+/// lost comes with the next digest.
+pub fn follow(
+    store: Arc<Store>,
+    peer: SocketAddr,
+    interval: Duration,
+    on_news: OnNews,
+) -> mpsc::Sender<Record> {
+    let (writes, written) = mpsc::channel();
     spawn(move || {
         let mut reachable = true;
         loop {
@@ -57,21 +75,37 @@
                 eprintln!("replication: peer {peer}: {error}");
             }
             reachable = end.is_ok();
-            match nudges.recv_timeout(interval) {
-                // What has piled up meanwhile is one reason to call.
-                Ok(()) => while nudges.try_recv().is_ok() {},
-                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {}
-                Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
+            let next = now_ms() + interval.as_secs_f64() * 1000.0;
+            loop {
+                match written.recv_timeout(until(next)) {
+                    Ok(first) => {
+                        let batch = std::iter::once(first).chain(written.try_iter()).collect();
+                        if reachable && push(peer, batch).is_err() {
+                            reachable = false;
+                        }
+                    }
+                    Err(RecvTimeoutError::Timeout) => break,
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+                if now_ms() >= next {
+                    break;
+                }
             }
         }
     });
-    nudge
+    writes
+}
+
+fn push(peer: SocketAddr, records: Vec<Record>) -> io::Result<()> {
+    let mut socket = TcpStream::connect_timeout(&peer, CONNECT)?;
+    timeouts(&socket)?;
+    send(&mut socket, &Hello::Push(records))
 }
 
 fn call(store: &Store, peer: SocketAddr, on_news: &OnNews) -> io::Result<()> {
     let mut socket = TcpStream::connect_timeout(&peer, CONNECT)?;
     timeouts(&socket)?;
-    send(&mut socket, &Digest { stamps: store.digest() })?;
+    send(&mut socket, &Hello::Digest(Digest { stamps: store.digest() }))?;
     let theirs: Records = receive(&mut socket)?;
     take(store, theirs.records, on_news)?;
     if let Some(digest) = theirs.digest {
@@ -84,7 +118,10 @@
 
 fn answer(store: &Store, socket: &mut TcpStream, on_news: &OnNews) -> io::Result<()> {
     timeouts(socket)?;
-    let theirs: Digest = receive(socket)?;
+    let theirs = match receive(socket)? {
+        Hello::Digest(digest) => digest,
+        Hello::Push(records) => return take(store, records, on_news),
+    };
     let ours = Digest { stamps: store.digest() };
     send(socket, &Records { records: store.lacking(&theirs.stamps), digest: Some(ours) })?;
     let rest: Records = receive(socket)?;
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -185,6 +185,18 @@
     assert_eq!(ask(daemon.address, "GET", &location, &[], b"").body, b"done: x");
 }
 
+/// Guards against a process that a crowd of connections leaves without descriptors for good.
+#[test]
+fn accepting_survives_the_lack_of_descriptors() {
+    let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
+    let path = folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), ""));
+    let daemon = Daemon::serve_within(&path, 40);
+    let crowd: Vec<_> = (0..60).filter_map(|_| std::net::TcpStream::connect(daemon.address).ok()).collect();
+    until("descriptors run out", || daemon.errors().contains("accept: "));
+    drop(crowd);
+    assert_eq!(ask(daemon.address, "POST", CHECK, &[], b"x").body, b"done: x");
+}
+
 #[test]
 fn counters_are_printed_on_request() {
     let folder = Folder::new();
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -52,8 +52,18 @@
     /// Starts the invoke API and waits until it listens.
     pub fn serve(deploy: &Path) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_corkbay"));
-        command.arg("serve").arg(deploy);
-        let mut child = spawn(&mut command);
+        Self::listening(command.arg("serve").arg(deploy))
+    }
+
+    /// The same with no more than so many descriptors.
+    pub fn serve_within(deploy: &Path, descriptors: u32) -> Self {
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\" serve \"$1\""));
+        Self::listening(command.arg(env!("CARGO_BIN_EXE_corkbay")).arg(deploy))
+    }
+
+    fn listening(command: &mut Command) -> Self {
+        let mut child = spawn(command);
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
         let errors = gather(&mut child);
         let mut replication = None;
@@ -139,9 +149,13 @@
     }
 }
 
-/// A free port; nothing listens there until the caller does.
+/// An address where nothing listens until the caller does. Each has a loopback address of its own: the
+/// program's listeners share ports, so a free port on a common address may be handed out twice.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let (number, process) = (COUNT.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let own = std::net::Ipv4Addr::new(127, 100 + (number % 100) as u8, (process >> 8) as u8, process as u8);
+    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port")
 }
 
 /// A response as a client sees it; header names in lower case.
