--- a/node/src/core/call.rs
+++ b/node/src/core/call.rs
@@ -1,55 +1,22 @@
 //! A call as the core knows it, and what becomes of it.
-use corkbay::{ModelId, Ms, Request, RequestId};
+use corkbay::{Ms, Request};
 use serde::{Deserialize, Serialize};
 
-/// One request with its body.
+/// One request with what a worker needs of it.
 #[derive(Clone, Debug, Default)]
 pub struct Call {
-    /// Its id, new with each try.
-    pub id: RequestId,
-    /// Number of its class.
-    pub class: usize,
+    /// The request as the decisions see it.
+    pub request: Request,
     /// Name of its class.
     pub class_name: String,
-    /// Number of its tenant, if any.
-    pub tenant: Option<usize>,
     /// Name of the function, where the front knows functions by name.
     pub function: String,
-    /// The model it calls.
-    pub model: ModelId,
-    /// Size of one copy, MB.
-    pub memory: f64,
-    /// Calls at a time in one copy.
-    pub lanes: f64,
-    /// Rough time of one load, where told.
-    pub load_hint: Option<Ms>,
-    /// Rough core time, where told.
-    pub cost_hint: Option<Ms>,
-    /// The client stops waiting then.
-    pub expires: Ms,
     /// The idempotency key of a keyed class.
     pub key: Option<String>,
     /// What the worker is to work on.
     pub body: Vec<u8>,
 }
 
-impl Call {
-    /// The call as the decisions see it.
-    pub fn request(&self) -> Request {
-        Request {
-            id: self.id,
-            class: self.class,
-            tenant: self.tenant,
-            model: self.model,
-            memory: self.memory,
-            lanes: self.lanes,
-            load_hint: self.load_hint,
-            cost_hint: self.cost_hint,
-            expires: self.expires,
-        }
-    }
-}
-
 /// What is known of a call that was not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
--- a/node/src/core/invoker.rs
+++ b/node/src/core/invoker.rs
@@ -159,13 +159,13 @@
         let (sender, notes) = mpsc::channel();
         {
             let mut core = lock(&self.core);
-            if core.open.contains_key(&call.id) {
+            if core.open.contains_key(&call.request.id) {
                 return Err(NotTaken::Open);
             }
             if core.open.len() >= MOST_OPEN {
                 return Err(NotTaken::Crowded);
             }
-            core.open.insert(call.id, sender.clone());
+            core.open.insert(call.request.id, sender.clone());
         }
         *lock(&self.owed) += 1;
         self.counters.taken.add();
@@ -285,10 +285,13 @@
         let (invoker, call) = (&self.invoker, &self.call);
         let mut out = Out { taken: self, flights: Vec::new() };
         let (mut sent, mut may_have_run) = (0, false);
-        invoker.feed(Event::Request(call.request()));
+        invoker.feed(Event::Request(call.request.clone()));
         let mut answer = loop {
-            let due =
-                out.flights.iter().map(|flight| flight.until).fold(call.expires + LAST_WORD_MS, f64::min);
+            let due = out
+                .flights
+                .iter()
+                .map(|flight| flight.until)
+                .fold(call.request.expires + LAST_WORD_MS, f64::min);
             match self.inbox.next(due) {
                 Some(Note::Send { worker, within }) => {
                     let flight = self.start(sent, worker, within);
@@ -325,7 +328,7 @@
                 }
                 Some(Note::Fail) => break Answer::Failed(self.known()),
                 Some(Note::Withdrawn) => {
-                    invoker.feed(Event::Withdrawn { id: call.id });
+                    invoker.feed(Event::Withdrawn { id: call.request.id });
                     break Answer::Withdrawn;
                 }
                 None => {
@@ -338,8 +341,8 @@
                             Some(error) => may_have_run |= self.lost(&flight, error, false),
                             None => out.flights.push(Flight { until: now + LAST_WORD_MS, ..flight }),
                         }
-                    } else if now >= call.expires {
-                        invoker.feed(Event::Withdrawn { id: call.id });
+                    } else if now >= call.request.expires {
+                        invoker.feed(Event::Withdrawn { id: call.request.id });
                         break Answer::Failed(self.known());
                     }
                 }
@@ -359,13 +362,17 @@
 
     /// What is known at the end; how far the attempts had come is added when all have ended.
     fn known(&self) -> Failure {
-        Failure { may_have_run: false, late: now_ms() + LAST_CALL_MS >= self.call.expires }
+        Failure { may_have_run: false, late: now_ms() + LAST_CALL_MS >= self.call.request.expires }
     }
 
     fn start(&self, attempt: u32, worker: WorkerId, within: Ms) -> Option<Flight> {
         let host = self.invoker.host(worker)?;
         let started = now_ms();
-        let until = if within > 0.0 { self.call.expires.min(started + within) } else { self.call.expires };
+        let until = if within > 0.0 {
+            self.call.request.expires.min(started + within)
+        } else {
+            self.call.request.expires
+        };
         let sender = self.inbox.sender.clone();
         let end = Box::new(move |end| _ = sender.send(Note::Ended { attempt, end }));
         self.invoker.counters.sent.add();
@@ -383,7 +390,7 @@
 
     fn finished(&self, attempt: u32, worker: WorkerId, started: Ms, outcome: Outcome, closed: bool) {
         self.invoker.feed(Event::Finished(Finished {
-            id: self.call.id,
+            id: self.call.request.id,
             attempt,
             worker,
             closed,
@@ -399,9 +406,9 @@
 impl Drop for Taken {
     /// The place in the books ends with the request, also when its task panics.
     fn drop(&mut self) {
-        lock(&self.invoker.core).open.remove(&self.call.id);
+        lock(&self.invoker.core).open.remove(&self.call.request.id);
         if std::thread::panicking() {
-            self.invoker.feed(Event::Withdrawn { id: self.call.id });
+            self.invoker.feed(Event::Withdrawn { id: self.call.request.id });
         }
         let mut owed = lock(&self.invoker.owed);
         *owed -= 1;
@@ -427,7 +434,7 @@
 mod tests {
     use super::*;
     use crate::core::Ending;
-    use corkbay::{ModelId, Standing};
+    use corkbay::{ModelId, Request, Standing};
     use std::sync::atomic::AtomicUsize;
 
     /// Workers whose first send panics and whose others serve.
@@ -475,8 +482,8 @@
         let (standing, weight, born) = (Standing::Ready, 1.0, 0.0);
         let listing = Listing { name, address, zone, kind, cell: 0, standing, weight, born };
         invoker.news(vec![listing], true, true);
-        let call =
-            |id| Call { id: RequestId(id), expires: now_ms() + 4000.0, body: vec![7], ..Call::default() };
+        let request = |id| Request { id: RequestId(id), expires: now_ms() + 4000.0, ..Request::default() };
+        let call = |id| Call { request: request(id), body: vec![7], ..Call::default() };
         let taken = invoker.take(call(1)).expect("taken");
         assert_eq!(invoker.take(call(1)).err(), Some(NotTaken::Open));
         let end = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || taken.serve()));
--- a/node/src/wire/front.rs
+++ b/node/src/wire/front.rs
@@ -3,7 +3,7 @@
 use super::thrift::{self, Fields, Malformed, Message, Reply};
 use crate::core::{lock, now_ms, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
-use corkbay::{position, Effect, ModelId, RequestId};
+use corkbay::{position, Effect, ModelId, Request, RequestId};
 use may::io::SplitIo;
 use may::net::TcpStream;
 use may::sync::Mutex;
@@ -117,7 +117,7 @@
         return answer_now(rejected(CROWDED_MS));
     }
     let taken = call(invoker, fields, body).and_then(|call| {
-        let id = call.id;
+        let id = call.request.id;
         let mut open = lock(open);
         if open.contains_key(&seqid) {
             return Err("the sequence number is open already");
@@ -212,19 +212,16 @@
         .filter_map(|pair| pair.split_once(':'))
         .filter_map(|(name, value)| Some((name, value.parse::<f64>().ok()?)))
         .collect();
-    Ok(Call {
+    let request = Request {
         id: RequestId(hex("ref").ok_or("ref is no 16 hex digits")?),
         class,
-        class_name: class_name.to_string(),
         tenant,
-        function: String::new(),
         model: ModelId(hex("lookup").ok_or("lookup is no 16 hex digits")?),
         memory: extras.get("memory_mb").copied().unwrap_or(0.0),
         lanes: extras.get("lanes").copied().unwrap_or(1.0),
         load_hint: extras.get("load_ms").copied(),
         cost_hint: number("effort"),
         expires: now_ms() + number("allow").filter(|span| *span >= 0.0).ok_or("allow is missing")?,
-        key,
-        body,
-    })
+    };
+    Ok(Call { request, class_name: class_name.to_string(), function: String::new(), key, body })
 }
--- a/node/src/wire/http_workers.rs
+++ b/node/src/wire/http_workers.rs
@@ -79,7 +79,7 @@
 
 impl Workers for HttpWorkers {
     fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange> {
-        let id = call.id.0;
+        let id = call.request.id.0;
         let attempt = Arc::new(Attempt {
             link: Mutex::new(Link::new(1)),
             id,
--- a/node/src/wire/invoke.rs
+++ b/node/src/wire/invoke.rs
@@ -8,7 +8,7 @@
 use crate::memory::catalog::{Catalog, CatalogError, Function, Worker};
 use crate::memory::invocations::{Deferred, Invocations, Key, Repeat};
 use crate::memory::store::StoreError;
-use corkbay::{position, Effect, RequestId};
+use corkbay::{position, Effect, Request, RequestId};
 use may::coroutine::JoinHandle;
 use may::io::SplitIo;
 use may::net::TcpStream;
@@ -259,21 +259,20 @@
             repeats_until,
             answer: None,
         });
-        let call = Call {
+        let request = Request {
             id,
             class,
-            class_name: function.class.clone(),
             tenant: position(&invoker.names.tenants, &function.tenant),
-            function: name.to_string(),
             model: function.model(name),
             memory: function.memory_mb,
             lanes: f64::from(function.lanes),
             load_hint: None,
             cost_hint: function.cost_ms,
             expires,
-            key: key.as_ref().map(|key| key.1.clone()),
-            body,
         };
+        let class_name = function.class.clone();
+        let key_text = key.as_ref().map(|key| key.1.clone());
+        let call = Call { request, class_name, function: name.to_string(), key: key_text, body };
         let refused = match invoker.take(call) {
             Ok(taken) => {
                 match deferred.as_ref().map_or(Ok(()), |deferred| self.invocations.accept(id, deferred)) {
@@ -296,7 +295,7 @@
         let answer = catch_unwind(AssertUnwindSafe(|| job.taken.serve()))
             .unwrap_or(Answer::Failed(Failure { may_have_run: true, late: false }));
         self.invoker.counters.answered(&answer);
-        let id = job.taken.call().id;
+        let id = job.taken.call().request.id;
         self.invocations.finish(id, job.key.as_ref(), &answer, job.deferred.clone());
         answer
     }
@@ -304,7 +303,7 @@
     /// Starts the task of a call. A deferred one is accepted; it runs on without its client.
     fn start(self: &Arc<Self>, job: Job, keep_alive: bool, writer: &Outgoing) -> Next {
         let (desk, writer) = (self.clone(), writer.clone());
-        let (id, is_deferred) = (job.taken.call().id, job.deferred.is_some());
+        let (id, is_deferred) = (job.taken.call().request.id, job.deferred.is_some());
         let task = spawn(move || {
             let answer = desk.run(&job);
             let gone = is_deferred || answer == Answer::Withdrawn;
--- a/node/src/wire/workers.rs
+++ b/node/src/wire/workers.rs
@@ -304,17 +304,17 @@
         let mut fields = format!(
             "kind={},obj={:016x},ms={}",
             call.class_name,
-            call.model.0,
+            call.request.model.0,
             until(expires).as_millis().max(1)
         );
         if let Some(key) = &call.key {
             fields.push_str(",token=");
             fields.push_str(key);
         }
-        let frame = Frame::command(code::REQUEST, call.id.0, fields, call.body.clone());
+        let frame = Frame::command(code::REQUEST, call.request.id.0, fields, call.body.clone());
         let waiter: Waiter = Box::new(move |answer| end(answer.map(|frame| frame.body)));
         let connection = self.open(host, frame, true, Some(waiter));
-        Box::new(FrameExchange { connection, id: call.id.0 })
+        Box::new(FrameExchange { connection, id: call.request.id.0 })
     }
 
     fn load(
