Tell the decisions how many copies stand when an order fails; test worker connections by frame

Seen: by reading, against the protocol: 'replicas' comes with codes 131 and 132 too. Lines at fault: FrameWorkers::load, which took the count from code 128 only and told 0 otherwise. Checked by a stand-in.

--- a/node/src/wire/workers.rs
+++ b/node/src/wire/workers.rs
@@ -260,7 +260,7 @@
                 Ok(Some(frame)) if expected(frame.code) => {
                     let waiter = lock(&self.link).answered(frame.id);
                     if let Some(waiter) = waiter {
-                        waiter(verdict(frame));
+                        waiter(Ok(frame));
                     }
                 }
                 Ok(Some(frame)) => return eprintln!("worker connection closed: code {}", frame.code),
@@ -312,7 +312,7 @@
             fields.push_str(key);
         }
         let frame = Frame::command(code::REQUEST, call.request.id.0, fields, call.body.clone());
-        let waiter: Waiter = Box::new(move |answer| end(answer.map(|frame| frame.body)));
+        let waiter: Waiter = Box::new(move |answer| end(answer.and_then(verdict).map(|frame| frame.body)));
         let connection = self.open(host, frame, true, Some(waiter));
         Box::new(FrameExchange { connection, id: call.request.id.0 })
     }
@@ -327,8 +327,11 @@
         let fields = format!("obj={:016x},replicas={copies}", model.0);
         let frame = Frame::command(code::LOAD, self.order_id(), fields, Vec::new());
         match self.ask(host, frame, copies > 0, within) {
+            // An order that fails tells as well how many copies stand.
             Ok(frame) => {
-                (Ok(()), frame.field("replicas").and_then(|count| count.parse().ok()).unwrap_or(copies))
+                let standing = frame.field("replicas").and_then(|count| count.parse().ok());
+                let end = verdict(frame).map(|_| ());
+                (end, standing.unwrap_or(if end.is_ok() { copies } else { 0 }))
             }
             Err(error) => (Err(error), 0),
         }
@@ -341,6 +344,6 @@
 
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
         let frame = Frame::command(code::PROBE, self.order_id(), String::new(), Vec::new());
-        self.ask(host, frame, false, within).map(|_| ())
+        self.ask(host, frame, false, within).and_then(verdict).map(|_| ())
     }
 }
--- /dev/null
+++ b/node/tests/frames.rs
@@ -0,0 +1,207 @@
+//! Worker connections against a stand-in that a test plays frame by frame.
+use corkbay::{ModelId, Outcome, Request, RequestId, WorkerId};
+use corkbay_node::core::{now_ms, AttemptError, Call, Cause, Exchange, Verdict, Workers};
+use corkbay_node::memory::roster::Host;
+use corkbay_node::wire::frames::{code, Frame, FROM_INVOKER, FROM_WORKER};
+use corkbay_node::wire::workers::{FrameWorkers, Limits};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+type End = Receiver<Result<Vec<u8>, AttemptError>>;
+
+/// A worker's side, and the way to it.
+struct Bench {
+    workers: FrameWorkers,
+    host: Arc<Host>,
+    listener: TcpListener,
+}
+
+/// One connection as the worker sees it.
+struct Peer {
+    socket: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let host = Host::new(WorkerId(0), "h", listener.local_addr().expect("bound"));
+        let (connect, idle) = (Duration::from_secs(5), Duration::from_secs(60));
+        let workers = FrameWorkers::new(Limits { streams: 32, connect, idle, connections: 4 });
+        Bench { workers, host, listener }
+    }
+
+    fn send(&self, id: u64) -> (Box<dyn Exchange>, End) {
+        let request = Request { id: RequestId(id), model: ModelId(5), ..Request::default() };
+        let call = Call { request, class_name: "check".into(), body: vec![1, 2], ..Call::default() };
+        let (told, end) = channel();
+        let ending = Box::new(move |end| _ = told.send(end));
+        (self.workers.send(&self.host, &Arc::new(call), now_ms() + 60_000.0, ending), end)
+    }
+
+    fn peer(&self) -> Peer {
+        let (socket, _) = self.listener.accept().expect("a connection");
+        socket.set_read_timeout(Some(PATIENCE)).expect("set");
+        Peer { socket, buffer: Vec::new() }
+    }
+}
+
+impl Peer {
+    fn next(&mut self) -> Frame {
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some(frame) = Frame::decode(&mut self.buffer, FROM_INVOKER).expect("a good frame") {
+                return frame;
+            }
+            let size = self.socket.read(&mut chunk).expect("more");
+            assert!(size > 0, "the connection ended");
+            self.buffer.extend(&chunk[..size]);
+        }
+    }
+
+    fn bytes(code: u8, id: u64, fields: &str, body: &[u8]) -> Vec<u8> {
+        Frame { mark: FROM_WORKER, code, id, fields: fields.into(), body: body.to_vec() }.encode()
+    }
+
+    fn answer(&mut self, code: u8, id: u64, fields: &str, body: &[u8]) {
+        self.socket.write_all(&Self::bytes(code, id, fields, body)).expect("written");
+    }
+
+    fn ended(&mut self) -> bool {
+        self.socket.read(&mut [0; 1]).is_ok_and(|size| size == 0)
+    }
+}
+
+#[test]
+fn many_exchanges_share_a_connection_and_end_in_any_order() {
+    let bench = Bench::new();
+    let ends: Vec<_> = (1..=3).map(|id| bench.send(id)).collect();
+    let mut peer = bench.peer();
+    let mut ids: Vec<u64> = (0..3).map(|_| peer.next().id).collect();
+    ids.reverse();
+    for id in &ids {
+        peer.answer(code::OK, *id, "", &[*id as u8]);
+    }
+    for (number, (_, end)) in ends.iter().enumerate() {
+        assert_eq!(end.recv_timeout(PATIENCE).expect("told"), Ok(vec![number as u8 + 1]));
+    }
+}
+
+#[test]
+fn answers_are_told_as_what_they_prove() {
+    let bench = Bench::new();
+    let ends: Vec<_> = (1..=4).map(|id| bench.send(id)).collect();
+    let mut peer = bench.peer();
+    for (code, id) in [(code::MISS, 1), (code::FULL, 2), (code::ERROR, 3), (code::OVER, 4)] {
+        peer.next();
+        peer.answer(code, id, "", b"");
+    }
+    let expected = [Verdict::Miss, Verdict::Full, Verdict::Failed, Verdict::Over];
+    for (verdict, (_, end)) in expected.into_iter().zip(&ends) {
+        assert_eq!(end.recv_timeout(PATIENCE).expect("told"), Err(AttemptError::Answered(verdict)));
+    }
+}
+
+/// Guards other connections against one that goes bad: it ends alone, and what was whole on it may have run.
+#[test]
+fn a_bad_frame_ends_its_connection_only() {
+    let (bench, other) = (Bench::new(), Bench::new());
+    let unknown = Peer::bytes(99, 1, "", b"");
+    let mut damaged = Peer::bytes(code::OK, 1, "", b"x");
+    *damaged.last_mut().expect("bytes") ^= 1;
+    for bytes in [unknown, damaged, vec![7; 20]] {
+        let (_exchange, end) = bench.send(1);
+        let mut peer = bench.peer();
+        peer.next();
+        peer.socket.write_all(&bytes).expect("written");
+        let error = end.recv_timeout(PATIENCE).expect("told").expect_err("bad");
+        assert_eq!(error, AttemptError::Unanswered(Cause::Broken));
+        assert_eq!(error.outcome(), Outcome::Reset);
+        assert!(peer.ended());
+    }
+    let (_exchange, end) = other.send(2);
+    let mut peer = other.peer();
+    peer.next();
+    peer.answer(code::OK, 2, "", b"y");
+    assert_eq!(end.recv_timeout(PATIENCE).expect("told"), Ok(b"y".to_vec()));
+}
+
+/// Guards a later attempt of a request against the late answer to an earlier one: after a call was given
+/// up, its id goes out again on another connection.
+#[test]
+fn a_late_answer_to_a_call_given_up_reaches_nobody() {
+    let bench = Bench::new();
+    let (mut exchange, end) = bench.send(1);
+    let mut first = bench.peer();
+    first.next();
+    // The write is noted as whole right after its last byte; what is given up has been whole by then.
+    let (_probe, _) = bench.send(2);
+    first.next();
+    assert_eq!(exchange.give_up(Cause::GivenUp), Some(AttemptError::Unanswered(Cause::GivenUp)));
+    assert_eq!(exchange.give_up(Cause::GivenUp), None, "an attempt ends once");
+    let gone = first.next();
+    assert_eq!((gone.code, gone.id), (code::GIVE_UP, 1));
+    let (_again, second_end) = bench.send(1);
+    let mut second = bench.peer();
+    assert_eq!(second.next().id, 1);
+    first.answer(code::MISS, 1, "", b"");
+    second.answer(code::OK, 1, "", b"z");
+    assert_eq!(second_end.recv_timeout(PATIENCE).expect("told"), Ok(b"z".to_vec()));
+    assert!(end.try_recv().is_err(), "nothing more is told of the first");
+}
+
+/// Guards the rule on drains at its last point: nothing is written to a worker that is barred.
+#[test]
+fn a_barred_worker_is_written_no_work() {
+    let bench = Bench::new();
+    bench.host.bar(true);
+    let (_exchange, end) = bench.send(1);
+    let error = end.recv_timeout(PATIENCE).expect("told").expect_err("barred");
+    assert_eq!(error, AttemptError::Unfinished(Cause::Barred));
+    assert!(error.outcome().proves_not_run());
+    let (order, _) = bench.workers.load(&bench.host, ModelId(5), 1, PATIENCE);
+    assert_eq!(order, Err(AttemptError::Unfinished(Cause::Barred)));
+    bench.listener.set_nonblocking(true).expect("set");
+    assert!(bench.listener.accept().is_err(), "nobody called");
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    let bench = Bench::new();
+    let nobody = Host::new(WorkerId(1), "nobody", "127.0.0.1:1".parse().expect("address"));
+    let bench = Bench { host: nobody, ..bench };
+    let (_exchange, end) = bench.send(1);
+    let error = end.recv_timeout(PATIENCE).expect("told").expect_err("refused");
+    assert_eq!((error, error.outcome()), (AttemptError::Unconnected, Outcome::ConnectFailed));
+}
+
+/// Guards the count of copies: an order that fails tells as well how many stand.
+#[test]
+fn orders_carry_their_word_and_the_copies_that_stand() {
+    let bench = Bench::new();
+    let mut answers = vec![(code::OK, "replicas=2"), (code::FULL, "replicas=1"), (code::ERROR, "")];
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut peer = bench.peer();
+            for (code, fields) in std::mem::take(&mut answers) {
+                let order = peer.next();
+                assert_eq!(
+                    (order.code, order.fields.as_str()),
+                    (code::LOAD, "obj=0000000000000005,replicas=2")
+                );
+                peer.answer(code, order.id, fields, b"");
+            }
+            assert_eq!((peer.next().code, 5), (code::EVICT, 5));
+        });
+        let order = || bench.workers.load(&bench.host, ModelId(5), 2, PATIENCE);
+        assert_eq!(order(), (Ok(()), 2));
+        assert_eq!(order(), (Err(AttemptError::Answered(Verdict::Full)), 1));
+        assert_eq!(order(), (Err(AttemptError::Answered(Verdict::Failed)), 0));
+        bench.workers.evict(&bench.host, ModelId(5));
+    });
+}
