Close HTTP connections without losing the last answer or a client's leaving

Seen: by reading, a request with Connection: close was no longer listened to while its call was held, so a client that left kept its call running; and a 413 over unread bytes could be lost to a reset. Lines at fault: converse returned before the held answer, serve closed at once. Now the reader stays until the held answer is out, and the last answer is followed by a short lingering close. Each has a test over sockets.

--- a/node/src/wire/invoke.rs
+++ b/node/src/wire/invoke.rs
@@ -10,7 +10,7 @@
 use crate::memory::store::StoreError;
 use corkbay::{position, Effect, Request, RequestId};
 use may::coroutine::JoinHandle;
-use may::io::SplitIo;
+use may::io::{SplitIo, SplitReader};
 use may::net::TcpStream;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -32,6 +32,9 @@
 const WITHDRAW_WAIT: Duration = Duration::from_secs(2);
 const IDLE: Duration = Duration::from_secs(60);
 const WRITE_STALL: Duration = Duration::from_secs(5);
+/// How long, and for how many bytes, a client may go on sending after the last answer.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 4 << 20;
 const MAX_KEY: usize = 128;
 const CHUNK: usize = 4096;
 /// Advice to a client that is turned away, in seconds.
@@ -79,16 +82,33 @@
     let mut current = None;
     // The end of the connection, however it comes, leaves nobody to wait for a held call.
     let end = converse(desk, &mut reader, &writer, &mut current);
-    if let (Some(Current { id, .. }), Err(_)) = (&current, &end) {
-        desk.invoker.withdraw(*id);
+    if let Some(Current { id, task }) = current {
+        desk.invoker.withdraw(id);
+        let _ = task.join();
     }
-    if let Some(current) = current {
-        let _ = current.task.join();
+    if end.is_ok() {
+        linger(&mut reader, &writer);
     }
-    let _ = reader.inner().shutdown(Shutdown::Both);
+    writer.shut(Shutdown::Both);
 }
 
-/// Answers requests in the order they come; `Ok` once the last is answered or about to be.
+/// Lets the client read the last answer: a connection closed over bytes that were not read is reset, and
+/// the answer may be lost with it.
+fn linger(reader: &mut SplitReader<TcpStream>, writer: &Outgoing) {
+    writer.shut(Shutdown::Write);
+    let (mut chunk, mut left) = ([0; 1024], LINGER_BYTES);
+    if reader.inner().set_read_timeout(Some(LINGER)).is_err() {
+        return;
+    }
+    while let Ok(size @ 1..) = reader.read(&mut chunk) {
+        left = left.saturating_sub(size);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
+/// Answers requests in the order they come; `Ok` once the last is answered.
 fn converse(
     desk: &Arc<Desk>,
     socket: &mut impl Read,
@@ -138,6 +158,11 @@
             Next::Held(held) => *current = Some(held),
         }
         if !head.keep_alive {
+            // A held call's task ends the connection after its answer; until then the client may leave.
+            while current.is_some() {
+                raw.clear();
+                fill(&mut raw, true)?;
+            }
             return Ok(());
         }
     }
@@ -307,7 +332,11 @@
         let task = spawn(move || {
             let answer = desk.run(&job);
             let gone = is_deferred || answer == Answer::Withdrawn;
-            gone || writer.write(&respond(&answer).encode(keep_alive)).is_ok()
+            let written = gone || writer.write(&respond(&answer).encode(keep_alive)).is_ok();
+            if !is_deferred && !keep_alive {
+                writer.shut(Shutdown::Both);
+            }
+            written
         });
         if is_deferred {
             Next::Respond(accepted(id))
--- a/node/src/wire/outgoing.rs
+++ b/node/src/wire/outgoing.rs
@@ -23,4 +23,10 @@
         let mut writer = lock(&self.0);
         writer.write_all(bytes).inspect_err(|_| _ = writer.inner().shutdown(Shutdown::Both))
     }
+
+    /// Ends the connection in one direction or both.
+    pub fn shut(&self, how: Shutdown) {
+        // The other side may have ended it before.
+        let _ = lock(&self.0).inner().shutdown(how);
+    }
 }
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -93,6 +93,30 @@
     assert_eq!(receive(&mut reader).json()["post"]["class"], "post");
 }
 
+/// Guards the answer to a request that is still being sent: a connection closed too soon is reset, and the
+/// client reads nothing.
+#[test]
+fn a_body_that_is_far_too_long_is_answered_all_the_same() {
+    let folder = Folder::new();
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", None, "")));
+    let key = ("Idempotency-Key", "k");
+    for _ in 0..10 {
+        assert_eq!(ask(daemon.address, "POST", POST, &[key], &vec![7; 1 << 20]).status, 413);
+    }
+}
+
+/// Guards against work for a client that left, also where it had asked for the connection to be closed.
+#[test]
+fn a_client_that_leaves_before_a_last_answer_withdraws_its_call() {
+    let (fleet, folder) = (Fleet::new(&[Act::Silence]), Folder::new());
+    let transport = "[transport]\nprotocol = \"frames\"";
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", Some(fleet.frames("w1")), transport)));
+    let socket = start(daemon.address, "POST", CHECK, &[("Connection", "close")], b"x");
+    until("it is out", || fleet.sent().len() == 1);
+    drop(socket);
+    until("it is called off", || fleet.called_off() == 1);
+}
+
 #[test]
 fn a_repeat_of_a_key_that_is_open_is_told_so() {
     let (fleet, folder) = (Fleet::new(&[Act::Hold]), Folder::new());
