Free a refused call's key across a restart too; count requests that are turned away

Seen: by reading, after a restart the record of a refused call claimed its key, though nothing had run and the key had been free before. Lines at fault: Invocations::new, which took over every final record's key.

--- a/node/src/core/invoker.rs
+++ b/node/src/core/invoker.rs
@@ -153,6 +153,10 @@
 
     /// Takes a request in: from here on it is owed a final answer.
     pub fn take(self: &Arc<Self>, call: Call) -> Result<Taken, NotTaken> {
+        self.admit(call).inspect_err(|_| self.counters.turned_away.add())
+    }
+
+    fn admit(self: &Arc<Self>, call: Call) -> Result<Taken, NotTaken> {
         if self.draining.load(Ordering::Acquire) {
             return Err(NotTaken::Draining);
         }
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -41,6 +41,8 @@
     pub withdrawn: Counter,
     /// Requests that could not be read.
     pub malformed: Counter,
+    /// Requests that were not taken, for crowding or a drain.
+    pub turned_away: Counter,
     /// Attempts that brought nothing, by outcome.
     lost: [Counter; 9],
 }
@@ -88,6 +90,7 @@
             ("failed", &self.failed),
             ("withdrawn", &self.withdrawn),
             ("malformed", &self.malformed),
+            ("turned_away", &self.turned_away),
         ];
         write!(f, "counters")?;
         for (name, counter) in named {
--- a/node/src/memory/invocations.rs
+++ b/node/src/memory/invocations.rs
@@ -74,7 +74,8 @@
                 invocations.write(id, &deferred, true)?;
             }
             let Deferred { function, key, body_check, repeats_until: until, answer } = deferred;
-            if let Some(key) = key {
+            // A call that never ran had freed its key.
+            if let Some(key) = key.filter(|_| answer.as_ref().is_some_and(may_have_run)) {
                 let known = Known { id, body_check, until, answer };
                 lock(&invocations.keys).insert((function, key), known);
             }
@@ -218,6 +219,25 @@
         assert_eq!(repeat, Repeat::Done(RequestId(7), failed));
     }
 
+    /// Guards a key across a restart: a call that was refused before does not stand for the one that was
+    /// served after it.
+    #[test]
+    fn a_refused_call_does_not_hold_its_key_after_a_restart() {
+        let store = Arc::new(Store::in_memory("a"));
+        let before = Invocations::new(store.clone(), Duration::from_secs(60)).expect("in memory");
+        let key = ("f".to_string(), "k".to_string());
+        let refused =
+            Answer::Refused { retry_after: 0.0, known: Failure { may_have_run: false, late: false } };
+        let served = Answer::Served { body: b"z".to_vec() };
+        for (id, answer) in [(9, &refused), (8, &served), (10, &refused)] {
+            before.accept(RequestId(id), &deferred("k")).expect("in memory");
+            before.finish(RequestId(id), Some(&key), answer, Some(deferred("k")));
+        }
+        let after = Invocations::new(store, Duration::from_secs(60)).expect("in memory");
+        let repeat = after.admit(&key, RequestId(11), b"x", now_ms() + 1000.0);
+        assert_eq!(repeat, Repeat::Done(RequestId(8), served));
+    }
+
     /// Guards against a replica that answers for the node that accepted the call.
     #[test]
     fn a_replica_invents_no_answer() {
