Drain for as long as the longest class may take

Seen: by reading, SIGTERM waited 5 s for what is owed, and classes of a deploy file may have longer deadlines; such a call was lost at the end. Lines at fault: DRAIN in life/platform.rs. Checked by a call of 7 s across SIGTERM.

--- a/node/src/life/platform.rs
+++ b/node/src/life/platform.rs
@@ -15,8 +15,8 @@
 const STACK_WORDS: usize = 0x4000;
 /// After SIGTERM the platform's front goes on sending for up to 0.6 s.
 const STILL_TAKING: Duration = Duration::from_millis(900);
-/// Longest wait for what is owed after that: the longest deadline, and SIGKILL comes soon after it.
-const DRAIN: Duration = Duration::from_secs(5);
+/// What is owed ends with its deadline; this is for writing the last answers.
+const LAST_ANSWERS: Duration = Duration::from_secs(1);
 /// Descriptors for all but clients and workers.
 pub const RESERVE: usize = 48;
 /// Each connection costs two descriptors: its halves are waited for apart.
@@ -44,11 +44,12 @@
     spawn(move || channel::follow(&ours, address, cursor));
     let ours = invoker.clone();
     spawn(move || accept(&listener, clients.max(1), move |stream| front::serve(&ours, stream)));
-    Ok(serve_until_signalled(&invoker, &mut signals))
+    Ok(serve_until_signalled(&invoker, &mut signals, longest_deadline(&config.settings)))
 }
 
-/// Waits for signals on the main thread; drains on the first that ends the process.
-pub fn serve_until_signalled(invoker: &Arc<Invoker>, signals: &mut Signals) -> bool {
+/// Waits for signals on the main thread; drains on the first that ends the process, for no longer than the
+/// longest deadline and a little.
+pub fn serve_until_signalled(invoker: &Arc<Invoker>, signals: &mut Signals, longest: Duration) -> bool {
     for signal in signals.forever() {
         if signal != SIGUSR1 {
             break;
@@ -57,11 +58,18 @@
     }
     std::thread::sleep(STILL_TAKING);
     invoker.drain();
-    let settled = invoker.settle(DRAIN);
+    let settled = invoker.settle(longest + LAST_ANSWERS);
     eprintln!("{}", invoker.counters);
     settled
 }
 
+/// The longest time that a client of any class waits, from the settings object.
+pub fn longest_deadline(settings: &serde_json::Value) -> Duration {
+    let classes = settings["classes"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let longest = classes.iter().filter_map(|class| class["giveUpMs"].as_f64()).fold(1000.0, f64::max);
+    Duration::from_secs_f64(longest.min(1e9) / 1000.0)
+}
+
 /// Figures for worker connections, from the settings object.
 pub fn limits(settings: &serde_json::Value, connections: usize) -> Limits {
     let ceiling = |key: &str, default: f64| {
--- a/node/src/life/service.rs
+++ b/node/src/life/service.rs
@@ -1,7 +1,7 @@
 //! The daemon off the platform: the invoke API over its own store.
 use super::config::ConfigError;
 use super::deploy::{Deploy, Protocol, Style};
-use super::platform::{limits, serve_until_signalled, PER_CONNECTION, RESERVE};
+use super::platform::{limits, longest_deadline, serve_until_signalled, PER_CONNECTION, RESERVE};
 use super::spawn;
 use crate::core::{Invoker, Workers};
 use crate::memory::catalog::{Catalog, Worker};
@@ -70,7 +70,7 @@
     let ours = desk.clone();
     spawn(move || accept(&listener, clients, move |stream| invoke::serve(&ours, stream)));
     println!("invoke API on {bound}");
-    Ok(serve_until_signalled(&invoker, &mut signals))
+    Ok(serve_until_signalled(&invoker, &mut signals, longest_deadline(&settings)))
 }
 
 fn replicate(
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -5,27 +5,7 @@
 use std::io::{BufReader, Write};
 use std::process::Command;
 use support::workers::{Act, Fleet};
-use support::{ask, free_address, receive, start, until, Daemon, Folder};
-
-const CLASSES: &str = r#"
-[[class]]
-name = "check"
-aim_ms = 1500
-give_up_ms = 8000
-effect = "pure"
-[[class]]
-name = "post"
-aim_ms = 750
-give_up_ms = 8000
-effect = "token"
-dedup_window_ms = 20000
-[[function]]
-name = "check"
-class = "check"
-[[function]]
-name = "post"
-class = "post"
-"#;
+use support::{ask, free_address, receive, start, until, Daemon, Folder, CLASSES};
 
 const CHECK: &str = "/v1/functions/check/invocations";
 const POST: &str = "/v1/functions/post/invocations";
@@ -221,6 +201,20 @@
     assert_eq!(ask(daemon.address, "POST", CHECK, &[], b"x").body, b"done: x");
 }
 
+/// Guards a call with a long deadline against a drain that is shorter.
+#[test]
+fn sigterm_waits_for_the_longest_deadline() {
+    let (fleet, folder) = (Fleet::new(&[Act::Silence]), Folder::new());
+    let path = folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), ""));
+    let mut daemon = Daemon::serve(&path);
+    let key = ("Idempotency-Key", "k");
+    let call = start(daemon.address, "POST", POST, &[key, ("Corkbay-Deadline-Ms", "7000")], b"x");
+    until("it is out", || fleet.sent().len() == 1);
+    daemon.signal("TERM");
+    assert_eq!(receive(&mut BufReader::new(call)).status, 504);
+    assert_eq!(daemon.exit_code(), Some(0));
+}
+
 #[test]
 fn counters_are_printed_on_request() {
     let folder = Folder::new();
--- a/node/tests/styles.rs
+++ b/node/tests/styles.rs
@@ -2,7 +2,7 @@
 mod support;
 
 use support::workers::{Act, Fleet, Sent};
-use support::{ask, start, until, Daemon, Folder, Response};
+use support::{ask, start, until, Daemon, Folder, Response, CLASSES};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Client {
@@ -26,35 +26,6 @@
     (Client::Deferred, Server::Frames),
 ];
 
-const CLASSES: &str = r#"
-[[class]]
-name = "check"
-aim_ms = 1500
-give_up_ms = 8000
-effect = "pure"
-[[class]]
-name = "post"
-aim_ms = 750
-give_up_ms = 8000
-effect = "token"
-dedup_scope = "cell"
-dedup_window_ms = 20000
-[[class]]
-name = "once"
-aim_ms = 750
-give_up_ms = 8000
-effect = "side_effect"
-[[function]]
-name = "check"
-class = "check"
-[[function]]
-name = "post"
-class = "post"
-[[function]]
-name = "once"
-class = "once"
-"#;
-
 /// A started daemon with two workers in racks of their own.
 struct Bench {
     client: Client,
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -11,6 +11,36 @@
 
 pub mod workers;
 
+/// A class of each effect with a function of the same name.
+pub const CLASSES: &str = r#"
+[[class]]
+name = "check"
+aim_ms = 1500
+give_up_ms = 8000
+effect = "pure"
+[[class]]
+name = "post"
+aim_ms = 750
+give_up_ms = 8000
+effect = "token"
+dedup_scope = "cell"
+dedup_window_ms = 20000
+[[class]]
+name = "once"
+aim_ms = 750
+give_up_ms = 8000
+effect = "side_effect"
+[[function]]
+name = "check"
+class = "check"
+[[function]]
+name = "post"
+class = "post"
+[[function]]
+name = "once"
+class = "once"
+"#;
+
 /// Longest wait for anything that must come.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
