Let clients that are owed nothing give way to newcomers; one descriptor a connection

Checked: the per-5-s tables show time-outs growing with the number of held connections while att/r of what was taken stays at 1.1 to 1.3; CPU was at 0.04 of a core. Ruled out: CPU, memory (16 of 32 MB), hosts (no errors). At fault: wire/accept.rs waited in `places.wait()` until a client left by itself; wire/front.rs kept an idle or silent connection for 30 s (IDLE); `SplitIo` doubled each connection's cost, so clients had 85 places of 256. Now: memory/seats.rs knows what each connection waits for and who gives way (silent first, then the idle one longest so); silent ones close after 1 s, idle ones after 4.5 s, half a message after 1.5 s; wire/socket.rs lets reader and writers share one descriptor. Two requests under one number end their connection.

--- a/node/src/life/platform.rs
+++ b/node/src/life/platform.rs
@@ -17,10 +17,17 @@
 const STILL_TAKING: Duration = Duration::from_millis(900);
 /// What is owed ends with its deadline; this is for writing the last answers.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
-/// Descriptors for all but clients and workers.
-pub const RESERVE: usize = 48;
-/// Each connection costs two descriptors: its halves are waited for apart.
-pub const PER_CONNECTION: usize = 2;
+/// Descriptors for all but clients and workers: the program's own, and second ones of connections whose
+/// other side reads too slowly.
+const RESERVE: usize = 40;
+
+/// Most connections of clients and to workers, one descriptor each. Usual clients hold a third of the limit
+/// at most; what they get beyond that is for those that connect and say nothing.
+pub fn connections(sockets: usize) -> (usize, usize) {
+    let left = sockets.saturating_sub(RESERVE);
+    let clients = (left / 2).max(1);
+    (clients, (left - clients.min(left)).max(1))
+}
 
 /// Sets the coroutine library up; before the first coroutine.
 pub fn set_up_coroutines() {
@@ -32,9 +39,8 @@
 pub fn run(config: Platform) -> Result<bool, ConfigError> {
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|error| ConfigError::new("signals", error))?;
-    let clients = config.sockets / 3;
-    let left = config.sockets.saturating_sub(PER_CONNECTION * clients + RESERVE);
-    let workers = FrameWorkers::new(limits(&config.settings, left / PER_CONNECTION));
+    let (clients, to_workers) = connections(config.sockets);
+    let workers = FrameWorkers::new(limits(&config.settings, to_workers));
     let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers));
     for news in config.known {
         news.tell(&invoker, true);
@@ -43,7 +49,7 @@
     let (ours, cursor, address) = (invoker.clone(), config.cursor, config.channel);
     spawn(move || channel::follow(&ours, address, cursor));
     let ours = invoker.clone();
-    spawn(move || accept(&listener, clients.max(1), move |stream| front::serve(&ours, stream)));
+    spawn(move || accept(&listener, clients, front::WRITE_STALL, move |guest| front::serve(&ours, guest)));
     Ok(serve_until_signalled(&invoker, &mut signals, longest_deadline(&config.settings)))
 }
 
@@ -80,6 +86,6 @@
         connect: Duration::from_secs_f64(ceiling("connectTimeoutMs", 250.0) / 1000.0),
         // Sooner than the worker's own, so that no request crosses its close.
         idle: Duration::from_secs_f64(ceiling("connIdleMs", 15_000.0) * 0.7 / 1000.0),
-        connections: connections.max(1),
+        connections,
     }
 }
--- a/node/src/life/service.rs
+++ b/node/src/life/service.rs
@@ -1,7 +1,7 @@
 //! The daemon off the platform: the invoke API over its own store.
 use super::config::ConfigError;
 use super::deploy::{Deploy, Protocol, Style};
-use super::platform::{limits, longest_deadline, serve_until_signalled, PER_CONNECTION, RESERVE};
+use super::platform::{connections, limits, longest_deadline, serve_until_signalled};
 use super::spawn;
 use crate::core::{Invoker, Workers};
 use crate::memory::catalog::{Catalog, Worker};
@@ -41,10 +41,9 @@
     seed(&catalog, deploy).map_err(|e| at("data_dir")(&e))?;
     let retention = Duration::from_secs_f64(deploy.retention_s);
     let invocations = Invocations::new(store.clone(), retention).map_err(|e| at("data_dir")(&e))?;
-    let clients = deploy.sockets / 3;
-    let left = deploy.sockets.saturating_sub(PER_CONNECTION * clients + RESERVE) / PER_CONNECTION;
+    let (clients, to_workers) = connections(deploy.sockets);
     let settings = deploy.settings();
-    let invoker = Invoker::new(&settings, rand::random(), workers(deploy, &settings, left.max(1)));
+    let invoker = Invoker::new(&settings, rand::random(), workers(deploy, &settings, to_workers));
     catalog.announce(&invoker);
     let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog });
     let listener = TcpListener::bind(deploy.listen).map_err(|e| at("listen")(&e))?;
@@ -68,7 +67,7 @@
         }
     });
     let ours = desk.clone();
-    spawn(move || accept(&listener, clients, move |stream| invoke::serve(&ours, stream)));
+    spawn(move || accept(&listener, clients, invoke::WRITE_STALL, move |guest| invoke::serve(&ours, &guest)));
     println!("invoke API on {bound}");
     Ok(serve_until_signalled(&invoker, &mut signals, longest_deadline(&settings)))
 }
--- a/node/src/memory/mod.rs
+++ b/node/src/memory/mod.rs
@@ -5,4 +5,5 @@
 pub mod link;
 pub mod log;
 pub mod roster;
+pub mod seats;
 pub mod store;
--- /dev/null
+++ b/node/src/memory/seats.rs
@@ -0,0 +1,125 @@
+//! Who holds a client connection, and whose connection is closed when another client wants its place.
+use corkbay::Ms;
+use std::collections::BTreeMap;
+
+/// The places of clients; `H` is what closes a connection.
+#[derive(Debug)]
+pub struct Seats<H> {
+    next: u64,
+    seats: BTreeMap<u64, Seat<H>>,
+}
+
+#[derive(Debug)]
+struct Seat<H> {
+    handle: H,
+    /// Requests that are owed an answer on it.
+    open: usize,
+    /// It was given an answer.
+    answered: bool,
+    /// When it connected, or last had an answer or a request open.
+    since: Ms,
+    /// It was told to go.
+    leaving: bool,
+}
+
+/// What a seat's connection is waiting for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stance {
+    /// Something is owed on it.
+    Busy,
+    /// It was answered before and has nothing open.
+    Idle,
+    /// It never had an answer and has nothing open.
+    Silent,
+}
+
+impl<H> Default for Seats<H> {
+    fn default() -> Self {
+        Seats { next: 0, seats: BTreeMap::new() }
+    }
+}
+
+impl<H: Clone> Seats<H> {
+    /// Gives a new connection a seat; tells its number.
+    pub fn sit(&mut self, handle: H, now: Ms) -> u64 {
+        self.next += 1;
+        let seat = Seat { handle, open: 0, answered: false, since: now, leaving: false };
+        self.seats.insert(self.next, seat);
+        self.next
+    }
+
+    /// The connection has ended.
+    pub fn leave(&mut self, number: u64) {
+        self.seats.remove(&number);
+    }
+
+    /// A request was taken on it.
+    pub fn opened(&mut self, number: u64) {
+        self.seats.entry(number).and_modify(|seat| seat.open += 1);
+    }
+
+    /// A request on it has come to its end.
+    pub fn closed(&mut self, number: u64, now: Ms) {
+        self.seats.entry(number).and_modify(|seat| {
+            (seat.open, seat.since) = (seat.open.saturating_sub(1), now);
+        });
+    }
+
+    /// An answer was written to it.
+    pub fn answered(&mut self, number: u64, now: Ms) {
+        self.seats.entry(number).and_modify(|seat| (seat.answered, seat.since) = (true, now));
+    }
+
+    /// What it is waiting for, and since when.
+    pub fn stance(&self, number: u64) -> (Stance, Ms) {
+        self.seats.get(&number).map_or((Stance::Silent, 0.0), |seat| {
+            let stance = match (seat.open, seat.answered) {
+                (1.., _) => Stance::Busy,
+                (0, true) => Stance::Idle,
+                (0, false) => Stance::Silent,
+            };
+            (stance, seat.since)
+        })
+    }
+
+    /// Whose place is given to another: of those with nothing open one that never had an answer, else
+    /// the one idle longest. Each is named once.
+    pub fn give_way(&mut self) -> Option<H> {
+        let idle = self.seats.values_mut().filter(|seat| seat.open == 0 && !seat.leaving);
+        let seat = idle.min_by(|a, b| a.answered.cmp(&b.answered).then(a.since.total_cmp(&b.since)))?;
+        seat.leaving = true;
+        Some(seat.handle.clone())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the usual clients against those that connect and say nothing, or ask once and stay: these
+    /// give way first, and nobody who is owed an answer does.
+    #[test]
+    fn the_silent_give_way_first_then_the_longest_idle_and_the_busy_never() {
+        let mut seats = Seats::default();
+        let idle = seats.sit("idle", 1.0);
+        let fresh = seats.sit("fresh", 2.0);
+        let busy = seats.sit("busy", 0.0);
+        seats.sit("silent", 5.0);
+        seats.sit("silent longer", 4.0);
+        for (number, now) in [(idle, 3.0), (fresh, 6.0)] {
+            seats.opened(number);
+            assert_eq!(seats.stance(number).0, Stance::Busy);
+            seats.answered(number, now);
+            seats.closed(number, now);
+            assert_eq!(seats.stance(number), (Stance::Idle, now));
+        }
+        seats.opened(busy);
+        let ways: Vec<_> = std::iter::from_fn(|| seats.give_way()).collect();
+        assert_eq!(ways, ["silent longer", "silent", "idle", "fresh"]);
+        seats.closed(busy, 9.0);
+        assert_eq!(seats.stance(busy), (Stance::Silent, 9.0), "what it took back was never answered");
+        assert_eq!(seats.give_way(), Some("busy"));
+        seats.leave(busy);
+        assert_eq!(seats.give_way(), None);
+    }
+}
--- a/node/src/wire/accept.rs
+++ b/node/src/wire/accept.rs
@@ -1,29 +1,53 @@
 //! Accepting connections within a budget of descriptors.
+use super::socket::Socket;
+use crate::core::{lock, now_ms};
 use crate::life::spawn;
-use may::net::{TcpListener, TcpStream};
-use may::sync::Semphore;
-use std::sync::Arc;
+use crate::memory::seats::{Seats, Stance};
+use corkbay::Ms;
+use may::net::TcpListener;
+use may::sync::{Mutex, Semphore};
+use std::ops::Deref;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 /// Pause after an accept that failed, for want of descriptors above all.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a newcomer waits for a place before another connection is asked to give way.
+const GIVE_WAY: Duration = Duration::from_millis(100);
 
-/// Accepts clients for as long as the process lives, at most `most` at a time.
-pub fn accept(listener: &TcpListener, most: usize, serve: impl Fn(TcpStream) + Send + Sync + 'static) {
+type Table = Arc<Mutex<Seats<Weak<Guest>>>>;
+
+/// A client's connection with its seat, which it holds until the descriptor is closed.
+pub struct Guest {
+    socket: Socket,
+    number: u64,
+    seats: Table,
+    /// Given back last, after the descriptor.
+    _place: Place,
+}
+
+/// Accepts clients for as long as the process lives, at most `most` at a time; `stall` is how long one may
+/// let an answer stand unread. When all places are taken, a newcomer gets that of a client that is owed
+/// nothing: the silent go first.
+pub fn accept(
+    listener: &TcpListener,
+    most: usize,
+    stall: Duration,
+    serve: impl Fn(Arc<Guest>) + Send + Sync + 'static,
+) {
     let serve = Arc::new(serve);
-    let places = Arc::new(Semphore::new(most));
+    let places = Arc::new(Semphore::new(most.max(1)));
+    let seats = Table::default();
     loop {
-        places.wait();
-        match listener.accept() {
-            Ok((stream, _)) => {
-                let (serve, places) = (serve.clone(), places.clone());
-                spawn(move || {
-                    let _place = Place(places);
-                    serve(stream);
-                });
+        let accepted = listener.accept().and_then(|(stream, _)| Socket::new(stream, stall));
+        match accepted {
+            Ok(socket) => {
+                let place = make_way(&places, &seats);
+                let guest = Guest::new(socket, &seats, place);
+                let serve = serve.clone();
+                spawn(move || serve(guest));
             }
             Err(error) => {
-                places.post();
                 eprintln!("accept: {error}");
                 may::coroutine::sleep(ACCEPT_PAUSE);
             }
@@ -31,6 +55,64 @@
     }
 }
 
+/// A place for a newcomer, taken from another where none is free.
+fn make_way(places: &Arc<Semphore>, seats: &Table) -> Place {
+    let mut free = places.try_wait();
+    while !free {
+        let leaver = lock(seats).give_way().and_then(|leaver| leaver.upgrade());
+        if let Some(leaver) = leaver {
+            leaver.socket.shut(std::net::Shutdown::Both);
+        }
+        free = places.wait_timeout(GIVE_WAY);
+    }
+    Place(places.clone())
+}
+
+impl Guest {
+    fn new(socket: Socket, seats: &Table, place: Place) -> Arc<Self> {
+        Arc::new_cyclic(|guest| {
+            let number = lock(seats).sit(guest.clone(), now_ms());
+            Guest { socket, number, seats: seats.clone(), _place: place }
+        })
+    }
+
+    /// A request was taken on the connection: it keeps its place until [`Guest::closed`].
+    pub fn opened(&self) {
+        lock(&self.seats).opened(self.number);
+    }
+
+    /// A request on it has come to its end.
+    pub fn closed(&self) {
+        lock(&self.seats).closed(self.number, now_ms());
+    }
+
+    /// Writes an answer.
+    pub fn answer(&self, bytes: &[u8]) -> std::io::Result<()> {
+        self.socket.write(bytes)?;
+        lock(&self.seats).answered(self.number, now_ms());
+        Ok(())
+    }
+
+    /// What the connection is waiting for, and since when.
+    pub fn stance(&self) -> (Stance, Ms) {
+        lock(&self.seats).stance(self.number)
+    }
+}
+
+impl Deref for Guest {
+    type Target = Socket;
+
+    fn deref(&self) -> &Socket {
+        &self.socket
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        lock(&self.seats).leave(self.number);
+    }
+}
+
 /// A client's place, given back however its task ends.
 struct Place(Arc<Semphore>);
 
--- a/node/src/wire/front.rs
+++ b/node/src/wire/front.rs
@@ -1,14 +1,13 @@
 //! The platform's front: Thrift in, calls to the core, answers out.
-use super::outgoing::Outgoing;
+use super::accept::Guest;
 use super::thrift::{self, Fields, Malformed, Message, Reply};
-use crate::core::{lock, now_ms, Answer, Call, Failure, Invoker, NotTaken};
+use crate::core::{lock, now_ms, until, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
-use corkbay::{position, Effect, ModelId, Request, RequestId};
-use may::io::SplitIo;
-use may::net::TcpStream;
+use crate::memory::seats::Stance;
+use corkbay::{position, Effect, ModelId, Ms, Request, RequestId};
 use may::sync::Mutex;
 use std::collections::HashMap;
-use std::io::{ErrorKind, Read};
+use std::io::ErrorKind;
 use std::net::Shutdown;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
@@ -16,11 +15,18 @@
 
 /// Requests that one connection may have open.
 const OPEN: usize = 32;
-/// A connection with nothing open on it is closed after this; clients close theirs sooner.
-const IDLE: Duration = Duration::from_secs(30);
+/// A connection that was answered and has nothing open is closed after this; clients close theirs sooner.
+const IDLE_MS: Ms = 4500.0;
+/// One that never had an answer is closed after this, and looked at as often while something is open.
+const SILENT_MS: Ms = 1000.0;
+/// Longest time from a message's first byte to its last.
+const MESSAGE_MS: Ms = 1500.0;
 /// Longest time for which a client may stop reading while an answer is written to it.
-const WRITE_STALL: Duration = Duration::from_secs(2);
+pub const WRITE_STALL: Duration = Duration::from_secs(2);
 const CHUNK: usize = 4096;
+/// Unusable messages after which a connection is closed, and how many of them are written to the log.
+const STRIKES: u32 = 64;
+const LOGGED: u32 = 3;
 /// Advice to a client that opens more than it may.
 const CROWDED_MS: f64 = 100.0;
 /// Advice to a client of a process that is about to end.
@@ -30,20 +36,14 @@
 type Open = Arc<Mutex<HashMap<i32, RequestId>>>;
 
 /// The life of one client connection.
-pub fn serve(invoker: &Arc<Invoker>, stream: TcpStream) {
-    let ready = stream.set_nodelay(true).and_then(|()| {
-        stream.set_write_timeout(Some(WRITE_STALL))?;
-        stream.set_read_timeout(Some(IDLE))
-    });
-    let Ok((mut reader, writer)) = ready.and_then(|()| stream.split()) else { return };
+pub fn serve(invoker: &Arc<Invoker>, guest: Arc<Guest>) {
     let open = Open::default();
-    let answers = Outgoing::new(writer);
     let left = Leave(invoker.clone(), open.clone());
-    if let Err(malformed) = receive(invoker, &mut reader, &open, &answers) {
+    if let Err(malformed) = receive(invoker, &guest, &open) {
         invoker.counters.malformed.add();
         eprintln!("client connection closed: {malformed}");
     }
-    let _ = reader.inner().shutdown(Shutdown::Both);
+    guest.shut(Shutdown::Both);
     drop(left);
 }
 
@@ -57,21 +57,28 @@
     }
 }
 
-/// Reads messages until the connection ends or can't be read any further.
-fn receive(
-    invoker: &Arc<Invoker>,
-    socket: &mut impl Read,
-    open: &Open,
-    answers: &Outgoing,
-) -> Result<(), Malformed> {
+/// Reads messages until the connection ends, is no longer kept or can't be read any further.
+fn receive(invoker: &Arc<Invoker>, guest: &Arc<Guest>, open: &Open) -> Result<(), Malformed> {
     let (mut buffer, mut chunk) = (Vec::new(), vec![0; CHUNK]);
+    let (mut begun, mut strikes) = (0.0, 0);
     loop {
         let Some(message) = thrift::unframe(&mut buffer)? else {
-            match socket.read(&mut chunk) {
+            let (stance, since) = guest.stance();
+            let end = match stance {
+                _ if !buffer.is_empty() => begun + MESSAGE_MS,
+                Stance::Busy => now_ms() + SILENT_MS,
+                Stance::Idle => since + IDLE_MS,
+                Stance::Silent => since + SILENT_MS,
+            };
+            match guest.read(&mut chunk, until(end)) {
                 Ok(0) => return Ok(()),
-                Ok(size) => buffer.extend(&chunk[..size]),
-                Err(error) if matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
-                    if lock(open).is_empty() {
+                Ok(size) => {
+                    begun = if buffer.is_empty() { now_ms() } else { begun };
+                    buffer.extend(&chunk[..size]);
+                }
+                Err(error) if error.kind() == ErrorKind::TimedOut => {
+                    // An answer may have gone out, or a request may have ended, while this waited.
+                    if !buffer.is_empty() || guest.stance() == (stance, since) && stance != Stance::Busy {
                         return Ok(());
                     }
                 }
@@ -79,61 +86,80 @@
             }
             continue;
         };
-        match thrift::read(&message) {
+        begun = now_ms();
+        let usable = match thrift::read(&message) {
             Ok(Message::Dispatch { seqid, fields, body }) => {
-                dispatch(invoker, open, answers, seqid, &fields, body)
+                if lock(open).contains_key(&seqid) {
+                    // An answer to one could be taken for the other's.
+                    let what = "the sequence number is open already";
+                    return Err(Malformed { call: None, what, unknown_method: false });
+                }
+                dispatch(invoker, open, guest, seqid, &fields, body)
             }
             Ok(Message::Cancel { seqid }) => {
                 let id = lock(open).get(&seqid).copied();
                 id.into_iter().for_each(|id| invoker.withdraw(id));
+                Ok(())
             }
             Ok(Message::Alive { seqid }) => {
-                write(answers, &thrift::reply("alive", seqid, &Reply::Answer(Vec::new())));
+                write(guest, &thrift::reply("alive", seqid, &Reply::Answer(Vec::new())));
+                Ok(())
             }
             Err(malformed) => match &malformed.call {
                 Some((seqid, method)) => {
-                    invoker.counters.malformed.add();
-                    eprintln!("{malformed}");
                     let (unknown, what) = (malformed.unknown_method, malformed.what);
-                    write(answers, &thrift::exception(method, *seqid, unknown, what));
+                    write(guest, &thrift::exception(method, *seqid, unknown, what));
+                    Err(what)
                 }
                 None => return Err(malformed),
             },
+        };
+        if let Err(what) = usable {
+            invoker.counters.malformed.add();
+            strikes += 1;
+            if strikes <= LOGGED {
+                eprintln!("message turned down: {what}");
+            }
+            if strikes >= STRIKES {
+                return Err(Malformed {
+                    call: None,
+                    what: "too many unusable messages",
+                    unknown_method: false,
+                });
+            }
         }
     }
 }
 
-/// Takes a request in and starts the task that sees it to its answer.
+/// Takes a request in and starts the task that sees it to its answer; an unusable one is told why.
 fn dispatch(
     invoker: &Arc<Invoker>,
     open: &Open,
-    answers: &Outgoing,
+    guest: &Arc<Guest>,
     seqid: i32,
     fields: &Fields,
     body: Vec<u8>,
-) {
-    let answer_now = |reply| write(answers, &thrift::reply("dispatch", seqid, &reply));
+) -> Result<(), &'static str> {
+    let answer_now = |reply| write(guest, &thrift::reply("dispatch", seqid, &reply));
     if lock(open).len() >= OPEN {
-        return answer_now(rejected(CROWDED_MS));
+        answer_now(rejected(CROWDED_MS));
+        return Ok(());
     }
-    let taken = call(invoker, fields, body).and_then(|call| {
+    let taken = call(invoker, fields, body).map(|call| {
         let id = call.request.id;
-        let mut open = lock(open);
-        if open.contains_key(&seqid) {
-            return Err("the sequence number is open already");
-        }
         let taken = invoker.take(call);
         if taken.is_ok() {
-            open.insert(seqid, id);
+            lock(open).insert(seqid, id);
         }
-        Ok(taken)
+        taken
     });
     match taken {
         Ok(Err(NotTaken::Draining)) => answer_now(rejected(DRAINING_MS)),
         Ok(Err(NotTaken::Crowded)) => answer_now(rejected(CROWDED_MS)),
         Ok(Err(NotTaken::Open)) => answer_now(crashed("the request is open already")),
         Ok(Ok(taken)) => {
-            let (invoker, open, answers) = (invoker.clone(), open.clone(), answers.clone());
+            guest.opened();
+            let (invoker, open, guest) = (invoker.clone(), open.clone(), guest.clone());
             spawn(move || {
                 let answer = catch_unwind(AssertUnwindSafe(|| taken.serve()))
                     .unwrap_or(Answer::Failed(Failure { may_have_run: true, late: false }));
@@ -146,18 +172,19 @@
                     Answer::Withdrawn => None,
                 };
                 if let Some(reply) = reply {
-                    write(&answers, &thrift::reply("dispatch", seqid, &reply));
+                    write(&guest, &thrift::reply("dispatch", seqid, &reply));
                 }
+                guest.closed();
                 // What is owed is owed until the answer is written.
                 drop(taken);
             });
         }
         Err(what) => {
-            invoker.counters.malformed.add();
-            eprintln!("request turned down: {what}");
             answer_now(crashed(what));
+            return Err(what);
         }
     }
+    Ok(())
 }
 
 fn rejected(retry_after: f64) -> Reply {
@@ -172,9 +199,9 @@
     Reply::Crashed(Fields::from([("reason".to_string(), what.to_string())]))
 }
 
-fn write(answers: &Outgoing, bytes: &[u8]) {
+fn write(guest: &Guest, bytes: &[u8]) {
     // A client that can't be written to is seen by the reading side of its connection.
-    let _ = answers.write(bytes);
+    let _ = guest.answer(bytes);
 }
 
 /// Makes a call of a request's fields.
--- a/node/src/wire/invoke.rs
+++ b/node/src/wire/invoke.rs
@@ -1,8 +1,8 @@
 //! The invoke API: HTTP/1.1, synchronous and deferred calls, with the functions and workers beside them.
 //!
 //! Both styles go through [`Desk::run`]; they differ only in how the answer travels.
+use super::accept::Guest;
 use super::http::{BadHttp, RequestHead, Response};
-use super::outgoing::Outgoing;
 use crate::core::{now_ms, Answer, Call, Failure, Invoker, NotTaken, Taken};
 use crate::life::spawn;
 use crate::memory::catalog::{Catalog, CatalogError, Function, Worker};
@@ -10,11 +10,9 @@
 use crate::memory::store::StoreError;
 use corkbay::{position, Effect, Request, RequestId};
 use may::coroutine::JoinHandle;
-use may::io::{SplitIo, SplitReader};
-use may::net::TcpStream;
 use serde::de::DeserializeOwned;
 use serde_json::json;
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use std::net::Shutdown;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
@@ -31,7 +29,10 @@
 /// Longest wait for a withdrawn call to come to its end.
 const WITHDRAW_WAIT: Duration = Duration::from_secs(2);
 const IDLE: Duration = Duration::from_secs(60);
-const WRITE_STALL: Duration = Duration::from_secs(5);
+/// Longest silence within a request.
+const MESSAGE: Duration = Duration::from_secs(10);
+/// Longest time for which a client may stop reading while a response is written to it.
+pub const WRITE_STALL: Duration = Duration::from_secs(5);
 /// How long, and for how many bytes, a client may go on sending after the last answer.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_BYTES: usize = 4 << 20;
@@ -72,35 +73,26 @@
 }
 
 /// The life of one client connection.
-pub fn serve(desk: &Arc<Desk>, stream: TcpStream) {
-    let ready = stream.set_nodelay(true).and_then(|()| {
-        stream.set_write_timeout(Some(WRITE_STALL))?;
-        stream.set_read_timeout(Some(IDLE))
-    });
-    let Ok((mut reader, writer)) = ready.and_then(|()| stream.split()) else { return };
-    let writer = Outgoing::new(writer);
+pub fn serve(desk: &Arc<Desk>, guest: &Arc<Guest>) {
     let mut current = None;
     // The end of the connection, however it comes, leaves nobody to wait for a held call.
-    let end = converse(desk, &mut reader, &writer, &mut current);
+    let end = converse(desk, guest, &mut current);
     if let Some(Current { id, task }) = current {
         desk.invoker.withdraw(id);
         let _ = task.join();
     }
     if end.is_ok() {
-        linger(&mut reader, &writer);
+        linger(guest);
     }
-    writer.shut(Shutdown::Both);
+    guest.shut(Shutdown::Both);
 }
 
 /// Lets the client read the last answer: a connection closed over bytes that were not read is reset, and
 /// the answer may be lost with it.
-fn linger(reader: &mut SplitReader<TcpStream>, writer: &Outgoing) {
-    writer.shut(Shutdown::Write);
+fn linger(guest: &Guest) {
+    guest.shut(Shutdown::Write);
     let (mut chunk, mut left) = ([0; 1024], LINGER_BYTES);
-    if reader.inner().set_read_timeout(Some(LINGER)).is_err() {
-        return;
-    }
-    while let Ok(size @ 1..) = reader.read(&mut chunk) {
+    while let Ok(size @ 1..) = guest.read(&mut chunk, LINGER) {
         left = left.saturating_sub(size);
         if left == 0 {
             return;
@@ -109,22 +101,17 @@
 }
 
 /// Answers requests in the order they come; `Ok` once the last is answered.
-fn converse(
-    desk: &Arc<Desk>,
-    socket: &mut impl Read,
-    writer: &Outgoing,
-    current: &mut Option<Current>,
-) -> io::Result<()> {
+fn converse(desk: &Arc<Desk>, guest: &Arc<Guest>, current: &mut Option<Current>) -> io::Result<()> {
     let (mut raw, mut chunk) = (Vec::new(), vec![0; CHUNK]);
     let mut fill = |raw: &mut Vec<u8>, busy: bool| loop {
-        match socket.read(&mut chunk) {
+        match guest.read(&mut chunk, if raw.is_empty() { IDLE } else { MESSAGE }) {
             Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
             Ok(size) => {
                 raw.extend(&chunk[..size]);
                 return Ok(());
             }
             // While a call is held, the client has nothing to say.
-            Err(error) if busy && matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
+            Err(error) if busy && error.kind() == ErrorKind::TimedOut => {}
             Err(error) => return Err(error),
         }
     };
@@ -133,18 +120,18 @@
             match RequestHead::decode(&mut raw) {
                 Ok(Some(head)) => break head,
                 Ok(None) => fill(&mut raw, current.is_some())?,
-                Err(error) => return refuse_to_read(writer, current, error),
+                Err(error) => return refuse_to_read(guest, current, error),
             }
         };
         if head.headers.get("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
-            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+            guest.write(b"HTTP/1.1 100 Continue\r\n\r\n")?;
         }
         let mut body = Vec::new();
         loop {
             match head.body.feed(&mut raw, &mut body, MAX_BODY) {
                 Ok(true) => break,
                 Ok(false) => fill(&mut raw, current.is_some())?,
-                Err(error) => return refuse_to_read(writer, current, error),
+                Err(error) => return refuse_to_read(guest, current, error),
             }
         }
         // One answer after the other, in the order of the requests.
@@ -153,8 +140,8 @@
                 return Err(ErrorKind::BrokenPipe.into());
             }
         }
-        match route(desk, &head, body, writer) {
-            Next::Respond(response) => writer.write(&response.encode(head.keep_alive))?,
+        match route(desk, &head, body, guest) {
+            Next::Respond(response) => guest.answer(&response.encode(head.keep_alive))?,
             Next::Held(held) => *current = Some(held),
         }
         if !head.keep_alive {
@@ -168,20 +155,20 @@
     }
 }
 
-fn refuse_to_read(writer: &Outgoing, current: &mut Option<Current>, error: BadHttp) -> io::Result<()> {
+fn refuse_to_read(guest: &Guest, current: &mut Option<Current>, error: BadHttp) -> io::Result<()> {
     if let Some(before) = current.take() {
         let _ = before.task.join();
     }
     let status = if error == BadHttp::Long { 413 } else { 400 };
-    writer.write(&problem(status, "malformed", &error.to_string(), Some(false)).encode(false))
+    guest.answer(&problem(status, "malformed", &error.to_string(), Some(false)).encode(false))
 }
 
-fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, writer: &Outgoing) -> Next {
+fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, guest: &Arc<Guest>) -> Next {
     let parts: Vec<&str> = head.path.trim_matches('/').split('/').collect();
     Next::Respond(match (head.method.as_str(), parts.as_slice()) {
         ("POST", ["v1", "functions", function, "invocations"]) => {
             return match desk.admit(function, head, body) {
-                Ok(Admitted::Run(job)) => desk.start(job, head.keep_alive, writer),
+                Ok(Admitted::Run(job)) => desk.start(job, head.keep_alive, guest),
                 Ok(Admitted::Respond(response)) | Err(response) => Next::Respond(response),
             };
         }
@@ -326,15 +313,22 @@
     }
 
     /// Starts the task of a call. A deferred one is accepted; it runs on without its client.
-    fn start(self: &Arc<Self>, job: Job, keep_alive: bool, writer: &Outgoing) -> Next {
-        let (desk, writer) = (self.clone(), writer.clone());
+    fn start(self: &Arc<Self>, job: Job, keep_alive: bool, guest: &Arc<Guest>) -> Next {
+        let (desk, guest) = (self.clone(), guest.clone());
         let (id, is_deferred) = (job.taken.call().request.id, job.deferred.is_some());
+        if !is_deferred {
+            guest.opened();
+        }
         let task = spawn(move || {
             let answer = desk.run(&job);
-            let gone = is_deferred || answer == Answer::Withdrawn;
-            let written = gone || writer.write(&respond(&answer).encode(keep_alive)).is_ok();
-            if !is_deferred && !keep_alive {
-                writer.shut(Shutdown::Both);
+            if is_deferred {
+                return true;
+            }
+            let gone = answer == Answer::Withdrawn;
+            let written = gone || guest.answer(&respond(&answer).encode(keep_alive)).is_ok();
+            guest.closed();
+            if !keep_alive {
+                guest.shut(Shutdown::Both);
             }
             written
         });
--- a/node/src/wire/replicate.rs
+++ b/node/src/wire/replicate.rs
@@ -1,5 +1,6 @@
 //! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
 use super::accept::accept;
+use super::socket::Patient;
 use crate::core::{now_ms, until};
 use crate::life::spawn;
 use crate::memory::store::{Record, Stamp, Store};
@@ -50,8 +51,10 @@
 /// Answers other nodes for as long as the process lives.
 pub fn listen(store: Arc<Store>, listener: TcpListener, on_news: OnNews) {
     spawn(move || {
-        accept(&listener, CALLERS, move |mut socket| {
-            if let Err(error) = answer(&store, &mut socket, &on_news) {
+        accept(&listener, CALLERS, STALL, move |guest| {
+            // A swap under way keeps its place.
+            guest.opened();
+            if let Err(error) = answer(&store, &mut guest.patient(STALL), &on_news) {
                 eprintln!("replication: a caller: {error}");
             }
         });
@@ -116,8 +119,7 @@
     Ok(())
 }
 
-fn answer(store: &Store, socket: &mut TcpStream, on_news: &OnNews) -> io::Result<()> {
-    timeouts(socket)?;
+fn answer(store: &Store, socket: &mut Patient, on_news: &OnNews) -> io::Result<()> {
     let theirs = match receive(socket)? {
         Hello::Digest(digest) => digest,
         Hello::Push(records) => return take(store, records, on_news),
--- /dev/null
+++ b/node/src/wire/socket.rs
@@ -0,0 +1,184 @@
+//! A stream socket whose reader and writers share one descriptor.
+//!
+//! A coroutine that waits for a socket is parked in the one slot of its registration, so two may not wait
+//! on the same descriptor. Here the reader alone waits on it. A writer writes what the kernel takes at
+//! once; only one that meets a full buffer takes a second descriptor, for as long as it waits.
+use crate::core::lock;
+use may::net::TcpStream;
+use may::sync::Mutex;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// The shortest wait that a timer is set for.
+const LEAST: Duration = Duration::from_millis(1);
+
+/// A connected socket. One task at a time reads; any may write.
+pub struct Socket {
+    stream: TcpStream,
+    writing: Mutex<()>,
+    /// How long the other side may let a message stand unread in all.
+    stall: Duration,
+}
+
+impl Socket {
+    /// Wraps a stream; a message that is not taken within `stall` ends the connection.
+    pub fn new(stream: TcpStream, stall: Duration) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Socket { stream, writing: Mutex::new(()), stall })
+    }
+
+    /// Connects within the time given.
+    pub fn connect(address: &SocketAddr, within: Duration, stall: Duration) -> io::Result<Self> {
+        Socket::new(TcpStream::connect_timeout(address, within.max(LEAST))?, stall)
+    }
+
+    /// Reads what has come, or waits for it; [`ErrorKind::TimedOut`] where nothing comes in time.
+    pub fn read(&self, buffer: &mut [u8], within: Duration) -> io::Result<usize> {
+        loop {
+            match self.stream.inner().read(buffer) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.stream.set_read_timeout(Some(within.max(LEAST)))?;
+                    match self.stream.peek(&mut [0; 1]) {
+                        // What came just as the time was up has come.
+                        Err(error) if error.kind() == ErrorKind::TimedOut => {
+                            return self.stream.inner().read(buffer).map_err(|late| match late.kind() {
+                                ErrorKind::WouldBlock => error,
+                                _ => late,
+                            });
+                        }
+                        waited => _ = waited?,
+                    }
+                }
+                end => return end,
+            }
+        }
+    }
+
+    /// Writes a message whole, one after the other. One that can't be written ends the connection, in
+    /// both directions: what came after it could not be told from its rest.
+    pub fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        let _turn = lock(&self.writing);
+        self.write_all(bytes).inspect_err(|_| self.shut(Shutdown::Both))
+    }
+
+    fn write_all(&self, mut rest: &[u8]) -> io::Result<()> {
+        let end = Instant::now() + self.stall;
+        // A second registration to wait on, once the buffer proves full.
+        let mut second: Option<TcpStream> = None;
+        while !rest.is_empty() {
+            let written = match &mut second {
+                None => self.stream.inner().write(rest),
+                Some(stream) => {
+                    let left = end.saturating_duration_since(Instant::now());
+                    if left < LEAST {
+                        return Err(ErrorKind::TimedOut.into());
+                    }
+                    stream.set_write_timeout(Some(left))?;
+                    stream.write(rest)
+                }
+            };
+            match written {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(size) => rest = &rest[size..],
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock && second.is_none() => {
+                    second = Some(self.stream.try_clone()?);
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// The socket as a reader and writer that waits as long at a time.
+    pub fn patient(&self, within: Duration) -> Patient<'_> {
+        Patient { socket: self, within }
+    }
+
+    /// Ends the connection in one direction or both; whoever waits on it goes on.
+    pub fn shut(&self, how: Shutdown) {
+        // The other side may have ended it before.
+        let _ = self.stream.shutdown(how);
+    }
+}
+
+/// A socket as [`Read`] and [`Write`], with a limit for each wait.
+pub struct Patient<'a> {
+    socket: &'a Socket,
+    within: Duration,
+}
+
+impl Read for Patient<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.socket.read(buffer, self.within)
+    }
+}
+
+impl Write for Patient<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.socket.write(bytes).map(|()| bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::life::spawn;
+    use std::net::TcpListener;
+    use std::sync::Arc;
+
+    fn pair(stall: Duration) -> (Socket, std::net::TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let socket = spawn(move || Socket::connect(&address, Duration::from_secs(5), stall));
+        let other = listener.accept().expect("accepted").0;
+        (socket.join().expect("no panic").expect("connected"), other)
+    }
+
+    /// Guards the sharing of one descriptor: a writer that meets a full buffer must neither lose bytes
+    /// nor disturb the reader that waits meanwhile.
+    #[test]
+    fn a_full_buffer_is_waited_for_while_another_task_reads() {
+        let (socket, mut other) = pair(Duration::from_secs(20));
+        let (socket, long) = (Arc::new(socket), vec![7; 16 << 20]);
+        let (reader, bytes) = (socket.clone(), long.clone());
+        let reading = spawn(move || {
+            let mut buffer = [0; 8];
+            let size = reader.read(&mut buffer, Duration::from_secs(20)).expect("reads");
+            buffer[..size].to_vec()
+        });
+        let writing = spawn(move || socket.write(&bytes));
+        std::thread::sleep(Duration::from_millis(100));
+        other.write_all(b"word").expect("written");
+        assert_eq!(reading.join().expect("no panic"), b"word");
+        let mut got = vec![0; long.len()];
+        other.read_exact(&mut got).expect("all of it");
+        assert!(got == long && writing.join().expect("no panic").is_ok());
+    }
+
+    /// Guards against a client that never reads and so holds whoever writes to it.
+    #[test]
+    fn a_message_left_unread_ends_the_connection() {
+        let (socket, mut other) = pair(Duration::from_millis(100));
+        let writing = spawn(move || {
+            let end = socket.write(&vec![7; 64 << 20]).map_err(|error| error.kind());
+            (end, socket.read(&mut [0; 8], Duration::from_millis(10)).map_err(|error| error.kind()))
+        });
+        assert_eq!(writing.join().expect("no panic"), (Err(ErrorKind::TimedOut), Ok(0)));
+        let mut rest = Vec::new();
+        assert!(other.read_to_end(&mut rest).is_ok() && rest.len() < 64 << 20);
+    }
+
+    #[test]
+    fn silence_is_told_after_the_time_given() {
+        let (socket, _other) = pair(Duration::from_secs(1));
+        let end = spawn(move || socket.read(&mut [0; 8], Duration::from_millis(20)).map_err(|e| e.kind()));
+        assert_eq!(end.join().expect("no panic"), Err(ErrorKind::TimedOut));
+    }
+}
--- a/node/src/wire/workers.rs
+++ b/node/src/wire/workers.rs
@@ -1,16 +1,15 @@
 //! Worker connections that carry binary frames: many exchanges on one connection, in any order.
 use super::frames::{code, Frame, FROM_WORKER};
+use super::socket::Socket;
 use crate::core::{lock, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
 use crate::life::spawn;
 use crate::memory::link::{Link, Stage};
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms, WorkerId};
-use may::io::SplitIo;
-use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use may::sync::Mutex;
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::RecvTimeoutError;
@@ -19,6 +18,9 @@
 
 /// Longest time for which a worker may stop reading while a frame is written to it.
 const WRITE_STALL: Duration = Duration::from_secs(2);
+/// A worker with nothing to say may be silent for as long as it likes: its idle connections are closed by
+/// the writing side.
+const QUIET: Duration = Duration::from_secs(60);
 const CHUNK: usize = 4096;
 
 type Waiter = Box<dyn FnOnce(Result<Frame, AttemptError>) + Send>;
@@ -207,24 +209,23 @@
     /// The life of a connection: made, written to, ended. What was open on it ends with it.
     fn run(self: &Arc<Self>, host: &Host, limits: &Limits, queue: &Receiver<Out>) {
         let mut guard = EndGuard(self.clone(), AttemptError::Unconnected);
-        let Ok(stream) = TcpStream::connect_timeout(&host.address, limits.connect) else { return };
+        let connected = Socket::connect(&host.address, limits.connect, WRITE_STALL);
+        let Ok(socket) = connected.map(Arc::new) else { return };
         guard.1 = AttemptError::Unfinished(Cause::Broken);
-        let ready = stream.set_nodelay(true).and_then(|()| stream.set_write_timeout(Some(WRITE_STALL)));
-        let Ok((mut reader, mut writer)) = ready.and_then(|()| stream.split()) else { return };
-        let ours = self.clone();
+        let (ours, reader) = (self.clone(), socket.clone());
         let reading = spawn(move || {
             let _guard = EndGuard(ours.clone(), AttemptError::Unfinished(Cause::Broken));
-            ours.read(&mut reader);
-            let _ = reader.inner().shutdown(Shutdown::Both);
+            ours.read(&reader);
+            reader.shut(Shutdown::Both);
             let _ = ours.outbox.send(Out::Stop);
         });
-        self.write(&mut writer, host, limits.idle, queue);
-        let _ = writer.inner().shutdown(Shutdown::Both);
+        self.write(&socket, host, limits.idle, queue);
+        socket.shut(Shutdown::Both);
         drop(guard);
         let _ = reading.join();
     }
 
-    fn write(&self, socket: &mut impl Write, host: &Host, idle: Duration, queue: &Receiver<Out>) {
+    fn write(&self, socket: &Socket, host: &Host, idle: Duration, queue: &Receiver<Out>) {
         loop {
             let out = match queue.recv_timeout(idle) {
                 Ok(Out::Frame(out)) => out,
@@ -244,7 +245,7 @@
             if out.tracked && !lock(&self.link).begin(id) {
                 continue;
             }
-            if socket.write_all(&out.frame.encode()).is_err() {
+            if socket.write(&out.frame.encode()).is_err() {
                 return;
             }
             if out.tracked {
@@ -253,7 +254,7 @@
         }
     }
 
-    fn read(&self, socket: &mut impl Read) {
+    fn read(&self, socket: &Socket) {
         let (mut buffer, mut chunk) = (Vec::new(), vec![0; CHUNK]);
         loop {
             match Frame::decode(&mut buffer, FROM_WORKER) {
@@ -265,7 +266,8 @@
                 }
                 Ok(Some(frame)) => return eprintln!("worker connection closed: code {}", frame.code),
                 Err(error) => return eprintln!("worker connection closed: {error}"),
-                Ok(None) => match socket.read(&mut chunk) {
+                Ok(None) => match socket.read(&mut chunk, QUIET) {
+                    Err(error) if error.kind() == ErrorKind::TimedOut => {}
                     Ok(0) | Err(_) => return,
                     Ok(size) => buffer.extend(&chunk[..size]),
                 },
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -73,6 +73,11 @@
 
 impl Bench {
     fn new(script: &[Act], hosts: usize) -> Self {
+        Self::within(script, hosts, 1024)
+    }
+
+    /// The same with no more than so many descriptors.
+    fn within(script: &[Act], hosts: usize, sockets: u32) -> Self {
         let fleet = Fleet::new(script);
         let hosts: Vec<SocketAddr> = (0..hosts).map(|number| fleet.frames(&format!("h{number}"))).collect();
         let channel = Channel::new();
@@ -80,7 +85,7 @@
         let known: Vec<_> = names.iter().zip(&hosts).map(|(name, at)| (name.as_str(), *at, "up")).collect();
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "channel": channel.address.to_string(),
             "known": {"cursor": 1, "cmds": [nodes(1, true, &known)]},
             "settings": {
@@ -419,3 +424,43 @@
         assert!(matches!(&reply, Reply::Rejected(fields) if fields.contains_key("cooldown")), "{reply:?}");
     }
 }
+
+/// Guards the usual clients' places: those that connect and say nothing, send half a request, or ask once
+/// and stay used to hold them all, and everybody else was never taken up.
+#[test]
+fn who_is_owed_nothing_gives_way_to_newcomers() {
+    let bench = Bench::within(&[Act::Serve], 1, 60);
+    let mut stayers = Vec::new();
+    for number in 0..30 {
+        let mut stayer = bench.client();
+        let id = format!("{:016x}", number + 1);
+        stayer.send(&dispatch(1, &fields("check", &id, "4000"), b"x"));
+        assert!(matches!(stayer.receive(), Some((1, Reply::Answer(_)))), "client {number} is taken up");
+        stayers.push(stayer);
+    }
+    let mut silent: Vec<Client> = (0..60).map(|_| bench.client()).collect();
+    let half = dispatch(1, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"x");
+    let mut halves: Vec<Client> = (0..20).map(|_| bench.client()).collect();
+    halves.iter_mut().for_each(|client| _ = client.socket.write_all(&half[..half.len() / 2]));
+    let mut usual = bench.client();
+    usual.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d42", "4000"), b"x"));
+    assert!(matches!(usual.receive(), Some((1, Reply::Answer(_)))));
+    // And all of them are closed within a few seconds, crowd or none.
+    for client in silent.iter_mut().chain(&mut halves) {
+        client.socket.set_read_timeout(Some(Duration::from_secs(3))).expect("set");
+        let end = client.socket.read(&mut [0; 8]);
+        assert!(!matches!(&end, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock), "{end:?}");
+    }
+}
+
+/// Guards against answering one of two requests under one number, which its client could take for the
+/// other's.
+#[test]
+fn two_requests_under_one_number_end_their_connection() {
+    let bench = Bench::new(&[Act::Hold], 1);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"x"));
+    client.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d42", "4000"), b"y"));
+    assert_eq!(client.receive(), None);
+    bench.fleet.release();
+}
