--- a/node/src/core/invoker.rs
+++ b/node/src/core/invoker.rs
@@ -24,12 +24,24 @@
 /// What reaches the task of a request.
 #[derive(Debug)]
 enum Note {
-    Send { worker: WorkerId, within: Ms },
-    Cancel { attempt: u32 },
-    Refuse { retry_after: Ms },
+    Send {
+        worker: WorkerId,
+        within: Ms,
+    },
+    Cancel {
+        attempt: u32,
+    },
+    Refuse {
+        retry_after: Ms,
+    },
     Fail,
     Withdrawn,
-    Ended { attempt: u32, end: Result<Vec<u8>, AttemptError> },
+    /// The process is about to end.
+    Close,
+    Ended {
+        attempt: u32,
+        end: Result<Vec<u8>, AttemptError>,
+    },
 }
 
 /// Why a request was not taken; nothing of it ran.
@@ -194,6 +206,11 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Ends all that is owed: the process has no more time.
+    pub fn end_all(&self) {
+        lock(&self.core).open.values().for_each(|inbox| _ = inbox.send(Note::Close));
+    }
+
     /// Waits until nothing is owed; false if that took longer than the time given.
     pub fn settle(&self, within: Duration) -> bool {
         let end = now_ms() + within.as_secs_f64() * 1000.0;
@@ -331,6 +348,14 @@
                     break Answer::Refused { retry_after, known: self.known() }
                 }
                 Some(Note::Fail) => break Answer::Failed(self.known()),
+                Some(Note::Close) => {
+                    invoker.feed(Event::Withdrawn { id: call.request.id });
+                    if may_have_run || !out.flights.is_empty() {
+                        break Answer::Failed(self.known());
+                    }
+                    let retry_after = invoker.settings.max_retry_after;
+                    break Answer::Refused { retry_after, known: self.known() };
+                }
                 Some(Note::Withdrawn) => {
                     invoker.feed(Event::Withdrawn { id: call.request.id });
                     break Answer::Withdrawn;
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// A configuration that can't be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +31,30 @@
 
 impl std::error::Error for ConfigError {}
 
+/// Where the platform's configuration stands: read at the start, and again at each reload.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// The file.
+    pub path: PathBuf,
+    /// Where clients connect, whatever the file says.
+    pub listen: Option<String>,
+}
+
+impl Source {
+    /// What the environment names.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var("PROXY_CONFIG").map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
+        Ok(Source { path: path.into(), listen: std::env::var("PROXY_LISTEN").ok() })
+    }
+
+    /// Reads the file as it is now.
+    pub fn read(&self) -> Result<Platform, ConfigError> {
+        let text = std::fs::read_to_string(&self.path);
+        let text = text.map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
+        Platform::read(&text, self.listen.as_deref())
+    }
+}
+
 /// The platform's configuration.
 #[derive(Debug)]
 pub struct Platform {
--- a/node/src/life/platform.rs
+++ b/node/src/life/platform.rs
@@ -1,22 +1,26 @@
 //! The daemon on the platform: start, service, drain.
-use super::config::{ConfigError, Platform};
+use super::config::{ConfigError, Platform, Source};
 use super::spawn;
 use crate::core::Invoker;
 use crate::wire::accept::accept;
+use crate::wire::channel::{self, Line};
+use crate::wire::front;
 use crate::wire::workers::{FrameWorkers, Limits};
-use crate::wire::{channel, front};
 use may::net::TcpListener;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Words of a coroutine's stack: 128 KiB of address space, of which only what is touched is memory.
 const STACK_WORDS: usize = 0x4000;
-/// After SIGTERM the platform's front goes on sending for up to 0.6 s.
-const STILL_TAKING: Duration = Duration::from_millis(900);
-/// What is owed ends with its deadline; this is for writing the last answers.
-const LAST_ANSWERS: Duration = Duration::from_secs(1);
+/// After SIGTERM connections go on coming for up to 0.4 s and requests on open ones for 0.2 s more; what comes
+/// later than this is lost if it has no answer when SIGKILL comes, so it is refused.
+const STILL_TAKING: Duration = Duration::from_millis(700);
+/// SIGKILL comes no sooner than the longest deadline after that, which counts as this at most.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// What is still owed so long before SIGKILL is ended.
+const LAST_ANSWERS: Duration = Duration::from_millis(250);
 /// Descriptors for all but clients and workers: the program's own, and second ones of connections whose
 /// other side reads too slowly.
 const RESERVE: usize = 40;
@@ -36,9 +40,8 @@
 }
 
 /// Serves until a signal ends it and nothing is owed; true if all was answered.
-pub fn run(config: Platform) -> Result<bool, ConfigError> {
-    let mut signals =
-        Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|error| ConfigError::new("signals", error))?;
+pub fn run(config: Platform, source: &Source) -> Result<bool, ConfigError> {
+    let mut signals = signals()?;
     let (clients, to_workers) = connections(config.sockets);
     let workers = FrameWorkers::new(limits(&config.settings, to_workers));
     let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers));
@@ -46,25 +49,56 @@
         news.tell(&invoker, true);
     }
     let listener = TcpListener::bind(config.listen).map_err(|error| ConfigError::new("listen", error))?;
-    let (ours, cursor, address) = (invoker.clone(), config.cursor, config.channel);
-    spawn(move || channel::follow(&ours, address, cursor));
+    let (ours, line, cursor) = (invoker.clone(), Line::new(config.channel), config.cursor);
+    let reload = {
+        let (line, listen, settings) = (line.clone(), config.listen, config.settings.clone());
+        move || {
+            let next = source.read()?;
+            line.move_to(next.channel);
+            for (key, kept) in [("listen", next.listen == listen), ("settings", next.settings == settings)] {
+                if !kept {
+                    eprintln!("reload: {key} has changed and holds from the next start on");
+                }
+            }
+            Ok(())
+        }
+    };
+    spawn(move || channel::follow(&ours, &line, cursor));
     let ours = invoker.clone();
     spawn(move || accept(&listener, clients, front::WRITE_STALL, move |guest| front::serve(&ours, guest)));
-    Ok(serve_until_signalled(&invoker, &mut signals, longest_deadline(&config.settings)))
+    let longest = longest_deadline(&config.settings).min(LONGEST_COUNTED);
+    Ok(serve_until_signalled(&invoker, &mut signals, reload, longest.saturating_sub(LAST_ANSWERS)))
 }
 
-/// Waits for signals on the main thread; drains on the first that ends the process, for no longer than the
-/// longest deadline and a little.
-pub fn serve_until_signalled(invoker: &Arc<Invoker>, signals: &mut Signals, longest: Duration) -> bool {
+/// The signals that are heeded; those that come from here on are not lost.
+pub fn signals() -> Result<Signals, ConfigError> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1]).map_err(|error| ConfigError::new("signals", error))
+}
+
+/// Waits for signals on the main thread: SIGHUP reloads, SIGUSR1 prints the counters, any other ends the
+/// process. Then requests are taken for a little longer, and what was taken has `owed` to end by itself.
+pub fn serve_until_signalled(
+    invoker: &Arc<Invoker>,
+    signals: &mut Signals,
+    reload: impl Fn() -> Result<(), ConfigError>,
+    owed: Duration,
+) -> bool {
     for signal in signals.forever() {
-        if signal != SIGUSR1 {
-            break;
+        match signal {
+            SIGUSR1 => eprintln!("{}", invoker.counters),
+            SIGHUP => match reload() {
+                Ok(()) => eprintln!("reloaded"),
+                Err(error) => eprintln!("reload: {error}; the old configuration is kept"),
+            },
+            _ => break,
         }
-        eprintln!("{}", invoker.counters);
     }
     std::thread::sleep(STILL_TAKING);
     invoker.drain();
-    let settled = invoker.settle(longest + LAST_ANSWERS);
+    let settled = invoker.settle(owed) || {
+        invoker.end_all();
+        invoker.settle(LAST_ANSWERS / 2)
+    };
     eprintln!("{}", invoker.counters);
     settled
 }
--- a/node/src/life/service.rs
+++ b/node/src/life/service.rs
@@ -1,7 +1,7 @@
 //! The daemon off the platform: the invoke API over its own store.
 use super::config::ConfigError;
 use super::deploy::{Deploy, Protocol, Style};
-use super::platform::{connections, limits, longest_deadline, serve_until_signalled};
+use super::platform::{connections, limits, longest_deadline, serve_until_signalled, signals};
 use super::spawn;
 use crate::core::{Invoker, Workers};
 use crate::memory::catalog::{Catalog, Worker};
@@ -15,20 +15,21 @@
 use crate::wire::workers::FrameWorkers;
 use may::net::TcpListener;
 use serde_json::Value;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
-use signal_hook::iterator::Signals;
 use std::fmt::Display;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// How often expired records are dropped and the log is looked at.
 const SWEEP: Duration = Duration::from_secs(30);
+/// What is owed ends with its deadline; this is for writing the last answers.
+const LAST_ANSWERS: Duration = Duration::from_secs(1);
 
 /// Serves until a signal ends it and nothing is owed; true if all was answered.
-pub fn run(deploy: &Deploy) -> Result<bool, ConfigError> {
+pub fn run(deploy: &Deploy, path: &Path) -> Result<bool, ConfigError> {
     let at = |key: &'static str| move |error: &dyn Display| ConfigError::new(key, error);
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| at("signals")(&e))?;
+    let mut signals = signals()?;
     let store = Arc::new(match &deploy.data_dir {
         Some(folder) => {
             let (log, kept) = Log::open(folder).map_err(|e| at("data_dir")(&e))?;
@@ -69,7 +70,15 @@
     let ours = desk.clone();
     spawn(move || accept(&listener, clients, invoke::WRITE_STALL, move |guest| invoke::serve(&ours, &guest)));
     println!("invoke API on {bound}");
-    Ok(serve_until_signalled(&invoker, &mut signals, longest_deadline(&settings)))
+    // Functions and workers are taken up; what the file says besides holds from the next start on.
+    let reload = || {
+        let next = Deploy::load(path)?;
+        seed(&desk.catalog, &next).map_err(|error| ConfigError::new("data_dir", error))?;
+        desk.catalog.announce(&desk.invoker);
+        Ok(())
+    };
+    let owed = longest_deadline(&settings) + LAST_ANSWERS;
+    Ok(serve_until_signalled(&invoker, &mut signals, reload, owed))
 }
 
 fn replicate(
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,5 +1,5 @@
 //! Starts the daemon: on the platform as `PROXY_CONFIG` says, elsewhere as a deploy file says.
-use corkbay_node::life::config::{ConfigError, Platform};
+use corkbay_node::life::config::{ConfigError, Source};
 use corkbay_node::life::deploy::Deploy;
 use corkbay_node::life::{import, platform, service};
 use std::path::Path;
@@ -34,16 +34,15 @@
 }
 
 fn on_platform() -> Result<bool, ConfigError> {
-    let path = std::env::var("PROXY_CONFIG").map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
-    let text = std::fs::read_to_string(&path).map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
-    let listen = std::env::var("PROXY_LISTEN").ok();
-    let config = Platform::read(&text, listen.as_deref())?;
+    let source = Source::from_env()?;
+    let config = source.read()?;
     platform::set_up_coroutines();
-    platform::run(config)
+    platform::run(config, &source)
 }
 
 fn serve(path: &str) -> Result<bool, ConfigError> {
-    let deploy = Deploy::load(Path::new(path))?;
+    let path = Path::new(path);
+    let deploy = Deploy::load(path)?;
     platform::set_up_coroutines();
-    service::run(&deploy)
+    service::run(&deploy, path)
 }
--- a/node/src/wire/channel.rs
+++ b/node/src/wire/channel.rs
@@ -1,14 +1,15 @@
 //! The command channel: news of the workers as numbered events.
+use super::socket::Socket;
 use super::sse::Stream;
-use crate::core::Invoker;
+use crate::core::{lock, Invoker};
 use crate::memory::roster::Listing;
 use corkbay::Standing;
-use may::net::TcpStream;
+use may::sync::Mutex;
 use serde::Deserialize;
 use serde_json::Value;
-use std::io::{self, Read, Write};
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 /// A comment comes each second: a channel silent for longer is dead, and news may be waiting.
@@ -108,31 +109,66 @@
     }
 }
 
+/// Where the channel is read, which a reload may change, and the connection that is read now.
+pub struct Line(Mutex<Reading>);
+
+struct Reading {
+    address: SocketAddr,
+    socket: Weak<Socket>,
+}
+
+impl Line {
+    /// A channel at an address.
+    pub fn new(address: SocketAddr) -> Arc<Self> {
+        Arc::new(Line(Mutex::new(Reading { address, socket: Weak::new() })))
+    }
+
+    /// Goes on at another address: what is read now ends at once, and the cursor is kept.
+    pub fn move_to(&self, address: SocketAddr) {
+        let mut reading = lock(&self.0);
+        if reading.address != address {
+            reading.address = address;
+            reading.socket.upgrade().into_iter().for_each(|socket| socket.shut(Shutdown::Both));
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        lock(&self.0).address
+    }
+
+    /// Notes a connection that is to be read; false if the channel has moved meanwhile.
+    fn reads(&self, address: SocketAddr, socket: &Arc<Socket>) -> bool {
+        let mut reading = lock(&self.0);
+        reading.socket = Arc::downgrade(socket);
+        reading.address == address
+    }
+}
+
 /// Reads the channel for as long as the process lives: each time it ends it is called again at once.
-pub fn follow(invoker: &Arc<Invoker>, address: SocketAddr, mut cursor: u64) {
+pub fn follow(invoker: &Arc<Invoker>, line: &Line, mut cursor: u64) {
     loop {
-        let before = cursor;
-        if let Err(error) = listen(invoker, address, &mut cursor) {
+        let (before, address) = (cursor, line.address());
+        if let Err(error) = listen(invoker, line, address, &mut cursor) {
             eprintln!("command channel: {error}");
         }
-        if cursor == before {
+        if cursor == before && line.address() == address {
             may::coroutine::sleep(PAUSE);
         }
     }
 }
 
-fn listen(invoker: &Arc<Invoker>, address: SocketAddr, cursor: &mut u64) -> io::Result<()> {
-    let mut socket = TcpStream::connect_timeout(&address, CONNECT)?;
-    socket.set_nodelay(true)?;
-    socket.set_read_timeout(Some(SILENCE))?;
-    socket.set_write_timeout(Some(SILENCE))?;
+fn listen(invoker: &Arc<Invoker>, line: &Line, address: SocketAddr, cursor: &mut u64) -> io::Result<()> {
+    let socket = Arc::new(Socket::connect(&address, CONNECT, SILENCE)?);
+    if !line.reads(address, &socket) {
+        return Ok(());
+    }
     let call = format!(
         "GET /cmd/next HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {cursor}\r\n\r\n"
     );
-    socket.write_all(call.as_bytes())?;
+    socket.write(call.as_bytes())?;
     let (mut stream, mut chunk) = (Stream::default(), vec![0; CHUNK]);
     while !stream.ended() {
-        let size = socket.read(&mut chunk)?;
+        let size = socket.read(&mut chunk, SILENCE)?;
         if size == 0 {
             break;
         }
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -273,3 +273,22 @@
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/invoke.toml");
     corkbay_node::life::deploy::Deploy::load(std::path::Path::new(path)).expect("loads");
 }
+
+/// Guards a reload off the platform: SIGHUP takes up the file's functions and workers, and a file that
+/// can't be used changes nothing.
+#[test]
+fn sighup_takes_up_functions_and_workers() {
+    let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
+    let path = folder.write("d.toml", &deploy("n", None, ""));
+    let daemon = Daemon::serve(&path);
+    folder.write("d.toml", "node = 3");
+    daemon.signal("HUP");
+    until("the new file is reported", || daemon.errors().contains("the old configuration is kept"));
+    let more = "[[function]]\nname = \"late\"\nclass = \"check\"\n";
+    let text =
+        deploy("n", Some(fleet.http("w1")), "").replacen("[[worker]]", &format!("{more}[[worker]]"), 1);
+    folder.write("d.toml", &text);
+    daemon.signal("HUP");
+    until("it is taken up", || daemon.errors().contains("reloaded"));
+    assert_eq!(ask(daemon.address, "POST", "/v1/functions/late/invocations", &[], b"x").status, 200);
+}
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -68,7 +68,8 @@
     fleet: Fleet,
     channel: Channel,
     hosts: Vec<SocketAddr>,
-    _folder: Folder,
+    config: serde_json::Value,
+    folder: Folder,
 }
 
 impl Bench {
@@ -106,7 +107,7 @@
         let folder = Folder::new();
         let path = folder.write("config.json", &config.to_string());
         let daemon = Daemon::platform(&path, free_address());
-        Bench { daemon, fleet, channel, hosts, _folder: folder }
+        Bench { daemon, fleet, channel, hosts, config, folder }
     }
 
     fn client(&self) -> Client {
@@ -464,3 +465,59 @@
     assert_eq!(client.receive(), None);
     bench.fleet.release();
 }
+
+/// Guards a reload: SIGHUP used to end the process. It must go on at the new channel's address from the
+/// event it last heard, leave open requests alone, and keep to the old file where the new one is no use.
+#[test]
+fn sighup_moves_to_the_new_channel_and_keeps_what_is_open() {
+    let bench = Bench::new(&[Act::Hold, Act::Serve], 2);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"x"));
+    until("it is out", || bench.fleet.sent().len() == 1);
+    let held_at = bench.fleet.sent()[0].worker.clone();
+    assert_eq!(bench.channel.calls.recv_timeout(support::PATIENCE).as_deref(), Ok("1"));
+    bench.channel.tell(2, "h9", free_address(), "removed");
+    std::thread::sleep(Duration::from_millis(100));
+    bench.folder.write("config.json", "{\"channel\": 1}");
+    bench.daemon.signal("HUP");
+    until("the new file is reported", || bench.daemon.errors().contains("the old configuration is kept"));
+    let next = Channel::new();
+    let mut config = bench.config.clone();
+    config["channel"] = json!(next.address.to_string());
+    bench.folder.write("config.json", &config.to_string());
+    bench.daemon.signal("HUP");
+    assert_eq!(next.calls.recv_timeout(support::PATIENCE).as_deref(), Ok("2"), "the cursor is kept");
+    for number in [0, 1] {
+        let name = format!("h{number}");
+        if name != held_at {
+            next.tell(3, &name, bench.hosts[number], "draining");
+        }
+    }
+    bench.fleet.release();
+    assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))), "open requests are left alone");
+    std::thread::sleep(Duration::from_millis(200));
+    for number in 2..6 {
+        let id = format!("9b1f03aa5c7e2d4{number}");
+        client.send(&dispatch(number, &fields("check", &id, "4000"), b"x"));
+        assert!(matches!(client.receive(), Some((_, Reply::Answer(_)))));
+    }
+    assert!(bench.fleet.sent().iter().all(|sent| sent.worker == held_at), "news of the new channel counts");
+}
+
+/// Guards the times of a planned restart: what comes late is refused at once, and what would outlast the
+/// process is ended before SIGKILL can find it unanswered.
+#[test]
+fn sigterm_ends_what_would_outlast_the_process() {
+    let mut bench = Bench::new(&[Act::Silence], 1);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"x"));
+    until("it is out", || bench.fleet.sent().len() == 1);
+    let start = Instant::now();
+    bench.daemon.signal("TERM");
+    std::thread::sleep(Duration::from_millis(800));
+    client.send(&dispatch(2, &fields("check", "9b1f03aa5c7e2d42", "4000"), b"y"));
+    assert!(matches!(client.receive(), Some((2, Reply::Rejected(_)))), "too late to be taken");
+    assert_eq!(client.receive(), Some((1, Reply::Crashed)));
+    assert!(start.elapsed() < Duration::from_millis(3700), "{:?}", start.elapsed());
+    assert_eq!(bench.daemon.exit_code(), Some(0));
+}
