Check answers and input whole before they count; bound tables and requests by the configuration

Off the platform HTTP workers get the same: PARTIAL, 64 KiB, told lengths only, and one descriptor instead of two; the same spoilt answers are played in all styles.

--- a/node/src/core/invoker.rs
+++ b/node/src/core/invoker.rs
@@ -17,10 +17,6 @@
 /// A request that ends unserved this short before its time, as the decisions do, ends for want of time.
 const LAST_CALL_MS: Ms = 40.0;
 
-/// Most requests that are open at once: measured at 26 KiB each and up to 16 KiB of body, they take about
-/// half of the 192 MB that a platform's day allows.
-const MOST_OPEN: usize = 2500;
-
 /// What reaches the task of a request.
 #[derive(Debug)]
 enum Note {
@@ -125,6 +121,7 @@
     directory: Mutex<Directory>,
     workers: Arc<dyn Workers>,
     spans: Spans,
+    most_open: usize,
     owed: Mutex<usize>,
     settled: Condvar,
     draining: AtomicBool,
@@ -132,13 +129,21 @@
     pub names: Names,
     /// What the decisions were told at the start.
     pub settings: Settings,
+    /// How long a client may wait, by class.
+    pub give_up: Vec<Ms>,
     /// What was taken, sent and answered.
     pub counters: Counters,
 }
 
 impl Invoker {
-    /// An invoker with the platform's settings object, a seed and a way to the workers.
-    pub fn new(setup: &serde_json::Value, seed: u64, workers: Arc<dyn Workers>) -> Arc<Self> {
+    /// An invoker with the platform's settings object, a seed, a way to the workers, and how many requests
+    /// may be open at once.
+    pub fn new(
+        setup: &serde_json::Value,
+        seed: u64,
+        workers: Arc<dyn Workers>,
+        most_open: usize,
+    ) -> Arc<Self> {
         let settings = Settings::from_json(setup);
         let names = Names::from_json(setup);
         let span = |value: &serde_json::Value, default: f64| {
@@ -148,17 +153,21 @@
             order: span(&setup["specifics"]["answerWithinMs"], 10_000.0),
             probe: span(&setup["ceilings"]["connectTimeoutMs"], 250.0),
         };
+        let classes = setup["classes"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let give_up = classes.iter().map(|class| class["giveUpMs"].as_f64().unwrap_or(1000.0)).collect();
         let core = Core { dispatcher: Dispatcher::new(settings.clone(), seed), open: HashMap::new() };
         Arc::new(Invoker {
             core: Mutex::new(core),
             directory: Mutex::new(Directory::new(&names)),
             workers,
             spans,
+            most_open,
             owed: Mutex::new(0),
             settled: Condvar::new(),
             draining: AtomicBool::new(false),
             names,
             settings,
+            give_up,
             counters: Counters::default(),
         })
     }
@@ -178,7 +187,7 @@
             if core.open.contains_key(&call.request.id) {
                 return Err(NotTaken::Open);
             }
-            if core.open.len() >= MOST_OPEN {
+            if core.open.len() >= self.most_open {
                 return Err(NotTaken::Crowded);
             }
             core.open.insert(call.request.id, sender.clone());
@@ -505,7 +514,7 @@
             "zones": ["a"], "myZone": "a", "ceilings": {"attemptsCap": 5, "cancel": true},
             "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
         });
-        let invoker = Invoker::new(&setup, 1, Arc::new(Panicking::default()));
+        let invoker = Invoker::new(&setup, 1, Arc::new(Panicking::default()), 2);
         let address = "127.0.0.1:1".parse().expect("address");
         let (name, zone, kind) = ("w".to_string(), "a".to_string(), String::new());
         let (standing, weight, born) = (Standing::Ready, 1.0, 0.0);
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -64,6 +64,8 @@
     pub seed: u64,
     /// Most descriptors that the process may hold.
     pub sockets: usize,
+    /// Most memory that the process may take.
+    pub memory_mb: u64,
     /// Where the command channel listens.
     pub channel: SocketAddr,
     /// Number of the last event known.
@@ -76,6 +78,8 @@
 
 /// Descriptors where the configuration sets no limit.
 const SOCKETS: usize = 1024;
+/// Memory where it sets none.
+const MEMORY_MB: u64 = 128;
 
 impl Platform {
     /// Reads the configuration's text; `listen` overrides its own where given.
@@ -93,6 +97,7 @@
             listen: address("listen", listen)?,
             seed: seed(&config["seed"])?,
             sockets: config["limits"]["sockets"].as_u64().map_or(SOCKETS, |limit| limit as usize),
+            memory_mb: config["limits"]["memory_mb"].as_f64().map_or(MEMORY_MB, |limit| limit as u64),
             channel: address("channel", config["channel"].as_str())?,
             cursor: known.cursor,
             known: known.cmds,
--- a/node/src/life/deploy.rs
+++ b/node/src/life/deploy.rs
@@ -23,6 +23,9 @@
     /// Most descriptors that the process may hold.
     #[serde(default = "sockets")]
     pub sockets: usize,
+    /// Memory for open requests, MB.
+    #[serde(default = "memory")]
+    pub memory_mb: u64,
     /// For how long finished invocations are kept.
     #[serde(default = "retention")]
     pub retention_s: f64,
@@ -270,6 +273,10 @@
     pub memory_mb: f64,
 }
 
+fn memory() -> u64 {
+    128
+}
+
 fn sockets() -> usize {
     1024
 }
--- a/node/src/life/platform.rs
+++ b/node/src/life/platform.rs
@@ -33,6 +33,12 @@
     (clients, (left - clients.min(left)).max(1))
 }
 
+/// Most requests that are open at once. Each was measured at 26 KiB and may hold 16 KiB of body; the process
+/// takes 14 MiB without them, and a tenth of the rest is left over.
+pub fn open_requests(memory_mb: u64) -> usize {
+    (memory_mb.saturating_sub(14) * 1024 * 9 / 10 / 42).max(32) as usize
+}
+
 /// Sets the coroutine library up; before the first coroutine.
 pub fn set_up_coroutines() {
     // One core: more workers would only contend. Pinned, all invokers of a machine would share core 0.
@@ -44,7 +50,8 @@
     let mut signals = signals()?;
     let (clients, to_workers) = connections(config.sockets);
     let workers = FrameWorkers::new(limits(&config.settings, to_workers));
-    let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers));
+    let open = open_requests(config.memory_mb);
+    let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers), open);
     for news in config.known {
         news.tell(&invoker, true);
     }
--- a/node/src/life/service.rs
+++ b/node/src/life/service.rs
@@ -1,7 +1,7 @@
 //! The daemon off the platform: the invoke API over its own store.
 use super::config::ConfigError;
 use super::deploy::{Deploy, Protocol, Style};
-use super::platform::{connections, limits, longest_deadline, serve_until_signalled, signals};
+use super::platform::{connections, limits, longest_deadline, open_requests, serve_until_signalled, signals};
 use super::spawn;
 use crate::core::{Invoker, Workers};
 use crate::memory::catalog::{Catalog, Worker};
@@ -44,7 +44,8 @@
     let invocations = Invocations::new(store.clone(), retention).map_err(|e| at("data_dir")(&e))?;
     let (clients, to_workers) = connections(deploy.sockets);
     let settings = deploy.settings();
-    let invoker = Invoker::new(&settings, rand::random(), workers(deploy, &settings, to_workers));
+    let workers = workers(deploy, &settings, to_workers);
+    let invoker = Invoker::new(&settings, rand::random(), workers, open_requests(deploy.memory_mb));
     catalog.announce(&invoker);
     let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog });
     let listener = TcpListener::bind(deploy.listen).map_err(|e| at("listen")(&e))?;
--- a/node/src/memory/link.rs
+++ b/node/src/memory/link.rs
@@ -2,8 +2,8 @@
 //! how far each has come.
 use std::collections::{HashMap, VecDeque};
 
-/// Given-up ids that a connection remembers: a late answer to one must not be taken for a later
-/// attempt's under the same id.
+/// Ids of ended exchanges that a connection remembers: a late or second answer to one must not be taken for
+/// a later attempt's under the same id, which goes out on another connection.
 const SPENT: usize = 256;
 
 /// How far an exchange has come.
@@ -73,17 +73,23 @@
         if self.open.get(&id).is_none_or(|entry| entry.0 == Stage::Queued) {
             return None;
         }
-        self.open.remove(&id).map(|entry| entry.1)
+        let entry = self.open.remove(&id)?;
+        self.spend(id);
+        Some(entry.1)
+    }
+
+    fn spend(&mut self, id: u64) {
+        self.spent.push_back(id);
+        if self.spent.len() > SPENT {
+            self.spent.pop_front();
+        }
     }
 
     /// Gives an exchange up; tells how far it had come.
     pub fn give_up(&mut self, id: u64) -> Option<(Stage, W)> {
         let entry = self.open.remove(&id)?;
         if entry.0 != Stage::Queued {
-            self.spent.push_back(id);
-            if self.spent.len() > SPENT {
-                self.spent.pop_front();
-            }
+            self.spend(id);
         }
         Some(entry)
     }
--- a/node/src/wire/frames.rs
+++ b/node/src/wire/frames.rs
@@ -36,8 +36,8 @@
 
 const HEAD: usize = 16;
 const TAIL: usize = 4;
-/// Largest body that is read.
-pub const MAX_BODY: usize = 1 << 20;
+/// Largest body that is read: four times what a request may hold.
+pub const MAX_BODY: usize = 64 << 10;
 
 /// One frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/node/src/wire/front.rs
+++ b/node/src/wire/front.rs
@@ -32,6 +32,8 @@
 /// Advice to a client of a process that is about to end.
 const DRAINING_MS: f64 = 200.0;
 const MAX_KEY: usize = 128;
+/// Largest figure of a request that is believed.
+const MOST_FIGURE: f64 = 1e6;
 
 type Open = Arc<Mutex<HashMap<i32, RequestId>>>;
 
@@ -204,14 +206,16 @@
     let _ = guest.answer(bytes);
 }
 
-/// Makes a call of a request's fields.
+/// Makes a call of a request's fields. All of it is checked here: what a worker could not use, or would
+/// close a shared connection over, goes no further.
 fn call(invoker: &Invoker, fields: &Fields, body: Vec<u8>) -> Result<Call, &'static str> {
     let field = |name: &str| fields.get(name).map(String::as_str);
     let hex = |name: &str| {
-        field(name).filter(|text| text.len() == 16).and_then(|text| u64::from_str_radix(text, 16).ok())
+        let plain = |text: &&str| text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        field(name).filter(plain).and_then(|text| u64::from_str_radix(text, 16).ok())
     };
-    let number = |name: &str| {
-        field(name).and_then(|text| text.parse::<f64>().ok()).filter(|number| number.is_finite())
+    let number = |text: &str, least: f64, most: f64| {
+        text.parse::<f64>().ok().filter(|number| (least..=most).contains(number))
     };
     if body.len() > thrift::MAX_BODY {
         return Err("body over 16 KiB");
@@ -233,22 +237,26 @@
         }
         _ => None,
     };
-    let extras: HashMap<&str, f64> = field("info")
-        .unwrap_or_default()
-        .split(';')
-        .filter_map(|pair| pair.split_once(':'))
-        .filter_map(|(name, value)| Some((name, value.parse::<f64>().ok()?)))
-        .collect();
+    let extras: HashMap<&str, &str> =
+        field("info").unwrap_or_default().split(';').filter_map(|pair| pair.split_once(':')).collect();
+    let extra = |name: &str, least: f64, odd: &'static str| match extras.get(name) {
+        Some(text) => number(text, least, MOST_FIGURE).map(Some).ok_or(odd),
+        None => Ok(None),
+    };
+    let allow = number(field("allow").ok_or("allow is missing")?, 1.0, 2.0 * invoker.give_up[class]);
     let request = Request {
         id: RequestId(hex("ref").ok_or("ref is no 16 hex digits")?),
         class,
         tenant,
         model: ModelId(hex("lookup").ok_or("lookup is no 16 hex digits")?),
-        memory: extras.get("memory_mb").copied().unwrap_or(0.0),
-        lanes: extras.get("lanes").copied().unwrap_or(1.0),
-        load_hint: extras.get("load_ms").copied(),
-        cost_hint: number("effort"),
-        expires: now_ms() + number("allow").filter(|span| *span >= 0.0).ok_or("allow is missing")?,
+        memory: extra("memory_mb", 0.0, "memory_mb is out of range")?.unwrap_or(0.0),
+        lanes: extra("lanes", 1.0, "lanes is out of range")?.unwrap_or(1.0),
+        load_hint: extra("load_ms", 0.0, "load_ms is out of range")?,
+        cost_hint: match field("effort") {
+            Some(text) => Some(number(text, 0.0, MOST_FIGURE).ok_or("effort is out of range")?),
+            None => None,
+        },
+        expires: now_ms() + allow.ok_or("allow is out of range")?,
     };
     Ok(Call { request, class_name: class_name.to_string(), function: String::new(), key, body })
 }
--- a/node/src/wire/http_workers.rs
+++ b/node/src/wire/http_workers.rs
@@ -1,22 +1,24 @@
 //! Workers that speak the invoke API themselves, called in either of its styles: the exchange is held
 //! until the answer comes, or handed over and collected later.
-use super::http::{Body, ResponseHead};
+use super::http::ResponseHead;
 use super::invoke::{DEADLINE_HEADER, MAY_HAVE_RUN_HEADER};
-use crate::core::{lock, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
+use super::socket::Socket;
+use super::workers::PARTIAL;
+use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
 use crate::life::spawn;
 use crate::memory::link::{Link, Stage};
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms};
 use may::net::TcpStream;
 use may::sync::Mutex;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Largest answer that is read.
-const MAX_ANSWER: usize = 1 << 20;
+const MAX_ANSWER: usize = super::frames::MAX_BODY;
 /// Longest time for which one call to collect is held.
 const COLLECT_WAIT: Duration = Duration::from_secs(10);
 /// Pause between two calls to collect.
@@ -55,7 +57,7 @@
     link: Mutex<Link<Ending>>,
     id: u64,
     /// What to shut down, and where to call off, when the attempt is given up.
-    socket: Mutex<Option<std::net::TcpStream>>,
+    socket: Mutex<Option<Arc<Socket>>>,
     location: Mutex<Option<String>>,
 }
 
@@ -155,7 +157,7 @@
         style: Style,
         limits: &Limits,
     ) -> Result<Vec<u8>, AttemptError> {
-        let mut socket = self.connect(host, limits.connect, expires)?;
+        let socket = self.connect(host, limits.connect)?;
         if host.barred() {
             return Err(AttemptError::Unfinished(Cause::Barred));
         }
@@ -163,9 +165,10 @@
             return Err(AttemptError::Unfinished(Cause::GivenUp));
         }
         let request = post(host, call, expires, style);
-        socket.write_all(&request).map_err(|_| AttemptError::Unfinished(Cause::Broken))?;
+        socket.write(&request).map_err(|_| AttemptError::Unfinished(Cause::Broken))?;
         lock(&self.link).whole(self.id);
-        let mut answered = receive(&mut socket).map_err(|error| AttemptError::Unanswered(cause(&error)))?;
+        let mut answered =
+            receive(&socket, expires).map_err(|error| AttemptError::Unanswered(cause(&error)))?;
         drop(socket);
         while let Some(location) = place(&answered, style) {
             if lock(&self.link).is_closed() {
@@ -173,15 +176,14 @@
             }
             *lock(&self.location) = Some(location.clone());
             let wait = until(expires).min(COLLECT_WAIT);
-            let mut socket = self
-                .connect(host, limits.connect, expires)
-                .map_err(|_| AttemptError::Unanswered(Cause::Broken))?;
+            let socket =
+                self.connect(host, limits.connect).map_err(|_| AttemptError::Unanswered(Cause::Broken))?;
             let request = format!(
                 "GET {location} HTTP/1.1\r\nHost: {}\r\nPrefer: wait={}\r\nConnection: close\r\n\r\n",
                 host.address,
                 wait.as_secs().max(1)
             );
-            let exchange = socket.write_all(request.as_bytes()).and_then(|()| receive(&mut socket));
+            let exchange = socket.write(request.as_bytes()).and_then(|()| receive(&socket, expires));
             answered = exchange.map_err(|error| AttemptError::Unanswered(cause(&error)))?;
             // A worker that does not hold the call is not called in a tight loop.
             if place(&answered, style).is_some() {
@@ -191,15 +193,11 @@
         judge(answered)
     }
 
-    fn connect(&self, host: &Host, within: Duration, expires: Ms) -> Result<TcpStream, AttemptError> {
-        let unconnected = |_| AttemptError::Unconnected;
-        let stream = TcpStream::connect_timeout(&host.address, within).map_err(unconnected)?;
-        stream.set_nodelay(true).map_err(unconnected)?;
-        stream.set_write_timeout(Some(WRITE_STALL)).map_err(unconnected)?;
-        let silence = until(expires).max(Duration::from_millis(1));
-        stream.set_read_timeout(Some(silence)).map_err(unconnected)?;
-        *lock(&self.socket) = Some(stream.inner().try_clone().map_err(unconnected)?);
-        Ok(stream)
+    fn connect(&self, host: &Host, within: Duration) -> Result<Arc<Socket>, AttemptError> {
+        let socket = Socket::connect(&host.address, within, WRITE_STALL);
+        let socket = socket.map(Arc::new).map_err(|_| AttemptError::Unconnected)?;
+        *lock(&self.socket) = Some(socket.clone());
+        Ok(socket)
     }
 }
 
@@ -212,7 +210,7 @@
             given_up
         };
         if let Some(socket) = lock(&self.attempt.socket).take() {
-            let _ = socket.shutdown(Shutdown::Both);
+            socket.shut(Shutdown::Both);
         }
         let location = lock(&self.attempt.location).take();
         if let Some(location) = location {
@@ -223,10 +221,9 @@
                     "DELETE {location} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
                     host.address
                 );
-                let told = TcpStream::connect_timeout(&host.address, connect).and_then(|mut socket| {
-                    socket.set_read_timeout(Some(WRITE_STALL))?;
-                    socket.write_all(request.as_bytes())?;
-                    receive(&mut socket)
+                let told = Socket::connect(&host.address, connect, WRITE_STALL).and_then(|socket| {
+                    socket.write(request.as_bytes())?;
+                    receive(&socket, now_ms() + WRITE_STALL.as_millis() as Ms)
                 });
                 if let Err(error) = told {
                     eprintln!("worker {}: not called off: {error}", host.name);
@@ -265,10 +262,12 @@
     bytes
 }
 
-fn receive(socket: &mut TcpStream) -> io::Result<Answered> {
-    let (mut raw, mut chunk) = (Vec::new(), vec![0; CHUNK]);
+/// Reads a response whole, waiting for its begin until then.
+fn receive(socket: &Socket, expires: Ms) -> io::Result<Answered> {
+    let (mut raw, mut chunk, mut begun) = (Vec::new(), vec![0; CHUNK], false);
     let mut fill = |raw: &mut Vec<u8>| {
-        let size = socket.read(&mut chunk)?;
+        let size = socket.read(&mut chunk, if begun { PARTIAL } else { until(expires) })?;
+        begun = true;
         raw.extend(&chunk[..size]);
         Ok::<_, io::Error>(size)
     };
@@ -282,10 +281,7 @@
     let mut body = Vec::new();
     while !head.body.feed(&mut raw, &mut body, MAX_ANSWER).map_err(io::Error::other)? {
         if fill(&mut raw)? == 0 {
-            // Only a body of no told length may end so.
-            if head.body == Body::ToEnd {
-                break;
-            }
+            // A body of no told length can't be told from one that was cut off.
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
--- a/node/src/wire/thrift.rs
+++ b/node/src/wire/thrift.rs
@@ -2,8 +2,8 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// Largest frame that is read; a larger one ends its connection.
-pub const MAX_FRAME: usize = 1 << 20;
+/// Largest frame that is read, which is buffered whole; a larger one ends its connection.
+pub const MAX_FRAME: usize = 64 << 10;
 /// Largest body of a request.
 pub const MAX_BODY: usize = 16 << 10;
 const MAX_FIELDS: usize = 64;
--- a/node/src/wire/workers.rs
+++ b/node/src/wire/workers.rs
@@ -21,6 +21,8 @@
 /// A worker with nothing to say may be silent for as long as it likes: its idle connections are closed by
 /// the writing side.
 const QUIET: Duration = Duration::from_secs(60);
+/// A frame that has begun comes whole within this, or the connection is of no further use to anybody on it.
+pub const PARTIAL: Duration = Duration::from_millis(300);
 const CHUNK: usize = 4096;
 
 type Waiter = Box<dyn FnOnce(Result<Frame, AttemptError>) + Send>;
@@ -191,9 +193,12 @@
     }
 }
 
-fn verdict(frame: Frame) -> Result<Frame, AttemptError> {
+/// What an answer says to a command that `good` answers where all went well. Whatever does not belong to
+/// such a command tells nothing of it.
+fn verdict(frame: Frame, good: u8) -> Result<Frame, AttemptError> {
     match frame.code {
-        code::OK | code::ALIVE => Ok(frame),
+        code if code == good => Ok(frame),
+        code::OK | code::ALIVE => Err(AttemptError::Unanswered(Cause::Broken)),
         code::MISS => Err(AttemptError::Answered(Verdict::Miss)),
         code::FULL => Err(AttemptError::Answered(Verdict::Full)),
         code::OVER => Err(AttemptError::Answered(Verdict::Over)),
@@ -266,8 +271,8 @@
                 }
                 Ok(Some(frame)) => return eprintln!("worker connection closed: code {}", frame.code),
                 Err(error) => return eprintln!("worker connection closed: {error}"),
-                Ok(None) => match socket.read(&mut chunk, QUIET) {
-                    Err(error) if error.kind() == ErrorKind::TimedOut => {}
+                Ok(None) => match socket.read(&mut chunk, if buffer.is_empty() { QUIET } else { PARTIAL }) {
+                    Err(error) if error.kind() == ErrorKind::TimedOut && buffer.is_empty() => {}
                     Ok(0) | Err(_) => return,
                     Ok(size) => buffer.extend(&chunk[..size]),
                 },
@@ -314,7 +319,9 @@
             fields.push_str(key);
         }
         let frame = Frame::command(code::REQUEST, call.request.id.0, fields, call.body.clone());
-        let waiter: Waiter = Box::new(move |answer| end(answer.and_then(verdict).map(|frame| frame.body)));
+        let waiter: Waiter = Box::new(move |answer| {
+            end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
+        });
         let connection = self.open(host, frame, true, Some(waiter));
         Box::new(FrameExchange { connection, id: call.request.id.0 })
     }
@@ -332,7 +339,7 @@
             // An order that fails tells as well how many copies stand.
             Ok(frame) => {
                 let standing = frame.field("replicas").and_then(|count| count.parse().ok());
-                let end = verdict(frame).map(|_| ());
+                let end = verdict(frame, code::OK).map(|_| ());
                 (end, standing.unwrap_or(if end.is_ok() { copies } else { 0 }))
             }
             Err(error) => (Err(error), 0),
@@ -346,6 +353,6 @@
 
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
         let frame = Frame::command(code::PROBE, self.order_id(), String::new(), Vec::new());
-        self.ask(host, frame, false, within).and_then(verdict).map(|_| ())
+        self.ask(host, frame, false, within).and_then(|frame| verdict(frame, code::ALIVE)).map(|_| ())
     }
 }
--- a/node/tests/link_model.rs
+++ b/node/tests/link_model.rs
@@ -31,7 +31,7 @@
 
 proptest! {
     /// Guards what hangs on a connection's states: each exchange ends exactly once, no answer reaches a
-    /// later attempt under the id of one given up, and what was never begun is told as never sent.
+    /// later attempt under the id of one that ended, and what was never begun is told as never sent.
     #[test]
     fn random_steps_agree_with_the_model(steps in proptest::collection::vec(step(), 0..60)) {
         let mut link = Link::new(STREAMS);
@@ -60,6 +60,7 @@
                 Step::Answered(id) => {
                     let begun = open.get(&id).is_some_and(|entry| entry.0 != Stage::Queued);
                     let expected = if begun { open.remove(&id) } else { None };
+                    spent.extend(expected.map(|_| id));
                     ended += usize::from(begun);
                     prop_assert_eq!(link.answered(id), expected.map(|entry| entry.1));
                 }
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -79,6 +79,10 @@
 
     /// The same with no more than so many descriptors.
     fn within(script: &[Act], hosts: usize, sockets: u32) -> Self {
+        Self::limited(script, hosts, sockets, 192)
+    }
+
+    fn limited(script: &[Act], hosts: usize, sockets: u32, memory_mb: u32) -> Self {
         let fleet = Fleet::new(script);
         let hosts: Vec<SocketAddr> = (0..hosts).map(|number| fleet.frames(&format!("h{number}"))).collect();
         let channel = Channel::new();
@@ -86,7 +90,7 @@
         let known: Vec<_> = names.iter().zip(&hosts).map(|(name, at)| (name.as_str(), *at, "up")).collect();
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "channel": channel.address.to_string(),
             "known": {"cursor": 1, "cmds": [nodes(1, true, &known)]},
             "settings": {
@@ -266,6 +270,23 @@
     assert_eq!(client.receive(), Some((2, Reply::Crashed)));
     client.send(&dispatch(3, &changed("ref", "xyz"), b""));
     assert_eq!(client.receive(), Some((3, Reply::Crashed)));
+    let mut number = 100;
+    for (name, value) in [
+        ("allow", "nan"),
+        ("allow", "-1"),
+        ("allow", "1e300"),
+        ("effort", "much"),
+        ("effort", "-3"),
+        ("info", "memory_mb:-1"),
+        ("info", "memory_mb:inf"),
+        ("info", "lanes:0"),
+        ("lookup", "7f3a9c21e0b4d65"),
+        ("lookup", "+f3a9c21e0b4d655"),
+    ] {
+        number += 1;
+        client.send(&dispatch(number, &changed(name, value), b""));
+        assert_eq!(client.receive(), Some((number, Reply::Crashed)), "{name} {value}");
+    }
     client.send(&dispatch(4, &good, &[7; (16 << 10) + 1]));
     assert_eq!(client.receive(), Some((4, Reply::Crashed)));
     client.send(&message(1, "dispatch", 5, &[13, 0, 1, 11, 11, 0, 0, 0, 9]));
@@ -402,25 +423,25 @@
     assert!(bench.fleet.sent().iter().all(|sent| sent.worker == "h1"), "{:?}", bench.fleet.sent());
 }
 
-/// Guards the limit on memory: an open request costs some 26 KiB and its body, so what comes on top of
-/// 2,500 is refused at once instead of taking the process down.
+/// Guards the limit on memory, which may be 32 MB: an open request costs some 26 KiB and its body, so what
+/// comes on top of 394 is refused at once instead of taking the process down.
 #[test]
 fn more_requests_than_memory_allows_are_refused() {
-    let bench = Bench::new(&[Act::Silence], 1);
-    let mut clients: Vec<Client> = (0..79).map(|_| bench.client()).collect();
+    let bench = Bench::limited(&[Act::Silence], 1, 256, 32);
+    let mut clients: Vec<Client> = (0..13).map(|_| bench.client()).collect();
     for (at, client) in clients.iter_mut().enumerate() {
         for number in 0..32 {
             let id = format!("{:016x}", at * 100 + number + 1);
-            client.send(&dispatch(number as i32 + 1, &fields("check", &id, "20000"), b"x"));
+            client.send(&dispatch(number as i32 + 1, &fields("check", &id, "8000"), b"x"));
         }
     }
-    // 2,528 were sent; whichever came last were refused.
+    // 416 were sent; whichever came last were refused.
     let (told, replies) = channel();
     for mut client in clients {
         let told = told.clone();
         std::thread::spawn(move || while client.receive().is_some_and(|reply| told.send(reply.1).is_ok()) {});
     }
-    for _ in 0..28 {
+    for _ in 0..22 {
         let reply = replies.recv_timeout(support::PATIENCE).expect("refused at once");
         assert!(matches!(&reply, Reply::Rejected(fields) if fields.contains_key("cooldown")), "{reply:?}");
     }
@@ -521,3 +542,25 @@
     assert!(start.elapsed() < Duration::from_millis(3700), "{:?}", start.elapsed());
     assert_eq!(bench.daemon.exit_code(), Some(0));
 }
+
+/// Guards against an answer that comes twice: its second copy must not settle the next attempt, which goes
+/// out under the same id.
+#[test]
+fn a_second_copy_settles_no_later_attempt() {
+    let bench = Bench::new(&[Act::MissTwice, Act::Late], 1);
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d41", "4000"), b"x"));
+    assert_eq!(client.receive(), Some((1, Reply::Answer(b"done: x".to_vec()))));
+    assert_eq!(bench.fleet.sent().len(), 2);
+}
+
+/// Guards memory and the connection's end against messages that say they are huge.
+#[test]
+fn a_message_without_end_is_not_waited_for() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    for size in [i32::MAX, -1, 70_000] {
+        let mut client = bench.client();
+        let _ = client.socket.write_all(&size.to_be_bytes());
+        assert_eq!(client.receive(), None, "{size}");
+    }
+}
--- a/node/tests/styles.rs
+++ b/node/tests/styles.rs
@@ -159,6 +159,21 @@
     assert_eq!((end.status, end.may_have_run.as_deref(), sent.len()), (502, Some("true"), 1));
 }
 
+/// Guards what is made of a spoilt answer: nothing of it is passed on, it never stands for proof that the
+/// call did not run, and neither a length nor a half holds the call until its deadline.
+#[test]
+fn a_spoilt_answer_is_no_answer_and_the_call_may_have_run() {
+    for act in [Act::Garbled, Act::Cut, Act::Huge] {
+        let (end, sent) = in_all_styles(&[act, Act::Serve], [0, 1], one_call("check"));
+        assert_eq!((end.status, end.body.as_str(), sent.len()), (200, "done: input", 2), "{act:?}");
+        let (end, sent) = in_all_styles(&[act, Act::Serve], [0, 1], one_call("post"));
+        assert!(sent.iter().all(|worker| *worker == sent[0]), "a repeat left its rack: {sent:?}");
+        assert_eq!((end.status, sent.len()), (200, 2), "{act:?}");
+        let (end, sent) = in_all_styles(&[act, Act::Serve], [0, 1], one_call("once"));
+        assert_eq!((end.status, end.may_have_run.as_deref(), sent.len()), (502, Some("true"), 1), "{act:?}");
+    }
+}
+
 #[test]
 fn an_error_may_have_run() {
     let (end, sent) = in_all_styles(&[Act::Error, Act::Serve], [0, 1], one_call("once"));
--- a/node/tests/support/workers.rs
+++ b/node/tests/support/workers.rs
@@ -20,8 +20,21 @@
     Silence,
     /// Served once the test lets it.
     Hold,
+    /// It has run, and its answer comes damaged.
+    Garbled,
+    /// It has run, and its answer stops short on a connection that stays open.
+    Cut,
+    /// It has run, and its answer is said to have 3 GB and keeps coming.
+    Huge,
+    /// Lacks the model, and says so once more a little later.
+    MissTwice,
+    /// Served, a little later.
+    Late,
 }
 
+/// What comes a little later comes so much later.
+const LATER: Duration = Duration::from_millis(150);
+
 /// A call that came to a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sent {
@@ -161,6 +174,17 @@
             Act::Reset => drop(socket),
             // Until the caller leaves.
             Act::Silence => _ = reader.fill_buf().map(<[u8]>::len),
+            Act::Garbled => _ = (&socket).write_all(b"HTTP/1.1 2\x00\x01 OK\r\nContent-Length: 0\r\n\r\n"),
+            Act::Cut | Act::Huge => {
+                let _ = (&socket).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n");
+                while job.act == Act::Huge && (&socket).write_all(&[7; 4096]).is_ok() {}
+                _ = reader.fill_buf().map(<[u8]>::len);
+            }
+            Act::MissTwice => respond(&socket, 404, not_run, b""),
+            Act::Late => {
+                std::thread::sleep(LATER);
+                respond(&socket, 200, "", &self.run(job.key.as_ref(), &job.body));
+            }
             Act::Hold => {
                 self.hold();
                 respond(&socket, 200, "", &self.run(job.key.as_ref(), &job.body));
@@ -168,6 +192,19 @@
         }
     }
 
+    /// Answers with what is no good frame.
+    fn spoil(&self, act: Act, socket: &mut TcpStream, id: u64) {
+        let (mark, body, fields) = (FROM_WORKER, b"answer".to_vec(), String::new());
+        let mut bytes = Frame { mark, code: code::OK, id, fields, body }.encode();
+        match act {
+            Act::Garbled => *bytes.last_mut().expect("a check") ^= 1,
+            Act::Cut => bytes.truncate(18),
+            _ => bytes[4..8].copy_from_slice(&3_000_000_000u32.to_be_bytes()),
+        }
+        let _ = socket.write_all(&bytes);
+        while act == Act::Huge && socket.write_all(&[7; 4096]).is_ok() {}
+    }
+
     fn frame_by_frame(&self, worker: &str, mut socket: TcpStream) {
         let (mut buffer, mut chunk) = (Vec::new(), [0; 4096]);
         loop {
@@ -191,13 +228,31 @@
                 code::LOAD => answer(code::OK, Vec::new()),
                 code::REQUEST => {
                     let key = frame.field("token").map(str::to_string);
-                    match self.take(worker, key.clone(), &frame.body) {
+                    let act = self.take(worker, key.clone(), &frame.body);
+                    match act {
                         Act::Serve => answer(code::OK, self.run(key.as_ref(), &frame.body)),
                         Act::Refuse => answer(code::FULL, Vec::new()),
                         Act::Miss => answer(code::MISS, Vec::new()),
                         Act::Error => answer(code::ERROR, Vec::new()),
                         Act::Reset => return,
                         Act::Silence => {}
+                        Act::Garbled | Act::Cut | Act::Huge => {
+                            self.spoil(act, &mut socket, frame.id);
+                            if act == Act::Garbled {
+                                continue;
+                            }
+                            let _ = socket.read(&mut chunk);
+                            return;
+                        }
+                        Act::MissTwice => {
+                            answer(code::MISS, Vec::new());
+                            std::thread::sleep(LATER / 2);
+                            answer(code::MISS, Vec::new());
+                        }
+                        Act::Late => {
+                            std::thread::sleep(LATER);
+                            answer(code::OK, self.run(key.as_ref(), &frame.body));
+                        }
                         Act::Hold => {
                             self.hold();
                             answer(code::OK, self.run(key.as_ref(), &frame.body));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -936,6 +936,8 @@
             });
         }
         let used = |model: &Model| !model.holders.is_empty() || !model.waiting.is_empty();
-        self.models.retain(|_, model| used(model) || now - model.last < FORGET_KEEPS * keep);
+        // A name that never stood anywhere is hardly a model: clients can make up any number of them.
+        let kept = |model: &Model| if model.proven { FORGET_KEEPS * keep } else { keep };
+        self.models.retain(|_, model| used(model) || now - model.last < kept(model));
     }
 }
