Let lost questions cut no loads, and a lost call hold no place at a worker that answers others

Checked with a trace of beliefs (temporary): the bound on loads rose to 21, then fell to 1.0 between 11 and 12 s, when the first of 205 Timeouts came in, all of mere questions (4 s after they were asked; no order of ours timed out); later the bounds of three workers of six stood at 1 with one call out for seconds. Ruled out: shed (under 0.1), cold workers (0), CPU (0.26 of a core at most), descriptors (52 of 1,024).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -373,7 +373,7 @@
     }
 
     fn late(&self, pending: &Pending) -> bool {
-        self.now - pending.since > self.set.classes[pending.request.class].aim / 4.0
+        self.now - pending.since > self.set.classes[pending.request.class].aim
     }
 
     /// A refusal tells when to come back: what is short is short for longer than a client's pause, and
@@ -390,7 +390,7 @@
             if self.set.cancel && !std::mem::replace(&mut flight.called_off, true) {
                 act.push(Action::Cancel { id, attempt });
             }
-            if !late {
+            if !late || flight.lost {
                 continue;
             }
             self.shed = (self.shed + SHED * (1.0 - LATE)).min(self.usual.len() as f64);
@@ -452,7 +452,7 @@
         if flight.life != worker.life {
             return;
         }
-        worker.out = worker.out.saturating_sub(1);
+        worker.out = worker.out.saturating_sub(u32::from(!flight.lost));
         // After a stall of our own the time taken is ours, not the worker's.
         let own = flight.sent < self.awake && now - self.awake < aim / TICKS_PER_AIM;
         if let Some(crowd) = end.crowd.map(f64::from).filter(|_| !own) {
@@ -550,9 +550,10 @@
                 }
             }
             _ => {
-                // No room, or a jammed store: fewer loads at a time, and each model waits its turn.
+                // No room, or a jammed store: fewer loads at a time, and each model waits its turn. A lost
+                // question tells of neither.
                 let jam = outcome == Outcome::Error && (model.proven || model.strange < UNKNOWN);
-                if jam || matches!(outcome, Outcome::Full | Outcome::Timeout) {
+                if ours && (jam || matches!(outcome, Outcome::Full | Outcome::Timeout)) {
                     self.loads_cap = (self.loads_cap * NARROWER).max(1.0);
                 }
                 if outcome == Outcome::Full {
@@ -747,8 +748,17 @@
         holder.out += 1;
         worker.lines.insert(model);
         let (warm, life) = (holder.stands(now, keep), worker.life);
-        let flight =
-            Flight { worker: at, life, model, class, sent: now, warm, overdue: false, called_off: false };
+        let flight = Flight {
+            worker: at,
+            life,
+            model,
+            class,
+            sent: now,
+            warm,
+            overdue: false,
+            called_off: false,
+            lost: false,
+        };
         self.plan(now + self.patience(&flight), Due::Answer(id, attempt));
         self.flights.insert((id, attempt), flight);
         act.push(Action::Send { id, worker: at, within: 0.0 });
@@ -905,6 +915,9 @@
         }
         let Some(worker) = self.workers.get_mut(&at).filter(|w| w.life == flight.life) else { return };
         if !flight.overdue && worker.health[class].heard > since {
+            // Others are answered there: this one is lost, and takes no place that is of use to others.
+            worker.out = worker.out.saturating_sub(1);
+            self.flights.entry((id, attempt)).and_modify(|flight| flight.lost = true);
             self.plan(self.now + patience, Due::Answer(id, attempt));
         } else {
             worker.health[class].note(self.now, self.set.keep, true);
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,8 @@
     /// Its copy was believed to stand.
     pub warm: bool,
     pub overdue: bool,
+    /// Others were answered there since, and it was not.
+    pub lost: bool,
     pub called_off: bool,
 }
 
