Let a full worker lead to refusals only where most workers are full

Checked with a trace of beliefs (temporary): 274 Full answers (57 models, none above 20) from three of six workers raised `shed` to 2.0 of 2 and held it there for 8 s, while the other three held 0 to 5 of bounds of 11 to 17. Ruled out: the store (8 orders full of 2,394), cold workers (0), retries (budget at 10), CPU (0.09 of a core). At fault: brain.rs `learn()` counted each Full as a late answer in `shed`, though the call goes on elsewhere. Now it counts where more than half of the ready workers are full.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -503,7 +503,9 @@
             Outcome::Full => {
                 worker.full_until = now + *usual;
                 worker.narrow(now, *usual);
-                shed = SHED * (1.0 - LATE);
+                // Others may have room: only where most are full is there too much to do.
+                let full = self.workers.values().filter(|worker| worker.ready && worker.full_until > now);
+                shed = if 2 * full.count() > self.ready { SHED * (1.0 - LATE) } else { 0.0 };
             }
             _ if warmth == Warmth::LoadFailed => holder.copies = 0,
             _ => {}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -336,6 +336,38 @@
     assert_eq!(orders.len(), 2, "{orders:?}");
 }
 
+#[test]
+fn one_full_worker_among_others_with_room_leads_to_no_refusals() {
+    // Seen on wide: three of six workers were full, the others all but idle, and up to half of all calls
+    // were refused.
+    let mut front = Front::new(settings(), (0..3).map(|number| entry(number, 0)).collect());
+    let mut full = 0;
+    for id in 1..400 {
+        let mut act = front.ask(call(id, 0, 5 + id % 7, front.now + 60000.0));
+        let mut attempt = 0;
+        for _ in 0..6 {
+            assert_eq!(ended(&act), [], "after {full} full answers");
+            for action in std::mem::take(&mut act) {
+                match action {
+                    Action::Send { worker, .. } => {
+                        let turned_away = attempt == 0 && id % 3 == 0;
+                        let outcome = if turned_away { Outcome::Full } else { Outcome::Ok };
+                        full += u32::from(turned_away);
+                        act.extend(front.end(id, attempt, worker.0, outcome));
+                        attempt += 1;
+                    }
+                    Action::Load { worker, copies, .. } => {
+                        act.extend(front.loaded(worker.0, 5 + id % 7, Outcome::Ok, copies, 1.0));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        front.wait(200.0);
+    }
+    assert!(full > 30, "{full}");
+}
+
 #[test]
 fn a_connection_that_breaks_alone_makes_no_worker_cold() {
     // Seen on days of spoilt answers: each broken connection made its worker count as just started, with
