Pass over worker connections that fell silent

Checked with a trace of beliefs (temporary): of 820 questions and orders of one invoker 294 were never answered, the others within 2 ms; bounds of three or four workers stood at 1 with one call out. At fault: wire/workers.rs `open()` took the first connection with room. After an answer that never comes a connection stays open and is of no further use, so whatever was put there afterwards vanished as well. Now a connection on which something is waited for and nothing was heard for 0.25 s is passed over for a fresh one, as far as descriptors go; once the worker is heard there again, it is used again.

--- a/node/src/memory/link.rs
+++ b/node/src/memory/link.rs
@@ -106,6 +106,11 @@
         self.open.drain().map(|entry| entry.1).collect()
     }
 
+    /// Whether nothing is open on it.
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// Whether the connection has ended.
     pub fn is_closed(&self) -> bool {
         self.closed
--- a/node/src/wire/workers.rs
+++ b/node/src/wire/workers.rs
@@ -1,7 +1,7 @@
 //! Worker connections that carry binary frames: many exchanges on one connection, in any order.
 use super::frames::{code, Frame, FROM_WORKER};
 use super::socket::Socket;
-use crate::core::{lock, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
+use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
 use crate::life::spawn;
 use crate::memory::link::{Link, Stage};
 use crate::memory::roster::Host;
@@ -27,6 +27,10 @@
 
 type Waiter = Box<dyn FnOnce(Result<Frame, AttemptError>) + Send>;
 
+/// A connection on which something waits and nothing was heard for so long is passed over while another can be
+/// had: an answer that never comes leaves all that follows it on its connection without one.
+const SUSPECT_MS: Ms = 250.0;
+
 /// Figures for connections to workers.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -57,6 +61,8 @@
 struct Connection {
     link: Mutex<Link<Waiter>>,
     outbox: Sender<Out>,
+    /// When something was first waited for since the worker was last heard here; 0 while nothing is.
+    quiet_since: AtomicU64,
 }
 
 /// The connections to one worker.
@@ -117,13 +123,14 @@
             }
             fits
         };
-        let found = pool.iter().find(|connection| enlist(connection)).cloned();
-        let connection = found.or_else(|| {
+        let sound = pool.iter().find(|connection| !connection.is_suspect() && enlist(connection)).cloned();
+        let fresh = sound.or_else(|| {
             let fresh = self.dial(host)?;
             enlist(&fresh);
             pool.push(fresh.clone());
             Some(fresh)
         });
+        let connection = fresh.or_else(|| pool.iter().find(|connection| enlist(connection)).cloned());
         drop(pools);
         match &connection {
             Some(connection) => _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, work })),
@@ -139,7 +146,11 @@
             return None;
         }
         let (outbox, queue) = channel();
-        let connection = Arc::new(Connection { link: Mutex::new(Link::new(self.limits.streams)), outbox });
+        let connection = Arc::new(Connection {
+            link: Mutex::new(Link::new(self.limits.streams)),
+            outbox,
+            quiet_since: AtomicU64::new(0),
+        });
         let (host, limits, ours) = (host.clone(), self.limits, connection.clone());
         spawn(move || {
             ours.run(&host, &limits, &queue);
@@ -210,6 +221,12 @@
 }
 
 impl Connection {
+    /// Whether the worker owes something here and has been silent for too long.
+    fn is_suspect(&self) -> bool {
+        let since = self.quiet_since.load(Ordering::Relaxed);
+        since > 0 && now_ms() - since as Ms > SUSPECT_MS
+    }
+
     /// The life of a connection: made, written to, ended. What was open on it ends with it.
     fn run(self: &Arc<Self>, host: &Host, limits: &Limits, queue: &Receiver<Out>) {
         let mut guard = EndGuard(self.clone(), AttemptError::Unconnected);
@@ -249,6 +266,11 @@
             if out.tracked && !lock(&self.link).begin(id) {
                 continue;
             }
+            if out.tracked {
+                // Before the first byte, so that no answer can come sooner.
+                let relaxed = Ordering::Relaxed;
+                let _ = self.quiet_since.compare_exchange(0, now_ms() as u64, relaxed, relaxed);
+            }
             if socket.write(&out.frame.encode()).is_err() {
                 let torn = if out.tracked { lock(&self.link).give_up(id) } else { None };
                 if let Some((_, waiter)) = torn {
@@ -267,7 +289,11 @@
         loop {
             match Frame::decode(&mut buffer, FROM_WORKER) {
                 Ok(Some(frame)) if expected(frame.code) => {
-                    let waiter = lock(&self.link).answered(frame.id);
+                    let (waiter, idle) = {
+                        let mut link = lock(&self.link);
+                        (link.answered(frame.id), link.is_idle())
+                    };
+                    self.quiet_since.store(if idle { 0 } else { now_ms() as u64 }, Ordering::Relaxed);
                     if let Some(waiter) = waiter {
                         waiter(Ok(frame));
                     }
--- a/node/tests/frames.rs
+++ b/node/tests/frames.rs
@@ -205,3 +205,24 @@
         bench.workers.evict(&bench.host, ModelId(5));
     });
 }
+
+/// Guards what follows an answer that never comes: the connection stays open and brings nothing more, so
+/// the next call goes out on another. Seen as an incident: a third of all orders vanished on such ones.
+#[test]
+fn a_connection_that_fell_silent_is_passed_over() {
+    let bench = Bench::new();
+    let (_first, _) = bench.send(1);
+    let mut silent = bench.peer();
+    silent.next();
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    let (_second, end) = bench.send(2);
+    let mut fresh = bench.peer();
+    assert_eq!(fresh.next().id, 2);
+    fresh.answer(code::OK, 2, "", b"y");
+    assert_eq!(end.recv_timeout(PATIENCE).expect("told"), Ok(b"y".to_vec()));
+    // Once the worker is heard there again, the connection is as good as any.
+    silent.answer(code::OK, 1, "", b"x");
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    let (_third, _) = bench.send(3);
+    assert_eq!(silent.next().id, 3);
+}
