Account memory by purpose: tree of accounts, budget, answers at a cap, tenants' parts

Need: all that caps memory is one count of open requests and one bound on records; a flood of function names takes the daemon from 33 to 84 MB with no way to tell what holds it.

Change: package crates/ledger, free of I/O: reservations that go back when dropped, accounts in a tree, shares of the memory less a base and a reserve, one table of purposes with what a full one leads to, parts of tenants that a flood by another can't take, warnings from 80 percent on, waiting for room. Nothing uses it yet.

--- /dev/null
+++ b/crates/ledger/src/tenancy.rs
@@ -0,0 +1,109 @@
+//! Parts of one account that belong to tenants, so that a flood by one pushes out no other's.
+//!
+//! Memory that is held can't be called back, so what is promised to a tenant is kept free for it: most of
+//! the account is split by share, and the rest is common to whoever comes first. A tenant draws on its own
+//! part, then on the common one. Lending out idle parts was weighed: it uses memory better in quiet times,
+//! but a tenant whose part is lent out would have to wait until the borrower's calls end.
+use crate::account::{Account, Full, Reservation};
+
+/// The part of an account that is split between tenants.
+const SPLIT: f64 = 0.75;
+
+/// A tenant and its share in relation to the others'.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantShare {
+    /// Its name.
+    pub name: String,
+    /// Its share; those without one have only what is common.
+    pub weight: f64,
+}
+
+/// The parts of one account.
+#[derive(Debug)]
+pub struct Tenancy {
+    own: Vec<Account>,
+    common: Account,
+    parts: Vec<f64>,
+}
+
+impl Tenancy {
+    /// Splits an account between tenants, in the order of their numbers.
+    pub fn new(of: &Account, tenants: &[TenantShare]) -> Self {
+        let weight =
+            |tenant: &TenantShare| if tenant.weight.is_finite() { tenant.weight.max(0.0) } else { 0.0 };
+        let sum: f64 = tenants.iter().map(weight).sum();
+        let part = |tenant: &TenantShare| if sum > 0.0 { SPLIT * weight(tenant) / sum } else { 0.0 };
+        let tenancy = Tenancy {
+            own: tenants.iter().map(|tenant| of.child(&tenant.name, 0)).collect(),
+            common: of.child("common", 0),
+            parts: tenants.iter().map(part).collect(),
+        };
+        tenancy.set_cap(of.cap());
+        tenancy
+    }
+
+    /// Splits a new cap of the whole in the same way.
+    pub fn set_cap(&self, cap: usize) {
+        let mut left = cap;
+        for (own, part) in self.own.iter().zip(&self.parts) {
+            let bytes = (cap as f64 * part) as usize;
+            left -= bytes.min(left);
+            own.set_cap(bytes);
+        }
+        self.common.set_cap(left);
+    }
+
+    /// Takes bytes for a tenant, or for nobody known.
+    pub fn reserve(&self, tenant: Option<usize>, bytes: usize) -> Result<Reservation, Full> {
+        let Some(own) = tenant.and_then(|tenant| self.own.get(tenant)) else {
+            return self.common.reserve(bytes);
+        };
+        let own = own.try_reserve(bytes);
+        own.or_else(|full| self.common.try_reserve(bytes).map_err(|_| full)).inspect_err(Full::count)
+    }
+
+    /// The accounts of the tenants, and the common one last.
+    pub fn accounts(&self) -> impl Iterator<Item = &Account> {
+        self.own.iter().chain([&self.common])
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn tenancy(whole: &Account) -> Tenancy {
+        let share = |name: &str, weight| TenantShare { name: name.into(), weight };
+        Tenancy::new(
+            whole,
+            &[share("desk", 55.0), share("amana", 34.0), share("coop", 11.0), share("new", 0.0)],
+        )
+    }
+
+    #[test]
+    fn a_flood_by_one_tenant_leaves_the_others_their_parts() {
+        let whole = Account::root("calls", 100_000);
+        let tenancy = tenancy(&whole);
+        let flood = |tenant| std::iter::from_fn(|| tenancy.reserve(tenant, 100).ok()).collect::<Vec<_>>();
+        let coop = flood(Some(2));
+        assert_eq!(coop.len(), 82 + 250, "its own part, then all that is common");
+        let refused = |at: usize| tenancy.accounts().nth(at).expect("an account").refused();
+        assert_eq!((refused(2), refused(4)), (1, 0), "one refusal, in its own name");
+        assert!(tenancy.reserve(Some(3), 100).is_err() && tenancy.reserve(None, 100).is_err());
+        assert_eq!((flood(Some(0)).len(), flood(Some(1)).len()), (412, 255));
+        assert_eq!(whole.refused(), 0);
+        drop(coop);
+        assert_eq!(whole.used(), 0);
+    }
+
+    #[test]
+    fn a_new_cap_is_split_alike_and_without_shares_all_is_common() {
+        let whole = Account::root("calls", 1000);
+        let parts = tenancy(&whole);
+        parts.set_cap(2000);
+        assert_eq!(parts.accounts().map(Account::cap).collect::<Vec<_>>(), [825, 510, 165, 0, 500]);
+        assert_eq!(parts.accounts().map(Account::cap).sum::<usize>(), 2000);
+        let none = Tenancy::new(&whole, &[]);
+        assert_eq!(none.accounts().map(Account::cap).collect::<Vec<_>>(), [1000]);
+    }
+}
