--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -99,10 +99,14 @@
     /// Takes bytes that are owed already, over the cap if need be: what was kept before a restart, say.
     /// Nothing new fits until the account is below its cap again.
     pub fn owe(&self, bytes: usize) -> Reservation {
-        self.line().for_each(|account| account.count(account.0.used.fetch_add(bytes, Relaxed) + bytes));
+        self.add_owed(bytes);
         Reservation { account: self.clone(), bytes }
     }
 
+    fn add_owed(&self, bytes: usize) {
+        self.line().for_each(|account| account.count(account.0.used.fetch_add(bytes, Relaxed) + bytes));
+    }
+
     fn count(&self, used: usize) {
         // Marks are rarely passed, and a look costs far less than a write.
         for mark in [&self.0.peak, &self.0.high] {
@@ -300,6 +304,15 @@
         Ok(())
     }
 
+    /// Holds so many bytes, whatever fits: they are owed already; see [`Account::owe`].
+    pub fn owe(&mut self, bytes: usize) {
+        match bytes.checked_sub(self.bytes) {
+            Some(more) => self.account.add_owed(more),
+            None => self.account.give_back(self.bytes - bytes),
+        }
+        self.bytes = bytes;
+    }
+
     /// Gives back what is above so many bytes.
     pub fn shrink_to(&mut self, bytes: usize) {
         if bytes < self.bytes {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Takes bytes that are owed already, over the cap if need be; see [`Account::owe`].
+    pub fn owe(&self, purpose: Purpose, bytes: usize) -> Reservation {
+        match &self.tenancies[purpose as usize] {
+            Some(tenancy) => tenancy.owe(bytes),
+            None => self.account(purpose).owe(bytes),
+        }
+    }
+
     /// Takes other caps. What is held above a lower one stays, and nothing new fits until it has gone.
     pub fn adopt(&self, budget: &Budget) {
         self.root.set_cap(budget.room());
--- a/crates/ledger/src/tenancy.rs
+++ b/crates/ledger/src/tenancy.rs
@@ -62,6 +62,11 @@
         own.or_else(|full| self.common.try_reserve(bytes).map_err(|_| full)).inspect_err(Full::count)
     }
 
+    /// Takes bytes that are owed already from the common part.
+    pub fn owe(&self, bytes: usize) -> Reservation {
+        self.common.owe(bytes)
+    }
+
     /// The accounts of the tenants, and the common one last.
     pub fn accounts(&self) -> impl Iterator<Item = &Account> {
         self.own.iter().chain([&self.common])
--- a/crates/node/src/core/call.rs
+++ b/crates/node/src/core/call.rs
@@ -17,6 +17,15 @@
     pub body: Vec<u8>,
 }
 
+impl Call {
+    /// What its texts and body take, in bytes. The body stands once here and once in what is written to a
+    /// worker.
+    pub fn size(&self) -> usize {
+        let key = self.key.as_ref().map_or(0, String::capacity);
+        self.class_name.capacity() + self.function.capacity() + key + 2 * self.body.capacity()
+    }
+}
+
 /// What is known of a call that was not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -1,12 +1,15 @@
 //! The one dispatcher and the life of each request round it.
 use super::{now_ms, until, Answer, AttemptError, Call, Cause, Exchange, Failure, Workers};
 use crate::memory::counters::Counters;
+use crate::memory::room;
 use crate::memory::roster::{Directory, Host, Listing};
 use corkbay::{
-    Action, Dispatcher, Event, Finished, Ms, Names, Outcome, RequestId, Settings, Warmth, WorkerId,
+    Action, Dispatcher, Event, Finished, ModelId, Ms, Names, Outcome, RequestId, Settings, Warmth, WorkerId,
 };
+use corkbay_ledger::pressure::{decide, Case, Decision};
+use corkbay_ledger::{Full, Ledger, Purpose, Reservation};
 use may::sync::{mpsc, Condvar, Mutex};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +20,22 @@
 /// A request that ends unserved this short before its time, as the decisions do, ends for want of time.
 const LAST_CALL_MS: Ms = 40.0;
 
+/// What a call takes beside its texts and body: the stack of its task as far as it is touched, its mailbox,
+/// its places in tables. Measured.
+const CALL: usize = 26 << 10;
+
+/// What the task of a timer or an order takes, likewise.
+const TASK: usize = 10 << 10;
+
+/// The token of the timer that recurs.
+const RECURRING: u64 = 0;
+
+/// The part of what may be learnt that is forgotten at a time.
+const FORGET_PART: usize = 16;
+
+/// Longest wait for room for an answer that has come.
+const ANSWER_WAIT_MS: Ms = 500.0;
+
 /// What reaches the task of a request.
 #[derive(Debug)]
 enum Note {
@@ -41,12 +60,12 @@
 }
 
 /// Why a request was not taken; nothing of it ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NotTaken {
     /// Its id is open already.
     Open,
-    /// As many are open as memory allows.
-    Crowded,
+    /// There is no room for it; come again after so many milliseconds.
+    Crowded(Ms),
     /// The process is about to end.
     Draining,
 }
@@ -62,6 +81,8 @@
     invoker: Arc<Invoker>,
     call: Arc<Call>,
     inbox: Inbox,
+    held: Mutex<Reservation>,
+    since: Ms,
 }
 
 /// An attempt that is out.
@@ -106,6 +127,8 @@
 struct Core {
     dispatcher: Dispatcher,
     open: HashMap<RequestId, mpsc::Sender<Note>>,
+    /// For what the dispatcher has learnt: estimated as models come, measured from time to time.
+    learnt: Reservation,
 }
 
 /// Spans for what the decisions do not time themselves.
@@ -121,7 +144,7 @@
     directory: Mutex<Directory>,
     workers: Arc<dyn Workers>,
     spans: Spans,
-    most_open: usize,
+    ledger: Arc<Ledger>,
     owed: Mutex<usize>,
     settled: Condvar,
     draining: AtomicBool,
@@ -136,13 +159,13 @@
 }
 
 impl Invoker {
-    /// An invoker with the platform's settings object, a seed, a way to the workers, and how many requests
-    /// may be open at once.
+    /// An invoker with the platform's settings object, a seed, a way to the workers, and the accounts that
+    /// bound what it holds.
     pub fn new(
         setup: &serde_json::Value,
         seed: u64,
         workers: Arc<dyn Workers>,
-        most_open: usize,
+        ledger: Arc<Ledger>,
     ) -> Arc<Self> {
         let settings = Settings::from_json(setup);
         let names = Names::from_json(setup);
@@ -155,13 +178,16 @@
         };
         let classes = setup["classes"].as_array().map(Vec::as_slice).unwrap_or_default();
         let give_up = classes.iter().map(|class| class["giveUpMs"].as_f64().unwrap_or(1000.0)).collect();
-        let core = Core { dispatcher: Dispatcher::new(settings.clone(), seed), open: HashMap::new() };
+        let dispatcher = Dispatcher::new(settings.clone(), seed);
+        let learnt = ledger.account(Purpose::Learnt).nothing();
+        let core = Core { dispatcher, open: HashMap::new(), learnt };
+        let directory = Directory::new(&names, ledger.account(Purpose::Roster));
         Arc::new(Invoker {
             core: Mutex::new(core),
-            directory: Mutex::new(Directory::new(&names)),
+            directory: Mutex::new(directory),
             workers,
             spans,
-            most_open,
+            ledger,
             owed: Mutex::new(0),
             settled: Condvar::new(),
             draining: AtomicBool::new(false),
@@ -181,20 +207,38 @@
         if self.draining.load(Ordering::Acquire) {
             return Err(NotTaken::Draining);
         }
+        let held = self.ledger.reserve(Purpose::Calls, call.request.tenant, CALL + call.size());
+        let held = held.map_err(|full| crowded(Purpose::Calls, &full))?;
         let (sender, notes) = mpsc::channel();
         {
             let mut core = lock(&self.core);
             if core.open.contains_key(&call.request.id) {
                 return Err(NotTaken::Open);
             }
-            if core.open.len() >= self.most_open {
-                return Err(NotTaken::Crowded);
-            }
+            core.make_place(call.request.model).map_err(|full| crowded(Purpose::Learnt, &full))?;
             core.open.insert(call.request.id, sender.clone());
         }
         *lock(&self.owed) += 1;
         self.counters.taken.add();
-        Ok(Taken { invoker: self.clone(), call: Arc::new(call), inbox: Inbox { notes, sender } })
+        self.counters.body_bytes.observe(call.body.len() as f64);
+        let (call, inbox) = (Arc::new(call), Inbox { notes, sender });
+        Ok(Taken { invoker: self.clone(), call, inbox, held: Mutex::new(held), since: now_ms() })
+    }
+
+    /// The accounts of all that is held.
+    pub fn ledger(&self) -> &Arc<Ledger> {
+        &self.ledger
+    }
+
+    /// Measures what has been learnt, and has the decisions forget what is over the cap as far as it is
+    /// owed to nobody.
+    pub fn measure(&self) {
+        let core = &mut *lock(&self.core);
+        let excess = core.dispatcher.remembered().bytes.saturating_sub(core.learnt.account().cap());
+        if excess > 0 {
+            core.dispatcher.forget(excess);
+        }
+        core.learnt.owe(core.dispatcher.remembered().bytes);
     }
 
     /// Nobody waits for the request any more.
@@ -245,8 +289,17 @@
         lock(&self.directory).host(worker)
     }
 
-    /// Tells the dispatcher one event and routes what it asks for, in order.
+    /// Tells the dispatcher an event, and what becomes at once of what it asks for.
     fn feed(self: &Arc<Self>, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            self.feed_one(event, &mut events);
+        }
+    }
+
+    /// Tells the dispatcher one event and routes what it asks for, in order. What there is no room for comes
+    /// to its end as an event to follow.
+    fn feed_one(self: &Arc<Self>, event: Event, ends: &mut VecDeque<Event>) {
         let mut actions = Vec::new();
         let mut core = lock(&self.core);
         core.dispatcher.handle(now_ms(), event, &mut actions);
@@ -256,23 +309,37 @@
                 Action::Cancel { id, attempt } => core.note(id, Note::Cancel { attempt }),
                 Action::Refuse { id, retry_after } => core.note(id, Note::Refuse { retry_after }),
                 Action::Fail { id } => core.note(id, Note::Fail),
-                Action::Timer { token, delay } => self.spawn(move |invoker| {
-                    may::coroutine::sleep(Duration::from_secs_f64(delay.clamp(0.0, 4e6) / 1000.0));
-                    invoker.feed(Event::Timer { token });
-                }),
-                Action::Load { worker, model, copies } => self.spawn(move |invoker| {
-                    let started = now_ms();
-                    let (end, copies) = match invoker.host(worker) {
-                        Some(host) => {
-                            invoker.counters.orders.add();
-                            invoker.workers.load(&host, model, copies, invoker.spans.order)
-                        }
-                        None => (Err(AttemptError::Unconnected), 0),
+                Action::Timer { token, delay } => {
+                    let timers = self.ledger.account(Purpose::Timers);
+                    // The one that recurs keeps the decisions going; without another, what is due comes with
+                    // the next recurrence.
+                    let held = if token == RECURRING { Ok(timers.owe(TASK)) } else { timers.reserve(TASK) };
+                    let Ok(held) = held else { continue };
+                    self.spawn(held, move |invoker| {
+                        may::coroutine::sleep(Duration::from_secs_f64(delay.clamp(0.0, 4e6) / 1000.0));
+                        invoker.feed(Event::Timer { token });
+                    });
+                }
+                Action::Load { worker, model, copies } => {
+                    let Some(held) = self.order() else {
+                        let (outcome, copies, took) = (Outcome::Moot, 0, 0.0);
+                        ends.push_back(Event::Loaded { worker, model, outcome, copies, took });
+                        continue;
                     };
-                    let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
-                    let took = now_ms() - started;
-                    invoker.feed(Event::Loaded { worker, model, outcome, copies, took });
-                }),
+                    self.spawn(held, move |invoker| {
+                        let started = now_ms();
+                        let (end, copies) = match invoker.host(worker) {
+                            Some(host) => {
+                                invoker.counters.orders.add();
+                                invoker.workers.load(&host, model, copies, invoker.spans.order)
+                            }
+                            None => (Err(AttemptError::Unconnected), 0),
+                        };
+                        let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
+                        let took = now_ms() - started;
+                        invoker.feed(Event::Loaded { worker, model, outcome, copies, took });
+                    });
+                }
                 // At once, so that it goes out before the load that wants the room.
                 Action::Evict { worker, model } => {
                     if let Some(host) = self.host(worker) {
@@ -280,28 +347,72 @@
                         self.workers.evict(&host, model);
                     }
                 }
-                Action::Probe { worker } => self.spawn(move |invoker| {
-                    let started = now_ms();
-                    let end = match invoker.host(worker) {
-                        Some(host) => invoker.workers.probe(&host, invoker.spans.probe),
-                        None => Err(AttemptError::Unconnected),
+                Action::Probe { worker } => {
+                    let Some(held) = self.order() else {
+                        let (outcome, took, report) = (Outcome::Moot, 0.0, None);
+                        ends.push_back(Event::Probed { worker, outcome, took, report });
+                        continue;
                     };
-                    let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
-                    invoker.feed(Event::Probed { worker, outcome, took: now_ms() - started, report: None });
-                }),
+                    self.spawn(held, move |invoker| {
+                        let started = now_ms();
+                        let end = match invoker.host(worker) {
+                            Some(host) => invoker.workers.probe(&host, invoker.spans.probe),
+                            None => Err(AttemptError::Unconnected),
+                        };
+                        let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
+                        invoker.feed(Event::Probed {
+                            worker,
+                            outcome,
+                            took: now_ms() - started,
+                            report: None,
+                        });
+                    });
+                }
                 // The command channel is read all the time; there is nothing to subscribe to.
                 Action::Subscribe => {}
             }
         }
     }
 
-    fn spawn(self: &Arc<Self>, task: impl FnOnce(&Arc<Invoker>) + Send + 'static) {
+    /// Room for the task of an order to a worker.
+    fn order(&self) -> Option<Reservation> {
+        self.ledger.account(Purpose::Workers).reserve(TASK).ok()
+    }
+
+    /// Starts a task that holds what was reserved for it.
+    fn spawn(self: &Arc<Self>, held: Reservation, task: impl FnOnce(&Arc<Invoker>) + Send + 'static) {
         let invoker = self.clone();
-        crate::life::spawn(move || task(&invoker));
+        crate::life::spawn(move || {
+            task(&invoker);
+            drop(held);
+        });
+    }
+}
+
+fn crowded(purpose: Purpose, full: &Full) -> NotTaken {
+    let (asked, cap) = (full.asked, full.cap);
+    match decide(&Case { purpose, asked, cap, idle: 0, frees_in: None, waited: 0.0 }) {
+        Decision::Refuse { retry_after: Some(span) } => NotTaken::Crowded(span),
+        _ => NotTaken::Crowded(0.0),
     }
 }
 
 impl Core {
+    /// Room in the tables for a model that is to be called; those that are missed least give way.
+    fn make_place(&mut self, model: ModelId) -> Result<(), Full> {
+        let asked = self.dispatcher.adds(model);
+        let grown = |core: &Core| core.learnt.bytes() + asked;
+        let Err(full) = self.learnt.resize(grown(self)) else { return Ok(()) };
+        let (purpose, cap, idle) = (Purpose::Learnt, full.cap, self.learnt.bytes());
+        let case = Case { purpose, asked, cap, idle, frees_in: None, waited: 0.0 };
+        if let Decision::Evict { bytes } = decide(&case) {
+            // More at a time, so that not every newcomer has to look for one that gives way.
+            self.dispatcher.forget(bytes.max(cap / FORGET_PART));
+            self.learnt.shrink_to(self.dispatcher.remembered().bytes);
+        }
+        self.learnt.resize(grown(self))
+    }
+
     fn note(&self, id: RequestId, note: Note) {
         if let Some(inbox) = self.open.get(&id) {
             let _ = inbox.send(note);
@@ -338,6 +449,7 @@
                     let flight = out.flights.swap_remove(at);
                     match end {
                         Ok(body) => {
+                            self.hold(&body);
                             self.finished(attempt, flight.worker, flight.started, Outcome::Ok, true);
                             break Answer::Served { body };
                         }
@@ -393,6 +505,18 @@
         answer
     }
 
+    /// Counts the answer on the call until it is written. Where there is no room it waits a little, and is
+    /// counted all the same: it is owed.
+    fn hold(&self, body: &Vec<u8>) {
+        let held = &mut *lock(&self.held);
+        let bytes = CALL + self.call.size() + body.capacity();
+        if let Err(full) = held.resize(bytes) {
+            let left = self.call.request.expires - now_ms();
+            room::wait(&full.account, full.asked, left.clamp(0.0, ANSWER_WAIT_MS));
+            held.owe(bytes);
+        }
+    }
+
     /// The call.
     pub fn call(&self) -> &Arc<Call> {
         &self.call
@@ -444,6 +568,7 @@
 impl Drop for Taken {
     /// The place in the books ends with the request, also when its task panics.
     fn drop(&mut self) {
+        self.invoker.counters.call_seconds.observe((now_ms() - self.since) / 1000.0);
         lock(&self.invoker.core).open.remove(&self.call.request.id);
         if std::thread::panicking() {
             self.invoker.feed(Event::Withdrawn { id: self.call.request.id });
@@ -514,7 +639,8 @@
             "zones": ["a"], "myZone": "a", "ceilings": {"attemptsCap": 5, "cancel": true},
             "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
         });
-        let invoker = Invoker::new(&setup, 1, Arc::new(Panicking::default()), 2);
+        let ledger = crate::memory::roomy();
+        let invoker = Invoker::new(&setup, 1, Arc::new(Panicking::default()), ledger.clone());
         let address = "127.0.0.1:1".parse().expect("address");
         let (name, zone, kind) = ("w".to_string(), "a".to_string(), String::new());
         let (standing, weight, born) = (Standing::Ready, 1.0, 0.0);
@@ -527,6 +653,7 @@
         let end = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || taken.serve()));
         assert!(end.is_err());
         assert_eq!(invoker.owed(), 0);
+        assert_eq!(ledger.account(Purpose::Calls).used(), 0);
         let taken = invoker.take(call(2)).expect("taken");
         assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
         drop(taken);
--- /dev/null
+++ b/crates/node/src/life/accounts.rs
@@ -0,0 +1,80 @@
+//! From the configuration to the accounts of the process.
+use super::config::ConfigError;
+use super::deploy::Deploy;
+use super::spawn;
+use crate::core::{now_ms, Invoker};
+use crate::memory::resident::resident_bytes;
+use corkbay::Settings;
+use corkbay_ledger::{Alarm, Budget, BudgetError, Shares, TenantShare, MIB};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What the process takes before it serves anything, where it can't be measured.
+pub const USUAL_BASE: usize = 6 * MIB;
+/// What is kept back on the platform for what no account sees, in percent.
+const PLATFORM_RESERVE: f64 = 12.0;
+/// How often accounts are looked at.
+const LOOK: Duration = Duration::from_secs(1);
+
+impl From<BudgetError> for ConfigError {
+    fn from(error: BudgetError) -> Self {
+        ConfigError::new(error.key, error.what)
+    }
+}
+
+/// What the process takes by itself: to be asked once, before it serves.
+pub fn measured_base() -> usize {
+    resident_bytes().max(USUAL_BASE)
+}
+
+/// The caps on the platform. The platform's memory is what it is: too little for a purpose is no reason not
+/// to serve, so what there is is shared out all the same.
+pub fn platform_budget(memory_mb: u64, base: usize) -> Result<Budget, ConfigError> {
+    let keys = ("limits.memory_mb", "limits.memory_mb");
+    let memory = memory_mb as usize * MIB;
+    Ok(Budget::plan(memory, base, PLATFORM_RESERVE, &Shares::platform(), keys)?)
+}
+
+/// The caps that a deploy file asks for.
+pub fn deploy_budget(deploy: &Deploy, base: usize) -> Result<Budget, ConfigError> {
+    let shares = Shares::daemon().with(&deploy.memory.shares, "memory.shares")?;
+    let base = deploy.memory.base_mb.map_or(base, |mb| (mb * MIB as f64) as usize);
+    let keys = ("memory_mb", "memory.shares");
+    Ok(Budget::plan(deploy.memory_mb as usize * MIB, base, deploy.memory.reserve_percent, &shares, keys)?)
+}
+
+/// The tenants and their shares, in the order of their numbers.
+pub fn tenants(setup: &serde_json::Value) -> Vec<TenantShare> {
+    let names = corkbay::Names::from_json(setup).tenants;
+    let tenants = names.into_iter().zip(Settings::from_json(setup).tenants);
+    tenants.map(|(name, tenant)| TenantShare { name, weight: tenant.quota_per_s }).collect()
+}
+
+/// Measures what has been learnt and warns of accounts that come close to their caps, for as long as the
+/// process lives.
+pub fn watch(invoker: &Arc<Invoker>) {
+    let invoker = invoker.clone();
+    spawn(move || {
+        let mut alarm = Alarm::default();
+        loop {
+            may::coroutine::sleep(LOOK);
+            invoker.measure();
+            for warning in invoker.ledger().warnings(&mut alarm, now_ms()) {
+                tracing::warn!(
+                    account = %warning.account, high = warning.high, cap = warning.cap, "close to its cap"
+                );
+            }
+        }
+    });
+}
+
+/// Writes the accounts to the log.
+pub fn log(invoker: &Invoker) {
+    let (resident, held) = (resident_bytes(), invoker.ledger().held());
+    tracing::info!(resident, held, unaccounted = resident.saturating_sub(held), "memory");
+    for line in invoker.ledger().lines() {
+        let tenant = line.tenant.as_deref().unwrap_or("all");
+        let (used, peak, cap, refused) = (line.used, line.peak, line.cap, line.refused);
+        tracing::info!(purpose = line.purpose, tenant, used, peak, cap, refused, "account");
+    }
+}
--- a/crates/node/src/life/deploy.rs
+++ b/crates/node/src/life/deploy.rs
@@ -1,9 +1,12 @@
 //! The daemon's own deploy file: where the invoke API listens, what it serves and who the workers are.
+use super::accounts::{deploy_budget, USUAL_BASE};
 use super::config::ConfigError;
 use crate::memory::catalog::{check_name, Function, State};
+use crate::wire::frames::MAX_BODY;
+use corkbay_ledger::KIB;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::{Path, PathBuf};
 
@@ -23,9 +26,12 @@
     /// Most descriptors that the process may hold.
     #[serde(default = "sockets")]
     pub sockets: usize,
-    /// Memory for open requests, MB.
+    /// Memory of the process, MB.
     #[serde(default = "memory")]
     pub memory_mb: u64,
+    /// How it is shared out.
+    #[serde(default)]
+    pub memory: Memory,
     /// For how long finished invocations are kept.
     #[serde(default = "retention")]
     pub retention_s: f64,
@@ -172,6 +178,8 @@
     pub keep_ms: f64,
     /// Longest advice to stay away.
     pub max_retry_after_ms: f64,
+    /// Largest body of a worker's answer, KiB. Calls whose answers are kept hold room for it meanwhile.
+    pub answer_kb: usize,
 }
 
 impl Default for Limits {
@@ -183,10 +191,29 @@
             streams: 32,
             keep_ms: 10_000.0,
             max_retry_after_ms: 1000.0,
+            answer_kb: MAX_BODY / KIB,
         }
     }
 }
 
+/// How the memory is shared out between purposes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Memory {
+    /// What the process takes by itself, MB; measured at the start where it is not given.
+    pub base_mb: Option<f64>,
+    /// What is kept back for what no account sees, in percent.
+    pub reserve_percent: f64,
+    /// Parts of purposes, in percent of the rest; those not named split what is left.
+    pub shares: BTreeMap<String, f64>,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Memory { base_mb: None, reserve_percent: 15.0, shares: BTreeMap::new() }
+    }
+}
+
 /// Replication of the store.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -351,6 +378,16 @@
         positive("limits.idle_ms", self.limits.idle_ms)?;
         positive("limits.streams", f64::from(self.limits.streams))?;
         positive("limits.keep_ms", self.limits.keep_ms)?;
+        if !(1..=MAX_BODY / KIB).contains(&self.limits.answer_kb) {
+            return Err(ConfigError::new("limits.answer_kb", format!("not from 1 to {}", MAX_BODY / KIB)));
+        }
+        if let Some(base) = self.memory.base_mb {
+            positive("memory.base_mb", base)?;
+        }
+        if !(0.0..=90.0).contains(&self.memory.reserve_percent) {
+            return Err(ConfigError::new("memory.reserve_percent", "not from 0 to 90"));
+        }
+        deploy_budget(self, USUAL_BASE)?;
         if self.classes.is_empty() {
             return Err(ConfigError::new("class", "no class"));
         }
@@ -391,6 +428,11 @@
         }
     }
 
+    /// Largest body of a worker's answer, in bytes.
+    pub fn answer_bytes(&self) -> usize {
+        self.limits.answer_kb * KIB
+    }
+
     /// The settings object that the decisions read.
     pub fn settings(&self) -> Value {
         let mut zones: Vec<&str> = vec![&self.zone];
--- /dev/null
+++ b/crates/node/src/life/logs.rs
@@ -0,0 +1,11 @@
+//! Structured logs on standard error, a line an event.
+
+/// Sets the log up; once, before anything is logged.
+pub fn set_up() {
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_target(false)
+        .with_ansi(false)
+        .with_max_level(tracing::Level::INFO)
+        .init();
+}
--- a/crates/node/src/life/mod.rs
+++ b/crates/node/src/life/mod.rs
@@ -1,7 +1,9 @@
 //! Configuration, start and stop.
+pub mod accounts;
 pub mod config;
 pub mod deploy;
 pub mod import;
+pub mod logs;
 pub mod platform;
 pub mod service;
 
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -1,11 +1,13 @@
 //! The daemon on the platform: start, service, drain.
 use super::config::{ConfigError, Platform, Source};
-use super::spawn;
+use super::{accounts, spawn};
 use crate::core::Invoker;
-use crate::wire::accept::accept;
+use crate::wire::accept::{accept, House};
 use crate::wire::channel::{self, Line};
+use crate::wire::frames::MAX_BODY;
 use crate::wire::front;
 use crate::wire::workers::{FrameWorkers, Limits};
+use corkbay_ledger::{Ledger, Purpose};
 use may::net::TcpListener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
@@ -33,12 +35,6 @@
     (clients, (left - clients.min(left)).max(1))
 }
 
-/// Most requests that are open at once. Each was measured at 26 KiB and may hold 16 KiB of body; the process
-/// takes 14 MiB without them, and a tenth of the rest is left over.
-pub fn open_requests(memory_mb: u64) -> usize {
-    (memory_mb.saturating_sub(14) * 1024 * 9 / 10 / 42).max(32) as usize
-}
-
 /// Sets the coroutine library up; before the first coroutine.
 pub fn set_up_coroutines() {
     // One core: more workers would only contend. Pinned, all invokers of a machine would share core 0.
@@ -49,9 +45,13 @@
 pub fn run(config: Platform, source: &Source) -> Result<bool, ConfigError> {
     let mut signals = signals()?;
     let (clients, to_workers) = connections(config.sockets);
-    let workers = FrameWorkers::new(limits(&config.settings, to_workers));
-    let open = open_requests(config.memory_mb);
-    let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers), open);
+    let base = accounts::measured_base();
+    let budget = accounts::platform_budget(config.memory_mb, base)?;
+    let ledger = Arc::new(Ledger::new(&budget, &accounts::tenants(&config.settings)));
+    let to_workers = limits(&config.settings, to_workers, MAX_BODY);
+    let workers = FrameWorkers::new(to_workers, ledger.account(Purpose::Workers).clone());
+    let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers), ledger.clone());
+    accounts::watch(&invoker);
     for news in config.known {
         news.tell(&invoker, true);
     }
@@ -59,12 +59,14 @@
     let (ours, line, cursor) = (invoker.clone(), Line::new(config.channel), config.cursor);
     let reload = {
         let (line, listen, settings) = (line.clone(), config.listen, config.settings.clone());
+        let ledger = ledger.clone();
         move || {
             let next = source.read()?;
+            ledger.adopt(&accounts::platform_budget(next.memory_mb, base)?);
             line.move_to(next.channel);
             for (key, kept) in [("listen", next.listen == listen), ("settings", next.settings == settings)] {
                 if !kept {
-                    eprintln!("reload: {key} has changed and holds from the next start on");
+                    tracing::warn!(key, "reload: a key has changed and holds from the next start on");
                 }
             }
             Ok(())
@@ -72,7 +74,9 @@
     };
     spawn(move || channel::follow(&ours, &line, cursor));
     let ours = invoker.clone();
-    spawn(move || accept(&listener, clients, front::WRITE_STALL, move |guest| front::serve(&ours, guest)));
+    let account = ledger.account(Purpose::Clients).clone();
+    let house = House { most: clients, stall: front::WRITE_STALL, account };
+    spawn(move || accept(&listener, &house, move |guest| front::serve(&ours, guest)));
     let longest = longest_deadline(&config.settings).min(LONGEST_COUNTED);
     Ok(serve_until_signalled(&invoker, &mut signals, reload, longest.saturating_sub(LAST_ANSWERS)))
 }
@@ -92,10 +96,13 @@
 ) -> bool {
     for signal in signals.forever() {
         match signal {
-            SIGUSR1 => eprintln!("{}", invoker.counters),
+            SIGUSR1 => {
+                tracing::info!("{}", invoker.counters);
+                accounts::log(invoker);
+            }
             SIGHUP => match reload() {
-                Ok(()) => eprintln!("reloaded"),
-                Err(error) => eprintln!("reload: {error}; the old configuration is kept"),
+                Ok(()) => tracing::info!("reloaded"),
+                Err(error) => tracing::error!(%error, "reload: the old configuration is kept"),
             },
             _ => break,
         }
@@ -106,7 +113,7 @@
         invoker.end_all();
         invoker.settle(LAST_ANSWERS / 2)
     };
-    eprintln!("{}", invoker.counters);
+    tracing::info!("{}", invoker.counters);
     settled
 }
 
@@ -117,8 +124,8 @@
     Duration::from_secs_f64(longest.min(1e9) / 1000.0)
 }
 
-/// Figures for worker connections, from the settings object.
-pub fn limits(settings: &serde_json::Value, connections: usize) -> Limits {
+/// Figures for worker connections, from the settings object; `answer` is the largest body of an answer.
+pub fn limits(settings: &serde_json::Value, connections: usize, answer: usize) -> Limits {
     let ceiling = |key: &str, default: f64| {
         settings["ceilings"][key].as_f64().filter(|value| *value > 0.0).unwrap_or(default)
     };
@@ -128,5 +135,6 @@
         // Sooner than the worker's own, so that no request crosses its close.
         idle: Duration::from_secs_f64(ceiling("connIdleMs", 15_000.0) * 0.7 / 1000.0),
         connections,
+        answer,
     }
 }
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -1,18 +1,18 @@
 //! The daemon off the platform: the invoke API over its own store.
 use super::config::ConfigError;
 use super::deploy::{Deploy, Protocol, Style};
-use super::platform::{connections, limits, longest_deadline, open_requests, serve_until_signalled, signals};
-use super::spawn;
+use super::platform::{connections, limits, longest_deadline, serve_until_signalled, signals};
+use super::{accounts, spawn};
 use crate::core::{Invoker, Workers};
 use crate::memory::catalog::{Catalog, Worker};
 use crate::memory::invocations::Invocations;
-use crate::memory::log::Log;
 use crate::memory::store::Store;
-use crate::wire::accept::accept;
+use crate::wire::accept::{accept, House};
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, Desk};
 use crate::wire::replicate;
 use crate::wire::workers::FrameWorkers;
+use corkbay_ledger::{Account, Ledger, Purpose};
 use may::net::TcpListener;
 use serde_json::Value;
 use std::fmt::Display;
@@ -30,22 +30,24 @@
 pub fn run(deploy: &Deploy, path: &Path) -> Result<bool, ConfigError> {
     let at = |key: &'static str| move |error: &dyn Display| ConfigError::new(key, error);
     let mut signals = signals()?;
+    let settings = deploy.settings();
+    let base = accounts::measured_base();
+    let ledger =
+        Arc::new(Ledger::new(&accounts::deploy_budget(deploy, base)?, &accounts::tenants(&settings)));
     let store = Arc::new(match &deploy.data_dir {
-        Some(folder) => {
-            let (log, kept) = Log::open(folder).map_err(|e| at("data_dir")(&e))?;
-            Store::with_log(&deploy.node, log, kept)
-        }
-        None => Store::in_memory(&deploy.node),
+        Some(folder) => Store::open(&deploy.node, folder, ledger.clone()).map_err(|e| at("data_dir")(&e))?,
+        None => Store::in_memory(&deploy.node, ledger.clone()),
     });
     let give_up = deploy.classes.iter().map(|class| class.give_up_ms).collect();
     let catalog = Catalog::new(store.clone(), give_up);
     seed(&catalog, deploy).map_err(|e| at("data_dir")(&e))?;
     let retention = Duration::from_secs_f64(deploy.retention_s);
-    let invocations = Invocations::new(store.clone(), retention).map_err(|e| at("data_dir")(&e))?;
+    let invocations =
+        Invocations::new(store.clone(), retention, deploy.answer_bytes()).map_err(|e| at("data_dir")(&e))?;
     let (clients, to_workers) = connections(deploy.sockets);
-    let settings = deploy.settings();
-    let workers = workers(deploy, &settings, to_workers);
-    let invoker = Invoker::new(&settings, rand::random(), workers, open_requests(deploy.memory_mb));
+    let workers = workers(deploy, &settings, to_workers, ledger.account(Purpose::Workers));
+    let invoker = Invoker::new(&settings, rand::random(), workers, ledger.clone());
+    accounts::watch(&invoker);
     catalog.announce(&invoker);
     let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog });
     let listener = TcpListener::bind(deploy.listen).map_err(|e| at("listen")(&e))?;
@@ -65,15 +67,18 @@
     spawn(move || loop {
         may::coroutine::sleep(SWEEP);
         if let Err(error) = store.sweep() {
-            eprintln!("store: {error}");
+            tracing::error!(%error, "store");
         }
     });
     let ours = desk.clone();
-    spawn(move || accept(&listener, clients, invoke::WRITE_STALL, move |guest| invoke::serve(&ours, &guest)));
+    let account = ledger.account(Purpose::Clients).clone();
+    let house = House { most: clients, stall: invoke::WRITE_STALL, account };
+    spawn(move || accept(&listener, &house, move |guest| invoke::serve(&ours, &guest)));
     println!("invoke API on {bound}");
-    // Functions and workers are taken up; what the file says besides holds from the next start on.
+    // Functions, workers and caps of memory are taken up; what the file says besides holds from the next start on.
     let reload = || {
         let next = Deploy::load(path)?;
+        ledger.adopt(&accounts::deploy_budget(&next, base)?);
         seed(&desk.catalog, &next).map_err(|error| ConfigError::new("data_dir", error))?;
         desk.catalog.announce(&desk.invoker);
         Ok(())
@@ -102,7 +107,7 @@
 
 fn seed(catalog: &Catalog, deploy: &Deploy) -> Result<(), Box<dyn std::error::Error>> {
     for function in &deploy.functions {
-        catalog.seed(&format!("function/{}", function.name), &serde_json::to_value(function.function())?)?;
+        catalog.seed_function(&function.name, &function.function())?;
     }
     for entry in &deploy.workers {
         let worker = Worker {
@@ -113,21 +118,22 @@
             weight: entry.weight,
             state: entry.state,
         };
-        catalog.seed(&format!("worker/{}", entry.name), &serde_json::to_value(&worker)?)?;
+        catalog.seed_worker(&entry.name, &worker)?;
     }
     Ok(())
 }
 
-fn workers(deploy: &Deploy, settings: &Value, connections: usize) -> Arc<dyn Workers> {
+fn workers(deploy: &Deploy, settings: &Value, connections: usize, account: &Account) -> Arc<dyn Workers> {
+    let (account, answer) = (account.clone(), deploy.answer_bytes());
     let connect = Duration::from_secs_f64(deploy.limits.connect_timeout_ms / 1000.0);
     match (deploy.transport.protocol, deploy.transport.style) {
-        (Protocol::Frames, _) => Arc::new(FrameWorkers::new(limits(settings, connections))),
+        (Protocol::Frames, _) => Arc::new(FrameWorkers::new(limits(settings, connections, answer), account)),
         (Protocol::Http, style) => {
             let style = match style {
                 Style::Held => http_workers::Style::Held,
                 Style::Deferred => http_workers::Style::Deferred,
             };
-            Arc::new(HttpWorkers::new(style, http_workers::Limits { connect, connections }))
+            Arc::new(HttpWorkers::new(style, http_workers::Limits { connect, connections, answer }, account))
         }
     }
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,7 @@
 //! Starts the daemon: on the platform as `PROXY_CONFIG` says, elsewhere as a deploy file says.
 use corkbay_node::life::config::{ConfigError, Source};
 use corkbay_node::life::deploy::Deploy;
-use corkbay_node::life::{import, platform, service};
+use corkbay_node::life::{import, logs, platform, service};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -36,6 +36,7 @@
 fn on_platform() -> Result<bool, ConfigError> {
     let source = Source::from_env()?;
     let config = source.read()?;
+    logs::set_up();
     platform::set_up_coroutines();
     platform::run(config, &source)
 }
@@ -43,6 +44,7 @@
 fn serve(path: &str) -> Result<bool, ConfigError> {
     let path = Path::new(path);
     let deploy = Deploy::load(path)?;
+    logs::set_up();
     platform::set_up_coroutines();
     service::run(&deploy, path)
 }
--- a/crates/node/src/memory/catalog.rs
+++ b/crates/node/src/memory/catalog.rs
@@ -1,15 +1,19 @@
 //! The functions and workers that the store holds as configuration.
+use super::record::{Record, Text};
 use super::roster::Listing;
-use super::store::{Store, StoreError, Writers};
+use super::store::{Draft, Store, StoreError};
 use crate::core::Invoker;
 use corkbay::{ModelId, Ms, Standing};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
-use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// What the keys of functions and of workers begin with.
+const FUNCTION: &str = "function/";
+const WORKER: &str = "worker/";
+
 /// Functions have ids below this.
 const MODELS: u64 = 1 << 40;
 
@@ -136,18 +140,22 @@
 
     /// A function.
     pub fn function(&self, name: &str) -> Option<Function> {
-        let value = self.store.get(&format!("function/{name}"))?.value?;
-        serde_json::from_value(value).ok()
+        self.store.get(&format!("{FUNCTION}{name}"))?.value?.read().ok()
+    }
+
+    /// All functions as a JSON object, by name.
+    pub fn functions(&self) -> Object {
+        Object { records: self.store.under(FUNCTION), prefix: FUNCTION.len() }
     }
 
-    /// All functions by name.
-    pub fn functions(&self) -> BTreeMap<String, Function> {
-        self.all("function/")
+    /// All workers as a JSON object, by name.
+    pub fn listed_workers(&self) -> Object {
+        Object { records: self.store.under(WORKER), prefix: WORKER.len() }
     }
 
     /// All workers by name.
     pub fn workers(&self) -> BTreeMap<String, Worker> {
-        self.all("worker/")
+        self.all(WORKER)
     }
 
     /// Adds or changes a function.
@@ -156,7 +164,7 @@
         if function.lanes == 0 || !function.memory_mb.is_finite() || function.memory_mb < 0.0 {
             return Err(CatalogError::Value("lanes and memory_mb: out of range".into()));
         }
-        self.put(&format!("function/{name}"), serde_json::to_value(function).ok())
+        self.put(&format!("{FUNCTION}{name}"), Text::of(function).ok(), false)
     }
 
     /// Adds or changes a worker.
@@ -165,28 +173,39 @@
         if !worker.weight.is_finite() || worker.weight <= 0.0 {
             return Err(CatalogError::Value("weight: not above 0".into()));
         }
-        self.put(&format!("worker/{name}"), serde_json::to_value(worker).ok())
+        // Whatever is full, a worker can be told to take nothing more.
+        self.put(&format!("{WORKER}{name}"), Text::of(worker).ok(), worker.state != State::Up)
     }
 
     /// Takes a function away.
     pub fn remove_function(&self, name: &str) -> Result<(), CatalogError> {
-        self.put(&format!("function/{name}"), None)
+        self.put(&format!("{FUNCTION}{name}"), None, true)
     }
 
     /// Takes a worker away.
     pub fn remove_worker(&self, name: &str) -> Result<(), CatalogError> {
-        self.put(&format!("worker/{name}"), None)
+        self.put(&format!("{WORKER}{name}"), None, true)
     }
 
     /// Writes an entry of the deploy file, unless the file said the same when it was last read here:
     /// so the file's changes take effect, and what was changed by API since stays changed.
-    pub fn seed(&self, key: &str, value: &Value) -> Result<(), CatalogError> {
+    fn seed(&self, key: &str, value: &Text) -> Result<(), CatalogError> {
         let seen = format!("seed/{}/{key}", self.node());
         if self.store.get(&seen).and_then(|record| record.value).as_ref() == Some(value) {
             return Ok(());
         }
-        self.put(key, Some(value.clone()))?;
-        self.put(&seen, Some(value.clone()))
+        self.put(key, Some(value.clone()), true)?;
+        self.put(&seen, Some(value.clone()), true)
+    }
+
+    /// Writes a function of the deploy file; see above for what the file's word counts.
+    pub fn seed_function(&self, name: &str, function: &Function) -> Result<(), CatalogError> {
+        self.seed(&format!("{FUNCTION}{name}"), &text(function)?)
+    }
+
+    /// Writes a worker of the deploy file, likewise.
+    pub fn seed_worker(&self, name: &str, worker: &Worker) -> Result<(), CatalogError> {
+        self.seed(&format!("{WORKER}{name}"), &text(worker)?)
     }
 
     /// Tells the decisions which workers there are.
@@ -208,21 +227,53 @@
         invoker.news(self.workers().into_iter().map(listing).collect(), true, false);
     }
 
-    fn put(&self, key: &str, value: Option<Value>) -> Result<(), CatalogError> {
-        self.store.put(key, value, false, 0.0, Writers::Any)?;
+    fn put(&self, key: &str, value: Option<Text>, owed: bool) -> Result<(), CatalogError> {
+        self.store.put(&mut Draft { owed, ..Draft::new(key, value) })?;
         Ok(())
     }
 
     fn all<T: DeserializeOwned>(&self, prefix: &str) -> BTreeMap<String, T> {
         let records = self.store.under(prefix).into_iter();
-        let entry = |record: super::store::Record| {
+        let entry = |record: Record| {
             let name = record.key.strip_prefix(prefix)?.to_string();
-            Some((name, serde_json::from_value(record.value?).ok()?))
+            Some((name, record.value?.read().ok()?))
         };
         records.filter_map(entry).collect()
     }
 }
 
+fn text(value: &impl Serialize) -> Result<Text, CatalogError> {
+    Text::of(value).map_err(|error| CatalogError::Value(error.to_string()))
+}
+
+/// Entries on their way out as one JSON object. They share what they hold with the store until the text is
+/// made, which takes [`Object::size`] more.
+pub struct Object {
+    records: Vec<Record>,
+    prefix: usize,
+}
+
+impl Object {
+    /// The length of the text, in bytes, or a little more.
+    pub fn size(&self) -> usize {
+        let entry = |record: &Record| record.key.len() + record.text().len() + 4;
+        2 + self.records.iter().map(entry).sum::<usize>()
+    }
+
+    /// The text. Names need no quoting: they hold letters, digits and -_.: only.
+    pub fn into_text(self) -> Vec<u8> {
+        let mut text = Vec::with_capacity(self.size());
+        for (place, record) in self.records.iter().enumerate() {
+            text.extend_from_slice(if place == 0 { b"{\"" } else { b",\"" });
+            text.extend_from_slice(&record.key.as_bytes()[self.prefix..]);
+            text.extend_from_slice(b"\":");
+            text.extend_from_slice(record.text().as_bytes());
+        }
+        text.extend_from_slice(if self.records.is_empty() { b"{}" } else { b"}" });
+        text
+    }
+}
+
 /// A name that can stand in a path and on the wire.
 pub fn check_name(name: &str) -> Result<(), CatalogError> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of what is taken in, sent and answered.
 use crate::core::Answer;
 use corkbay::Outcome;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -21,7 +22,7 @@
 }
 
 /// All counters of a process; their text form is one line of `name=number`.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Counters {
     /// Requests taken.
     pub taken: Counter,
@@ -45,6 +46,31 @@
     pub turned_away: Counter,
     /// Attempts that brought nothing, by outcome.
     lost: [Counter; 9],
+    /// Bodies of calls that were taken, in bytes.
+    pub body_bytes: Histogram,
+    /// Times from taking a call to its end, in seconds.
+    pub call_seconds: Histogram,
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        let counter = Counter::default;
+        Counters {
+            taken: counter(),
+            sent: counter(),
+            orders: counter(),
+            evictions: counter(),
+            served: counter(),
+            refused: counter(),
+            failed: counter(),
+            withdrawn: counter(),
+            malformed: counter(),
+            turned_away: counter(),
+            lost: Default::default(),
+            body_bytes: Histogram::new(exponential_buckets(64.0, 4.0, 6)),
+            call_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 11)),
+        }
+    }
 }
 
 const OUTCOMES: [(Outcome, &str); 9] = [
@@ -78,8 +104,9 @@
     }
 }
 
-impl fmt::Display for Counters {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Counters {
+    /// Each by its name, the attempts that brought nothing as `lost_` and their outcome.
+    pub fn named(&self) -> impl Iterator<Item = (String, u64)> + '_ {
         let named = [
             ("taken", &self.taken),
             ("sent", &self.sent),
@@ -92,13 +119,15 @@
             ("malformed", &self.malformed),
             ("turned_away", &self.turned_away),
         ];
+        let lost = OUTCOMES.iter().zip(&self.lost).skip(1);
+        let lost = lost.map(|((_, name), counter)| (format!("lost_{name}"), counter.get()));
+        named.into_iter().map(|(name, counter)| (name.to_string(), counter.get())).chain(lost)
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "counters")?;
-        for (name, counter) in named {
-            write!(f, " {name}={}", counter.get())?;
-        }
-        for ((_, name), counter) in OUTCOMES.iter().zip(&self.lost).skip(1) {
-            write!(f, " lost_{name}={}", counter.get())?;
-        }
-        Ok(())
+        self.named().try_for_each(|(name, number)| write!(f, " {name}={number}"))
     }
 }
--- a/crates/node/src/memory/invocations.rs
+++ b/crates/node/src/memory/invocations.rs
@@ -1,16 +1,28 @@
 //! Invocations of the invoke API: repeats of a key, and the records of deferred calls.
-use super::store::{Record, Store, StoreError, Writers};
+//!
+//! What a call will have to keep is reserved before it is run: the largest answer that a repeat of its key
+//! may be given, and the largest final record that its client may collect. What the answer turns out not to
+//! need goes back at its end.
+use super::record::{Record, Text, INVOCATION};
+use super::store::{refuse, Draft, Store, StoreError, Writers};
 use crate::core::{lock, now_ms, Answer, Failure};
 use corkbay::{Ms, RequestId};
+use corkbay_ledger::{Purpose, Reservation};
 use may::sync::{mpsc, Mutex};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-const PREFIX: &str = "invocation/";
 /// Pauses between tries to keep a final answer that the log did not take.
 const KEEP_PAUSES_MS: [u64; 4] = [50, 200, 1000, 3000];
+/// What a key costs beside its texts and its answer: its place in a map that is at times half empty, and the
+/// heads of its allocations.
+const KEY_COST: usize = 2 * (std::mem::size_of::<Key>() + std::mem::size_of::<Known>()) + 3 * 32;
+/// What a final record holds beside what the open one does and the answer's own bytes.
+const END_COST: usize = 128;
+/// Least time between two looks for keys whose window is over, in milliseconds.
+const LOOK_MS: Ms = 250.0;
 
 /// A function and an idempotency key.
 pub type Key = (String, String);
@@ -30,6 +42,12 @@
     pub answer: Option<Answer>,
 }
 
+/// A deferred call that was accepted, with the room for its end.
+pub struct Promise {
+    deferred: Deferred,
+    room: Reservation,
+}
+
 /// What a call with a key turns out to be.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Repeat {
@@ -41,6 +59,8 @@
     Done(RequestId, Answer),
     /// The key came with another body before.
     Mismatch,
+    /// There is no room for another key; come again after so many milliseconds, where that is of use.
+    Crowded(Option<Ms>),
 }
 
 struct Known {
@@ -48,76 +68,143 @@
     body_check: u32,
     until: Ms,
     answer: Option<Answer>,
+    held: Reservation,
+}
+
+/// The keys of one node.
+#[derive(Default)]
+struct Keys {
+    known: HashMap<Key, Known>,
+    looked: Ms,
+    /// When the first of them is over, as of the last look.
+    soonest: Ms,
+}
+
+impl Keys {
+    /// Forgets keys whose window is over.
+    fn forget(&mut self, now: Ms) {
+        self.looked = now;
+        self.known.retain(|_, known| known.answer.is_none() || known.until > now);
+        self.soonest = self.known.values().map(|known| known.until).fold(f64::INFINITY, f64::min);
+        if self.known.capacity() > 4 * self.known.len() {
+            self.known.shrink_to(2 * self.known.len());
+        }
+    }
+}
+
+/// Who waits for an end.
+#[derive(Default)]
+struct Waiting {
+    next: u64,
+    senders: BTreeMap<u64, mpsc::Sender<()>>,
 }
 
 /// The invocations of one node.
 pub struct Invocations {
     store: Arc<Store>,
     retention: Ms,
-    keys: Mutex<HashMap<Key, Known>>,
-    waiting: Mutex<Vec<mpsc::Sender<()>>>,
+    /// Largest body of an answer, in bytes.
+    largest: usize,
+    keys: Mutex<Keys>,
+    waiting: Mutex<Waiting>,
 }
 
 impl Invocations {
-    /// Takes over what the store holds. A call that this node had accepted and not finished when it
-    /// stopped may have run, so it fails; nothing of it is sent again.
-    pub fn new(store: Arc<Store>, retention: Duration) -> Result<Self, StoreError> {
+    /// Takes over what the store holds; `largest` is the largest body of an answer, in bytes. A call that
+    /// this node had accepted and not finished when it stopped may have run, so it fails; nothing of it is
+    /// sent again.
+    pub fn new(store: Arc<Store>, retention: Duration, largest: usize) -> Result<Self, StoreError> {
         let retention = retention.as_secs_f64() * 1000.0;
-        let invocations = Invocations { store, retention, keys: Mutex::default(), waiting: Mutex::default() };
-        for record in invocations.store.under(PREFIX) {
+        let (keys, waiting) = (Mutex::default(), Mutex::default());
+        let invocations = Invocations { store, retention, largest, keys, waiting };
+        for record in invocations.store.under(INVOCATION) {
             let (Some(id), Some(mut deferred)) = (id_of(&record), read(&record)) else { continue };
-            if record.node != invocations.store.node() {
+            if &*record.node != invocations.store.node() {
                 continue;
             }
             if !record.is_final {
                 deferred.answer = Some(Answer::Failed(Failure { may_have_run: true, late: false }));
-                invocations.write(id, &deferred, true)?;
+                let end = Draft { owed: true, ..invocations.draft(&deferred, true) };
+                invocations.store.put(&mut Draft { key: &key_of(id), ..end })?;
             }
             let Deferred { function, key, body_check, repeats_until: until, answer } = deferred;
             // A call that never ran had freed its key.
             if let Some(key) = key.filter(|_| answer.as_ref().is_some_and(may_have_run)) {
-                let known = Known { id, body_check, until, answer };
-                lock(&invocations.keys).insert((function, key), known);
+                let key = (function, key);
+                let size = cost(&key) + answer.as_ref().map_or(0, kept);
+                let held = invocations.store.ledger().owe(Purpose::Keys, size);
+                let known = Known { id, body_check, until, answer, held };
+                lock(&invocations.keys).known.insert(key, known);
             }
         }
         Ok(invocations)
     }
 
     /// Notes a call with a key, unless one is known.
-    pub fn admit(&self, key: &Key, id: RequestId, body: &[u8], until: Ms) -> Repeat {
+    pub fn admit(&self, key: &Key, id: RequestId, body: &[u8], until: Ms, tenant: Option<usize>) -> Repeat {
         let mut keys = lock(&self.keys);
         let now = now_ms();
-        keys.retain(|_, known| known.answer.is_none() || known.until > now);
+        if now - keys.looked >= LOOK_MS {
+            keys.forget(now);
+        }
         let body_check = crc32fast::hash(body);
-        match keys.get(key) {
-            Some(known) if known.body_check != body_check => Repeat::Mismatch,
-            Some(Known { id, answer: Some(answer), .. }) => Repeat::Done(*id, answer.clone()),
-            Some(known) => Repeat::Open(known.id),
-            None => {
-                keys.insert(key.clone(), Known { id, body_check, until, answer: None });
+        match keys.known.get(key) {
+            Some(known) if known.body_check != body_check => return Repeat::Mismatch,
+            Some(Known { id, answer: Some(answer), until, .. }) if *until > now => {
+                return Repeat::Done(*id, answer.clone());
+            }
+            Some(known @ Known { answer: None, .. }) => return Repeat::Open(known.id),
+            _ => {}
+        }
+        let size = cost(key) + self.largest;
+        match self.store.ledger().reserve(Purpose::Keys, tenant, size) {
+            Ok(held) => {
+                keys.known.insert(key.clone(), Known { id, body_check, until, answer: None, held });
                 Repeat::Fresh
             }
+            Err(full) => {
+                let frees_in = keys.soonest.is_finite().then(|| keys.soonest - now);
+                match refuse(Purpose::Keys, full, frees_in) {
+                    StoreError::Full { retry_after, .. } => Repeat::Crowded(retry_after),
+                    _ => Repeat::Crowded(None),
+                }
+            }
         }
     }
 
     /// Frees a key whose call was not taken after all.
     pub fn forget(&self, key: &Key) {
-        lock(&self.keys).remove(key);
+        lock(&self.keys).known.remove(key);
     }
 
-    /// Keeps a deferred call before it is accepted.
-    pub fn accept(&self, id: RequestId, deferred: &Deferred) -> Result<(), StoreError> {
-        self.write(id, deferred, false)
+    /// Keeps a deferred call before it is accepted, and holds room for its end.
+    pub fn accept(
+        &self,
+        id: RequestId,
+        deferred: Deferred,
+        tenant: Option<usize>,
+    ) -> Result<Promise, StoreError> {
+        let (key, open) = (key_of(id), self.draft(&deferred, false));
+        let text = open.value.as_ref().map_or(0, |text| text.as_str().len());
+        let node = self.store.node().len();
+        let open_size = Record::size_of(key.len(), text) + node;
+        let end_size = open_size + END_COST + self.largest.div_ceil(3) * 4;
+        let room = self.store.reserve(Purpose::DeferredFinal, tenant, end_size)?;
+        let held = Some(self.store.reserve(Purpose::DeferredOpen, tenant, open_size)?);
+        self.store.put(&mut Draft { key: &key, held, ..open })?;
+        Ok(Promise { deferred, room })
     }
 
     /// The call has its final answer. What has proved never to have run frees its key: the client's
     /// next try with it is a first try.
-    pub fn finish(&self, id: RequestId, key: Option<&Key>, answer: &Answer, deferred: Option<Deferred>) {
-        if let Some(mut deferred) = deferred {
+    pub fn finish(&self, id: RequestId, key: Option<&Key>, answer: &Answer, promise: Option<Promise>) {
+        if let Some(Promise { mut deferred, room }) = promise {
             deferred.answer = Some(answer.clone());
+            let key = key_of(id);
+            let mut end = Draft { key: &key, held: Some(room), owed: true, ..self.draft(&deferred, true) };
             let mut pauses = KEEP_PAUSES_MS.iter();
-            while let Err(error) = self.write(id, &deferred, true) {
-                eprintln!("invocation {:016x}: {error}", id.0);
+            while let Err(error) = self.store.put(&mut end) {
+                tracing::error!(invocation = %key, %error, "a final answer was not kept");
                 match pauses.next().filter(|_| matches!(error, StoreError::Log(_))) {
                     Some(pause) => may::coroutine::sleep(Duration::from_millis(*pause)),
                     None => break,
@@ -127,9 +214,12 @@
         if let Some(key) = key {
             let mut keys = lock(&self.keys);
             if may_have_run(answer) {
-                keys.entry(key.clone()).and_modify(|known| known.answer = Some(answer.clone()));
+                keys.known.entry(key.clone()).and_modify(|known| {
+                    known.answer = Some(answer.clone());
+                    known.held.shrink_to(cost(key) + kept(answer));
+                });
             } else {
-                keys.remove(key);
+                keys.known.remove(key);
             }
         }
         self.wake();
@@ -147,38 +237,61 @@
         let end = now_ms() + within.as_secs_f64() * 1000.0;
         loop {
             let (sender, news) = mpsc::channel();
-            lock(&self.waiting).push(sender);
-            let found = self.get(id)?;
-            if found.0.is_final || now_ms() >= end {
-                return Some(found);
+            let number = {
+                let mut waiting = lock(&self.waiting);
+                waiting.next += 1;
+                let number = waiting.next;
+                waiting.senders.insert(number, sender);
+                number
+            };
+            let found = self.get(id);
+            let over = found.as_ref().is_none_or(|found| found.0.is_final || now_ms() >= end);
+            if !over {
+                let _ = news.recv_timeout(crate::core::until(end));
+            }
+            lock(&self.waiting).senders.remove(&number);
+            if over {
+                return found;
             }
-            let _ = news.recv_timeout(crate::core::until(end));
         }
     }
 
     /// Has those who wait look again.
     pub fn wake(&self) {
-        let waiting = std::mem::take(&mut *lock(&self.waiting));
-        waiting.into_iter().for_each(|waiter| _ = waiter.send(()));
+        let waiting = std::mem::take(&mut lock(&self.waiting).senders);
+        waiting.into_values().for_each(|waiter| _ = waiter.send(()));
     }
 
-    fn write(&self, id: RequestId, deferred: &Deferred, is_final: bool) -> Result<(), StoreError> {
+    /// What is to be kept of a call, its key aside.
+    fn draft(&self, deferred: &Deferred, is_final: bool) -> Draft<'static> {
         let expires = now_ms().max(deferred.repeats_until) + self.retention;
-        let value = serde_json::to_value(deferred).ok();
-        self.store.put(&key_of(id), value, is_final, expires, Writers::First).map(|_| ())
+        Draft { is_final, expires, writers: Writers::First, ..Draft::new("", Text::of(deferred).ok()) }
+    }
+}
+
+/// What a key takes without its answer, in bytes.
+fn cost(key: &Key) -> usize {
+    KEY_COST + key.0.len() + key.1.len()
+}
+
+/// What an answer holds beside its place, in bytes.
+fn kept(answer: &Answer) -> usize {
+    match answer {
+        Answer::Served { body } => body.capacity(),
+        Answer::Refused { .. } | Answer::Failed(_) | Answer::Withdrawn => 0,
     }
 }
 
 fn key_of(id: RequestId) -> String {
-    format!("{PREFIX}{:016x}", id.0)
+    format!("{INVOCATION}{:016x}", id.0)
 }
 
 fn id_of(record: &Record) -> Option<RequestId> {
-    u64::from_str_radix(record.key.strip_prefix(PREFIX)?, 16).ok().map(RequestId)
+    u64::from_str_radix(record.key.strip_prefix(INVOCATION)?, 16).ok().map(RequestId)
 }
 
 fn read(record: &Record) -> Option<Deferred> {
-    Deferred::deserialize(record.value.as_ref()?).ok()
+    record.value.as_ref()?.read().ok()
 }
 
 fn may_have_run(answer: &Answer) -> bool {
@@ -192,6 +305,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::memory::roomy;
+    use corkbay_ledger::{Budget, Ledger, Shares, TenantShare, MIB};
+
+    const LARGEST: usize = 64 << 10;
 
     fn deferred(key: &str) -> Deferred {
         Deferred {
@@ -207,15 +324,15 @@
     /// is not run again.
     #[test]
     fn what_was_open_at_a_restart_fails_and_its_key_stays_taken() {
-        let store = Arc::new(Store::in_memory("a"));
-        let before = Invocations::new(store.clone(), Duration::from_secs(60)).expect("in memory");
-        before.accept(RequestId(7), &deferred("k")).expect("in memory");
-        let after = Invocations::new(store, Duration::from_secs(60)).expect("in memory");
+        let store = Arc::new(Store::in_memory("a", roomy()));
+        let before = Invocations::new(store.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
+        before.accept(RequestId(7), deferred("k"), None).expect("in memory");
+        let after = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
         let failed = Answer::Failed(Failure { may_have_run: true, late: false });
         let (record, kept) = after.get(RequestId(7)).expect("kept");
         assert!(record.is_final);
         assert_eq!(kept.answer, Some(failed.clone()));
-        let repeat = after.admit(&("f".into(), "k".into()), RequestId(8), b"x", now_ms() + 1000.0);
+        let repeat = after.admit(&("f".into(), "k".into()), RequestId(8), b"x", now_ms() + 1000.0, None);
         assert_eq!(repeat, Repeat::Done(RequestId(7), failed));
     }
 
@@ -223,39 +340,40 @@
     /// served after it.
     #[test]
     fn a_refused_call_does_not_hold_its_key_after_a_restart() {
-        let store = Arc::new(Store::in_memory("a"));
-        let before = Invocations::new(store.clone(), Duration::from_secs(60)).expect("in memory");
+        let store = Arc::new(Store::in_memory("a", roomy()));
+        let before = Invocations::new(store.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
         let key = ("f".to_string(), "k".to_string());
         let refused =
             Answer::Refused { retry_after: 0.0, known: Failure { may_have_run: false, late: false } };
         let served = Answer::Served { body: b"z".to_vec() };
         for (id, answer) in [(9, &refused), (8, &served), (10, &refused)] {
-            before.accept(RequestId(id), &deferred("k")).expect("in memory");
-            before.finish(RequestId(id), Some(&key), answer, Some(deferred("k")));
+            let promise = before.accept(RequestId(id), deferred("k"), None).expect("in memory");
+            before.finish(RequestId(id), Some(&key), answer, Some(promise));
         }
-        let after = Invocations::new(store, Duration::from_secs(60)).expect("in memory");
-        let repeat = after.admit(&key, RequestId(11), b"x", now_ms() + 1000.0);
+        let after = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
+        let repeat = after.admit(&key, RequestId(11), b"x", now_ms() + 1000.0, None);
         assert_eq!(repeat, Repeat::Done(RequestId(8), served));
     }
 
     /// Guards against a replica that answers for the node that accepted the call.
     #[test]
     fn a_replica_invents_no_answer() {
-        let (one, two) = (Arc::new(Store::in_memory("one")), Arc::new(Store::in_memory("two")));
-        let accepting = Invocations::new(one.clone(), Duration::from_secs(60)).expect("in memory");
-        accepting.accept(RequestId(7), &deferred("k")).expect("in memory");
-        two.merge(one.lacking(&two.digest())).expect("in memory");
-        let replica = Invocations::new(two.clone(), Duration::from_secs(60)).expect("in memory");
+        let (one, two) =
+            (Arc::new(Store::in_memory("one", roomy())), Arc::new(Store::in_memory("two", roomy())));
+        let accepting = Invocations::new(one.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
+        accepting.accept(RequestId(7), deferred("k"), None).expect("in memory");
+        two.merge(one.lacking(&two.digest(), usize::MAX)).expect("in memory");
+        let replica = Invocations::new(two.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
         let (record, kept) = replica.get(RequestId(7)).expect("replicated");
         assert!(!record.is_final && kept.answer.is_none());
     }
 
     #[test]
     fn a_key_is_free_again_only_if_nothing_ran() {
-        let store = Arc::new(Store::in_memory("a"));
-        let invocations = Invocations::new(store, Duration::from_secs(60)).expect("in memory");
+        let store = Arc::new(Store::in_memory("a", roomy()));
+        let invocations = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
         let key = ("f".to_string(), "k".to_string());
-        let admit = |id, body: &[u8]| invocations.admit(&key, RequestId(id), body, now_ms() + 60_000.0);
+        let admit = |id, body: &[u8]| invocations.admit(&key, RequestId(id), body, now_ms() + 60_000.0, None);
         assert_eq!(admit(1, b"x"), Repeat::Fresh);
         assert_eq!(admit(2, b"x"), Repeat::Open(RequestId(1)));
         assert_eq!(admit(2, b"y"), Repeat::Mismatch);
@@ -267,4 +385,68 @@
         invocations.finish(RequestId(3), Some(&key), &served, None);
         assert_eq!(admit(4, b"x"), Repeat::Done(RequestId(3), served));
     }
+
+    fn small() -> (Invocations, Arc<Ledger>) {
+        let budget = Budget::plan(32 * MIB, 0, 0.0, &Shares::daemon(), ("memory_mb", "memory.shares"));
+        let share = |name: &str| TenantShare { name: name.into(), weight: 1.0 };
+        let ledger = Arc::new(Ledger::new(&budget.expect("fits"), &[share("desk"), share("coop")]));
+        let store = Arc::new(Store::in_memory("a", ledger.clone()));
+        (Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory"), ledger)
+    }
+
+    /// Guards the promise to keep a final answer: it is refused at the start where there is no room for the
+    /// largest, so that none is lost at its end; and a flood by one tenant leaves another its part.
+    #[test]
+    fn what_is_accepted_has_room_for_its_end_and_a_flood_leaves_others_theirs() {
+        let (invocations, ledger) = small();
+        let accept = |id, tenant| invocations.accept(RequestId(id), deferred("k"), Some(tenant));
+        let flood: Vec<_> =
+            (0..1000).map_while(|id| accept(id, 0).ok().map(|promise| (id, promise))).collect();
+        assert!((10..100).contains(&flood.len()), "{}", flood.len());
+        let refused = accept(5000, 0);
+        assert!(matches!(refused, Err(StoreError::Full { retry_after: Some(span), .. }) if span > 60_000.0));
+        let other: Vec<_> = (2000..2010).map(|id| (id, accept(id, 1).expect("its own part"))).collect();
+        let answer = Answer::Served { body: vec![7; LARGEST] };
+        for (id, promise) in flood.into_iter().chain(other) {
+            invocations.finish(RequestId(id), None, &answer, Some(promise));
+            assert_eq!(invocations.get(RequestId(id)).and_then(|found| found.1.answer), Some(answer.clone()));
+        }
+        assert_eq!(ledger.account(Purpose::DeferredOpen).used(), 0);
+        let finals = ledger.account(Purpose::DeferredFinal);
+        assert!(finals.used() <= finals.cap() && finals.used() > finals.cap() / 4);
+        drop(invocations);
+        assert_eq!(ledger.held(), 0);
+    }
+
+    /// Guards memory against a flood of keys: each is held with the answer it may have to repeat, and those
+    /// whose window is over make room.
+    #[test]
+    fn a_flood_of_keys_is_told_when_to_come_again() {
+        let (invocations, ledger) = small();
+        let (key, soon) = (|at: u32| ("f".to_string(), at.to_string()), now_ms() + 400.0);
+        let admit = |at| invocations.admit(&key(at), RequestId(u64::from(at)), b"x", soon, None);
+        let served = Answer::Served { body: vec![7; 10] };
+        let mut fresh = 0;
+        let told = loop {
+            match admit(fresh) {
+                Repeat::Fresh if fresh % 2 == 0 => {
+                    invocations.finish(RequestId(0), Some(&key(fresh)), &served, None)
+                }
+                Repeat::Fresh => {}
+                other => break other,
+            }
+            fresh += 1;
+        };
+        assert!(matches!(told, Repeat::Crowded(Some(span)) if span > 0.0), "{told:?}");
+        assert!(matches!(admit(0), Repeat::Done(..)) && matches!(admit(1), Repeat::Open(_)));
+        let account = ledger.account(Purpose::Keys);
+        let before = account.used();
+        std::thread::sleep(Duration::from_millis(450));
+        let refused =
+            Answer::Refused { retry_after: 0.0, known: Failure { may_have_run: false, late: false } };
+        invocations.finish(RequestId(1), Some(&key(1)), &refused, None);
+        let other = invocations.admit(&key(2), RequestId(1), b"x", now_ms() + 60_000.0, None);
+        assert_eq!(other, Repeat::Fresh, "a key is new once its window is over");
+        assert!(account.used() < before + LARGEST, "what is over has gone");
+    }
 }
--- a/crates/node/src/memory/log.rs
+++ b/crates/node/src/memory/log.rs
@@ -1,41 +1,47 @@
 //! An append-only log of records: each with its length and a check, synced before a write returns.
 //!
 //! A file is written by a thread of its own, as coroutines must not wait for a disk; writers wait for it
-//! on the coroutine library's channels.
-use super::store::Record;
+//! on the coroutine library's channels. What is on its way there is accounted.
+use super::record::Record;
+use corkbay_ledger::{Account, Full, Reservation};
 use may::sync::mpsc as waits;
-use std::fmt;
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Seek, SeekFrom, Write};
+use std::io::{self, BufReader, BufWriter, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{mpsc, Arc};
 
 const HEAD: usize = 8;
 /// A log is not compacted below this size.
 const SMALL: u64 = 64 << 10;
+/// Largest record that is read; none that is written comes near it.
+const MOST: usize = 1 << 20;
 
 /// Why the log could not keep something.
-#[derive(Clone, Debug)]
-pub struct LogError(String);
-
-impl fmt::Display for LogError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "log: {}", self.0)
-    }
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum LogError {
+    /// The disk, or the thread that writes to it.
+    #[error("log: {0}")]
+    Io(String),
+    /// More is on its way to the disk than may be.
+    #[error("log: {0}")]
+    Full(#[from] Full),
 }
 
-impl std::error::Error for LogError {}
-
 impl From<io::Error> for LogError {
     fn from(error: io::Error) -> Self {
-        LogError(error.to_string())
+        LogError::Io(error.to_string())
     }
 }
 
 enum Job {
     Append(Vec<u8>),
-    /// The live records as they would stand in a new log.
-    Compact(Vec<u8>),
+    /// Begins a new log beside the old one.
+    Begin,
+    /// More of the new log.
+    Add(Vec<u8>),
+    /// Puts the new log in the old one's place.
+    Replace,
 }
 
 type Waiter = waits::Sender<Result<(), LogError>>;
@@ -43,80 +49,123 @@
 /// A handle on the thread that owns the file.
 pub struct Log {
     jobs: mpsc::Sender<(Job, Waiter)>,
+    queued: Account,
+    size: Arc<AtomicU64>,
 }
 
 impl Log {
-    /// Opens the log of a folder, with the records that it holds. What stands behind the last whole
-    /// record is the torn end of a write that was never acknowledged, and is cut off.
-    pub fn open(folder: &Path) -> Result<(Self, Vec<Record>), LogError> {
+    /// Opens the log of a folder and hands over the records that it holds, oldest first. What stands behind
+    /// the last whole record is the torn end of a write that was never acknowledged, and is cut off. What
+    /// is on its way to the disk counts in `queued`.
+    pub fn open(folder: &Path, queued: Account, mut each: impl FnMut(Record)) -> Result<Self, LogError> {
         fs::create_dir_all(folder)?;
         let path = folder.join("records.log");
-        let bytes = match fs::read(&path) {
-            Ok(bytes) => bytes,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
-            Err(error) => return Err(error.into()),
-        };
-        let (records, whole) = decode(&bytes);
-        if whole < bytes.len() {
-            eprintln!("log: {} bytes behind the last whole record are cut off", bytes.len() - whole);
+        let mut file = OpenOptions::new().create(true).truncate(false).read(true).write(true).open(&path)?;
+        let whole = decode(BufReader::new(&file), &mut each)?;
+        let size = file.metadata()?.len();
+        if whole < size {
+            tracing::warn!(bytes = size - whole, "log: what stands behind the last whole record is cut off");
         }
-        let mut file = OpenOptions::new().create(true).truncate(false).write(true).open(&path)?;
-        file.set_len(whole as u64)?;
+        file.set_len(whole)?;
         file.seek(SeekFrom::End(0))?;
         file.sync_all()?;
         let (jobs, queue) = mpsc::channel();
-        let mut keeper = Keeper { path, file, size: whole as u64 };
+        let size = Arc::new(AtomicU64::new(whole));
+        let mut keeper = Keeper { path, file, size: size.clone(), fresh: None };
         std::thread::Builder::new().name("log".into()).spawn(move || keeper.run(&queue))?;
-        Ok((Log { jobs }, records))
+        Ok(Log { jobs, queued, size })
     }
 
     /// Adds records and returns once they are on the disk.
     pub fn append(&self, records: &[Record]) -> Result<(), LogError> {
-        self.wait(Job::Append(encode(records)))
+        let (bytes, _held) = self.encode(records)?;
+        self.wait(Job::Append(bytes))
+    }
+
+    /// Whether the log has grown so large that it is worth writing anew for live records of so many bytes.
+    pub fn is_worth_replacing(&self, live: usize) -> bool {
+        let size = self.size.load(Relaxed);
+        size >= SMALL && size >= 2 * live as u64
     }
 
-    /// Puts these records in place of all, if the log has grown to more than twice their size.
-    pub fn compact(&self, live: Vec<Record>) -> Result<(), LogError> {
-        self.wait(Job::Compact(encode(&live)))
+    /// Puts the records of these pages in place of all. Nobody may append meanwhile.
+    pub fn replace(&self, pages: impl Iterator<Item = Vec<Record>>) -> Result<(), LogError> {
+        self.wait(Job::Begin)?;
+        for page in pages {
+            let (bytes, _held) = self.encode(&page)?;
+            self.wait(Job::Add(bytes))?;
+        }
+        self.wait(Job::Replace)
+    }
+
+    /// The bytes of records, held until they are written.
+    fn encode(&self, records: &[Record]) -> Result<(Vec<u8>, Reservation), LogError> {
+        let size = records.iter().map(Record::size).sum();
+        let held = self.queued.reserve(size)?;
+        let mut bytes = Vec::with_capacity(size);
+        for record in records {
+            let head = bytes.len();
+            bytes.extend([0; HEAD]);
+            serde_json::to_writer(&mut bytes, record).map_err(|error| LogError::Io(error.to_string()))?;
+            let text = &bytes[head + HEAD..];
+            let (length, check) = ((text.len() as u32).to_be_bytes(), crc32fast::hash(text).to_be_bytes());
+            bytes[head..head + 4].copy_from_slice(&length);
+            bytes[head + 4..head + HEAD].copy_from_slice(&check);
+        }
+        Ok((bytes, held))
     }
 
     fn wait(&self, job: Job) -> Result<(), LogError> {
         let (done, end) = waits::channel();
-        let gone = |_| LogError("its thread has ended".into());
-        self.jobs.send((job, done)).map_err(|_| LogError("its thread has ended".into()))?;
-        end.recv().map_err(gone)?
+        let gone = || LogError::Io("its thread has ended".into());
+        self.jobs.send((job, done)).map_err(|_| gone())?;
+        end.recv().map_err(|_| gone())?
     }
 }
 
-fn encode(records: &[Record]) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    for record in records {
-        let text = serde_json::to_vec(record).unwrap_or_default();
-        bytes.extend((text.len() as u32).to_be_bytes());
-        bytes.extend(crc32fast::hash(&text).to_be_bytes());
-        bytes.extend(text);
+/// Hands over the whole records at the front of a log; tells where they end. Memory follows one record.
+fn decode(mut log: impl Read, each: &mut impl FnMut(Record)) -> io::Result<u64> {
+    let (mut at, mut text) = (0, Vec::new());
+    loop {
+        let mut head = [0; HEAD];
+        if read_whole(&mut log, &mut head)? < HEAD {
+            return Ok(at);
+        }
+        let size = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let check = u32::from_be_bytes([head[4], head[5], head[6], head[7]]);
+        if size > MOST {
+            return Ok(at);
+        }
+        text.resize(size, 0);
+        if read_whole(&mut log, &mut text)? < size || crc32fast::hash(&text) != check {
+            return Ok(at);
+        }
+        let Ok(record) = serde_json::from_slice(&text) else { return Ok(at) };
+        each(record);
+        at += (HEAD + size) as u64;
     }
-    bytes
 }
 
-/// The whole records at the front of a log, and where they end.
-fn decode(bytes: &[u8]) -> (Vec<Record>, usize) {
-    let (mut records, mut at) = (Vec::new(), 0);
-    while let Some((head, rest)) = bytes[at..].split_first_chunk::<HEAD>() {
-        let size = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-        let check = u32::from_be_bytes([head[4], head[5], head[6], head[7]]);
-        let Some(text) = rest.get(..size).filter(|text| crc32fast::hash(text) == check) else { break };
-        let Ok(record) = serde_json::from_slice(text) else { break };
-        records.push(record);
-        at += HEAD + size;
+/// Fills the buffer as far as there is anything to read.
+fn read_whole(from: &mut impl Read, buffer: &mut [u8]) -> io::Result<usize> {
+    let mut filled = 0;
+    while filled < buffer.len() {
+        match from.read(&mut buffer[filled..]) {
+            Ok(0) => break,
+            Ok(size) => filled += size,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
     }
-    (records, at)
+    Ok(filled)
 }
 
 struct Keeper {
     path: PathBuf,
     file: File,
-    size: u64,
+    size: Arc<AtomicU64>,
+    /// The new log while one is written.
+    fresh: Option<BufWriter<File>>,
 }
 
 impl Keeper {
@@ -124,7 +173,9 @@
         while let Ok((job, waiter)) = queue.recv() {
             let end = match job {
                 Job::Append(bytes) => self.append(&bytes),
-                Job::Compact(live) => self.compact(&live),
+                Job::Begin => self.begin(),
+                Job::Add(bytes) => self.add(&bytes),
+                Job::Replace => self.replace(),
             };
             let _ = waiter.send(end);
         }
@@ -134,28 +185,36 @@
         let written = self.file.write_all(bytes).and_then(|()| self.file.sync_data());
         if let Err(error) = written {
             // What was half written must not stand before what comes next.
-            self.file.set_len(self.size)?;
-            self.file.seek(SeekFrom::Start(self.size))?;
+            let size = self.size.load(Relaxed);
+            self.file.set_len(size)?;
+            self.file.seek(SeekFrom::Start(size))?;
             return Err(error.into());
         }
-        self.size += bytes.len() as u64;
+        self.size.fetch_add(bytes.len() as u64, Relaxed);
+        Ok(())
+    }
+
+    fn begin(&mut self) -> Result<(), LogError> {
+        self.fresh = Some(BufWriter::new(File::create(self.path.with_extension("new"))?));
         Ok(())
     }
 
+    fn add(&mut self, bytes: &[u8]) -> Result<(), LogError> {
+        let fresh = self.fresh.as_mut().ok_or_else(|| LogError::Io("no new log was begun".into()))?;
+        Ok(fresh.write_all(bytes)?)
+    }
+
     /// The new log is whole on the disk before it takes the old one's name.
-    fn compact(&mut self, live: &[u8]) -> Result<(), LogError> {
-        if self.size < SMALL || self.size < 2 * live.len() as u64 {
-            return Ok(());
-        }
-        let fresh = self.path.with_extension("new");
-        let mut file = File::create(&fresh)?;
-        file.write_all(live)?;
+    fn replace(&mut self) -> Result<(), LogError> {
+        let fresh = self.fresh.take().ok_or_else(|| LogError::Io("no new log was begun".into()))?;
+        let mut file = fresh.into_inner().map_err(|error| LogError::Io(error.to_string()))?;
         file.sync_all()?;
-        fs::rename(&fresh, &self.path)?;
+        fs::rename(self.path.with_extension("new"), &self.path)?;
         if let Some(folder) = self.path.parent() {
             File::open(folder)?.sync_all()?;
         }
-        (self.file, self.size) = (file, live.len() as u64);
+        self.size.store(file.stream_position()?, Relaxed);
+        self.file = file;
         Ok(())
     }
 }
@@ -163,9 +222,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::memory::record::Text;
 
     fn record(key: &str, version: u64, filler: usize) -> Record {
-        let value = Some("x".repeat(filler).into());
+        let value = Text::of(&"x".repeat(filler)).ok();
         Record { key: key.into(), is_final: false, version, node: "n".into(), expires: 0.0, value }
     }
 
@@ -175,21 +235,29 @@
         folder
     }
 
+    fn open(folder: &Path) -> (Log, Vec<Record>) {
+        let mut kept = Vec::new();
+        let log = Log::open(folder, Account::root("log", 1 << 20), |record| kept.push(record));
+        (log.expect("opens"), kept)
+    }
+
     /// Guards against a crash in the middle of a write: wherever the file ends, the whole records
     /// before are there and the log goes on behind them.
     #[test]
     fn a_torn_tail_is_cut_off_wherever_it_is_torn() {
         let folder = folder("torn");
+        let (log, _) = open(&folder);
+        let encode = |records: &[Record]| log.encode(records).expect("room").0;
         let (two, whole) = (encode(&[record("a", 1, 3)]), encode(&[record("a", 1, 3), record("b", 1, 3)]));
         for end in 0..=whole.len() {
             let _ = fs::remove_dir_all(&folder);
             fs::create_dir_all(&folder).expect("folder");
             fs::write(folder.join("records.log"), &whole[..end]).expect("written");
-            let (log, kept) = Log::open(&folder).expect("opens");
+            let (log, kept) = open(&folder);
             let expected = usize::from(end >= two.len()) + usize::from(end == whole.len());
             assert_eq!(kept.len(), expected, "torn at {end}");
             log.append(&[record("c", 1, 3)]).expect("appends");
-            let (_, kept) = Log::open(&folder).expect("opens again");
+            let (_, kept) = open(&folder);
             assert_eq!(kept.last(), Some(&record("c", 1, 3)));
             assert_eq!(kept.len(), expected + 1);
         }
@@ -198,26 +266,45 @@
 
     #[test]
     fn a_damaged_record_and_what_follows_is_not_taken_in() {
-        let mut bytes = encode(&[record("a", 1, 3), record("b", 1, 3)]);
-        let (at, last) = (encode(&[record("a", 1, 3)]).len(), bytes.len() - 2);
+        let folder = folder("damaged");
+        let (log, _) = open(&folder);
+        let mut bytes = log.encode(&[record("a", 1, 3), record("b", 1, 3)]).expect("room").0;
+        let (at, last) = (log.encode(&[record("a", 1, 3)]).expect("room").0.len(), bytes.len() - 2);
         bytes[last] ^= 1;
-        assert_eq!(decode(&bytes), (vec![record("a", 1, 3)], at));
+        let mut kept = Vec::new();
+        assert_eq!(decode(&bytes[..], &mut |record| kept.push(record)).expect("read"), at as u64);
+        assert_eq!(kept, [record("a", 1, 3)]);
+        let _ = fs::remove_dir_all(&folder);
     }
 
     #[test]
-    fn compaction_keeps_what_stands_and_sheds_the_rest() {
-        let folder = folder("compact");
-        let (log, _) = Log::open(&folder).expect("opens");
+    fn a_new_log_holds_what_it_is_given_and_goes_on_from_there() {
+        let folder = folder("replace");
+        let (log, _) = open(&folder);
         for version in 1..=200 {
             log.append(&[record("a", version, 1000)]).expect("appends");
         }
-        let before = fs::metadata(folder.join("records.log")).expect("there").len();
-        log.compact(vec![record("a", 200, 1000)]).expect("compacts");
-        log.append(&[record("b", 1, 3)]).expect("appends");
-        let after = fs::metadata(folder.join("records.log")).expect("there").len();
-        assert!(after < before / 50, "{before} to {after}");
-        let (_, kept) = Log::open(&folder).expect("opens again");
-        assert_eq!(kept, [record("a", 200, 1000), record("b", 1, 3)]);
+        let size = || fs::metadata(folder.join("records.log")).expect("there").len();
+        let before = size();
+        assert!(log.is_worth_replacing(2000) && !log.is_worth_replacing(before as usize));
+        log.replace([vec![record("a", 200, 1000)], vec![record("b", 1, 3)]].into_iter()).expect("replaces");
+        log.append(&[record("c", 1, 3)]).expect("appends");
+        assert!(size() < before / 50, "{before} to {}", size());
+        let (_, kept) = open(&folder);
+        assert_eq!(kept, [record("a", 200, 1000), record("b", 1, 3), record("c", 1, 3)]);
+        let _ = fs::remove_dir_all(&folder);
+    }
+
+    /// Guards memory while the disk stands still: what does not fit on the way there is refused before it
+    /// is encoded, and nothing stays held.
+    #[test]
+    fn more_than_may_be_on_its_way_is_refused() {
+        let folder = folder("full");
+        let queued = Account::root("log", 2000);
+        let log = Log::open(&folder, queued.clone(), |_| {}).expect("opens");
+        assert!(matches!(log.append(&[record("a", 1, 3000)]), Err(LogError::Full(_))));
+        log.append(&[record("a", 1, 30)]).expect("appends");
+        assert_eq!(queued.used(), 0);
         let _ = fs::remove_dir_all(&folder);
     }
 }
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -4,6 +4,17 @@
 pub mod invocations;
 pub mod link;
 pub mod log;
+pub mod record;
+pub mod resident;
+pub mod room;
 pub mod roster;
 pub mod seats;
 pub mod store;
+
+/// Accounts with room for all that a test holds.
+#[cfg(test)]
+pub(crate) fn roomy() -> std::sync::Arc<corkbay_ledger::Ledger> {
+    use corkbay_ledger::{Budget, Ledger, Shares, MIB};
+    let budget = Budget::plan(1024 * MIB, 0, 0.0, &Shares::daemon(), ("memory_mb", "memory.shares"));
+    std::sync::Arc::new(Ledger::new(&budget.expect("fits"), &[]))
+}
--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -1,5 +1,7 @@
 //! The workers as the command channel names them, with what may still be sent there.
 use corkbay::{position, Ms, Names, Roster, RosterEntry, Standing, WorkerId};
+use corkbay_ledger::pressure::{decide, Case, Decision};
+use corkbay_ledger::{Account, Purpose, Reservation};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -65,19 +67,21 @@
     hosts: HashMap<WorkerId, Arc<Host>>,
     numbers: HashMap<String, WorkerId>,
     next: u32,
+    held: Reservation,
     /// Those that have gone, the longest gone first.
     gone: VecDeque<WorkerId>,
 }
 
 impl Directory {
-    /// An empty directory that knows the names of zones and kinds.
-    pub fn new(names: &Names) -> Self {
+    /// An empty directory that knows the names of zones and kinds, and counts what it holds on an account.
+    pub fn new(names: &Names, account: &Account) -> Self {
         Directory {
             zones: names.zones.clone(),
             kinds: names.kinds.clone(),
             hosts: HashMap::new(),
             numbers: HashMap::new(),
             next: 0,
+            held: account.nothing(),
             gone: VecDeque::new(),
         }
     }
@@ -92,7 +96,15 @@
         if whole {
             self.hosts.values().for_each(|host| host.bar(true));
         }
-        let entries: Vec<RosterEntry> = listings.into_iter().map(|listing| self.entry(listing)).collect();
+        let count = listings.len();
+        let entries: Vec<RosterEntry> =
+            listings.into_iter().filter_map(|listing| self.entry(listing)).collect();
+        if entries.len() < count {
+            tracing::warn!(
+                left_out = count - entries.len(),
+                "there is no room for all workers that are listed"
+            );
+        }
         let standing = |standing: Standing| {
             entries.iter().filter(move |entry| entry.standing == standing).map(|entry| entry.worker)
         };
@@ -106,8 +118,7 @@
         self.gone.retain(|id| !entries.iter().any(|entry| entry.worker == *id));
         self.gone.extend(standing(Standing::Gone));
         while self.gone.len() > GONE {
-            let forgotten = self.gone.pop_front().and_then(|id| self.hosts.remove(&id));
-            forgotten.into_iter().for_each(|host| _ = self.numbers.remove(&host.name));
+            self.forget_longest_gone();
         }
         match (whole, remembered) {
             (true, true) => Roster::Remembered(entries),
@@ -116,7 +127,34 @@
         }
     }
 
-    fn entry(&mut self, listing: Listing) -> RosterEntry {
+    fn forget_longest_gone(&mut self) {
+        let forgotten = self.gone.pop_front().and_then(|id| self.hosts.remove(&id));
+        if let Some(host) = forgotten {
+            self.numbers.remove(&host.name);
+            self.held.shrink_to(self.held.bytes().saturating_sub(cost(&host.name)));
+        }
+    }
+
+    /// Room for a worker that was not known; those that have gone give way.
+    fn make_place(&mut self, name: &str) -> bool {
+        let asked = cost(name);
+        loop {
+            let Err(full) = self.held.resize(self.held.bytes() + asked) else { return true };
+            let idle = self.gone.len() * asked;
+            let (purpose, cap) = (Purpose::Roster, full.cap);
+            match decide(&Case { purpose, asked, cap, idle, frees_in: None, waited: 0.0 }) {
+                Decision::Evict { .. } => self.forget_longest_gone(),
+                Decision::Wait { .. } | Decision::Refuse { .. } => return false,
+            }
+        }
+    }
+
+    /// What is told of one worker; `None` where there is no room for it. News of one that is known always
+    /// counts.
+    fn entry(&mut self, listing: Listing) -> Option<RosterEntry> {
+        if !self.numbers.contains_key(&listing.name) && !self.make_place(&listing.name) {
+            return None;
+        }
         let number = *self.numbers.entry(listing.name.clone()).or_insert_with(|| {
             self.next += 1;
             WorkerId(self.next - 1)
@@ -129,7 +167,7 @@
             *host = Host::new(number, &listing.name, listing.address);
         }
         host.bar(listing.standing != Standing::Ready);
-        RosterEntry {
+        Some(RosterEntry {
             worker: number,
             zone: position(&self.zones, &listing.zone).unwrap_or(usize::MAX),
             kind: position(&self.kinds, &listing.kind).unwrap_or(usize::MAX),
@@ -138,10 +176,17 @@
             standing: listing.standing,
             weight: listing.weight,
             born: listing.born,
-        }
+        })
     }
 }
 
+/// What a worker takes in the directory: itself, its names there and in two maps that are at times half
+/// empty, and its line among those that have gone.
+fn cost(name: &str) -> usize {
+    let maps = std::mem::size_of::<(WorkerId, Arc<Host>)>() + std::mem::size_of::<(String, WorkerId)>();
+    std::mem::size_of::<Host>() + 2 * maps + 2 * name.len() + 5 * 16
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -155,7 +200,8 @@
     /// Guards memory on days on which hosts are replaced by new ones all the time.
     #[test]
     fn hosts_that_have_gone_are_forgotten_and_their_numbers_stay_their_own() {
-        let mut directory = Directory::new(&Names::default());
+        let account = Account::root("roster", 1 << 20);
+        let mut directory = Directory::new(&Names::default(), &account);
         directory.apply((0..4).map(|name| listing(name, Standing::Ready)).collect(), true, true);
         for name in 4..1000 {
             directory.apply(vec![listing(name, Standing::Ready)], false, false);
@@ -171,5 +217,33 @@
         assert_eq!(back[0].worker, WorkerId(1000));
         directory.apply(vec![listing(1, Standing::Ready)], true, false);
         assert_eq!(directory.hosts.len(), GONE + 1, "whom a whole list leaves out has gone");
+        assert!(account.peak() < 2 * (GONE + 6) * cost("w1000"), "{}", account.peak());
+        drop(directory);
+        assert_eq!(account.used(), 0);
+    }
+
+    /// Guards memory against a list that grows without end, and the rule on drains meanwhile: those that have
+    /// gone give way, a newcomer without room is left out, and whoever is known is heard of.
+    #[test]
+    fn a_list_that_outgrows_its_room_loses_newcomers_and_no_news() {
+        let account = Account::root("roster", 10 * cost("w11"));
+        let mut directory = Directory::new(&Names::default(), &account);
+        let mut told =
+            |name: usize, standing| match directory.apply(vec![listing(name, standing)], false, false) {
+                Roster::Changes(entries) => entries.first().map(|entry| (entry.worker.0, entry.standing)),
+                other => panic!("{other:?}"),
+            };
+        for name in 0..10 {
+            assert_eq!(told(name, Standing::Ready), Some((name as u32, Standing::Ready)));
+        }
+        assert_eq!(told(10, Standing::Ready), None);
+        assert_eq!(told(3, Standing::Draining), Some((3, Standing::Draining)), "heard of, full or not");
+        assert_eq!(told(4, Standing::Gone), Some((4, Standing::Gone)));
+        assert_eq!(
+            told(11, Standing::Ready),
+            Some((10, Standing::Ready)),
+            "in the place of the one that went"
+        );
+        assert!(account.used() <= account.cap());
     }
 }
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -2,8 +2,10 @@
 use super::socket::Socket;
 use crate::core::{lock, now_ms};
 use crate::life::spawn;
+use crate::memory::room::wait;
 use crate::memory::seats::{Seats, Stance};
 use corkbay::Ms;
+use corkbay_ledger::{Account, Reservation};
 use may::net::TcpListener;
 use may::sync::{Mutex, Semphore};
 use std::ops::Deref;
@@ -23,32 +25,39 @@
     number: u64,
     seats: Table,
     /// Given back last, after the descriptor.
-    _place: Place,
+    place: Place,
 }
 
-/// Accepts clients for as long as the process lives, at most `most` at a time; `stall` is how long one may
-/// let an answer stand unread. When all places are taken, a newcomer gets that of a client that is owed
-/// nothing: the silent go first.
-pub fn accept(
-    listener: &TcpListener,
-    most: usize,
-    stall: Duration,
-    serve: impl Fn(Arc<Guest>) + Send + Sync + 'static,
-) {
+/// What a connection takes: the stack of its task as far as it is touched, a chunk, its seat. Measured.
+const GUEST: usize = 14 << 10;
+
+/// What a front gives its clients.
+pub struct House {
+    /// Most connections at a time.
+    pub most: usize,
+    /// How long a client may let an answer stand unread.
+    pub stall: Duration,
+    /// What connections take counts here.
+    pub account: Account,
+}
+
+/// Accepts clients for as long as the process lives. When all places or the room for them are taken, a
+/// newcomer gets that of a client that is owed nothing: the silent go first.
+pub fn accept(listener: &TcpListener, house: &House, serve: impl Fn(Arc<Guest>) + Send + Sync + 'static) {
     let serve = Arc::new(serve);
-    let places = Arc::new(Semphore::new(most.max(1)));
+    let places = Arc::new(Semphore::new(house.most.max(1)));
     let seats = Table::default();
     loop {
-        let accepted = listener.accept().and_then(|(stream, _)| Socket::new(stream, stall));
+        let accepted = listener.accept().and_then(|(stream, _)| Socket::new(stream, house.stall));
         match accepted {
             Ok(socket) => {
-                let place = make_way(&places, &seats);
+                let place = make_way(&places, &seats, &house.account);
                 let guest = Guest::new(socket, &seats, place);
                 let serve = serve.clone();
                 spawn(move || serve(guest));
             }
             Err(error) => {
-                eprintln!("accept: {error}");
+                tracing::warn!(%error, "accept");
                 may::coroutine::sleep(ACCEPT_PAUSE);
             }
         }
@@ -56,23 +65,35 @@
 }
 
 /// A place for a newcomer, taken from another where none is free.
-fn make_way(places: &Arc<Semphore>, seats: &Table) -> Place {
-    let mut free = places.try_wait();
-    while !free {
+fn make_way(places: &Arc<Semphore>, seats: &Table, account: &Account) -> Place {
+    let give_way = || {
         let leaver = lock(seats).give_way().and_then(|leaver| leaver.upgrade());
         if let Some(leaver) = leaver {
             leaver.socket.shut(std::net::Shutdown::Both);
         }
+    };
+    let mut free = places.try_wait();
+    while !free {
+        give_way();
         free = places.wait_timeout(GIVE_WAY);
     }
-    Place(places.clone())
+    let held = loop {
+        match account.reserve(GUEST) {
+            Ok(held) => break held,
+            Err(full) => {
+                give_way();
+                wait(&full.account, GUEST, GIVE_WAY.as_secs_f64() * 1000.0);
+            }
+        }
+    };
+    Place { places: places.clone(), held }
 }
 
 impl Guest {
     fn new(socket: Socket, seats: &Table, place: Place) -> Arc<Self> {
         Arc::new_cyclic(|guest| {
             let number = lock(seats).sit(guest.clone(), now_ms());
-            Guest { socket, number, seats: seats.clone(), _place: place }
+            Guest { socket, number, seats: seats.clone(), place }
         })
     }
 
@@ -86,6 +107,11 @@
         lock(&self.seats).closed(self.number, now_ms());
     }
 
+    /// Where what is read on the connection counts.
+    pub fn account(&self) -> &Account {
+        self.place.held.account()
+    }
+
     /// Writes an answer.
     pub fn answer(&self, bytes: &[u8]) -> std::io::Result<()> {
         self.socket.write(bytes)?;
@@ -114,10 +140,13 @@
 }
 
 /// A client's place, given back however its task ends.
-struct Place(Arc<Semphore>);
+struct Place {
+    places: Arc<Semphore>,
+    held: Reservation,
+}
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.post();
+        self.places.post();
     }
 }
--- a/crates/node/src/wire/channel.rs
+++ b/crates/node/src/wire/channel.rs
@@ -99,7 +99,7 @@
             let read = |entry: Value| match Endpoint::deserialize(&entry) {
                 Ok(endpoint) => Some(Listing::from(endpoint)),
                 Err(error) => {
-                    eprintln!("command channel: entry {entry}: {error}");
+                    tracing::warn!(%entry, %error, "command channel: an entry was left out");
                     None
                 }
             };
@@ -149,7 +149,7 @@
     loop {
         let (before, address) = (cursor, line.address());
         if let Err(error) = listen(invoker, line, address, &mut cursor) {
-            eprintln!("command channel: {error}");
+            tracing::warn!(%error, "command channel");
         }
         if cursor == before && line.address() == address {
             may::coroutine::sleep(PAUSE);
@@ -185,7 +185,7 @@
             match news {
                 Ok(news) => news.tell(invoker, false),
                 // Asked for again it would read no better, and what follows it must be heard.
-                Err(error) => eprintln!("command channel: event {number}: {error}"),
+                Err(error) => tracing::warn!(number, %error, "command channel: an event was left out"),
             }
         }
     }
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -1,10 +1,12 @@
 //! The platform's front: Thrift in, calls to the core, answers out.
 use super::accept::Guest;
+use super::intake::{Intake, CHUNK};
 use super::thrift::{self, Fields, Malformed, Message, Reply};
 use crate::core::{lock, now_ms, until, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
 use crate::memory::seats::Stance;
 use corkbay::{position, Effect, ModelId, Ms, Request, RequestId};
+use corkbay_ledger::Purpose;
 use may::sync::Mutex;
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -23,7 +25,6 @@
 const MESSAGE_MS: Ms = 1500.0;
 /// Longest time for which a client may stop reading while an answer is written to it.
 pub const WRITE_STALL: Duration = Duration::from_secs(2);
-const CHUNK: usize = 4096;
 /// Unusable messages after which a connection is closed, and how many of them are written to the log.
 const STRIKES: u32 = 64;
 const LOGGED: u32 = 3;
@@ -43,7 +44,7 @@
     let left = Leave(invoker.clone(), open.clone());
     if let Err(malformed) = receive(invoker, &guest, &open) {
         invoker.counters.malformed.add();
-        eprintln!("client connection closed: {malformed}");
+        tracing::info!(%malformed, "client connection closed");
     }
     guest.shut(Shutdown::Both);
     drop(left);
@@ -61,26 +62,24 @@
 
 /// Reads messages until the connection ends, is no longer kept or can't be read any further.
 fn receive(invoker: &Arc<Invoker>, guest: &Arc<Guest>, open: &Open) -> Result<(), Malformed> {
-    let (mut buffer, mut chunk) = (Vec::new(), vec![0; CHUNK]);
+    let (mut intake, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
     let (mut begun, mut strikes) = (0.0, 0);
     loop {
-        let Some(message) = thrift::unframe(&mut buffer)? else {
+        let Some(message) = thrift::unframe(intake.bytes())? else {
             let (stance, since) = guest.stance();
             let end = match stance {
-                _ if !buffer.is_empty() => begun + MESSAGE_MS,
+                _ if !intake.is_empty() => begun + MESSAGE_MS,
                 Stance::Busy => now_ms() + SILENT_MS,
                 Stance::Idle => since + IDLE_MS,
                 Stance::Silent => since + SILENT_MS,
             };
-            match guest.read(&mut chunk, until(end)) {
+            let fresh = intake.is_empty();
+            match intake.fill(guest, &mut chunk, until(end)) {
                 Ok(0) => return Ok(()),
-                Ok(size) => {
-                    begun = if buffer.is_empty() { now_ms() } else { begun };
-                    buffer.extend(&chunk[..size]);
-                }
+                Ok(_) => begun = if fresh { now_ms() } else { begun },
                 Err(error) if error.kind() == ErrorKind::TimedOut => {
                     // An answer may have gone out, or a request may have ended, while this waited.
-                    if !buffer.is_empty() || guest.stance() == (stance, since) && stance != Stance::Busy {
+                    if !intake.is_empty() || guest.stance() == (stance, since) && stance != Stance::Busy {
                         return Ok(());
                     }
                 }
@@ -120,7 +119,7 @@
             invoker.counters.malformed.add();
             strikes += 1;
             if strikes <= LOGGED {
-                eprintln!("message turned down: {what}");
+                tracing::info!(what, "message turned down");
             }
             if strikes >= STRIKES {
                 return Err(Malformed {
@@ -157,7 +156,7 @@
     });
     match taken {
         Ok(Err(NotTaken::Draining)) => answer_now(rejected(DRAINING_MS)),
-        Ok(Err(NotTaken::Crowded)) => answer_now(rejected(CROWDED_MS)),
+        Ok(Err(NotTaken::Crowded(span))) => answer_now(rejected(span.max(CROWDED_MS))),
         Ok(Err(NotTaken::Open)) => answer_now(crashed("the request is open already")),
         Ok(Ok(taken)) => {
             guest.opened();
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -1,6 +1,7 @@
 //! Workers that speak the invoke API themselves, called in either of its styles: the exchange is held
 //! until the answer comes, or handed over and collected later.
 use super::http::ResponseHead;
+use super::intake::{Intake, CHUNK};
 use super::invoke::{DEADLINE_HEADER, MAY_HAVE_RUN_HEADER};
 use super::socket::Socket;
 use super::workers::PARTIAL;
@@ -9,6 +10,7 @@
 use crate::memory::link::{Link, Stage};
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms};
+use corkbay_ledger::{Account, Purpose};
 use may::net::TcpStream;
 use may::sync::Mutex;
 use std::io;
@@ -17,14 +19,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Largest answer that is read.
-const MAX_ANSWER: usize = super::frames::MAX_BODY;
+/// What an attempt takes: the stack of its task as far as it is touched, a chunk, its request. Measured.
+const ATTEMPT: usize = 16 << 10;
 /// Longest time for which one call to collect is held.
 const COLLECT_WAIT: Duration = Duration::from_secs(10);
 /// Pause between two calls to collect.
 const COLLECT_PAUSE: Duration = Duration::from_millis(50);
 const WRITE_STALL: Duration = Duration::from_secs(2);
-const CHUNK: usize = 4096;
 
 /// How an answer travels from a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +43,8 @@
     pub connect: Duration,
     /// Most attempts that are out at once.
     pub connections: usize,
+    /// Largest body of an answer, in bytes.
+    pub answer: usize,
 }
 
 /// The way to workers that speak HTTP. Each call has a connection of its own: one that was kept and is
@@ -49,6 +52,7 @@
 pub struct HttpWorkers {
     style: Style,
     limits: Limits,
+    account: Account,
     out: Arc<AtomicUsize>,
 }
 
@@ -64,7 +68,8 @@
 struct HttpExchange {
     attempt: Arc<Attempt>,
     host: Arc<Host>,
-    connect: Duration,
+    limits: Limits,
+    account: Account,
 }
 
 struct Answered {
@@ -73,9 +78,9 @@
 }
 
 impl HttpWorkers {
-    /// Calls workers in that style.
-    pub fn new(style: Style, limits: Limits) -> Self {
-        HttpWorkers { style, limits, out: Arc::new(AtomicUsize::new(0)) }
+    /// Calls workers in that style; what attempts take counts on the account.
+    pub fn new(style: Style, limits: Limits, account: Account) -> Self {
+        HttpWorkers { style, limits, account, out: Arc::new(AtomicUsize::new(0)) }
     }
 }
 
@@ -90,18 +95,22 @@
         });
         let refused = lock(&attempt.link).open(id, end).err();
         debug_assert!(refused.is_none(), "a fresh link has room");
-        let exchange =
-            HttpExchange { attempt: attempt.clone(), host: host.clone(), connect: self.limits.connect };
-        if self.out.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+        let (limits, account) = (self.limits, self.account.clone());
+        let exchange = HttpExchange { attempt: attempt.clone(), host: host.clone(), limits, account };
+        let held = self.account.reserve(ATTEMPT + call.body.len());
+        let crowded = self.out.fetch_add(1, Ordering::Relaxed) >= self.limits.connections;
+        let (Ok(held), false) = (held, crowded) else {
             self.out.fetch_sub(1, Ordering::Relaxed);
             attempt.settle(Err(AttemptError::Unfinished(Cause::Barred)));
             return Box::new(exchange);
-        }
+        };
+        let intake = Intake::new(&self.account, Purpose::Workers);
         let (style, limits, out) = (self.style, self.limits, self.out.clone());
         let (host, call) = (host.clone(), call.clone());
         spawn(move || {
             let _end = EndGuard(attempt.clone(), out);
-            let end = attempt.run(&host, &call, expires, style, &limits);
+            let end = attempt.run(&host, &call, expires, style, &limits, intake);
+            drop(held);
             attempt.settle(end);
         });
         Box::new(exchange)
@@ -156,6 +165,7 @@
         expires: Ms,
         style: Style,
         limits: &Limits,
+        mut intake: Intake,
     ) -> Result<Vec<u8>, AttemptError> {
         let socket = self.connect(host, limits.connect)?;
         if host.barred() {
@@ -167,8 +177,8 @@
         let request = post(host, call, expires, style);
         socket.write(&request).map_err(|_| AttemptError::Unfinished(Cause::Broken))?;
         lock(&self.link).whole(self.id);
-        let mut answered =
-            receive(&socket, expires).map_err(|error| AttemptError::Unanswered(cause(&error)))?;
+        let mut answered = receive(&socket, expires, &mut intake, limits.answer)
+            .map_err(|e| AttemptError::Unanswered(cause(&e)))?;
         drop(socket);
         while let Some(location) = place(&answered, style) {
             if lock(&self.link).is_closed() {
@@ -183,7 +193,9 @@
                 host.address,
                 wait.as_secs().max(1)
             );
-            let exchange = socket.write(request.as_bytes()).and_then(|()| receive(&socket, expires));
+            let exchange = socket
+                .write(request.as_bytes())
+                .and_then(|()| receive(&socket, expires, &mut intake, limits.answer));
             answered = exchange.map_err(|error| AttemptError::Unanswered(cause(&error)))?;
             // A worker that does not hold the call is not called in a tight loop.
             if place(&answered, style).is_some() {
@@ -213,21 +225,24 @@
             socket.shut(Shutdown::Both);
         }
         let location = lock(&self.attempt.location).take();
-        if let Some(location) = location {
-            let (host, connect) = (self.host.clone(), self.connect);
+        let held = self.account.reserve(ATTEMPT);
+        if let (Some(location), Ok(held)) = (location, held) {
+            let (host, limits) = (self.host.clone(), self.limits);
+            let mut intake = Intake::new(&self.account, Purpose::Workers);
             spawn(move || {
                 // As good as the worker can be told; nothing hangs on it.
                 let request = format!(
                     "DELETE {location} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
                     host.address
                 );
-                let told = Socket::connect(&host.address, connect, WRITE_STALL).and_then(|socket| {
+                let told = Socket::connect(&host.address, limits.connect, WRITE_STALL).and_then(|socket| {
                     socket.write(request.as_bytes())?;
-                    receive(&socket, now_ms() + WRITE_STALL.as_millis() as Ms)
+                    receive(&socket, now_ms() + WRITE_STALL.as_millis() as Ms, &mut intake, limits.answer)
                 });
                 if let Err(error) = told {
-                    eprintln!("worker {}: not called off: {error}", host.name);
+                    tracing::warn!(worker = %host.name, %error, "not called off");
                 }
+                drop(held);
             });
         }
         // What is being written may still come whole.
@@ -262,25 +277,26 @@
     bytes
 }
 
-/// Reads a response whole, waiting for its begin until then.
-fn receive(socket: &Socket, expires: Ms) -> io::Result<Answered> {
-    let (mut raw, mut chunk, mut begun) = (Vec::new(), vec![0; CHUNK], false);
-    let mut fill = |raw: &mut Vec<u8>| {
-        let size = socket.read(&mut chunk, if begun { PARTIAL } else { until(expires) })?;
+/// Reads a response whole, waiting for its begin until then; its body holds so many bytes at most.
+fn receive(socket: &Socket, expires: Ms, intake: &mut Intake, most: usize) -> io::Result<Answered> {
+    let (mut chunk, mut begun) = (vec![0; CHUNK], false);
+    intake.bytes().clear();
+    let mut fill = |intake: &mut Intake| {
+        let size = intake.fill(socket, &mut chunk, if begun { PARTIAL } else { until(expires) })?;
         begun = true;
-        raw.extend(&chunk[..size]);
         Ok::<_, io::Error>(size)
     };
     let mut head = loop {
-        match ResponseHead::decode(&mut raw).map_err(io::Error::other)? {
+        match ResponseHead::decode(intake.bytes()).map_err(io::Error::other)? {
             Some(head) => break head,
-            None if fill(&mut raw)? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            None if fill(intake)? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
             None => {}
         }
     };
     let mut body = Vec::new();
-    while !head.body.feed(&mut raw, &mut body, MAX_ANSWER).map_err(io::Error::other)? {
-        if fill(&mut raw)? == 0 {
+    while !head.body.feed(intake.bytes(), &mut body, most).map_err(io::Error::other)? {
+        intake.beside(body.capacity())?;
+        if fill(intake)? == 0 {
             // A body of no told length can't be told from one that was cut off.
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- /dev/null
+++ b/crates/node/src/wire/intake.rs
@@ -0,0 +1,106 @@
+//! What was read from a connection and is not used yet, accounted as it grows.
+//!
+//! A connection has paid for two chunks when it was taken in: one to read into, one to keep. What grows
+//! beyond that is reserved first; while there is no room, nothing more is read, and what the other side sends
+//! backs up in its own buffers. Who was held up for too long is told so and loses the connection.
+use super::socket::Socket;
+use crate::memory::room::grow;
+use corkbay_ledger::{Account, Purpose, Reservation};
+use std::io;
+use std::time::Duration;
+
+/// Bytes that are read at a time, and that a connection may hold without a further reservation.
+pub const CHUNK: usize = 4096;
+
+/// The unused bytes of one connection.
+pub struct Intake {
+    bytes: Vec<u8>,
+    held: Reservation,
+    purpose: Purpose,
+    /// What is held beside the bytes for the message that is read, such as its body.
+    beside: usize,
+}
+
+impl Intake {
+    /// Nothing yet, on the account of that purpose.
+    pub fn new(account: &Account, purpose: Purpose) -> Self {
+        Intake { bytes: Vec::new(), held: account.nothing(), purpose, beside: 0 }
+    }
+
+    /// What was read and not used.
+    pub fn bytes(&mut self) -> &mut Vec<u8> {
+        &mut self.bytes
+    }
+
+    /// Whether all was used.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Reads what has come, or waits for it; tells how many bytes that were. [`NO_ROOM`](crate::memory::room::NO_ROOM) where there was no
+    /// room for more for too long.
+    pub fn fill(&mut self, socket: &Socket, chunk: &mut [u8], within: Duration) -> io::Result<usize> {
+        let size = socket.read(chunk, within)?;
+        self.make_room(size)?;
+        self.bytes.extend_from_slice(&chunk[..size]);
+        Ok(size)
+    }
+
+    /// Counts what is held beside the bytes from now on.
+    pub fn beside(&mut self, bytes: usize) -> io::Result<()> {
+        self.beside = bytes;
+        self.settle(self.bytes.capacity())
+    }
+
+    /// Room for more bytes; memory that was needed once is given back when all of it was used.
+    fn make_room(&mut self, more: usize) -> io::Result<()> {
+        if self.bytes.is_empty() && self.bytes.capacity() > CHUNK {
+            self.bytes = Vec::new();
+        }
+        let needed = self.bytes.len() + more;
+        if needed <= self.bytes.capacity() {
+            return Ok(());
+        }
+        let capacity = needed.next_power_of_two();
+        self.settle(capacity)?;
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
+    }
+
+    fn settle(&mut self, capacity: usize) -> io::Result<()> {
+        grow(&mut self.held, self.purpose, (capacity + self.beside).saturating_sub(CHUNK))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::now_ms;
+    use crate::life::spawn;
+    use crate::memory::room::NO_ROOM;
+
+    /// Guards memory against many large messages at once: each waits for its turn, and one that waits in
+    /// vain is told so and holds nothing.
+    #[test]
+    fn growth_waits_for_room_and_gives_up_in_the_end() {
+        let account = Account::root("clients", 10 * CHUNK);
+        let other = account.reserve(8 * CHUNK).expect("room");
+        let (ours, began) = (account.clone(), now_ms());
+        let task = spawn(move || {
+            let mut intake = Intake::new(&ours, Purpose::Clients);
+            let first = intake.make_room(4 * CHUNK).map_err(|error| error.kind());
+            let again = intake.make_room(8 * CHUNK).map_err(|error| error.kind());
+            let waited = now_ms() - began;
+            let huge = intake.make_room(1 << 30).map_err(|error| error.kind());
+            (first, again, waited, huge, now_ms() - began)
+        });
+        std::thread::sleep(Duration::from_millis(50));
+        drop(other);
+        let held = account.when_room(0, || {});
+        let (first, again, waited, huge, in_all) = task.join().expect("no panic");
+        drop(held);
+        assert_eq!((first, again, huge), (Ok(()), Ok(()), Err(NO_ROOM)));
+        assert!(waited >= 50.0 && in_all < 900.0, "what can never fit is not waited for");
+        assert_eq!(account.used(), 0);
+    }
+}
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -3,12 +3,16 @@
 //! Both styles go through [`Desk::run`]; they differ only in how the answer travels.
 use super::accept::Guest;
 use super::http::{BadHttp, RequestHead, Response};
+use super::intake::{Intake, CHUNK};
+use super::metrics;
 use crate::core::{now_ms, Answer, Call, Failure, Invoker, NotTaken, Taken};
 use crate::life::spawn;
-use crate::memory::catalog::{Catalog, CatalogError, Function, Worker};
-use crate::memory::invocations::{Deferred, Invocations, Key, Repeat};
+use crate::memory::catalog::{Catalog, CatalogError, Function, Object, Worker};
+use crate::memory::invocations::{Deferred, Invocations, Key, Promise, Repeat};
+use crate::memory::room::{grow, NO_ROOM};
 use crate::memory::store::StoreError;
-use corkbay::{position, Effect, Request, RequestId};
+use corkbay::{position, Effect, Ms, Request, RequestId};
+use corkbay_ledger::{Purpose, Reservation};
 use may::coroutine::JoinHandle;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -37,9 +41,8 @@
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_BYTES: usize = 4 << 20;
 const MAX_KEY: usize = 128;
-const CHUNK: usize = 4096;
-/// Advice to a client that is turned away, in seconds.
-const COME_BACK_S: u64 = 1;
+/// Advice to a client of a node that is about to end, in milliseconds.
+const ENDING_MS: Ms = 1000.0;
 
 /// What the API works on.
 pub struct Desk {
@@ -61,6 +64,8 @@
 enum Next {
     /// This response, at once.
     Respond(Response),
+    /// The same for one that is large enough to be counted while it is written.
+    Counted(Response, Reservation),
     /// The answer of this task, which writes it itself.
     Held(Current),
 }
@@ -69,7 +74,8 @@
 struct Job {
     taken: Taken,
     key: Option<Key>,
-    deferred: Option<Deferred>,
+    /// Where the call is deferred.
+    promise: Option<Promise>,
 }
 
 /// The life of one client connection.
@@ -102,14 +108,11 @@
 
 /// Answers requests in the order they come; `Ok` once the last is answered.
 fn converse(desk: &Arc<Desk>, guest: &Arc<Guest>, current: &mut Option<Current>) -> io::Result<()> {
-    let (mut raw, mut chunk) = (Vec::new(), vec![0; CHUNK]);
-    let mut fill = |raw: &mut Vec<u8>, busy: bool| loop {
-        match guest.read(&mut chunk, if raw.is_empty() { IDLE } else { MESSAGE }) {
+    let (mut raw, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
+    let mut fill = |raw: &mut Intake, busy: bool| loop {
+        match raw.fill(guest, &mut chunk, if raw.is_empty() { IDLE } else { MESSAGE }) {
             Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-            Ok(size) => {
-                raw.extend(&chunk[..size]);
-                return Ok(());
-            }
+            Ok(_) => return Ok(()),
             // While a call is held, the client has nothing to say.
             Err(error) if busy && error.kind() == ErrorKind::TimedOut => {}
             Err(error) => return Err(error),
@@ -117,10 +120,15 @@
     };
     loop {
         let mut head = loop {
-            match RequestHead::decode(&mut raw) {
+            match RequestHead::decode(raw.bytes()) {
                 Ok(Some(head)) => break head,
-                Ok(None) => fill(&mut raw, current.is_some())?,
-                Err(error) => return refuse_to_read(guest, current, error),
+                Ok(None) => match fill(&mut raw, current.is_some()) {
+                    Err(error) if error.kind() == NO_ROOM => {
+                        return refuse_to_read(guest, current, no_room())
+                    }
+                    end => end?,
+                },
+                Err(error) => return refuse_to_read(guest, current, unreadable(&error)),
             }
         };
         if head.headers.get("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
@@ -128,12 +136,22 @@
         }
         let mut body = Vec::new();
         loop {
-            match head.body.feed(&mut raw, &mut body, MAX_BODY) {
+            match head.body.feed(raw.bytes(), &mut body, MAX_BODY) {
                 Ok(true) => break,
-                Ok(false) => fill(&mut raw, current.is_some())?,
-                Err(error) => return refuse_to_read(guest, current, error),
+                Ok(false) => {
+                    let room = raw.beside(body.capacity());
+                    match room.and_then(|()| fill(&mut raw, current.is_some())) {
+                        Err(error) if error.kind() == NO_ROOM => {
+                            return refuse_to_read(guest, current, no_room());
+                        }
+                        end => end?,
+                    }
+                }
+                Err(error) => return refuse_to_read(guest, current, unreadable(&error)),
             }
         }
+        // From here on the body counts with the call.
+        raw.beside(0)?;
         // One answer after the other, in the order of the requests.
         if let Some(before) = current.take() {
             if !before.task.join().unwrap_or(false) {
@@ -142,12 +160,16 @@
         }
         match route(desk, &head, body, guest) {
             Next::Respond(response) => guest.answer(&response.encode(head.keep_alive))?,
+            Next::Counted(response, held) => {
+                guest.answer(&response.encode(head.keep_alive))?;
+                drop(held);
+            }
             Next::Held(held) => *current = Some(held),
         }
         if !head.keep_alive {
             // A held call's task ends the connection after its answer; until then the client may leave.
             while current.is_some() {
-                raw.clear();
+                raw.bytes().clear();
                 fill(&mut raw, true)?;
             }
             return Ok(());
@@ -155,12 +177,21 @@
     }
 }
 
-fn refuse_to_read(guest: &Guest, current: &mut Option<Current>, error: BadHttp) -> io::Result<()> {
+/// Answers what can't be read any further, after what came before it.
+fn refuse_to_read(guest: &Guest, current: &mut Option<Current>, answer: Response) -> io::Result<()> {
     if let Some(before) = current.take() {
         let _ = before.task.join();
     }
-    let status = if error == BadHttp::Long { 413 } else { 400 };
-    guest.answer(&problem(status, "malformed", &error.to_string(), Some(false)).encode(false))
+    guest.answer(&answer.encode(false))
+}
+
+fn unreadable(error: &BadHttp) -> Response {
+    let status = if *error == BadHttp::Long { 413 } else { 400 };
+    problem(status, "malformed", &error.to_string(), Some(false))
+}
+
+fn no_room() -> Response {
+    refused("there is no room to read the request", Some(ENDING_MS))
 }
 
 fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, guest: &Arc<Guest>) -> Next {
@@ -180,8 +211,10 @@
             Some(id) => desk.withdraw(id),
             None => problem(404, "unknown-invocation", "no such invocation", None),
         },
-        ("GET", ["v1", "functions"]) => json_response(200, &desk.catalog.functions()),
-        ("GET", ["v1", "workers"]) => json_response(200, &desk.catalog.workers()),
+        ("GET", ["v1", "functions"]) => return listed(desk.catalog.functions(), guest),
+        ("GET", ["v1", "workers"]) => return listed(desk.catalog.listed_workers(), guest),
+        ("GET", ["v1", "status"]) => json_response(200, &metrics::status(&desk.invoker)),
+        ("GET", ["metrics"]) => Response::new(200, metrics::CONTENT_TYPE, metrics::text(&desk.invoker)),
         ("PUT", ["v1", "functions", name]) => put(&body, |function: Function| {
             desk.check_function(&function)?;
             desk.catalog.put_function(name, &function)
@@ -195,7 +228,7 @@
         ("DELETE", ["v1", "workers", name]) => changed(desk.catalog.remove_worker(name).map(|()| {
             desk.catalog.announce(&desk.invoker);
         })),
-        (_, ["v1", "invocations", _] | ["v1", "functions"] | ["v1", "workers"])
+        (_, ["v1", "invocations", _] | ["v1", "functions" | "workers" | "status"] | ["metrics"])
         | (_, ["v1", "functions" | "workers", _] | ["v1", "functions", _, "invocations"]) => {
             problem(405, "method", "the method does not apply here", Some(false))
         }
@@ -205,7 +238,7 @@
 
 /// A call that may be run, or what its key is answered.
 enum Admitted {
-    Run(Job),
+    Run(Box<Job>),
     Respond(Response),
 }
 
@@ -245,8 +278,9 @@
             _ => (None, 0.0),
         };
         let repeats_until = expires + window;
+        let tenant = position(&invoker.names.tenants, &function.tenant);
         if let Some(key) = &key {
-            match self.invocations.admit(key, id, &body, repeats_until) {
+            match self.invocations.admit(key, id, &body, repeats_until, tenant) {
                 Repeat::Fresh => {}
                 Repeat::Done(first, _) | Repeat::Open(first)
                     if is_deferred && self.invocations.get(first).is_some() =>
@@ -258,6 +292,9 @@
                     let detail = "the first call with this key is still open";
                     return Err(problem(409, "open", detail, Some(true)));
                 }
+                Repeat::Crowded(retry_after) => {
+                    return Err(refused("there is no room for another idempotency key", retry_after));
+                }
                 Repeat::Mismatch => {
                     let detail = "the key came with another body before";
                     return Err(problem(422, "key-reused", detail, Some(false)));
@@ -274,7 +311,7 @@
         let request = Request {
             id,
             class,
-            tenant: position(&invoker.names.tenants, &function.tenant),
+            tenant,
             model: function.model(name),
             memory: function.memory_mb,
             lanes: f64::from(function.lanes),
@@ -285,42 +322,42 @@
         let class_name = function.class.clone();
         let key_text = key.as_ref().map(|key| key.1.clone());
         let call = Call { request, class_name, function: name.to_string(), key: key_text, body };
-        let refused = match invoker.take(call) {
+        let turned_away = match invoker.take(call) {
             Ok(taken) => {
-                match deferred.as_ref().map_or(Ok(()), |deferred| self.invocations.accept(id, deferred)) {
-                    Ok(()) => return Ok(Admitted::Run(Job { taken, key, deferred })),
-                    Err(error) => problem(503, "refused", &error.to_string(), Some(false)),
+                let promise =
+                    deferred.map(|deferred| self.invocations.accept(id, deferred, tenant)).transpose();
+                match promise {
+                    Ok(promise) => return Ok(Admitted::Run(Box::new(Job { taken, key, promise }))),
+                    Err(error) => unkept(&error),
                 }
             }
-            Err(NotTaken::Draining) => problem(503, "refused", "this node is about to end", Some(false))
-                .with("Retry-After", COME_BACK_S),
-            Err(NotTaken::Crowded) => problem(503, "refused", "too many calls are open", Some(false))
-                .with("Retry-After", COME_BACK_S),
-            Err(NotTaken::Open) => problem(503, "refused", "the id is taken", Some(false)),
+            Err(NotTaken::Draining) => refused("this node is about to end", Some(ENDING_MS)),
+            Err(NotTaken::Crowded(span)) => refused("there is no room for another call", Some(span)),
+            Err(NotTaken::Open) => refused("the id is taken", None),
         };
         key.iter().for_each(|key| self.invocations.forget(key));
-        Err(refused)
+        Err(turned_away)
     }
 
     /// The one path of every call, whatever its style.
-    fn run(&self, job: &Job) -> Answer {
-        let answer = catch_unwind(AssertUnwindSafe(|| job.taken.serve()))
+    fn run(&self, taken: &Taken, key: Option<&Key>, promise: Option<Promise>) -> Answer {
+        let answer = catch_unwind(AssertUnwindSafe(|| taken.serve()))
             .unwrap_or(Answer::Failed(Failure { may_have_run: true, late: false }));
         self.invoker.counters.answered(&answer);
-        let id = job.taken.call().request.id;
-        self.invocations.finish(id, job.key.as_ref(), &answer, job.deferred.clone());
+        self.invocations.finish(taken.call().request.id, key, &answer, promise);
         answer
     }
 
     /// Starts the task of a call. A deferred one is accepted; it runs on without its client.
-    fn start(self: &Arc<Self>, job: Job, keep_alive: bool, guest: &Arc<Guest>) -> Next {
+    fn start(self: &Arc<Self>, job: Box<Job>, keep_alive: bool, guest: &Arc<Guest>) -> Next {
         let (desk, guest) = (self.clone(), guest.clone());
-        let (id, is_deferred) = (job.taken.call().request.id, job.deferred.is_some());
+        let (id, is_deferred) = (job.taken.call().request.id, job.promise.is_some());
         if !is_deferred {
             guest.opened();
         }
         let task = spawn(move || {
-            let answer = desk.run(&job);
+            let Job { taken, key, promise } = *job;
+            let answer = desk.run(&taken, key.as_ref(), promise);
             if is_deferred {
                 return true;
             }
@@ -352,7 +389,7 @@
         let Some((record, _)) = self.invocations.get(id) else {
             return problem(404, "unknown-invocation", "no such invocation", None);
         };
-        if record.node != self.catalog.node() {
+        if &*record.node != self.catalog.node() {
             let detail = format!("only node {} can withdraw it", record.node);
             return problem(409, "foreign", &detail, None);
         }
@@ -397,9 +434,7 @@
     match end {
         Ok(()) => Response::bare(204),
         Err(CatalogError::Value(what)) => problem(400, "malformed", &what, Some(false)),
-        Err(CatalogError::Store(error @ (StoreError::Log(_) | StoreError::Full))) => {
-            problem(503, "refused", &error.to_string(), Some(false))
-        }
+        Err(CatalogError::Store(error @ (StoreError::Log(_) | StoreError::Full { .. }))) => unkept(&error),
         Err(CatalogError::Store(error)) => problem(409, "conflict", &error.to_string(), Some(false)),
     }
 }
@@ -408,6 +443,32 @@
     Response::new(status, "application/json", serde_json::to_vec(value).unwrap_or_default())
 }
 
+/// Entries of the configuration, as far as there is room to write them out.
+fn listed(entries: Object, guest: &Guest) -> Next {
+    let mut held = guest.account().nothing();
+    // The text stands once by itself and once behind the head of the response.
+    match grow(&mut held, Purpose::Clients, 2 * entries.size()) {
+        Ok(()) => Next::Counted(Response::new(200, "application/json", entries.into_text()), held),
+        Err(_) => Next::Respond(no_room()),
+    }
+}
+
+/// Nothing ran and nothing was kept; advice in milliseconds, where coming again is of use.
+fn refused(detail: &str, retry_after: Option<Ms>) -> Response {
+    let response = problem(503, "refused", detail, Some(false));
+    match retry_after {
+        Some(span) => response.with("Retry-After", (span / 1000.0).ceil().max(1.0) as u64),
+        None => response,
+    }
+}
+
+fn unkept(error: &StoreError) -> Response {
+    match error {
+        StoreError::Full { retry_after, .. } => refused(&error.to_string(), *retry_after),
+        _ => refused(&error.to_string(), Some(ENDING_MS)),
+    }
+}
+
 fn accepted(id: RequestId) -> Response {
     let location = format!("/v1/invocations/{:016x}", id.0);
     let body = json!({"id": format!("{:016x}", id.0), "state": "accepted"});
--- a/crates/node/src/wire/replicate.rs
+++ b/crates/node/src/wire/replicate.rs
@@ -1,9 +1,11 @@
 //! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
-use super::accept::accept;
+use super::accept::{accept, House};
 use super::socket::Patient;
 use crate::core::{now_ms, until};
 use crate::life::spawn;
-use crate::memory::store::{Record, Stamp, Store};
+use crate::memory::record::{Record, Stamp};
+use crate::memory::store::Store;
+use corkbay_ledger::{Purpose, Reservation};
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
@@ -19,6 +21,8 @@
 /// Largest message.
 const MAX_MESSAGE: usize = 32 << 20;
 const HEAD: usize = 8;
+/// The part of the account that one message's records may take.
+const BATCH_PART: usize = 8;
 /// Nodes that may call at a time.
 const CALLERS: usize = 32;
 
@@ -34,7 +38,7 @@
 
 #[derive(Serialize, Deserialize)]
 struct Digest {
-    stamps: BTreeMap<String, Stamp>,
+    stamps: BTreeMap<Arc<str>, Stamp>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -51,11 +55,13 @@
 /// Answers other nodes for as long as the process lives.
 pub fn listen(store: Arc<Store>, listener: TcpListener, on_news: OnNews) {
     spawn(move || {
-        accept(&listener, CALLERS, STALL, move |guest| {
+        let account = store.ledger().account(Purpose::Replication).clone();
+        let house = House { most: CALLERS, stall: STALL, account };
+        accept(&listener, &house, move |guest| {
             // A swap under way keeps its place.
             guest.opened();
             if let Err(error) = answer(&store, &mut guest.patient(STALL), &on_news) {
-                eprintln!("replication: a caller: {error}");
+                tracing::warn!(%error, "replication: a caller");
             }
         });
     });
@@ -75,7 +81,7 @@
         loop {
             let end = call(&store, peer, &on_news);
             if let (Err(error), true) = (&end, reachable) {
-                eprintln!("replication: peer {peer}: {error}");
+                tracing::warn!(%peer, %error, "replication");
             }
             reachable = end.is_ok();
             let next = now_ms() + interval.as_secs_f64() * 1000.0;
@@ -83,7 +89,7 @@
                 match written.recv_timeout(until(next)) {
                     Ok(first) => {
                         let batch = std::iter::once(first).chain(written.try_iter()).collect();
-                        if reachable && push(peer, batch).is_err() {
+                        if reachable && push(&store, peer, batch).is_err() {
                             reachable = false;
                         }
                     }
@@ -99,20 +105,22 @@
     writes
 }
 
-fn push(peer: SocketAddr, records: Vec<Record>) -> io::Result<()> {
+fn push(store: &Store, peer: SocketAddr, records: Vec<Record>) -> io::Result<()> {
     let mut socket = TcpStream::connect_timeout(&peer, CONNECT)?;
     timeouts(&socket)?;
-    send(&mut socket, &Hello::Push(records))
+    send(store, &mut socket, &Hello::Push(records))
 }
 
 fn call(store: &Store, peer: SocketAddr, on_news: &OnNews) -> io::Result<()> {
     let mut socket = TcpStream::connect_timeout(&peer, CONNECT)?;
     timeouts(&socket)?;
-    send(&mut socket, &Hello::Digest(Digest { stamps: store.digest() }))?;
-    let theirs: Records = receive(&mut socket)?;
+    send(store, &mut socket, &Hello::Digest(Digest { stamps: store.digest() }))?;
+    let (theirs, held) = receive::<Records>(store, &mut socket)?;
     take(store, theirs.records, on_news)?;
     if let Some(digest) = theirs.digest {
-        send(&mut socket, &Records { records: store.lacking(&digest.stamps), digest: None })?;
+        let records = store.lacking(&digest.stamps, batch(store));
+        drop((digest, held));
+        send(store, &mut socket, &Records { records, digest: None })?;
         // The peer closes once it has kept them.
         socket.read_to_end(&mut Vec::new())?;
     }
@@ -120,13 +128,15 @@
 }
 
 fn answer(store: &Store, socket: &mut Patient, on_news: &OnNews) -> io::Result<()> {
-    let theirs = match receive(socket)? {
+    let (hello, held) = receive(store, socket)?;
+    let theirs = match hello {
         Hello::Digest(digest) => digest,
         Hello::Push(records) => return take(store, records, on_news),
     };
-    let ours = Digest { stamps: store.digest() };
-    send(socket, &Records { records: store.lacking(&theirs.stamps), digest: Some(ours) })?;
-    let rest: Records = receive(socket)?;
+    let records = store.lacking(&theirs.stamps, batch(store));
+    drop((theirs, held));
+    send(store, socket, &Records { records, digest: Some(Digest { stamps: store.digest() }) })?;
+    let (rest, _held) = receive::<Records>(store, socket)?;
     take(store, rest.records, on_news)
 }
 
@@ -143,19 +153,27 @@
     socket.set_write_timeout(Some(STALL))
 }
 
-fn send(socket: &mut impl Write, message: &impl Serialize) -> io::Result<()> {
-    let text = serde_json::to_vec(message)?;
-    if text.len() > MAX_MESSAGE {
-        return Err(io::Error::other("message too long"));
-    }
-    let mut bytes = Vec::with_capacity(HEAD + text.len());
-    bytes.extend((text.len() as u32).to_be_bytes());
-    bytes.extend(crc32fast::hash(&text).to_be_bytes());
-    bytes.extend(text);
-    socket.write_all(&bytes)
+/// Bytes of records that go into one message, so that a digest fits beside them; the rest comes with the
+/// next one.
+fn batch(store: &Store) -> usize {
+    store.ledger().account(Purpose::Replication).cap() / BATCH_PART
+}
+
+fn send(store: &Store, socket: &mut impl Write, message: &impl Serialize) -> io::Result<()> {
+    let mut bytes = Counted { bytes: vec![0; HEAD], held: nothing(store) };
+    serde_json::to_writer(&mut bytes, message)?;
+    let Counted { mut bytes, held } = bytes;
+    let text = &bytes[HEAD..];
+    let (size, check) = ((text.len() as u32).to_be_bytes(), crc32fast::hash(text).to_be_bytes());
+    bytes[..4].copy_from_slice(&size);
+    bytes[4..HEAD].copy_from_slice(&check);
+    socket.write_all(&bytes)?;
+    drop(held);
+    Ok(())
 }
 
-fn receive<T: DeserializeOwned>(socket: &mut impl Read) -> io::Result<T> {
+/// A message with what is held for its text, which is also what its parts take, about.
+fn receive<T: DeserializeOwned>(store: &Store, socket: &mut impl Read) -> io::Result<(T, Reservation)> {
     let mut head = [0; HEAD];
     socket.read_exact(&mut head)?;
     let size = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
@@ -164,10 +182,38 @@
         return Err(io::Error::other("message too long"));
     }
     // Memory follows what has come, not what was promised.
-    let mut text = Vec::new();
-    socket.take(size as u64).read_to_end(&mut text)?;
-    if text.len() < size || crc32fast::hash(&text) != check {
+    let mut text = Counted { bytes: Vec::new(), held: nothing(store) };
+    io::copy(&mut socket.take(size as u64), &mut text)?;
+    let Counted { bytes, held } = text;
+    if bytes.len() < size || crc32fast::hash(&bytes) != check {
         return Err(io::Error::other("damaged message"));
     }
-    Ok(serde_json::from_slice(&text)?)
+    Ok((serde_json::from_slice(&bytes)?, held))
+}
+
+fn nothing(store: &Store) -> Reservation {
+    store.ledger().account(Purpose::Replication).nothing()
+}
+
+/// Bytes that are counted before they are held.
+struct Counted {
+    bytes: Vec<u8>,
+    held: Reservation,
+}
+
+impl Write for Counted {
+    fn write(&mut self, more: &[u8]) -> io::Result<usize> {
+        let needed = self.bytes.len() + more.len();
+        if needed > self.bytes.capacity() {
+            let capacity = needed.next_power_of_two();
+            self.held.resize(capacity).map_err(io::Error::other)?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(more);
+        Ok(more.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -1,11 +1,14 @@
 //! Worker connections that carry binary frames: many exchanges on one connection, in any order.
 use super::frames::{code, Frame, FROM_WORKER};
+use super::intake::{Intake, CHUNK};
 use super::socket::Socket;
 use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
 use crate::life::spawn;
 use crate::memory::link::{Link, Stage};
+use crate::memory::room::NO_ROOM;
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms, WorkerId};
+use corkbay_ledger::{Account, Purpose};
 use may::sync::mpsc::{channel, Receiver, Sender};
 use may::sync::Mutex;
 use std::collections::HashMap;
@@ -23,7 +26,9 @@
 const QUIET: Duration = Duration::from_secs(60);
 /// A frame that has begun comes whole within this, or the connection is of no further use to anybody on it.
 pub const PARTIAL: Duration = Duration::from_millis(300);
-const CHUNK: usize = 4096;
+/// What a connection takes: the stacks of its two tasks as far as they are touched, a chunk, its places in
+/// tables. Measured.
+const CONNECTION: usize = 22 << 10;
 
 type Waiter = Box<dyn FnOnce(Result<Frame, AttemptError>) + Send>;
 
@@ -42,6 +47,8 @@
     pub idle: Duration,
     /// Most connections in all.
     pub connections: usize,
+    /// Largest body of an answer, in bytes.
+    pub answer: usize,
 }
 
 /// One frame on its way out.
@@ -71,6 +78,7 @@
 /// The pools, by worker and address.
 pub struct FrameWorkers {
     limits: Limits,
+    account: Account,
     pools: Mutex<HashMap<(WorkerId, SocketAddr), Pool>>,
     connections: Arc<AtomicUsize>,
     order: AtomicU64,
@@ -82,10 +90,11 @@
 }
 
 impl FrameWorkers {
-    /// No connections yet.
-    pub fn new(limits: Limits) -> Self {
+    /// No connections yet; what they will take counts on the account.
+    pub fn new(limits: Limits, account: Account) -> Self {
         FrameWorkers {
             limits,
+            account,
             pools: Mutex::new(HashMap::new()),
             connections: Arc::new(AtomicUsize::new(0)),
             order: AtomicU64::new(1 << 62),
@@ -139,8 +148,9 @@
         connection
     }
 
-    /// A new connection, as far as the budget of descriptors goes; it is made in a task of its own.
+    /// A new connection, as far as the budgets of descriptors and memory go; it is made in a task of its own.
     fn dial(&self, host: &Arc<Host>) -> Option<Arc<Connection>> {
+        let held = self.account.reserve(CONNECTION).ok()?;
         let place = Place(self.connections.clone());
         if self.connections.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
             return None;
@@ -152,9 +162,10 @@
             quiet_since: AtomicU64::new(0),
         });
         let (host, limits, ours) = (host.clone(), self.limits, connection.clone());
+        let intake = Intake::new(&self.account, Purpose::Workers);
         spawn(move || {
-            ours.run(&host, &limits, &queue);
-            drop(place);
+            ours.run(&host, &limits, &queue, intake);
+            drop((place, held));
         });
         Some(connection)
     }
@@ -228,15 +239,15 @@
     }
 
     /// The life of a connection: made, written to, ended. What was open on it ends with it.
-    fn run(self: &Arc<Self>, host: &Host, limits: &Limits, queue: &Receiver<Out>) {
+    fn run(self: &Arc<Self>, host: &Host, limits: &Limits, queue: &Receiver<Out>, intake: Intake) {
         let mut guard = EndGuard(self.clone(), AttemptError::Unconnected);
         let connected = Socket::connect(&host.address, limits.connect, WRITE_STALL);
         let Ok(socket) = connected.map(Arc::new) else { return };
         guard.1 = AttemptError::Unfinished(Cause::Broken);
-        let (ours, reader) = (self.clone(), socket.clone());
+        let (ours, reader, answer) = (self.clone(), socket.clone(), limits.answer);
         let reading = spawn(move || {
             let _guard = EndGuard(ours.clone(), AttemptError::Unfinished(Cause::Broken));
-            ours.read(&reader);
+            ours.read(&reader, intake, answer);
             reader.shut(Shutdown::Both);
             let _ = ours.outbox.send(Out::Stop);
         });
@@ -284,10 +295,13 @@
         }
     }
 
-    fn read(&self, socket: &Socket) {
-        let (mut buffer, mut chunk) = (Vec::new(), vec![0; CHUNK]);
+    fn read(&self, socket: &Socket, mut intake: Intake, answer: usize) {
+        let mut chunk = vec![0; CHUNK];
         loop {
-            match Frame::decode(&mut buffer, FROM_WORKER) {
+            match Frame::decode(intake.bytes(), FROM_WORKER) {
+                Ok(Some(frame)) if frame.body.len() > answer => {
+                    return tracing::warn!(bytes = frame.body.len(), "worker connection closed: long answer");
+                }
                 Ok(Some(frame)) if expected(frame.code) => {
                     let (waiter, idle) = {
                         let mut link = lock(&self.link);
@@ -298,13 +312,21 @@
                         waiter(Ok(frame));
                     }
                 }
-                Ok(Some(frame)) => return eprintln!("worker connection closed: code {}", frame.code),
-                Err(error) => return eprintln!("worker connection closed: {error}"),
-                Ok(None) => match socket.read(&mut chunk, if buffer.is_empty() { QUIET } else { PARTIAL }) {
-                    Err(error) if error.kind() == ErrorKind::TimedOut && buffer.is_empty() => {}
-                    Ok(0) | Err(_) => return,
-                    Ok(size) => buffer.extend(&chunk[..size]),
-                },
+                Ok(Some(frame)) => {
+                    return tracing::warn!(code = frame.code, "worker connection closed: odd code");
+                }
+                Err(error) => return tracing::warn!(%error, "worker connection closed"),
+                Ok(None) => {
+                    let within = if intake.is_empty() { QUIET } else { PARTIAL };
+                    match intake.fill(socket, &mut chunk, within) {
+                        Err(error) if error.kind() == ErrorKind::TimedOut && intake.is_empty() => {}
+                        Err(error) if error.kind() == NO_ROOM => {
+                            return tracing::warn!("worker connection closed: no room for its answers");
+                        }
+                        Ok(0) | Err(_) => return,
+                        Ok(_) => {}
+                    }
+                }
             }
         }
     }
--- a/crates/node/tests/frames.rs
+++ b/crates/node/tests/frames.rs
@@ -32,7 +32,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let host = Host::new(WorkerId(0), "h", listener.local_addr().expect("bound"));
         let (connect, idle) = (Duration::from_secs(5), Duration::from_secs(60));
-        let workers = FrameWorkers::new(Limits { streams: 32, connect, idle, connections: 4 });
+        let workers = FrameWorkers::new(
+            Limits { streams: 32, connect, idle, connections: 4, answer: 64 << 10 },
+            corkbay_ledger::Account::root("workers", 1 << 20),
+        );
         Bench { workers, host, listener }
     }
 
--- a/crates/node/tests/invoke.rs
+++ b/crates/node/tests/invoke.rs
@@ -196,7 +196,7 @@
     let path = folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), ""));
     let daemon = Daemon::serve_within(&path, 40);
     let crowd: Vec<_> = (0..60).filter_map(|_| std::net::TcpStream::connect(daemon.address).ok()).collect();
-    until("descriptors run out", || daemon.errors().contains("accept: "));
+    until("descriptors run out", || daemon.errors().contains("accept error="));
     drop(crowd);
     assert_eq!(ask(daemon.address, "POST", CHECK, &[], b"x").body, b"done: x");
 }
@@ -270,7 +270,7 @@
 
 #[test]
 fn the_deploy_file_of_the_repository_is_good() {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/invoke.toml");
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/invoke.toml");
     corkbay_node::life::deploy::Deploy::load(std::path::Path::new(path)).expect("loads");
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -246,10 +246,35 @@
         }
     }
 
-    /// Models, workers and lines of the table that are remembered, for a monitor.
-    pub fn remembered(&self) -> (usize, usize, usize) {
-        let lines = self.models.values().map(|model| model.holders.len()).sum();
-        (self.models.len(), self.workers.len(), lines)
+    /// What is remembered, for a monitor.
+    pub fn remembered(&self) -> Tables {
+        Tables::of(&self.models, &self.workers, self.agenda.len())
+    }
+
+    /// What a call of the model adds to that, in bytes: nothing where the model is known.
+    pub fn adds(&self, model: ModelId) -> usize {
+        self.models.get(&model).map_or(Model::cost(self.ready), |_| 0)
+    }
+
+    /// Forgets models until so many bytes are free: those that never stood first, then the longest unused.
+    /// Those with calls waiting or out or loads under way stay. Tells how much that freed.
+    pub fn forget(&mut self, bytes: usize) -> usize {
+        let (mut idle, mut freed) = (Vec::new(), 0);
+        for (name, model) in &self.models {
+            let busy = |at, line: &Holder| line.out > 0 || self.loads.contains(&(*name, at));
+            if model.waiting.is_empty() && !model.holders.iter().any(|line| busy(*line.0, line.1)) {
+                idle.push((model.proven, model.last, *name));
+            }
+        }
+        idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (_, _, name) in idle {
+            let Some(model) = (freed < bytes).then(|| self.models.remove(&name)).flatten() else { break };
+            freed += model.bytes();
+            for at in model.holders.keys() {
+                self.workers.entry(*at).and_modify(|worker| _ = worker.lines.remove(&name));
+            }
+        }
+        freed
     }
 
     fn period(&self) -> Ms {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub use brain::Dispatcher;
 pub use interface::*;
 pub use settings::{position, Names};
+pub use state::Tables;
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,5 @@
-//! What a dispatcher remembers: types only. What they mean and when they change is in `brain.rs`.
+//! What a dispatcher remembers, and how much memory that takes. What it means and when it changes is in
+//! `brain.rs`.
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -120,3 +121,71 @@
     Order(ModelId, WorkerId),
     Sweep,
 }
+
+/// What an entry of a tree map takes beside itself: nodes are at times little more than half full.
+fn entry<K, V>() -> usize {
+    3 * (std::mem::size_of::<K>() + std::mem::size_of::<V>()) / 2
+}
+
+impl Model {
+    /// Lines of the table that a model gets when it is first called: those of the homes that are asked, and
+    /// that of the first order.
+    const FIRST_LINES: usize = 4;
+
+    /// What it takes, in bytes.
+    pub fn bytes(&self) -> usize {
+        entry::<ModelId, Model>()
+            + self.homes.capacity() * std::mem::size_of::<WorkerId>()
+            + self.waiting.capacity() * std::mem::size_of::<RequestId>()
+            + self.holders.len() * Model::line()
+    }
+
+    /// What one will take when it is first called, with so many workers that are ready, in bytes.
+    pub fn cost(ready: usize) -> usize {
+        entry::<ModelId, Model>()
+            + ready * std::mem::size_of::<WorkerId>()
+            + Model::FIRST_LINES * (Model::line() + std::mem::size_of::<RequestId>())
+    }
+
+    /// A line stands with its model and is named at its worker.
+    fn line() -> usize {
+        entry::<WorkerId, Holder>() + entry::<ModelId, ()>()
+    }
+}
+
+impl Worker {
+    /// What it takes, in bytes; its lines are counted with their models.
+    pub fn bytes(&self) -> usize {
+        entry::<WorkerId, Worker>() + self.health.capacity() * std::mem::size_of::<Health>()
+    }
+}
+
+/// How much is remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tables {
+    /// Models.
+    pub models: usize,
+    /// Workers.
+    pub workers: usize,
+    /// Lines of the table: a model at a worker.
+    pub lines: usize,
+    /// What all of it takes, with what is planned, in bytes.
+    pub bytes: usize,
+}
+
+impl Tables {
+    pub(crate) fn of(
+        models: &BTreeMap<ModelId, Model>,
+        workers: &BTreeMap<WorkerId, Worker>,
+        planned: usize,
+    ) -> Self {
+        Tables {
+            models: models.len(),
+            workers: workers.len(),
+            lines: models.values().map(|model| model.holders.len()).sum(),
+            bytes: models.values().map(Model::bytes).sum::<usize>()
+                + workers.values().map(Worker::bytes).sum::<usize>()
+                + planned * entry::<(u64, Due), ()>(),
+        }
+    }
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -489,7 +489,7 @@
     assert_eq!(orders.len(), 2, "{orders:?}");
     // And made-up names don't pile up.
     front.wait(60000.0);
-    assert!(front.dispatcher.remembered().0 <= 3, "{:?}", front.dispatcher.remembered());
+    assert!(front.dispatcher.remembered().models <= 3, "{:?}", front.dispatcher.remembered());
 }
 
 #[test]
@@ -507,8 +507,38 @@
         front.end(id, 0, at, Outcome::Ok);
         front.wait(1000.0);
     }
-    let (models, workers, lines) = front.dispatcher.remembered();
-    assert!(models < 60 && workers < 20 && lines < 100, "{models} models, {workers} workers, {lines} lines");
+    let held = front.dispatcher.remembered();
+    assert!(held.models < 60 && held.workers < 20 && held.lines < 100, "{held:?}");
+    assert!(held.bytes < 60_000, "{held:?}");
+}
+
+/// Guards memory against names that are made up faster than they are forgotten: asked for room, the module
+/// gives up names that never stood, then those unused for longest, and never one with a call open.
+#[test]
+fn what_is_least_missed_is_forgotten_first() {
+    let mut front = Front::new(settings(), (0..4).map(|number| entry(number, 0)).collect());
+    let standing = |front: &mut Front, id: u64| {
+        let at = settle(front, id, 0, id);
+        front.end(id, 0, at, Outcome::Ok);
+        front.wait(50.0);
+    };
+    (1..=3).for_each(|id| standing(&mut front, id));
+    let made_up = 10;
+    let known = |front: &Front, model: u64| front.dispatcher.adds(ModelId(model)) == 0;
+    front.ask(call(made_up, 0, made_up, 1e6));
+    front.tell(Event::Withdrawn { id: RequestId(made_up) });
+    front.wait(50.0);
+    settle(&mut front, 11, 0, 11);
+    assert!([1, 2, 3, made_up, 11].into_iter().all(|model| known(&front, model)));
+    let before = front.dispatcher.remembered();
+    let freed = front.dispatcher.forget(1);
+    assert!(freed > 0 && !known(&front, made_up) && known(&front, 1), "what never stood goes first");
+    assert_eq!(front.dispatcher.remembered().bytes, before.bytes - freed);
+    front.dispatcher.forget(1);
+    assert!(!known(&front, 1) && known(&front, 2), "then what is unused for longest");
+    front.dispatcher.forget(usize::MAX);
+    assert!(known(&front, 11) && front.dispatcher.remembered().models == 1, "what has a call out stays");
+    standing(&mut front, 20);
 }
 
 #[test]
