Show that memory stays flat: emulated fleet, load tool, soak, floods and caps in tests

Need: the accounts must be proven against floods, churn and reloads, and 24,000 function names still grew resident memory by 1.7 KB each though the accounts stood still.

Cause: malloc statistics showed 16 MB in use of 48 MB taken: small entries that last pinned the large allocations that come and go between them. Ruled out: timers (38 bytes a request), records (424 bytes of memory for 340 counted), ever the same function (110 bytes a call). Besides, tree maps of one entry take a whole node, so what is learnt was counted at a third.

Change: package crates/rig (fleet, load, flood, soak, demo); jemalloc with one arena as the daemon's allocator; what is learnt is counted as the heap holds it, checked against an instrumented allocator; the catalog's share is 5 percent. Tests for each cap, reloads, a standing disk, answers without room, both fronts and all styles.

--- a/crates/ledger/src/purpose.rs
+++ b/crates/ledger/src/purpose.rs
@@ -74,12 +74,12 @@
 
 /// The table of purposes, in the order of [`Purpose`].
 const TABLE: [Terms; 12] = [
-    terms(Purpose::Calls, "calls", Answer::Refuse, (28.0, 58.0), 512 * KIB),
+    terms(Purpose::Calls, "calls", Answer::Refuse, (31.0, 58.0), 512 * KIB),
     terms(Purpose::Clients, "clients", Answer::Slow, (10.0, 16.0), 256 * KIB),
     terms(Purpose::Workers, "workers", Answer::Slow, (9.0, 12.0), 256 * KIB),
     terms(Purpose::Roster, "roster", Answer::Evict, (2.0, 2.0), 64 * KIB),
     terms(Purpose::Learnt, "learnt", Answer::Evict, (6.0, 10.0), 256 * KIB),
-    terms(Purpose::Catalog, "catalog", Answer::Refuse, (8.0, 0.0), 64 * KIB),
+    terms(Purpose::Catalog, "catalog", Answer::Refuse, (5.0, 0.0), 64 * KIB),
     terms(Purpose::DeferredOpen, "deferred-open", Answer::Refuse, (4.0, 0.0), 128 * KIB),
     terms(Purpose::DeferredFinal, "deferred-final", Answer::Refuse, (12.0, 0.0), 256 * KIB),
     terms(Purpose::Keys, "keys", Answer::Refuse, (15.0, 0.0), 256 * KIB),
--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -661,4 +661,34 @@
         assert!(invoker.settle(Duration::ZERO));
         assert_eq!(invoker.take(call(3)).err(), Some(NotTaken::Draining));
     }
+
+    /// Guards the one final answer at a cap that is met between an attempt's end and the client's answer: the
+    /// answer waits a little for room and goes out all the same, counted.
+    #[test]
+    fn an_answer_that_finds_no_room_is_given_all_the_same() {
+        let setup = serde_json::json!({
+            "classes": [{"name": "check", "aimMs": 1000.0, "giveUpMs": 4000.0, "idempotency": "pure"}],
+            "zones": ["a"], "myZone": "a", "ceilings": {"attemptsCap": 5, "cancel": true},
+            "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
+        });
+        let ledger = crate::memory::roomy();
+        let workers = Panicking(AtomicUsize::new(1));
+        let invoker = Invoker::new(&setup, 1, Arc::new(workers), ledger.clone());
+        let address = "127.0.0.1:1".parse().expect("address");
+        let (name, zone, kind) = ("w".to_string(), "a".to_string(), String::new());
+        let (standing, weight, born) = (Standing::Ready, 1.0, 0.0);
+        let listing = Listing { name, address, zone, kind, cell: 0, standing, weight, born };
+        invoker.news(vec![listing], true, true);
+        let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
+        let taken = invoker.take(Call { request, body: vec![7; 100_000], ..Call::default() }).expect("taken");
+        let calls = ledger.account(Purpose::Calls);
+        let others = calls.reserve(calls.free()).expect("what is left");
+        assert_eq!(taken.serve(), Answer::Served { body: vec![7; 100_000] });
+        assert!(calls.used() > calls.cap(), "it is counted, over the cap");
+        let other = Request { id: RequestId(2), expires: now_ms() + 4000.0, ..Request::default() };
+        let refused = invoker.take(Call { request: other, ..Call::default() }).err();
+        assert!(matches!(refused, Some(NotTaken::Crowded(span)) if span > 0.0), "{refused:?}");
+        drop((taken, others));
+        assert_eq!(calls.used(), 0);
+    }
 }
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 /// How often expired records are dropped and the log is looked at.
-const SWEEP: Duration = Duration::from_secs(30);
+const SWEEP: Duration = Duration::from_secs(5);
 /// What is owed ends with its deadline; this is for writing the last answers.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,6 +5,11 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+/// Allocations of a size stand together, so that the many small ones that last don't pin the large ones that
+/// come and go between them: with the system's allocator a flood of names left two thirds of the heap unused.
+#[global_allocator]
+static HEAP: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
+
 const USAGE: &str = "usage: corkbay                          on the platform, as PROXY_CONFIG says
        corkbay serve [DEPLOY_FILE]        the invoke API; without a file, deploy/invoke.toml
        corkbay import FILE [--output FILE]  Apache worker files to [[worker]] entries";
--- a/crates/node/src/memory/log.rs
+++ b/crates/node/src/memory/log.rs
@@ -219,6 +219,18 @@
     }
 }
 
+#[cfg(test)]
+impl Log {
+    /// A log whose disk stands still until the returned closure is called.
+    pub(crate) fn held_up(queued: Account) -> (Self, impl FnOnce()) {
+        let (jobs, queue) = mpsc::channel::<(Job, Waiter)>();
+        let go_on = move || {
+            std::thread::spawn(move || queue.iter().for_each(|(_, waiter)| _ = waiter.send(Ok(()))));
+        };
+        (Log { jobs, queued, size: Arc::default() }, go_on)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/node/src/memory/store.rs
+++ b/crates/node/src/memory/store.rs
@@ -527,4 +527,31 @@
         assert!((5..50).contains(&swaps.count()));
         assert_eq!(one.digest(), two.digest());
     }
+
+    /// Guards memory while the log's disk stands still: what waits for it is counted, nothing shows before it
+    /// lasts, other purposes have their room, and in the end all is there and nothing is held on its way.
+    #[test]
+    fn writes_that_wait_for_the_disk_are_counted_and_show_once_they_last() {
+        let ledger = roomy();
+        let (log, go_on) = Log::held_up(ledger.account(Purpose::Log).clone());
+        let store = Arc::new(Store { log: Some(log), ..Store::in_memory("one", ledger.clone()) });
+        let write = |key: &'static str| {
+            let store = store.clone();
+            crate::life::spawn(move || store.put(&mut Draft::new(key, text("x".repeat(1000)))).is_ok())
+        };
+        let writes: Vec<_> = ["function/a", "function/b"].into_iter().map(write).collect();
+        let began = std::time::Instant::now();
+        while ledger.account(Purpose::Log).used() == 0 {
+            assert!(began.elapsed().as_secs() < 20, "nothing is on its way");
+            std::thread::sleep(std::time::Duration::from_millis(1));
+        }
+        assert!(ledger.account(Purpose::Catalog).used() > 1000 && store.get("function/a").is_none());
+        assert!(ledger.reserve(Purpose::Calls, None, KIB).is_ok());
+        go_on();
+        assert!(writes.into_iter().all(|write| write.join().expect("no panic")));
+        assert_eq!(store.under("function/").len(), 2);
+        assert_eq!(ledger.account(Purpose::Log).used(), 0);
+        drop(store);
+        assert_eq!(ledger.held(), 0);
+    }
 }
--- a/crates/node/tests/frames.rs
+++ b/crates/node/tests/frames.rs
@@ -29,12 +29,16 @@
 
 impl Bench {
     fn new() -> Self {
+        Self::with_room(1 << 20)
+    }
+
+    fn with_room(bytes: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let host = Host::new(WorkerId(0), "h", listener.local_addr().expect("bound"));
         let (connect, idle) = (Duration::from_secs(5), Duration::from_secs(60));
         let workers = FrameWorkers::new(
             Limits { streams: 32, connect, idle, connections: 4, answer: 64 << 10 },
-            corkbay_ledger::Account::root("workers", 1 << 20),
+            corkbay_ledger::Account::root("workers", bytes),
         );
         Bench { workers, host, listener }
     }
@@ -229,3 +233,24 @@
     let (_third, _) = bench.send(3);
     assert_eq!(silent.next().id, 3);
 }
+
+/// Guards the cap on worker connections, met between taking a call and sending it: the attempt never ran, and
+/// the next one fits once the connection before has ended.
+#[test]
+fn an_attempt_without_room_for_its_connection_never_ran() {
+    let bench = Bench::with_room(30 << 10);
+    let (_first, first_end) = bench.send(1);
+    let mut peer = bench.peer();
+    peer.next();
+    // A second connection is wanted where the first is at its limit of exchanges; so many share one.
+    let many: Vec<_> = (2..=40).map(|id| bench.send(id)).collect();
+    let barred = Err(AttemptError::Unfinished(Cause::Barred));
+    let refused =
+        many.iter().filter(|(_, end)| end.recv_timeout(Duration::from_millis(20)).as_ref() == Ok(&barred));
+    assert_eq!(refused.count(), 8, "32 go on one connection, and there is no room for another");
+    assert!(barred.as_ref().is_err_and(|error| error.outcome().proves_not_run()));
+    drop(peer);
+    assert!(first_end.recv_timeout(PATIENCE).expect("told").is_err());
+    let (_next, _) = bench.send(99);
+    bench.peer();
+}
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -564,3 +564,28 @@
         assert_eq!(client.receive(), None, "{size}");
     }
 }
+
+/// Guards the platform's memory against names that clients make up: what has been learnt of them stays under
+/// its cap, the longest unused goes, and every request is answered.
+#[test]
+fn ever_new_model_names_stay_within_what_may_be_learnt() {
+    let bench = Bench::limited(&[Act::Serve], 2, 1024, 14);
+    let mut client = bench.client();
+    for number in 0..1500i32 {
+        let (id, model) = (format!("{number:016x}"), format!("{:016x}", 0x1000 + number));
+        let mut fields = fields("check", &id, "3000");
+        fields.iter_mut().filter(|field| field.0 == "lookup").for_each(|field| field.1 = &model);
+        client.send(&dispatch(number, &fields, b"x"));
+        assert_eq!(client.receive(), Some((number, Reply::Answer(b"done: x".to_vec()))));
+    }
+    bench.daemon.signal("USR1");
+    until("accounts are logged", || bench.daemon.errors().contains("purpose=\"timers\""));
+    let log = bench.daemon.errors();
+    let learnt = log.lines().find(|line| line.contains("purpose=\"learnt\"")).expect("a line");
+    let figure = |key: &str| -> usize {
+        let text = learnt.split(&format!(" {key}=")).nth(1).and_then(|rest| rest.split(' ').next());
+        text.and_then(|text| text.parse().ok()).unwrap_or_else(|| panic!("{key} in {learnt}"))
+    };
+    assert!(figure("peak") <= figure("cap") && figure("peak") * 2 > figure("cap"), "{learnt}");
+    assert!(figure("refused") > 0, "the cap was met: {learnt}");
+}
--- a/crates/node/tests/styles.rs
+++ b/crates/node/tests/styles.rs
@@ -32,7 +32,7 @@
     daemon: Daemon,
     fleet: Fleet,
     addresses: [String; 2],
-    _folder: Folder,
+    folder: Folder,
 }
 
 /// How a call ended: what a client is told of it.
@@ -68,7 +68,7 @@
             ),
         );
         let daemon = Daemon::serve(&deploy);
-        Bench { client, daemon, fleet, addresses, _folder: folder }
+        Bench { client, daemon, fleet, addresses, folder }
     }
 
     fn call(&self, function: &str, deadline_ms: u32) -> End {
@@ -278,3 +278,31 @@
     assert_eq!(ask(bench.daemon.address, "DELETE", &location, &[], b"").status, 204);
     until("it is called off", || bench.fleet.called_off() == 1);
 }
+
+/// Guards calls that meet a full account: they are turned away before anything is sent, in every style alike,
+/// and leave nothing behind that would keep the next try with their key from being the first.
+#[test]
+fn where_there_is_no_room_nothing_is_sent_and_the_key_stays_free() {
+    let (refused, served, sent) = in_all_styles(&[Act::Hold], [0, 1], |bench| {
+        let path = bench.folder.0.join("invoke.toml");
+        let file = std::fs::read_to_string(&path).expect("written before");
+        bench.folder.write("invoke.toml", &format!("{file}[memory]\nshares = {{ calls = 0.6 }}\n"));
+        bench.daemon.signal("HUP");
+        until("it is reloaded", || bench.daemon.errors().contains("reloaded"));
+        let path = "/v1/functions/check/invocations";
+        let open: Vec<_> = (0..40).map(|_| start(bench.daemon.address, "POST", path, &[], b"x")).collect();
+        let status = || ask(bench.daemon.address, "GET", "/v1/status", &[], b"").json();
+        until("calls are turned away", || status()["counters"]["turned_away"].as_u64() > Some(0));
+        let refused = bench.call_with("post", 8000, "late");
+        let sent_late =
+            || bench.fleet.sent().iter().filter(|sent| sent.key.as_deref() == Some("late")).count();
+        assert_eq!(sent_late(), 0);
+        bench.fleet.release();
+        until("all has ended", || status()["owed"] == 0);
+        drop(open);
+        let served = bench.call_with("post", 8000, "late");
+        (refused, served, sent_late())
+    });
+    assert_eq!((refused.status, refused.may_have_run.as_deref()), (503, Some("false")));
+    assert_eq!((served.status, served.body.as_str(), sent), (200, "done: input", 1));
+}
--- /dev/null
+++ b/crates/rig/src/load.rs
@@ -0,0 +1,85 @@
+//! Offers a plan to a daemon and records what came of it.
+//!
+//! A latency runs from the time at which the plan wanted the call made, whether or not a thread was free to
+//! make it then: what waits for a slow answer counts as slow itself (no coordinated omission).
+use crate::client::{Client, Response};
+use crate::plan::Arrival;
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(12);
+/// Longest latency that is told apart, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+
+/// What came of the calls of one kind.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Times from when a call was due to its final answer, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Final answers by status; 0 where the connection broke.
+    pub statuses: BTreeMap<u16, u64>,
+}
+
+/// What came of a plan, by class and style.
+pub type Outcome = BTreeMap<String, Group>;
+
+impl Group {
+    fn new() -> Result<Self, hdrhistogram::CreationError> {
+        Ok(Group { latency: Histogram::new_with_bounds(1, LONGEST_US, 3)?, statuses: BTreeMap::new() })
+    }
+
+    /// Answers in all.
+    pub fn count(&self) -> u64 {
+        self.statuses.values().sum()
+    }
+}
+
+/// Makes the calls of a plan that fall due within a span, with so many threads at the most.
+pub fn run(
+    address: SocketAddr,
+    plan: impl Iterator<Item = Arrival> + Send,
+    span: Duration,
+    threads: usize,
+) -> io::Result<Outcome> {
+    let (plan, outcome, began) = (Mutex::new(plan), Mutex::new(Outcome::new()), Instant::now());
+    let empty = Group::new().map_err(io::Error::other)?;
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| {
+                let mut client = Client::new(address, PATIENCE);
+                loop {
+                    let next = plan.lock().unwrap_or_else(PoisonError::into_inner).next();
+                    let Some(arrival) = next.filter(|arrival| arrival.at < span) else { return };
+                    std::thread::sleep(arrival.at.saturating_sub(began.elapsed()));
+                    let status = call(&mut client, &arrival).map_or(0, |response| response.status);
+                    let took = began.elapsed().saturating_sub(arrival.at).as_micros() as u64;
+                    let class = arrival.function.split('-').next().unwrap_or_default();
+                    let style = if arrival.deferred { "deferred" } else { "held" };
+                    let mut outcome = outcome.lock().unwrap_or_else(PoisonError::into_inner);
+                    let group = outcome.entry(format!("{class} {style}")).or_insert_with(|| empty.clone());
+                    group.latency.saturating_record(took.max(1));
+                    *group.statuses.entry(status).or_default() += 1;
+                }
+            });
+        }
+    });
+    Ok(outcome.into_inner().unwrap_or_else(PoisonError::into_inner))
+}
+
+/// Makes one call and waits for its final answer, unless nobody collects it.
+pub fn call(client: &mut Client, arrival: &Arrival) -> io::Result<Response> {
+    let path = format!("/v1/functions/{}/invocations", arrival.function);
+    let mut headers = Vec::new();
+    headers.extend(arrival.key.as_deref().map(|key| ("Idempotency-Key", key)));
+    headers.extend(arrival.deferred.then_some(("Prefer", "respond-async")));
+    let mut response = client.ask("POST", &path, &headers, &vec![b'x'; arrival.body])?;
+    while response.status == 202 && !arrival.abandoned {
+        let Some(location) = response.head.headers.get("location").map(str::to_string) else { break };
+        response = client.ask("GET", &location, &[("Prefer", "wait=5")], b"")?;
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,174 @@
+//! `corkbay-rig`: an emulated fleet, and loads and soaks against a daemon it starts.
+use clap::{Parser, Subcommand};
+use corkbay_rig::client::Client;
+use corkbay_rig::daemon::{beside, Daemon, Deployment};
+use corkbay_rig::fleet::{Fleet, Kind};
+use corkbay_rig::mood::Script;
+use corkbay_rig::plan::{Offer, Plan};
+use corkbay_rig::soak::{names, Soak, STEADY};
+use corkbay_rig::verdict::{judge, Bounds};
+use corkbay_rig::{load, report};
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Emulated workers and loads for corkbay, on loopback and for a bounded time.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    task: Task,
+    /// The daemon's program; the one built beside this one without.
+    #[arg(long, global = true)]
+    program: Option<PathBuf>,
+    /// Where tables, charts, logs and the daemon's files go.
+    #[arg(long, global = true, default_value = "found/rig")]
+    out: PathBuf,
+    /// What the day follows from.
+    #[arg(long, global = true, default_value_t = 1)]
+    seed: u64,
+}
+
+#[derive(Subcommand)]
+enum Task {
+    /// Starts a fleet and a daemon, and shows one held and one deferred call being served.
+    Demo,
+    /// Runs emulated workers and prints their addresses.
+    Fleet {
+        /// How many.
+        #[arg(long, default_value_t = 6)]
+        workers: usize,
+        /// For how long, in seconds.
+        #[arg(long, default_value_t = 600)]
+        seconds: u64,
+        /// The part of the time in which a worker is slow, silent, resetting, lying or failing.
+        #[arg(long, default_value_t = 0.0)]
+        trouble: f64,
+        /// They wait for orders instead of loading what they lack.
+        #[arg(long)]
+        ordered: bool,
+    },
+    /// Offers a day's calls to a daemon with an emulated fleet and writes down what came of them.
+    Load {
+        /// Calls a second.
+        #[arg(long, default_value_t = 110.0)]
+        rate: f64,
+        /// For how long, in seconds.
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        /// Most calls that are waited for at a time.
+        #[arg(long, default_value_t = 64)]
+        threads: usize,
+        /// The part of the time in which a worker misbehaves.
+        #[arg(long, default_value_t = 0.0)]
+        trouble: f64,
+        /// What is spoken to workers.
+        #[arg(long, default_value = "http", value_parser = ["http", "frames"])]
+        protocol: String,
+    },
+    /// Floods a daemon with ever new function names and tells its memory after each quarter.
+    Flood {
+        /// Names in all.
+        #[arg(long, default_value_t = 24_000)]
+        names: usize,
+        /// A line for the head of the deploy file.
+        #[arg(long, default_value = "")]
+        head: String,
+    },
+    /// An hour's turnover in a few minutes; fails unless memory stays flat.
+    Soak {
+        /// How many minutes.
+        #[arg(long, default_value_t = 10.0)]
+        minutes: f64,
+        /// A line for the head of the deploy file.
+        #[arg(long, default_value = "")]
+        head: String,
+    },
+}
+
+fn main() -> ExitCode {
+    match run(&Arguments::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("corkbay-rig: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<bool, Box<dyn Error>> {
+    let (seed, out) = (arguments.seed, &arguments.out);
+    let program = || arguments.program.clone().map_or_else(beside, Ok);
+    match &arguments.task {
+        Task::Demo => demo(&Daemon::start(
+            &program()?,
+            out,
+            &small(&Fleet::start(3, Kind::default(), Script { seed, trouble: 0.0 })?),
+        )?),
+        Task::Fleet { workers, seconds, trouble, ordered } => {
+            let kind = Kind { loads: !ordered, ..Kind::default() };
+            let fleet = Fleet::start(*workers, kind, Script { seed, trouble: *trouble })?;
+            fleet.addresses().iter().for_each(|address| println!("{address}"));
+            std::thread::sleep(Duration::from_secs(*seconds));
+            Ok(true)
+        }
+        Task::Load { rate, seconds, threads, trouble, protocol } => {
+            let protocol = if protocol == "frames" { "frames" } else { "http" };
+            let kind = Kind { loads: protocol == "http", ..Kind::default() };
+            let fleet = Fleet::start(6, kind, Script { seed, trouble: *trouble })?;
+            let offer = Offer { rate: *rate, ..Offer::default() };
+            let deployment = Deployment { protocol, functions: offer.functions, ..small(&fleet) };
+            let daemon = Daemon::start(&program()?, out, &deployment)?;
+            let plan = Plan::new(offer, seed).ok_or("the rate makes no sense")?;
+            let outcome = load::run(daemon.address, plan, Duration::from_secs(*seconds), *threads)?;
+            report::load(out, &outcome)?;
+            print!("{}", std::fs::read_to_string(out.join("load.csv"))?);
+            println!("resident {:.1} MB", daemon.resident()? / 1e6);
+            Ok(true)
+        }
+        Task::Flood { names: count, head } => {
+            let flooded = names(&program()?, out, *count, head)?;
+            let resident: Vec<String> =
+                flooded.resident.iter().map(|bytes| format!("{:.1}", bytes / 1e6)).collect();
+            println!("resident MB before and after each quarter: {}", resident.join(" "));
+            println!("answers to the flood: {:?}", flooded.answers);
+            println!("answers to a configured function meanwhile: {:?}", flooded.configured);
+            for (name, holding) in flooded.end.accounts.iter().filter(|(name, _)| !name.contains('/')) {
+                println!("{name}: {} of {} bytes, at most {}", holding.used, holding.cap, holding.peak);
+            }
+            Ok(true)
+        }
+        Task::Soak { minutes, head } => {
+            let span = Duration::try_from_secs_f64(minutes * 60.0)?;
+            let soak = Soak { span, seed, program: program()?, folder: out.clone(), head: head.clone() };
+            let (samples, outcome) = soak.run()?;
+            let findings = judge(&samples, STEADY, Bounds::default());
+            report::soak(out, &samples, &findings)?;
+            report::load(out, &outcome)?;
+            print!("{}", std::fs::read_to_string(out.join("load.csv"))?);
+            print!("{}", std::fs::read_to_string(out.join("verdict.csv"))?);
+            let flat = findings.iter().all(|finding| finding.flat);
+            println!("{}", if flat { "memory stayed flat" } else { "memory did not stay flat" });
+            Ok(flat)
+        }
+    }
+}
+
+fn small(fleet: &Fleet) -> Deployment {
+    Deployment { head: String::new(), protocol: "http", workers: fleet.addresses(), functions: 4 }
+}
+
+fn demo(daemon: &Daemon) -> Result<bool, Box<dyn Error>> {
+    let mut client = Client::new(daemon.address, Duration::from_secs(5));
+    let held = client.ask("POST", "/v1/functions/check-1/invocations", &[], b"a household")?;
+    println!("held: {} {:?}", held.status, String::from_utf8_lossy(&held.body));
+    let headers = [("Idempotency-Key", "loan-1"), ("Prefer", "respond-async")];
+    let accepted = client.ask("POST", "/v1/functions/post-1/invocations", &headers, b"a meter loan")?;
+    let location = accepted.head.headers.get("location").unwrap_or_default().to_string();
+    println!("deferred: {} {location}", accepted.status);
+    let collected = client.ask("GET", &location, &[("Prefer", "wait=5")], b"")?;
+    println!("collected: {} {:?}", collected.status, String::from_utf8_lossy(&collected.body));
+    Ok(held.status == 200 && collected.status == 200)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,41 +122,60 @@
     Sweep,
 }
 
-/// What an entry of a tree map takes beside itself: nodes are at times little more than half full.
+/// Entries that a node of the standard library's tree maps has room for, in use or not.
+const NODE: usize = 11;
+/// How full the nodes of a large map are at the least, in percent: when its keys come in their order.
+const FILL: usize = 55;
+
+/// What a tree map of so many entries takes on the heap, in bytes.
+fn map<K, V>(len: usize) -> usize {
+    let entry = std::mem::size_of::<K>() + std::mem::size_of::<V>();
+    match len {
+        0 => 0,
+        1..=NODE => NODE * entry + 16,
+        _ => len * entry * 100 / FILL,
+    }
+}
+
+/// What one entry of a large tree map takes, in bytes.
 fn entry<K, V>() -> usize {
-    3 * (std::mem::size_of::<K>() + std::mem::size_of::<V>()) / 2
+    map::<K, V>(10 * NODE) / (10 * NODE)
+}
+
+fn list<T>(list: &Vec<T>) -> usize {
+    list.capacity() * std::mem::size_of::<T>()
 }
 
 impl Model {
     /// Lines of the table that a model gets when it is first called: those of the homes that are asked, and
     /// that of the first order.
     const FIRST_LINES: usize = 4;
+    /// Calls that wait for a model that is called first: the least that a list makes room for.
+    const FIRST_CALLS: usize = 4;
 
     /// What it takes, in bytes.
     pub fn bytes(&self) -> usize {
         entry::<ModelId, Model>()
-            + self.homes.capacity() * std::mem::size_of::<WorkerId>()
-            + self.waiting.capacity() * std::mem::size_of::<RequestId>()
-            + self.holders.len() * Model::line()
+            + list(&self.homes)
+            + list(&self.waiting)
+            + map::<WorkerId, Holder>(self.holders.len())
+            + self.holders.len() * entry::<ModelId, ()>()
     }
 
     /// What one will take when it is first called, with so many workers that are ready, in bytes.
     pub fn cost(ready: usize) -> usize {
         entry::<ModelId, Model>()
             + ready * std::mem::size_of::<WorkerId>()
-            + Model::FIRST_LINES * (Model::line() + std::mem::size_of::<RequestId>())
-    }
-
-    /// A line stands with its model and is named at its worker.
-    fn line() -> usize {
-        entry::<WorkerId, Holder>() + entry::<ModelId, ()>()
+            + Model::FIRST_CALLS * std::mem::size_of::<RequestId>()
+            + map::<WorkerId, Holder>(Model::FIRST_LINES)
+            + Model::FIRST_LINES * entry::<ModelId, ()>()
     }
 }
 
 impl Worker {
     /// What it takes, in bytes; its lines are counted with their models.
     pub fn bytes(&self) -> usize {
-        entry::<WorkerId, Worker>() + self.health.capacity() * std::mem::size_of::<Health>()
+        entry::<WorkerId, Worker>() + list(&self.health)
     }
 }
 
