--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -159,7 +159,8 @@
         if state.busy >= kind.slots {
             return Verdict::Full;
         }
-        if !state.copies.contains_key(model) && !(kind.loads && state.load(model, kind, now)) {
+        let stands = state.copies.contains_key(model) || kind.loads && state.load(model, kind, now);
+        if !stands {
             return Verdict::Miss;
         }
         let age = now.duration_since(state.started).as_secs_f64() / kind.cold.as_secs_f64().max(1e-3);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod compare;
 pub mod daemon;
 pub mod fleet;
 pub mod load;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -7,7 +7,7 @@
 use corkbay_rig::plan::{Offer, Plan};
 use corkbay_rig::soak::{names, Soak, STEADY};
 use corkbay_rig::verdict::{judge, Bounds};
-use corkbay_rig::{load, report};
+use corkbay_rig::{compare, load, report};
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -76,6 +76,18 @@
         #[arg(long, default_value = "")]
         head: String,
     },
+    /// Times the whole way of a call through another build and this one, in turns.
+    Compare {
+        /// The other build.
+        #[arg(long)]
+        before: PathBuf,
+        /// Rounds; each takes both builds.
+        #[arg(long, default_value_t = 15)]
+        rounds: usize,
+        /// Calls of one build in a round.
+        #[arg(long, default_value_t = 1000)]
+        calls: usize,
+    },
     /// An hour's turnover in a few minutes; fails unless memory stays flat.
     Soak {
         /// How many minutes.
@@ -140,6 +152,14 @@
             }
             Ok(true)
         }
+        Task::Compare { before, rounds, calls } => {
+            let now = program()?;
+            let found = compare::run([before, &now], out, *rounds, *calls)?;
+            let of = |place: usize| compare::median(found.iter().map(|round| round[place]).collect());
+            let ratio = compare::median(found.iter().map(|round| round[1] / round[0]).collect());
+            println!("a call takes {:.1} us before and {:.1} us now; median ratio {ratio:.3}", of(0), of(1));
+            Ok(true)
+        }
         Task::Soak { minutes, head } => {
             let span = Duration::try_from_secs_f64(minutes * 60.0)?;
             let soak = Soak { span, seed, program: program()?, folder: out.clone(), head: head.clone() };
