Set up the two tests of the core's books by one function

Need: two tests of the invoker wrote out the same settings, worker and accounts. Change: both call with_one_worker; their assertions are untouched.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -631,22 +631,28 @@
         }
     }
 
-    /// Guards against a panic that takes more down than its request: nothing stays owed, and the next
-    /// request is served.
-    #[test]
-    fn a_panic_ends_its_request_and_no_other() {
+    /// An invoker with one worker that is ready, and the accounts of what it holds.
+    fn with_one_worker(workers: Panicking) -> (Arc<Invoker>, Arc<Ledger>) {
         let setup = serde_json::json!({
             "classes": [{"name": "check", "aimMs": 1000.0, "giveUpMs": 4000.0, "idempotency": "pure"}],
             "zones": ["a"], "myZone": "a", "ceilings": {"attemptsCap": 5, "cancel": true},
             "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
         });
         let ledger = crate::memory::roomy();
-        let invoker = Invoker::new(&setup, 1, Arc::new(Panicking::default()), ledger.clone());
+        let invoker = Invoker::new(&setup, 1, Arc::new(workers), ledger.clone());
         let address = "127.0.0.1:1".parse().expect("address");
         let (name, zone, kind) = ("w".to_string(), "a".to_string(), String::new());
         let (standing, weight, born) = (Standing::Ready, 1.0, 0.0);
         let listing = Listing { name, address, zone, kind, cell: 0, standing, weight, born };
         invoker.news(vec![listing], true, true);
+        (invoker, ledger)
+    }
+
+    /// Guards against a panic that takes more down than its request: nothing stays owed, and the next
+    /// request is served.
+    #[test]
+    fn a_panic_ends_its_request_and_no_other() {
+        let (invoker, ledger) = with_one_worker(Panicking::default());
         let request = |id| Request { id: RequestId(id), expires: now_ms() + 4000.0, ..Request::default() };
         let call = |id| Call { request: request(id), body: vec![7], ..Call::default() };
         let taken = invoker.take(call(1)).expect("taken");
@@ -667,19 +673,7 @@
     /// answer waits a little for room and goes out all the same, counted.
     #[test]
     fn an_answer_that_finds_no_room_is_given_all_the_same() {
-        let setup = serde_json::json!({
-            "classes": [{"name": "check", "aimMs": 1000.0, "giveUpMs": 4000.0, "idempotency": "pure"}],
-            "zones": ["a"], "myZone": "a", "ceilings": {"attemptsCap": 5, "cancel": true},
-            "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
-        });
-        let ledger = crate::memory::roomy();
-        let workers = Panicking(AtomicUsize::new(1));
-        let invoker = Invoker::new(&setup, 1, Arc::new(workers), ledger.clone());
-        let address = "127.0.0.1:1".parse().expect("address");
-        let (name, zone, kind) = ("w".to_string(), "a".to_string(), String::new());
-        let (standing, weight, born) = (Standing::Ready, 1.0, 0.0);
-        let listing = Listing { name, address, zone, kind, cell: 0, standing, weight, born };
-        invoker.news(vec![listing], true, true);
+        let (invoker, ledger) = with_one_worker(Panicking(AtomicUsize::new(1)));
         let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
         let taken = invoker.take(Call { request, body: vec![7; 100_000], ..Call::default() }).expect("taken");
         let calls = ledger.account(Purpose::Calls);
