Let calls look in each zone themselves where a question costs more than half a crossing

One invoker asks once in half a keep time; a hundred ask a hundred times for the same copy.

Checked: the copy exists nearly always. Ruled out: loads ordered too freely at the start (15 orders in the first second), the channel (100 calls in all).

At fault: place() and ask() in src/brain.rs, which priced a question at nothing. Change: where a question costs more than half a crossing (the settings say), the call goes to the first home of each other zone itself, known copies first; a miss there costs 2 ms and the crossing. Elsewhere nothing changes.

The test lets thirty dispatchers call a stand-in fleet and counts questions, orders and crossings over all.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -166,8 +166,7 @@
         for class in &mut set.classes {
             class.aim = class.aim.max(1.0);
         }
-        let aim = set.classes.iter().map(|class| class.aim).fold(f64::INFINITY, f64::min);
-        let aim = if aim.is_finite() { aim } else { 1000.0 };
+        let aim = set.classes.iter().map(|class| class.aim).reduce(f64::min).unwrap_or(1000.0);
         set.keep = if set.keep > 0.0 { set.keep } else { 10.0 * aim };
         Dispatcher {
             rng: SmallRng::seed_from_u64(seed),
@@ -700,18 +699,22 @@
         let look = misses && pending.attempts + 1 < self.set.max_attempts || !may_order;
         // Unsafe calls are no bait: not sent where they rather fail than not, unless they do everywhere.
         let doubt = self.doubt[class] / (1.0 - self.doubt[class]).max(0.01);
-        let mut best: Option<((bool, f64), WorkerId)> = None;
-        let (mut known, mut standing, mut rank) = (false, 0.0, 0.0);
+        // Where a question costs more than half a crossing it goes and looks in each zone.
+        let roams = misses && 2.0 * self.set.price_probe > self.set.price_cross;
+        let mut best: Option<((bool, bool, f64), WorkerId)> = None;
+        let (mut known, mut standing, mut rank, mut zones) = (false, 0.0, 0.0, BTreeSet::new());
         for &at in &model.homes {
             let line = model.holders.get(&at);
             let stands = line.is_some_and(|line| line.stands(now, self.set.keep));
-            let near = rank < model.width;
-            let Some(worker) = self.workers.get(&at).filter(|_| stands || near) else { continue };
-            if !self.open(worker, pending) {
+            let Some(worker) = self.workers.get(&at) else { continue };
+            let near = rank < model.width || roams && !zones.contains(&worker.zone);
+            if !stands && !near || !self.open(worker, pending) {
                 continue;
             }
             let odds = self.odds(worker, class);
-            rank += f64::from(u8::from(odds < 1.0));
+            if odds < 1.0 {
+                (rank, _) = (rank + 1.0, zones.insert(worker.zone));
+            }
             if effect == Effect::Unsafe && odds > 1.0 + doubt {
                 continue;
             }
@@ -728,16 +731,16 @@
             // Where it may have run without an answer it is tried again last.
             let failed = pending.ran.iter().any(|ran| ran.1 == at);
             let cost = cost + if failed { aim } else { 0.0 };
-            let key = (foreign && idle, cost);
+            let key = (foreign, foreign && roams && !stands, cost);
             let fits = if foreign { idle && crossing_pays(worker.zone) } else { queue < QUEUE * aim };
             if fits && best.is_none_or(|best| key < best.0) {
                 best = Some((key, at));
             }
         }
         let needed = (model.width * NEED).floor().max(1.0);
-        let dear = best.is_none_or(|best| best.0 .1 > self.load_ms + usual);
+        let dear = best.is_none_or(|best| best.0 .2 > self.load_ms + usual);
         // Before a load, other zones are asked; where a call would load by itself, the own one too.
-        if self.set.orders && !known && (dear || !misses) && self.ask(name, act) {
+        if self.set.orders && !roams && !known && (dear || !misses) && self.ask(name, act) {
             return false;
         }
         if dear || standing < needed {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -128,6 +128,8 @@
     pub tells_warm: bool,
     /// Price of one attempt that crosses zones, as a share of a request's worth.
     pub price_cross: f64,
+    /// Price of one probe or order, likewise.
+    pub price_probe: f64,
     /// Price of one fetch from the store, likewise.
     pub price_fetch: f64,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -109,6 +109,7 @@
             load_window: number("specifics", "loadSpanMs", 0.0),
             tells_warm: flag("specifics", "saysWarm"),
             price_cross: number("prices", "crossZone", 0.0),
+            price_probe: number("prices", "probe", 0.0),
             price_fetch: number("prices", "origin", 0.0),
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code)]
 use corkbay::*;
 
+pub mod fleet;
+
 pub fn class(effect: Effect, worth: f64) -> Class {
     Class { aim: 1000.0, worth, late_worth: 0.2, effect }
 }
@@ -37,6 +39,7 @@
         load_window: 0.0,
         tells_warm: true,
         price_cross: 0.04,
+        price_probe: 0.01,
         price_fetch: 0.1,
     }
 }
