Admit calls to cold workers by demand, rank homes by warmth, load only where calls may go

Cause: grant() drew an allowance for each cold worker with each call taken and let it lapse after 2 s. An invoker with 8 calls a second then holds one for a given worker about one time in thirty, so hardly a call meets its allowance. What suffices for a few busy invokers is lost by a hundred quiet ones; order() loaded there all the same. Ruled out: memory (463 of 4,763 orders answered full), the store (72 failed loads).

Change: a call for which a cold worker is best draws then, by what an even share of the invoker's own calls is and how many of its own would go there. The allowance shrinks with the square of the warmth, since all hear of a new worker at once; homes are ranked by warmth in steps of the shared clock; far cold homes are not looked at; orders go where the call may follow.

The fleet test with full warm workers: 2,437 loads for 185 answers at cold workers before, 390 for 362 now.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,19 +16,12 @@
 const PATIENCE: f64 = 10.0;
 /// Answers and failures remembered of a worker and class at most, so that it can be forgiven.
 const MEMORY: f64 = 4.0;
-/// Part of the allowed multiple that all front ends together may use on a cold worker.
-const COLD_PART: f64 = 0.25;
+/// Part of the allowed multiple that all front ends together may use on a worker that is nearly warm.
+const COLD_PART: f64 = 1.0;
+/// Time after which the homes of models are ranked anew, as cold workers grow warm.
+const STEP: Ms = 1000.0;
 /// Retries of calls that may have run, as a part of the calls taken.
 const RETRY_PART: f64 = 0.1;
-/// Calls that meet others widen their model as far as they take more than SLOW times as long as calls
-/// that meet none, at most as for MOST_SLOW, by WIDEN; those that meet none narrow it by SHRINK.
-const SLOW: f64 = 1.5;
-const MOST_SLOW: f64 = 5.0;
-const WIDEN: f64 = 0.3;
-const SHRINK: f64 = 0.1;
-/// Part of its width up to which a model is loaded: widths are noisy, and the widest of many front
-/// ends would else decide for all.
-const NEED: f64 = 0.5;
 /// Part of the aim for which a queue at an instance may keep a call.
 const QUEUE: f64 = 0.5;
 /// Part of the answers that may be late before calls are refused, how fast that follows, and the most
@@ -59,9 +52,9 @@
     awake: Ms,
     seq: u64,
     workers: BTreeMap<WorkerId, Worker>,
-    /// Ready workers, those of them that are cold, and the number of the roster.
+    /// Ready workers, their mean weight, and the number of the roster.
     ready: usize,
-    cold: Vec<WorkerId>,
+    weight: f64,
     roster_of: u64,
     models: BTreeMap<ModelId, Model>,
     hungry: BTreeSet<ModelId>,
@@ -78,9 +71,8 @@
     /// Orders of ours that are under way.
     loads: BTreeSet<(ModelId, WorkerId)>,
     loads_cap: f64,
-    /// Requests that workers usually hold, as far as told.
-    typical: f64,
     retries: f64,
+    taking: Fading,
     taken: VecDeque<Ms>,
     ordered: VecDeque<Ms>,
     aim: Ms,
@@ -96,9 +88,9 @@
 }
 
 /// Place of a worker among the homes of a model, lowest first: the same at every front end.
-fn rank(worker: &Worker, model: ModelId) -> f64 {
+fn rank(worker: &Worker, model: ModelId, warmth: f64) -> f64 {
     let draw = mix(worker.hash ^ mix(model.0)) as f64 / u64::MAX as f64;
-    -draw.max(1e-12).ln() / worker.weight.max(0.01)
+    -draw.max(1e-12).ln() / (worker.weight * warmth).max(0.01)
 }
 
 fn blend(old: &mut f64, new: f64) {
@@ -158,6 +150,16 @@
     fn cold(&self, now: Ms, set: &Settings) -> bool {
         self.started() > 0.0 && now < self.started() + set.cold_span
     }
+
+    /// Part of its full capacity that it has at least: all of it unless it is cold.
+    fn warmth(&self, now: Ms, set: &Settings) -> f64 {
+        let age = ((now - self.started()) / set.cold_span.max(1.0)).clamp(0.0, 1.0);
+        if self.cold(now, set) {
+            set.cold_from + (1.0 - set.cold_from) * age
+        } else {
+            1.0
+        }
+    }
 }
 
 impl Dispatcher {
@@ -176,7 +178,7 @@
             seq: 0,
             workers: BTreeMap::new(),
             ready: 0,
-            cold: Vec::new(),
+            weight: 1.0,
             roster_of: 0,
             models: BTreeMap::new(),
             hungry: BTreeSet::new(),
@@ -189,8 +191,8 @@
             load_ms: aim,
             loads: BTreeSet::new(),
             loads_cap: LOADS_PER_MODEL as f64,
-            typical: 1.0,
             retries: 1.0 / RETRY_PART,
+            taking: Fading::default(),
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
             aim,
@@ -218,7 +220,6 @@
             other => {
                 match other {
                     Event::Roster(roster) => self.roster(roster),
-                    Event::Probed { worker, report, .. } => self.report(worker, report),
                     Event::Started { id } => {
                         self.pending.entry(id).and_modify(|pending| pending.streaming = true);
                     }
@@ -262,7 +263,7 @@
         for (name, model) in &self.models {
             let busy = |at, line: &Holder| line.out > 0 || self.loads.contains(&(*name, at));
             if model.waiting.is_empty() && !model.holders.iter().any(|line| busy(*line.0, line.1)) {
-                idle.push((model.proven, model.last, *name));
+                idle.push((model.proven, model.used.last, *name));
             }
         }
         idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -320,21 +321,9 @@
             worker.born = entry.born;
         }
         self.roster_of += 1;
-        self.ready = self.workers.values().filter(|worker| worker.ready).count();
-        self.cold_ones();
-    }
-
-    fn cold_ones(&mut self) {
-        let cold = |worker: &Worker| worker.ready && worker.cold(self.now, &self.set);
-        self.cold = self.workers.iter().filter(|(_, worker)| cold(worker)).map(|(id, _)| *id).collect();
-    }
-
-    fn report(&mut self, worker: WorkerId, report: Option<Report>) {
-        let inflight = report.and_then(|report| report.inflight);
-        if let (Some(worker), Some(inflight)) = (self.workers.get_mut(&worker), inflight) {
-            (worker.inflight, worker.told_at) = (inflight.max(0.0), self.now);
-            blend(&mut self.typical, inflight.max(0.0) + 1.0);
-        }
+        let weights = || self.workers.values().filter(|worker| worker.ready).map(|worker| worker.weight);
+        (self.ready, self.weight) = (weights().count(), weights().sum());
+        self.weight /= self.ready.max(1) as f64;
     }
 
     fn request(&mut self, request: Request, act: &mut Vec<Action>) -> Option<ModelId> {
@@ -347,15 +336,14 @@
             return None;
         }
         let model = self.models.entry(name).or_default();
-        (model.memory, model.width) = (request.memory.max(0.0), model.width.max(1.0));
+        model.memory = request.memory.max(0.0);
         model.lanes = request.lanes.clamp(1.0, 1e6);
-        model.calls = model.calls * 0.5f64.powf((self.now - model.last) / self.set.keep) + 1.0;
-        model.last = self.now;
+        model.used.add(self.now, self.set.keep);
         if let Some(hint) = request.load_hint.filter(|hint| *hint > 0.0) {
             blend(&mut self.load_ms, hint);
         }
         self.retries = (self.retries + RETRY_PART).min(1.0 / RETRY_PART);
-        self.grant();
+        self.taking.add(self.now, self.set.keep);
         if self.set.load_window > 0.0 {
             self.taken.push_back(self.now);
         }
@@ -424,7 +412,6 @@
 
     fn finished(&mut self, end: &Finished, act: &mut Vec<Action>) -> Option<ModelId> {
         let &Finished { id, attempt, outcome, .. } = end;
-        self.report(end.worker, end.report);
         let flight = self.flights.remove(&(id, attempt));
         if let Some(flight) = &flight {
             self.learn(flight, end);
@@ -479,16 +466,6 @@
         worker.out = worker.out.saturating_sub(u32::from(!flight.lost));
         // After a stall of our own the time taken is ours, not the worker's.
         let own = flight.sent < self.awake && now - self.awake < aim / TICKS_PER_AIM;
-        if let Some(crowd) = end.crowd.map(f64::from).filter(|_| !own) {
-            (holder.crowd, holder.crowd_at) = (crowd, now);
-            let slow = if outcome == Outcome::Full { MOST_SLOW } else { took / self.usual[class].max(1.0) };
-            let change = match warmth {
-                Warmth::Loaded | Warmth::Waited => 0.0,
-                _ if crowd > 0.0 => WIDEN * (slow.min(MOST_SLOW) - SLOW),
-                _ => -SHRINK,
-            };
-            model.width = (model.width * change.exp()).clamp(1.0, self.ready.max(1) as f64);
-        }
         let mut shed = 0.0;
         // One broken connection takes all its calls along, and is one failure.
         let again = outcome == Outcome::Reset && now < worker.reset + worker.health.len() as f64;
@@ -509,10 +486,7 @@
                 if !loaded && !own {
                     blend(&mut worker.pace, (took / usual.max(1.0)).clamp(0.1, 10.0));
                     worker.paced_at = now;
-                    // The usual is what a call takes that meets no others of its model.
-                    if end.crowd.unwrap_or(0) == 0 {
-                        blend(usual, took);
-                    }
+                    blend(usual, took);
                     let fastest = self.zone_ms.entry(worker.zone).or_insert(took);
                     *fastest = fastest.min(took);
                     if took < aim / 2.0 {
@@ -553,7 +527,6 @@
             let holder = self.models.get_mut(model).and_then(|model| model.holders.get_mut(&id));
             holder.into_iter().for_each(|holder| holder.copies = 0);
         }
-        self.cold_ones();
     }
 
     fn loaded(&mut self, id: WorkerId, name: ModelId, outcome: Outcome, copies: u32, took: Ms) {
@@ -639,9 +612,6 @@
         if !worker.ready || worker.full_until > self.now || f64::from(worker.out) >= worker.limit {
             return false;
         }
-        if worker.cold(self.now, &self.set) && worker.grant < self.now {
-            return false;
-        }
         self.within_group(worker, pending)
     }
 
@@ -662,11 +632,9 @@
     fn cost(&self, worker: &Worker, holder: Option<&Holder>, pending: &Pending, lanes: f64) -> (f64, Ms) {
         let (class, now) = (pending.request.class, self.now);
         let usual = self.usual[class].max(1.0);
-        let told = if now - worker.told_at < self.aim { worker.inflight } else { 0.0 };
-        let load = (f64::from(worker.out).max(told) + 1.0) / self.typical.max(1.0);
+        let load = f64::from(worker.out) + 1.0;
         let pace = 1.0 + (worker.pace - 1.0) * 0.5f64.powf((now - worker.paced_at) / self.set.keep);
-        let crowd = |line: &Holder| if now - line.crowd_at < self.aim / 2.0 { line.crowd } else { 0.0 };
-        let busy = holder.map_or(0.0, |line| crowd(line).max(f64::from(line.out)));
+        let busy = holder.map_or(0.0, |line| f64::from(line.out));
         let copies = f64::from(holder.map_or(1, |line| line.copies.max(1)));
         let queue = ((busy + 1.0) / (lanes * copies) - 1.0).max(0.0);
         let time = usual * pace * load / worker.weight.max(0.1) + usual * queue;
@@ -674,47 +642,70 @@
     }
 
     fn place(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
+        let may_order = self.set.orders && self.within_ration();
         let Some(pending) = self.pending.get(&id).filter(|pending| pending.out == 0) else { return true };
         let (name, class, now) = (pending.request.model, pending.request.class, self.now);
         // Work that cannot be answered in time is wasted, and where nothing stops it, so is the worker.
-        let (usual, &Class { aim, effect, .. }) = (self.usual[class], &self.set.classes[class]);
+        let usual = self.usual[class];
         let unknown = self.models.get(&name).is_some_and(|model| model.unknown_until > now);
         let spent = pending.attempts >= self.set.max_attempts || pending.request.expires - now < usual;
         if unknown || spent {
             self.end(id, act);
             return true;
         }
-        let may_order = self.set.orders && self.within_ration();
-        let Some(model) = self.models.get(&name) else { return false };
-        let Some(pending) = self.pending.get(&id) else { return true };
+        let Some(mut found) = self.survey(pending, may_order, self.spares(pending)) else { return false };
+        if found.best.is_some_and(|best| !self.admitted(id, best.1)) {
+            let pending = self.pending.get(&id);
+            found = pending.and_then(|pending| self.survey(pending, may_order, true)).unwrap_or(found);
+        }
+        let Found { best, known } = found;
+        let dear = best.is_none_or(|best| best.0 .2 > self.load_ms + usual);
+        // Before a load, other zones are asked; where a call would load by itself, the own one too.
+        let loads = self.set.lacking == Lacking::Loads;
+        if self.set.orders && !self.roams() && !known && (dear || loads) && self.ask(name, act) {
+            return false;
+        }
+        if dear {
+            self.order(id, name, act);
+        }
+        best.is_some_and(|(_, at)| self.send(id, at, act))
+    }
+
+    /// Whether calls look in each zone themselves: where a question costs more than half a crossing.
+    fn roams(&self) -> bool {
+        self.set.lacking == Lacking::Misses && 2.0 * self.set.price_probe > self.set.price_cross
+    }
+
+    /// Looks for the best worker for a call: the likeliest home and what else is believed to stand; cold ones
+    /// left out where they are spared.
+    fn survey(&self, pending: &Pending, may_order: bool, spares: bool) -> Option<Found> {
+        let (name, class, now) = (pending.request.model, pending.request.class, self.now);
+        let (model, &Class { aim, effect, .. }) = (self.models.get(&name)?, &self.set.classes[class]);
         let crossing_pays = |zone: usize| {
             let own = self.zone_ms.get(&self.set.zone).copied().unwrap_or(0.0);
             let there = self.zone_ms.get(&zone).copied().unwrap_or(own);
             let crossing = self.set.price_cross + (there - own).max(0.0) / self.aim;
             crossing <= self.set.price_fetch + self.load_ms / self.aim
         };
-        // The likeliest homes, as many as the model is wide, and what else is believed to stand.
         // A call goes and looks itself where that proves harmless, or no order may be given.
         let misses = self.set.lacking == Lacking::Misses;
         let look = misses && pending.attempts + 1 < self.set.max_attempts || !may_order;
         // Unsafe calls are no bait: not sent where they rather fail than not, unless they do everywhere.
         let doubt = self.doubt[class] / (1.0 - self.doubt[class]).max(0.01);
-        // Where a question costs more than half a crossing it goes and looks in each zone.
-        let roams = misses && 2.0 * self.set.price_probe > self.set.price_cross;
-        let mut best: Option<((bool, bool, f64), WorkerId)> = None;
-        let (mut known, mut standing, mut rank, mut zones) = (false, 0.0, 0.0, BTreeSet::new());
+        let (roams, mut zones) = (self.roams(), BTreeSet::new());
+        let mut found = Found::default();
         for &at in &model.homes {
             let line = model.holders.get(&at);
             let stands = line.is_some_and(|line| line.stands(now, self.set.keep));
             let Some(worker) = self.workers.get(&at) else { continue };
-            let near = rank < model.width || roams && !zones.contains(&worker.zone);
-            if !stands && !near || !self.open(worker, pending) {
+            let cold = worker.cold(now, &self.set);
+            // A cold worker that is far holds little yet, and has no calls to spare.
+            let near = zones.is_empty() || roams && !cold && !zones.contains(&worker.zone);
+            if !stands && !near || spares && cold || !self.open(worker, pending) {
                 continue;
             }
             let odds = self.odds(worker, class);
-            if odds < 1.0 {
-                (rank, _) = (rank + 1.0, zones.insert(worker.zone));
-            }
+            zones.extend((odds < 1.0).then_some(worker.zone));
             if effect == Effect::Unsafe && odds > 1.0 + doubt {
                 continue;
             }
@@ -723,7 +714,7 @@
             if !stands && !presumed {
                 continue;
             }
-            (known, standing) = (known || stands, standing + 1.0);
+            found.known |= stands;
             let foreign = worker.zone != self.set.zone;
             let (cost, queue) = self.cost(worker, line, pending, model.lanes);
             // A queue there is worth joining while it is cleared well within the aim.
@@ -733,20 +724,11 @@
             let cost = cost + if failed { aim } else { 0.0 };
             let key = (foreign, foreign && roams && !stands, cost);
             let fits = if foreign { idle && crossing_pays(worker.zone) } else { queue < QUEUE * aim };
-            if fits && best.is_none_or(|best| key < best.0) {
-                best = Some((key, at));
+            if fits && found.best.is_none_or(|best| key < best.0) {
+                found.best = Some((key, at));
             }
         }
-        let needed = (model.width * NEED).floor().max(1.0);
-        let dear = best.is_none_or(|best| best.0 .2 > self.load_ms + usual);
-        // Before a load, other zones are asked; where a call would load by itself, the own one too.
-        if self.set.orders && !roams && !known && (dear || !misses) && self.ask(name, act) {
-            return false;
-        }
-        if dear || standing < needed {
-            self.order(id, name, act);
-        }
-        best.is_some_and(|(_, at)| self.send(id, at, act))
+        Some(found)
     }
 
     /// Asks the first home of each zone whether the model stands there, once in half a keep time: a
@@ -779,7 +761,7 @@
             return true;
         };
         let (class, model, attempt) = (pending.request.class, pending.request.model, pending.attempts);
-        (worker.grant, worker.out) = (0.0, worker.out + 1);
+        worker.out += 1;
         (pending.attempts, pending.out) = (attempt + 1, pending.out + 1);
         pending.ran.push((attempt, at, now));
         let holder = self.models.entry(model).or_default().holders.entry(at).or_default();
@@ -807,19 +789,33 @@
         PATIENCE * self.usual[flight.class].max(1.0) + if flight.warm { 0.0 } else { self.load_ms }
     }
 
-    /// A cold worker may be sent a part of what this front end takes for a worker on average, so that
-    /// the sum over any number of front ends stays the same part of the fleet's average. Drawn by
-    /// chance, so that they do not come due together, and soon void, so that none hoards.
-    fn grant(&mut self) {
-        let (now, set, ready) = (self.now, &self.set, self.ready.max(1) as f64);
-        for id in &self.cold {
-            let Some(worker) = self.workers.get_mut(id).filter(|w| w.cold(now, set)) else { continue };
-            let age = (now - worker.started()).max(0.0) / set.cold_span.max(1.0);
-            let capacity = set.cold_from + (1.0 - set.cold_from) * age;
-            if self.rng.random::<f64>() * ready < (capacity * set.fall_multiple * COLD_PART).min(1.0) {
-                worker.grant = now + set.fall_span;
-            }
+    /// Whether it was drawn of late that a call spares cold workers.
+    fn spares(&self, pending: &Pending) -> bool {
+        pending.cold.is_some_and(|met| !met.1 && self.now < met.2 + self.set.fall_span)
+    }
+
+    /// Whether a call may go to a worker. Where that one is cold, it is drawn: so many may that the sum over
+    /// any number of front ends stays the same part of what an average worker is sent. Each counts how many
+    /// of its own would, so that one with few calls needs no allowance saved up beforehand.
+    fn admitted(&mut self, id: RequestId, at: WorkerId) -> bool {
+        let (now, set) = (self.now, &self.set);
+        let (Some(pending), Some(worker)) = (self.pending.get_mut(&id), self.workers.get_mut(&at)) else {
+            return false;
+        };
+        if !worker.cold(now, set) {
+            return true;
+        }
+        if let Some(met) = pending.cold.filter(|met| met.0 == at && now < met.2 + set.fall_span) {
+            return met.1;
         }
+        // Less of it the colder it is: all hear of it at once, and each looks there for what it calls.
+        let capacity = worker.warmth(now, set).powi(2) * worker.weight / self.weight;
+        let even = self.taking.at(now, set.keep) / self.ready.max(1) as f64;
+        worker.wanted.add(now, set.keep);
+        let part = capacity * set.fall_multiple * COLD_PART * even / worker.wanted.at(now, set.keep);
+        let drawn = self.rng.random::<f64>() < part;
+        pending.cold = Some((at, drawn, now));
+        drawn
     }
 
     fn within_ration(&mut self) -> bool {
@@ -838,13 +834,17 @@
     /// name (highest random weight), so that copies are shared without a word between them.
     fn homes(&mut self, name: ModelId) {
         let Some(model) = self.models.get_mut(&name) else { return };
-        if model.homes_of != self.roster_of {
-            let key =
-                |(id, worker): (&WorkerId, &Worker)| (worker.zone != self.set.zone, rank(worker, name), *id);
+        // By the same clock, so that all see cold workers grow in the same steps.
+        let now = (self.now / STEP).floor() * STEP;
+        if model.homes_of != (self.roster_of, now) {
+            let key = |(id, worker): (&WorkerId, &Worker)| {
+                let warmth = worker.warmth(now, &self.set);
+                (worker.zone != self.set.zone, rank(worker, name, warmth), *id)
+            };
             let mut ranked: Vec<_> = self.workers.iter().filter(|entry| entry.1.ready).map(key).collect();
             ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
             model.homes = ranked.into_iter().map(|entry| entry.2).collect();
-            model.homes_of = self.roster_of;
+            model.homes_of = (self.roster_of, now);
         }
     }
 
@@ -857,7 +857,7 @@
             return;
         }
         let (Some(model), Some(pending)) = (self.models.get(&name), self.pending.get(&id)) else { return };
-        let class = pending.request.class;
+        let (class, spares) = (pending.request.class, self.spares(pending));
         let shut = |id: &WorkerId, worker: &Worker| {
             let stands = model.holders.get(id).is_some_and(|line| line.stands(self.now, self.set.keep));
             let until = worker.no_room_until.max(worker.full_until);
@@ -866,14 +866,16 @@
                 || stands
                 || until > self.now
                 || self.loads.contains(&(name, *id))
+                || spares && worker.cold(self.now, &self.set)
         };
-        let key = |worker: &Worker| {
-            let half_cold = worker.cold(self.now + self.set.cold_span / 2.0, &self.set);
-            (self.odds(worker, class) >= 1.0, half_cold, worker.zone != self.set.zone)
-        };
+        let key = |worker: &Worker| (self.odds(worker, class) >= 1.0, worker.zone != self.set.zone);
         let homes = model.homes.iter().filter_map(|id| self.workers.get(id).map(|worker| (*id, worker)));
         let open = homes.filter(|(id, worker)| !shut(id, worker));
         let Some((worker, _)) = open.min_by_key(|home| key(home.1)) else { return };
+        if !self.admitted(id, worker) {
+            return self.order(id, name, act);
+        }
+        let Some(model) = self.models.get(&name) else { return };
         self.make_room(worker, name, model.memory, act);
         self.models.entry(name).or_default().holders.entry(worker).or_default();
         self.workers.entry(worker).and_modify(|worker| _ = worker.lines.insert(name));
@@ -919,8 +921,8 @@
 
     /// The paper's u / (f + t), with f halved every keep time and t a recency between 0 and 1.
     fn eviction_weight(&self, model: &Model) -> f64 {
-        let age = (self.now - model.last).max(0.0) / self.set.keep;
-        model.memory.max(1.0) / (model.calls * 0.5f64.powf(age) + 1.0 / (1.0 + age))
+        let age = (self.now - model.used.last).max(0.0) / self.set.keep;
+        model.memory.max(1.0) / (model.used.at(self.now, self.set.keep) + 1.0 / (1.0 + age))
     }
 
     /// Does what is due by then.
@@ -994,6 +996,6 @@
         let used = |model: &Model| !model.holders.is_empty() || !model.waiting.is_empty();
         // A name that never stood anywhere is hardly a model: clients can make up any number of them.
         let kept = |model: &Model| if model.proven { FORGET_KEEPS * keep } else { keep };
-        self.models.retain(|_, model| used(model) || now - model.last < kept(model));
+        self.models.retain(|_, model| used(model) || now - model.used.last < kept(model));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,26 @@
     pub heard: Ms,
 }
 
+/// A count that fades by half in each keep time.
+#[derive(Default, Clone, Copy)]
+pub(crate) struct Fading {
+    count: f64,
+    /// When it was last added to.
+    pub last: Ms,
+}
+
+impl Fading {
+    /// What is left of it.
+    pub fn at(&self, now: Ms, keep: Ms) -> f64 {
+        self.count * 0.5f64.powf((now - self.last) / keep)
+    }
+
+    /// One more.
+    pub fn add(&mut self, now: Ms, keep: Ms) {
+        (self.count, self.last) = (self.at(now, keep) + 1.0, now);
+    }
+}
+
 /// What is believed of one worker.
 #[derive(Default)]
 pub(crate) struct Worker {
@@ -39,10 +59,8 @@
     pub full_until: Ms,
     /// Takes no loads until then, as far as known.
     pub no_room_until: Ms,
-    /// While cold, one call may go there until then.
-    pub grant: Ms,
-    pub inflight: f64,
-    pub told_at: Ms,
+    /// Calls of ours that would have gone there while it was cold.
+    pub wanted: Fading,
     /// Models with a line in the table for this worker.
     pub lines: BTreeSet<ModelId>,
 }
@@ -55,8 +73,6 @@
     pub seen: Ms,
     pub lacks: Ms,
     pub out: u32,
-    pub crowd: f64,
-    pub crowd_at: Ms,
 }
 
 /// One model.
@@ -64,13 +80,11 @@
 pub(crate) struct Model {
     pub memory: f64,
     pub lanes: f64,
-    pub calls: f64,
-    pub last: Ms,
-    /// Homes over which its calls are spread: as all see the same crowds, all come to like widths.
-    pub width: f64,
-    /// Workers, the likeliest home first, as of that roster.
+    /// Calls of it.
+    pub used: Fading,
+    /// Workers, the likeliest home first, as of that roster and time.
     pub homes: Vec<WorkerId>,
-    pub homes_of: u64,
+    pub homes_of: (u64, Ms),
     pub retry_at: Ms,
     /// A copy of it stood somewhere, or a call of it was served.
     pub proven: bool,
@@ -96,6 +110,17 @@
     /// Attempts that may have run, oldest first.
     pub ran: Vec<(u32, WorkerId, Ms)>,
     pub streaming: bool,
+    /// The first cold worker that it would have gone to, whether it may, and when that was drawn.
+    pub cold: Option<(WorkerId, bool, Ms)>,
+}
+
+/// What a look over the workers found for a call.
+#[derive(Default)]
+pub(crate) struct Found {
+    /// The best worker, with what it was judged by.
+    pub best: Option<((bool, bool, f64), WorkerId)>,
+    /// Whether a copy is known.
+    pub known: bool,
 }
 
 /// An attempt that has no outcome yet.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -54,3 +54,52 @@
     assert!(sums.questions > 400, "{sums:?}");
     assert!(sums.crossed <= sums.taken, "only the call that is served crosses: {sums:?}");
 }
+
+/// Half of a fleet was replaced that long ago, and sixty front ends with few calls each call ever new models.
+fn after_a_release(set: &Settings, age: Ms) -> Fleet {
+    let mut fleet = Fleet::new(set, 60, 24, 3);
+    fleet.now += age;
+    let born = fleet.now - age;
+    let young: Vec<_> = (0..12).map(|host| RosterEntry { born, ..entry(host, host as usize % 3) }).collect();
+    fleet.announce(&young);
+    for call in 0..3600u64 {
+        // Other models are called in each second.
+        let model = call / 500 * 60 + call * call % 59 + 1;
+        fleet.call(call as f64 * 2.0, (call % 60) as usize, call, 0, model, 3000.0);
+    }
+    fleet
+}
+
+/// Guards against loads where no call may go: while the others had no room, many front ends ordered copies at
+/// cold workers, found that none of their calls was allowed there, and ordered more.
+#[test]
+fn copies_are_loaded_at_cold_workers_for_calls_that_may_go_there() {
+    let mut fleet = after_a_release(&large(0.08), 0.0);
+    (12..24).for_each(|host| fleet.host(host).full = true);
+    fleet.run(8000.0);
+    let cold = |of: &std::collections::BTreeMap<u32, usize>| -> usize {
+        (0..12).filter_map(|host| of.get(&host)).sum()
+    };
+    let (loaded, served) = (cold(&fleet.sums.loaded_at), cold(&fleet.sums.served_at));
+    assert!(loaded > 0 && 2 * served > loaded, "{served} served, {loaded} loaded");
+}
+
+/// Guards the rule on cold workers over all front ends: in no two seconds do they together send one of them what
+/// would push it over if the fleet were full.
+#[test]
+fn cold_workers_are_spared_by_all_together() {
+    let set = large(0.08);
+    let mut fleet = after_a_release(&set, 0.0);
+    let even = 500.0 * 2.0 / 24.0;
+    let mut before = fleet.sums.at.clone();
+    for window in 0..4 {
+        fleet.run(2000.0);
+        let warmth = set.cold_from + (1.0 - set.cold_from) * 2000.0 * f64::from(window) / set.cold_span;
+        for host in 0..12 {
+            let count = |sums: &std::collections::BTreeMap<u32, usize>| sums.get(&host).copied().unwrap_or(0);
+            let sent = (count(&fleet.sums.at) - count(&before)) as f64;
+            assert!(sent < set.fall_multiple * warmth * even, "{sent} to {host} in window {window}");
+        }
+        before = fleet.sums.at.clone();
+    }
+}
