--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -182,6 +182,7 @@
         let learnt = ledger.account(Purpose::Learnt).nothing();
         let core = Core { dispatcher, open: HashMap::new(), learnt };
         let directory = Directory::new(&names, ledger.account(Purpose::Roster));
+        let counters = Counters::new(workers.dials());
         Arc::new(Invoker {
             core: Mutex::new(core),
             directory: Mutex::new(directory),
@@ -194,7 +195,7 @@
             names,
             settings,
             give_up,
-            counters: Counters::default(),
+            counters,
         })
     }
 
@@ -330,7 +331,8 @@
                         let started = now_ms();
                         let (end, copies) = match invoker.host(worker) {
                             Some(host) => {
-                                invoker.counters.orders.add();
+                                let counters = &invoker.counters;
+                                if copies > 0 { &counters.orders } else { &counters.questions }.add();
                                 invoker.workers.load(&host, model, copies, invoker.spans.order)
                             }
                             None => (Err(AttemptError::Unconnected), 0),
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) use invoker::lock;
 pub use invoker::{Inbox, Invoker, NotTaken, Taken};
 
+use crate::memory::counters::Dials;
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms};
 use std::sync::Arc;
@@ -47,6 +48,10 @@
     ) -> (Result<(), AttemptError>, u32);
     /// Has the idle copies of a model unloaded; nothing is heard of it.
     fn evict(&self, host: &Arc<Host>, model: ModelId);
+    /// Connections counted so far, where they last beyond a call.
+    fn dials(&self) -> Arc<Dials> {
+        Arc::default()
+    }
     /// Asks whether the worker lives.
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError>;
 }
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -4,6 +4,7 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 /// A number that only grows.
 #[derive(Debug, Default)]
@@ -21,6 +22,15 @@
     }
 }
 
+/// Connections to workers.
+#[derive(Debug, Default)]
+pub struct Dials {
+    /// Tried.
+    pub tried: Counter,
+    /// Refused or not made in time.
+    pub failed: Counter,
+}
+
 /// All counters of a process; their text form is one line of `name=number`.
 #[derive(Debug)]
 pub struct Counters {
@@ -28,8 +38,16 @@
     pub taken: Counter,
     /// Attempts started.
     pub sent: Counter,
-    /// Load orders, questions included.
+    /// Orders to load.
     pub orders: Counter,
+    /// Questions whether a model stands, which cost what an order costs.
+    pub questions: Counter,
+    /// Connections that carry frames to workers.
+    pub dials: Arc<Dials>,
+    /// Calls of the command channel.
+    pub channel_calls: Counter,
+    /// Events and entries of the command channel that could not be read.
+    pub channel_odd: Counter,
     /// Orders to unload.
     pub evictions: Counter,
     /// Answers by kind.
@@ -52,13 +70,18 @@
     pub call_seconds: Histogram,
 }
 
-impl Default for Counters {
-    fn default() -> Self {
+impl Counters {
+    /// All at nothing, beside what the way to the workers counts.
+    pub fn new(dials: Arc<Dials>) -> Self {
         let counter = Counter::default;
         Counters {
             taken: counter(),
             sent: counter(),
             orders: counter(),
+            questions: counter(),
+            dials,
+            channel_calls: counter(),
+            channel_odd: counter(),
             evictions: counter(),
             served: counter(),
             refused: counter(),
@@ -111,6 +134,11 @@
             ("taken", &self.taken),
             ("sent", &self.sent),
             ("orders", &self.orders),
+            ("questions", &self.questions),
+            ("dials", &self.dials.tried),
+            ("dials_failed", &self.dials.failed),
+            ("channel_calls", &self.channel_calls),
+            ("channel_odd", &self.channel_odd),
             ("evictions", &self.evictions),
             ("served", &self.served),
             ("refused", &self.refused),
--- a/crates/node/src/wire/channel.rs
+++ b/crates/node/src/wire/channel.rs
@@ -99,6 +99,7 @@
             let read = |entry: Value| match Endpoint::deserialize(&entry) {
                 Ok(endpoint) => Some(Listing::from(endpoint)),
                 Err(error) => {
+                    invoker.counters.channel_odd.add();
                     tracing::warn!(%entry, %error, "command channel: an entry was left out");
                     None
                 }
@@ -148,6 +149,7 @@
 pub fn follow(invoker: &Arc<Invoker>, line: &Line, mut cursor: u64) {
     loop {
         let (before, address) = (cursor, line.address());
+        invoker.counters.channel_calls.add();
         if let Err(error) = listen(invoker, line, address, &mut cursor) {
             tracing::warn!(%error, "command channel");
         }
@@ -185,7 +187,10 @@
             match news {
                 Ok(news) => news.tell(invoker, false),
                 // Asked for again it would read no better, and what follows it must be heard.
-                Err(error) => tracing::warn!(number, %error, "command channel: an event was left out"),
+                Err(error) => {
+                    invoker.counters.channel_odd.add();
+                    tracing::warn!(number, %error, "command channel: an event was left out");
+                }
             }
         }
     }
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -4,6 +4,7 @@
 use super::socket::Socket;
 use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
 use crate::life::spawn;
+use crate::memory::counters::Dials;
 use crate::memory::link::{Link, Stage};
 use crate::memory::room::NO_ROOM;
 use crate::memory::roster::Host;
@@ -82,6 +83,7 @@
     pools: Mutex<HashMap<(WorkerId, SocketAddr), Pool>>,
     connections: Arc<AtomicUsize>,
     order: AtomicU64,
+    dials: Arc<Dials>,
 }
 
 struct FrameExchange {
@@ -98,6 +100,7 @@
             pools: Mutex::new(HashMap::new()),
             connections: Arc::new(AtomicUsize::new(0)),
             order: AtomicU64::new(1 << 62),
+            dials: Arc::default(),
         }
     }
 
@@ -161,10 +164,10 @@
             outbox,
             quiet_since: AtomicU64::new(0),
         });
-        let (host, limits, ours) = (host.clone(), self.limits, connection.clone());
+        let (host, limits, ours, dials) = (host.clone(), self.limits, connection.clone(), self.dials.clone());
         let intake = Intake::new(&self.account, Purpose::Workers);
         spawn(move || {
-            ours.run(&host, &limits, &queue, intake);
+            ours.run(&host, &limits, &dials, &queue, intake);
             drop((place, held));
         });
         Some(connection)
@@ -239,10 +242,18 @@
     }
 
     /// The life of a connection: made, written to, ended. What was open on it ends with it.
-    fn run(self: &Arc<Self>, host: &Host, limits: &Limits, queue: &Receiver<Out>, intake: Intake) {
+    fn run(
+        self: &Arc<Self>,
+        host: &Host,
+        limits: &Limits,
+        dials: &Dials,
+        queue: &Receiver<Out>,
+        intake: Intake,
+    ) {
         let mut guard = EndGuard(self.clone(), AttemptError::Unconnected);
         let connected = Socket::connect(&host.address, limits.connect, WRITE_STALL);
-        let Ok(socket) = connected.map(Arc::new) else { return };
+        dials.tried.add();
+        let Ok(socket) = connected.map(Arc::new) else { return dials.failed.add() };
         guard.1 = AttemptError::Unfinished(Cause::Broken);
         let (ours, reader, answer) = (self.clone(), socket.clone(), limits.answer);
         let reading = spawn(move || {
@@ -402,6 +413,10 @@
         self.open(host, frame, false, None);
     }
 
+    fn dials(&self) -> Arc<Dials> {
+        self.dials.clone()
+    }
+
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
         let frame = Frame::command(code::PROBE, self.order_id(), String::new(), Vec::new());
         self.ask(host, frame, false, within).and_then(|frame| verdict(frame, code::ALIVE)).map(|_| ())
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -421,6 +421,13 @@
         assert!(matches!(client.receive(), Some((_, Reply::Answer(_)))));
     }
     assert!(bench.fleet.sent().iter().all(|sent| sent.worker == "h1"), "{:?}", bench.fleet.sent());
+    bench.daemon.signal("USR1");
+    until("they are counted", || {
+        let errors = bench.daemon.errors();
+        ["channel_calls=1 ", "channel_odd=2 ", "dials=1 ", "dials_failed=0 "]
+            .iter()
+            .all(|one| errors.contains(one))
+    });
 }
 
 /// Guards the limit on memory, which may be 32 MB: an open request costs some 26 KiB and its body, so what
