Operators' address: bans on hosts that no news lifts, drain and return of the invoker

Cause: nothing listened at admin (life/config.rs read no such key); membership knew only the directory's word (Directory::apply); alive always answered good (wire/front.rs). Change: wire/operators.rs (five calls, seats and memory of their own); crates/duty with Bans and Duty, without I/O; Directory folds the directory's word and the bans into what the decisions hear; a suspended host is refused every frame but a giving up; connections let go are closed by their own readers once nothing is owed; SIGTERM shares that.

--- a/crates/ledger/src/purpose.rs
+++ b/crates/ledger/src/purpose.rs
@@ -39,6 +39,8 @@
     Replication,
     /// Timers that are set.
     Timers,
+    /// Operators' connections: their own, so that clients can't take them.
+    Operators,
 }
 
 /// The terms of one purpose.
@@ -73,9 +75,9 @@
 }
 
 /// The table of purposes, in the order of [`Purpose`].
-const TABLE: [Terms; 12] = [
+const TABLE: [Terms; 13] = [
     terms(Purpose::Calls, "calls", Answer::Refuse, (31.0, 58.0), 512 * KIB),
-    terms(Purpose::Clients, "clients", Answer::Slow, (10.0, 16.0), 256 * KIB),
+    terms(Purpose::Clients, "clients", Answer::Slow, (9.0, 15.0), 256 * KIB),
     terms(Purpose::Workers, "workers", Answer::Slow, (9.0, 12.0), 256 * KIB),
     terms(Purpose::Roster, "roster", Answer::Evict, (2.0, 2.0), 64 * KIB),
     terms(Purpose::Learnt, "learnt", Answer::Evict, (6.0, 10.0), 256 * KIB),
@@ -86,6 +88,7 @@
     terms(Purpose::Log, "log", Answer::Refuse, (2.0, 0.0), 320 * KIB),
     terms(Purpose::Replication, "replication", Answer::Refuse, (3.0, 0.0), 320 * KIB),
     terms(Purpose::Timers, "timers", Answer::Refuse, (1.0, 2.0), 64 * KIB),
+    terms(Purpose::Operators, "operators", Answer::Slow, (1.0, 1.0), 32 * KIB),
 ];
 
 impl Purpose {
--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -2,15 +2,15 @@
 use super::{now_ms, until, Answer, AttemptError, Call, Cause, Exchange, Failure, Workers};
 use crate::memory::counters::Counters;
 use crate::memory::room;
-use crate::memory::roster::{Directory, Host, Listing};
+use crate::memory::roster::{Directory, Host, Listing, NotHeeded};
 use corkbay::{
     Action, Dispatcher, Event, Finished, ModelId, Ms, Names, Outcome, RequestId, Settings, Warmth, WorkerId,
 };
+use corkbay_duty::{Bans, Duty, Leave, Terms};
 use corkbay_ledger::pressure::{decide, Case, Decision};
 use corkbay_ledger::{Full, Ledger, Purpose, Reservation};
 use may::sync::{mpsc, Condvar, Mutex};
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,7 +51,7 @@
     },
     Fail,
     Withdrawn,
-    /// The process is about to end.
+    /// There is no more time for it.
     Close,
     Ended {
         attempt: u32,
@@ -66,7 +66,7 @@
     Open,
     /// There is no room for it; come again after so many milliseconds.
     Crowded(Ms),
-    /// The process is about to end.
+    /// No requests are taken any more.
     Draining,
 }
 
@@ -142,12 +142,15 @@
 pub struct Invoker {
     core: Mutex<Core>,
     directory: Mutex<Directory>,
+    /// Held while news is folded and told, so that the decisions hear it in the order in which it was folded.
+    telling: Mutex<()>,
     workers: Arc<dyn Workers>,
     spans: Spans,
     ledger: Arc<Ledger>,
     owed: Mutex<usize>,
     settled: Condvar,
-    draining: AtomicBool,
+    duty: Mutex<Duty>,
+    duty_changed: Condvar,
     /// Numbers and names of classes, tenants, zones and kinds.
     pub names: Names,
     /// What the decisions were told at the start.
@@ -186,12 +189,14 @@
         Arc::new(Invoker {
             core: Mutex::new(core),
             directory: Mutex::new(directory),
+            telling: Mutex::new(()),
             workers,
             spans,
             ledger,
             owed: Mutex::new(0),
             settled: Condvar::new(),
-            draining: AtomicBool::new(false),
+            duty: Mutex::default(),
+            duty_changed: Condvar::new(),
             names,
             settings,
             give_up,
@@ -205,7 +210,7 @@
     }
 
     fn admit(self: &Arc<Self>, call: Call) -> Result<Taken, NotTaken> {
-        if self.draining.load(Ordering::Acquire) {
+        if self.duty().refuses(now_ms()) {
             return Err(NotTaken::Draining);
         }
         let held = self.ledger.reserve(Purpose::Calls, call.request.tenant, CALL + call.size());
@@ -251,13 +256,63 @@
 
     /// News of the workers; what is barred is barred before the decisions hear of it.
     pub fn news(self: &Arc<Self>, listings: Vec<Listing>, whole: bool, remembered: bool) {
+        let _turn = lock(&self.telling);
         let roster = lock(&self.directory).apply(listings, whole, remembered);
         self.feed(Event::Roster(roster));
     }
 
-    /// Takes nothing more from now on.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Release);
+    /// Holds a host out until [`Invoker::resume`]: from here on nothing begins there, whatever the directory says.
+    pub fn suspend(self: &Arc<Self>, name: &str) -> Result<(), NotHeeded> {
+        self.heed(|directory| directory.suspend(name, now_ms()))
+    }
+
+    /// Lets a host serve again.
+    pub fn resume(self: &Arc<Self>, name: &str) -> Result<(), NotHeeded> {
+        self.heed(|directory| directory.resume(name, now_ms()))
+    }
+
+    fn heed(
+        self: &Arc<Self>,
+        word: impl FnOnce(&mut Directory) -> Result<corkbay::Roster, NotHeeded>,
+    ) -> Result<(), NotHeeded> {
+        let _turn = lock(&self.telling);
+        let roster = word(&mut lock(&self.directory))?;
+        self.feed(Event::Roster(roster));
+        Ok(())
+    }
+
+    /// The operators' word on hosts.
+    pub fn bans(&self) -> Bans {
+        lock(&self.directory).bans().clone()
+    }
+
+    /// What is done about clients now.
+    pub fn duty(&self) -> Duty {
+        *lock(&self.duty)
+    }
+
+    /// Leaves the clients, on those terms.
+    pub fn leave(&self, why: Leave, terms: Terms) {
+        lock(&self.duty).leave(why, now_ms(), terms);
+        self.duty_changed.notify_all();
+    }
+
+    /// Wants clients again; false where the process is about to end.
+    pub fn come_back(&self) -> bool {
+        lock(&self.duty).come_back()
+    }
+
+    /// Waits until clients are left.
+    pub fn wait_for_leave(&self) {
+        let mut duty = lock(&self.duty);
+        while duty.leaving().is_none() {
+            duty = self.duty_changed.wait(duty).unwrap_or_else(|poisoned| poisoned.into_inner());
+        }
+    }
+
+    /// Ends what is owed for one request: there is no more time for it.
+    pub fn end(&self, id: RequestId) {
+        lock(&self.core).note(id, Note::Close);
     }
 
     /// Ends all that is owed: the process has no more time.
@@ -601,7 +656,7 @@
     use super::*;
     use crate::core::Ending;
     use corkbay::{ModelId, Request, Standing};
-    use std::sync::atomic::AtomicUsize;
+    use std::sync::atomic::{AtomicUsize, Ordering};
 
     /// Workers whose first send panics and whose others serve.
     #[derive(Default)]
@@ -666,7 +721,7 @@
         let taken = invoker.take(call(2)).expect("taken");
         assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
         drop(taken);
-        invoker.drain();
+        invoker.leave(Leave::Ending, Terms { let_go: 0.0, refuse: 0.0, gone: None });
         assert!(invoker.settle(Duration::ZERO));
         assert_eq!(invoker.take(call(3)).err(), Some(NotTaken::Draining));
     }
--- a/crates/node/src/life/config.rs
+++ b/crates/node/src/life/config.rs
@@ -38,20 +38,23 @@
     pub path: PathBuf,
     /// Where clients connect, whatever the file says.
     pub listen: Option<String>,
+    /// Where operators call, whatever the file says.
+    pub admin: Option<String>,
 }
 
 impl Source {
     /// What the environment names.
     pub fn from_env() -> Result<Self, ConfigError> {
         let path = std::env::var("PROXY_CONFIG").map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
-        Ok(Source { path: path.into(), listen: std::env::var("PROXY_LISTEN").ok() })
+        let variable = |name: &str| std::env::var(name).ok();
+        Ok(Source { path: path.into(), listen: variable("PROXY_LISTEN"), admin: variable("PROXY_ADMIN") })
     }
 
     /// Reads the file as it is now.
     pub fn read(&self) -> Result<Platform, ConfigError> {
         let text = std::fs::read_to_string(&self.path);
         let text = text.map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
-        Platform::read(&text, self.listen.as_deref())
+        Platform::read(&text, self.listen.as_deref(), self.admin.as_deref())
     }
 }
 
@@ -60,6 +63,8 @@
 pub struct Platform {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call; nowhere where it is not told.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Most descriptors that the process may hold.
@@ -82,8 +87,8 @@
 const MEMORY_MB: u64 = 128;
 
 impl Platform {
-    /// Reads the configuration's text; `listen` overrides its own where given.
-    pub fn read(text: &str, listen: Option<&str>) -> Result<Self, ConfigError> {
+    /// Reads the configuration's text; `listen` and `admin` override its own where given.
+    pub fn read(text: &str, listen: Option<&str>, admin: Option<&str>) -> Result<Self, ConfigError> {
         let config: Value =
             serde_json::from_str(text).map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
         let listen = listen.or_else(|| config["listen"].as_str());
@@ -93,8 +98,15 @@
         if settings["classes"].as_array().is_none_or(Vec::is_empty) {
             return Err(ConfigError::new("settings.classes", "no list of classes"));
         }
+        let admin = match (admin, &config["admin"]) {
+            (Some(admin), _) => Some(address("admin", Some(admin))?),
+            (None, Value::Null) => None,
+            (None, Value::String(admin)) => Some(address("admin", Some(admin))?),
+            (None, odd) => return Err(ConfigError::new("admin", format!("{odd} is no address and port"))),
+        };
         Ok(Platform {
             listen: address("listen", listen)?,
+            admin,
             seed: seed(&config["seed"])?,
             sockets: config["limits"]["sockets"].as_u64().map_or(SOCKETS, |limit| limit as usize),
             memory_mb: config["limits"]["memory_mb"].as_f64().map_or(MEMORY_MB, |limit| limit as u64),
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -1,12 +1,13 @@
 //! The daemon on the platform: start, service, drain.
 use super::config::{ConfigError, Platform, Source};
 use super::{accounts, spawn};
-use crate::core::Invoker;
-use crate::wire::accept::{accept, House};
+use crate::core::{now_ms, Invoker};
+use crate::wire::accept::{accept, Guests, House};
 use crate::wire::channel::{self, Line};
 use crate::wire::frames::MAX_BODY;
-use crate::wire::front;
 use crate::wire::workers::{FrameWorkers, Limits};
+use crate::wire::{front, operators};
+use corkbay_duty::{Leave, Terms};
 use corkbay_ledger::{Ledger, Purpose};
 use may::net::TcpListener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -19,6 +20,10 @@
 /// After SIGTERM connections go on coming for up to 0.4 s and requests on open ones for 0.2 s more; what comes
 /// later than this is lost if it has no answer when SIGKILL comes, so it is refused.
 const STILL_TAKING: Duration = Duration::from_millis(700);
+const ENDING: Terms =
+    Terms { let_go: STILL_TAKING.as_millis() as f64, refuse: STILL_TAKING.as_millis() as f64, gone: None };
+/// How often connections are looked at that are to be let go.
+const LET_GO_LOOK: Duration = Duration::from_millis(20);
 /// SIGKILL comes no sooner than the longest deadline after that, which counts as this at most.
 const LONGEST_COUNTED: Duration = Duration::from_secs(3);
 /// What is still owed so long before SIGKILL is ended.
@@ -26,6 +31,8 @@
 /// Descriptors for all but clients and workers: the program's own, and second ones of connections whose
 /// other side reads too slowly.
 const RESERVE: usize = 40;
+/// Those of the operators' address, of the reserve: its listener and its callers.
+const _: () = assert!(operators::SEATS + 1 < RESERVE / 2);
 
 /// Most connections of clients and to workers, one descriptor each. Usual clients hold a third of the limit
 /// at most; what they get beyond that is for those that connect and say nothing.
@@ -56,15 +63,29 @@
         news.tell(&invoker, true);
     }
     let listener = TcpListener::bind(config.listen).map_err(|error| ConfigError::new("listen", error))?;
+    if let Some(admin) = config.admin {
+        let listener = TcpListener::bind(admin).map_err(|error| ConfigError::new("admin", error))?;
+        let (ours, account) = (invoker.clone(), ledger.account(Purpose::Operators).clone());
+        let house = House { most: operators::SEATS, stall: operators::WRITE_STALL, account };
+        spawn(move || {
+            accept(&listener, &house, &Guests::default(), move |guest| operators::serve(&ours, &guest))
+        });
+    }
     let (ours, line, cursor) = (invoker.clone(), Line::new(config.channel), config.cursor);
     let reload = {
         let (line, listen, settings) = (line.clone(), config.listen, config.settings.clone());
+        let admin = config.admin;
         let ledger = ledger.clone();
         move || {
             let next = source.read()?;
             ledger.adopt(&accounts::platform_budget(next.memory_mb, base)?);
             line.move_to(next.channel);
-            for (key, kept) in [("listen", next.listen == listen), ("settings", next.settings == settings)] {
+            let kept = [
+                ("listen", next.listen == listen),
+                ("admin", next.admin == admin),
+                ("settings", next.settings == settings),
+            ];
+            for (key, kept) in kept {
                 if !kept {
                     tracing::warn!(key, "reload: a key has changed and holds from the next start on");
                 }
@@ -76,11 +97,26 @@
     let ours = invoker.clone();
     let account = ledger.account(Purpose::Clients).clone();
     let house = House { most: clients, stall: front::WRITE_STALL, account };
-    spawn(move || accept(&listener, &house, move |guest| front::serve(&ours, guest)));
+    let guests = Guests::default();
+    let theirs = guests.clone();
+    spawn(move || accept(&listener, &house, &theirs, move |guest| front::serve(&ours, guest)));
+    let ours = invoker.clone();
+    spawn(move || let_go(&ours, &guests));
     let longest = longest_deadline(&config.settings).min(LONGEST_COUNTED);
     Ok(serve_until_signalled(&invoker, &mut signals, reload, longest.saturating_sub(LAST_ANSWERS)))
 }
 
+/// Lets the connections of clients go whenever they are left, for as long as the process lives.
+fn let_go(invoker: &Invoker, guests: &Guests) {
+    loop {
+        invoker.wait_for_leave();
+        if invoker.duty().lets_go(now_ms()) {
+            guests.let_go();
+        }
+        may::coroutine::sleep(LET_GO_LOOK);
+    }
+}
+
 /// The signals that are heeded; those that come from here on are not lost.
 pub fn signals() -> Result<Signals, ConfigError> {
     Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1]).map_err(|error| ConfigError::new("signals", error))
@@ -107,8 +143,8 @@
             _ => break,
         }
     }
+    invoker.leave(Leave::Ending, ENDING);
     std::thread::sleep(STILL_TAKING);
-    invoker.drain();
     let settled = invoker.settle(owed) || {
         invoker.end_all();
         invoker.settle(LAST_ANSWERS / 2)
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -7,7 +7,7 @@
 use crate::memory::catalog::{Catalog, Worker};
 use crate::memory::invocations::Invocations;
 use crate::memory::store::Store;
-use crate::wire::accept::{accept, House};
+use crate::wire::accept::{accept, Guests, House};
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, Desk};
 use crate::wire::replicate;
@@ -73,7 +73,7 @@
     let ours = desk.clone();
     let account = ledger.account(Purpose::Clients).clone();
     let house = House { most: clients, stall: invoke::WRITE_STALL, account };
-    spawn(move || accept(&listener, &house, move |guest| invoke::serve(&ours, &guest)));
+    spawn(move || accept(&listener, &house, &Guests::default(), move |guest| invoke::serve(&ours, &guest)));
     println!("invoke API on {bound}");
     // Functions, workers and caps of memory are taken up; what the file says besides holds from the next start on.
     let reload = || {
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -62,6 +62,10 @@
     pub malformed: Counter,
     /// Requests that were not taken, for crowding or a drain.
     pub turned_away: Counter,
+    /// Operators' calls that were answered with yes.
+    pub operators_yes: Counter,
+    /// Operators' calls that were answered with no.
+    pub operators_no: Counter,
     /// Attempts that brought nothing, by outcome.
     lost: [Counter; 9],
     /// Bodies of calls that were taken, in bytes.
@@ -89,6 +93,8 @@
             withdrawn: counter(),
             malformed: counter(),
             turned_away: counter(),
+            operators_yes: counter(),
+            operators_no: counter(),
             lost: Default::default(),
             body_bytes: Histogram::new(exponential_buckets(64.0, 4.0, 6)),
             call_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 11)),
@@ -146,6 +152,8 @@
             ("withdrawn", &self.withdrawn),
             ("malformed", &self.malformed),
             ("turned_away", &self.turned_away),
+            ("operators_yes", &self.operators_yes),
+            ("operators_no", &self.operators_no),
         ];
         let lost = OUTCOMES.iter().zip(&self.lost).skip(1);
         let lost = lost.map(|((_, name), counter)| (format!("lost_{name}"), counter.get()));
--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -1,8 +1,11 @@
-//! The workers as the command channel names them, with what may still be sent there.
+//! The workers as the command channel names them and as the operators hold them out, folded into what the decisions
+//! hear and what may still be sent there.
 use corkbay::{position, Ms, Names, Roster, RosterEntry, Standing, WorkerId};
+use corkbay_duty::Bans;
 use corkbay_ledger::pressure::{decide, Case, Decision};
 use corkbay_ledger::{Account, Purpose, Reservation};
 use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -38,15 +41,17 @@
     /// Where it listens.
     pub address: SocketAddr,
     barred: AtomicBool,
+    suspended: AtomicBool,
 }
 
 impl Host {
     /// A host that takes work.
     pub fn new(id: WorkerId, name: &str, address: SocketAddr) -> Arc<Self> {
-        Arc::new(Host { id, name: name.to_string(), address, barred: AtomicBool::new(false) })
+        let (barred, suspended) = (AtomicBool::new(false), AtomicBool::new(false));
+        Arc::new(Host { id, name: name.to_string(), address, barred, suspended })
     }
 
-    /// Whether it was told to drain or be gone: nothing new may be written to it.
+    /// Whether it drains, is gone or is suspended: no new work may be written to it.
     pub fn barred(&self) -> bool {
         self.barred.load(Ordering::Acquire)
     }
@@ -55,21 +60,63 @@
     pub fn bar(&self, barred: bool) {
         self.barred.store(barred, Ordering::Release);
     }
+
+    /// Whether the operators hold it out: nothing at all may begin there, no question either.
+    pub fn suspended(&self) -> bool {
+        self.suspended.load(Ordering::Acquire)
+    }
+}
+
+/// A worker that is known by its number, and the directory's last word on it.
+struct Known {
+    host: Arc<Host>,
+    listed: RosterEntry,
+}
+
+impl Known {
+    /// What the decisions are to hear of it; what may be sent to it follows at once.
+    fn fold(&self, bans: &Bans) -> RosterEntry {
+        let mut entry = self.listed.clone();
+        let out = bans.is_out(&entry.name);
+        if out && entry.standing == Standing::Ready {
+            entry.standing = Standing::Draining;
+        }
+        // Whoever was held out was restarted meanwhile; the directory may know only of an earlier start.
+        entry.born = entry.born.max(bans.back_at(&entry.name).unwrap_or(0.0));
+        self.host.suspended.store(out, Ordering::Release);
+        self.host.bar(entry.standing != Standing::Ready);
+        entry
+    }
+}
+
+/// Why the operators' word on a host is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotHeeded {
+    /// No list ever named it.
+    Unknown,
+    /// There is no room for one more name.
+    NoRoom,
 }
 
 /// Workers that have gone and are still known by their number; older ones are forgotten.
 const GONE: usize = 64;
+/// Names of workers that were forgotten of which it is still known that they were listed once.
+const FORGOTTEN: usize = 4096;
 
 /// The workers heard of, by name and by number. Numbers are not used again.
 pub struct Directory {
     zones: Vec<String>,
     kinds: Vec<String>,
-    hosts: HashMap<WorkerId, Arc<Host>>,
+    hosts: HashMap<WorkerId, Known>,
     numbers: HashMap<String, WorkerId>,
     next: u32,
     held: Reservation,
     /// Those that have gone, the longest gone first.
     gone: VecDeque<WorkerId>,
+    /// Hashes of the names of those that were forgotten.
+    forgotten: VecDeque<u64>,
+    bans: Bans,
+    bans_held: Reservation,
 }
 
 impl Directory {
@@ -83,18 +130,70 @@
             next: 0,
             held: account.nothing(),
             gone: VecDeque::new(),
+            forgotten: VecDeque::new(),
+            bans: Bans::default(),
+            bans_held: account.nothing(),
         }
     }
 
     /// The worker of that number.
     pub fn host(&self, id: WorkerId) -> Option<Arc<Host>> {
-        self.hosts.get(&id).cloned()
+        self.hosts.get(&id).map(|known| known.host.clone())
+    }
+
+    /// The operators' word on hosts.
+    pub fn bans(&self) -> &Bans {
+        &self.bans
+    }
+
+    /// Holds a host out until it is resumed; what the decisions are to hear of it.
+    pub fn suspend(&mut self, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
+        if !self.was_listed(name) {
+            return Err(NotHeeded::Unknown);
+        }
+        let bytes = self.bans.bytes() + Bans::cost(name);
+        if !self.bans.is_out(name) && self.bans_held.resize(bytes).is_err() {
+            return Err(NotHeeded::NoRoom);
+        }
+        let mut bans = self.bans.clone();
+        bans.suspend(name, now);
+        Ok(self.adopt(bans))
+    }
+
+    /// Lets a host serve again, as far as the directory has it serve.
+    pub fn resume(&mut self, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
+        if !self.was_listed(name) {
+            return Err(NotHeeded::Unknown);
+        }
+        let mut bans = self.bans.clone();
+        bans.resume(name, now);
+        Ok(self.adopt(bans))
+    }
+
+    /// Takes over the operators' word on all hosts; what the decisions are to hear of those for which it has changed.
+    pub fn adopt(&mut self, bans: Bans) -> Roster {
+        let before = std::mem::replace(&mut self.bans, bans);
+        self.bans_held.owe(self.bans.bytes());
+        let changed = self.hosts.values().filter(|known| {
+            let stand = |bans: &Bans| (bans.is_out(&known.host.name), bans.back_at(&known.host.name));
+            stand(&before) != stand(&self.bans)
+        });
+        let mut entries: Vec<RosterEntry> = changed.map(|known| known.fold(&self.bans)).collect();
+        entries.sort_unstable_by_key(|entry| entry.worker);
+        Roster::Changes(entries)
+    }
+
+    fn was_listed(&self, name: &str) -> bool {
+        self.numbers.contains_key(name) || self.bans.is_out(name) || self.forgotten.contains(&hash(name))
     }
 
     /// Takes in news and puts it in the decisions' words. Whom a whole list leaves out has gone.
     pub fn apply(&mut self, listings: Vec<Listing>, whole: bool, remembered: bool) -> Roster {
         if whole {
-            self.hosts.values().for_each(|host| host.bar(true));
+            for known in self.hosts.values_mut() {
+                known.listed.standing = Standing::Gone;
+                known.host.bar(true);
+            }
         }
         let count = listings.len();
         let entries: Vec<RosterEntry> =
@@ -129,10 +228,15 @@
 
     fn forget_longest_gone(&mut self) {
         let forgotten = self.gone.pop_front().and_then(|id| self.hosts.remove(&id));
-        if let Some(host) = forgotten {
-            self.numbers.remove(&host.name);
-            self.held.shrink_to(self.held.bytes().saturating_sub(cost(&host.name)));
+        let Some(Known { host, .. }) = forgotten else { return };
+        self.numbers.remove(&host.name);
+        if self.forgotten.len() >= FORGOTTEN {
+            self.forgotten.pop_front();
         }
+        self.forgotten.push_back(hash(&host.name));
+        // A hash takes 16 bytes, as the queue may be half empty; it is less than what the host gives back.
+        let more = if self.forgotten.len() < FORGOTTEN { 16 } else { 0 };
+        self.held.shrink_to((self.held.bytes() + more).saturating_sub(cost(&host.name)));
     }
 
     /// Room for a worker that was not known; those that have gone give way.
@@ -159,15 +263,7 @@
             self.next += 1;
             WorkerId(self.next - 1)
         });
-        let host = self.hosts.entry(number);
-        let host = host.or_insert_with(|| Host::new(number, &listing.name, listing.address));
-        // The same worker at another address: connections to the old one are not its own.
-        if host.address != listing.address {
-            host.bar(true);
-            *host = Host::new(number, &listing.name, listing.address);
-        }
-        host.bar(listing.standing != Standing::Ready);
-        Some(RosterEntry {
+        let listed = RosterEntry {
             worker: number,
             zone: position(&self.zones, &listing.zone).unwrap_or(usize::MAX),
             kind: position(&self.kinds, &listing.kind).unwrap_or(usize::MAX),
@@ -176,20 +272,35 @@
             standing: listing.standing,
             weight: listing.weight,
             born: listing.born,
-        })
+        };
+        // The same worker at another address: connections to the old one are not its own.
+        let before = self.hosts.remove(&number).map(|known| known.host);
+        before.iter().filter(|host| host.address != listing.address).for_each(|host| host.bar(true));
+        let host = before.filter(|host| host.address == listing.address);
+        let host = host.unwrap_or_else(|| Host::new(number, &listed.name, listing.address));
+        let known = self.hosts.entry(number).or_insert(Known { host, listed });
+        Some(known.fold(&self.bans))
     }
 }
 
+fn hash(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// What a worker takes in the directory: itself, its names there and in two maps that are at times half
 /// empty, and its line among those that have gone.
 fn cost(name: &str) -> usize {
-    let maps = std::mem::size_of::<(WorkerId, Arc<Host>)>() + std::mem::size_of::<(String, WorkerId)>();
-    std::mem::size_of::<Host>() + 2 * maps + 2 * name.len() + 5 * 16
+    let maps = std::mem::size_of::<(WorkerId, Known)>() + std::mem::size_of::<(String, WorkerId)>();
+    std::mem::size_of::<Host>() + 2 * maps + 3 * name.len() + 5 * 16
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
+    use std::collections::{BTreeMap, BTreeSet};
 
     fn listing(name: usize, standing: Standing) -> Listing {
         let (zone, kind) = (String::new(), String::new());
@@ -222,6 +333,105 @@
         assert_eq!(account.used(), 0);
     }
 
+    /// Guards names of hosts that left long ago: an operator may still hold them out, and a host that comes back under
+    /// such a name stays out.
+    #[test]
+    fn a_host_that_is_forgotten_can_still_be_held_out() {
+        let account = Account::root("roster", 1 << 20);
+        let mut directory = Directory::new(&Names::default(), &account);
+        for name in 0..200 {
+            directory.apply(vec![listing(name, Standing::Ready)], false, false);
+            directory.apply(vec![listing(name, Standing::Gone)], false, false);
+        }
+        assert!(!directory.numbers.contains_key("w0"));
+        assert_eq!(directory.suspend("never", 1.0).err(), Some(NotHeeded::Unknown));
+        assert!(directory.suspend("w0", 1.0).is_ok());
+        let Roster::Changes(back) = directory.apply(vec![listing(0, Standing::Ready)], false, false) else {
+            panic!("changes")
+        };
+        assert_eq!(back[0].standing, Standing::Draining);
+        let Ok(Roster::Changes(back)) = directory.resume("w0", 7.0) else { panic!("changes") };
+        assert_eq!((back[0].standing, back[0].born), (Standing::Ready, 7.0), "restarted, and cold");
+        drop(directory);
+        assert_eq!(account.used(), 0);
+    }
+
+    #[derive(Clone, Debug)]
+    enum Step {
+        List(usize, u8),
+        Whole(Vec<(usize, u8)>),
+        Suspend(usize),
+        Resume(usize),
+    }
+
+    fn steps() -> impl Strategy<Value = Vec<Step>> {
+        let step = prop_oneof![
+            (0..6usize, 0..3u8).prop_map(|(name, state)| Step::List(name, state)),
+            proptest::collection::vec((0..6usize, 0..3u8), 0..6).prop_map(Step::Whole),
+            (0..6usize).prop_map(Step::Suspend),
+            (0..6usize).prop_map(Step::Resume),
+        ];
+        proptest::collection::vec(step, 0..60)
+    }
+
+    proptest! {
+        /// Guards the rule on maintenance: in any order of news and calls, a host that is held out is never told to
+        /// take work and nothing can begin there, and one that is not held out is as the directory says.
+        #[test]
+        fn no_news_lifts_a_ban(steps in steps()) {
+            let account = Account::root("roster", 1 << 20);
+            let mut directory = Directory::new(&Names::default(), &account);
+            let state = |number: u8| [Standing::Ready, Standing::Draining, Standing::Gone][usize::from(number)];
+            // What the directory said last, who is held out, and what the decisions heard last; by number of the name.
+            let (mut said, mut out, mut heard) = (BTreeMap::new(), BTreeSet::new(), BTreeMap::new());
+            for (now, step) in steps.into_iter().enumerate() {
+                let roster = match step {
+                    Step::List(name, number) => {
+                        said.insert(name, state(number));
+                        Ok(directory.apply(vec![listing(name, state(number))], false, false))
+                    }
+                    Step::Whole(list) => {
+                        let list: BTreeMap<_, _> = list.into_iter().collect();
+                        said.values_mut().for_each(|standing| *standing = Standing::Gone);
+                        said.extend(list.iter().map(|(name, number)| (*name, state(*number))));
+                        heard.values_mut().for_each(|standing| *standing = Standing::Gone);
+                        let list = list.iter().map(|(name, number)| listing(*name, state(*number)));
+                        Ok(directory.apply(list.collect(), true, false))
+                    }
+                    Step::Suspend(name) => {
+                        out.extend(said.contains_key(&name).then_some(name));
+                        directory.suspend(&format!("w{name}"), now as f64)
+                    }
+                    Step::Resume(name) => {
+                        out.remove(&name);
+                        directory.resume(&format!("w{name}"), now as f64)
+                    }
+                };
+                match roster {
+                    Ok(Roster::Changes(list) | Roster::Whole(list)) => {
+                        heard.extend(list.into_iter().map(|entry| {
+                            (entry.name[1..].parse::<usize>().expect("ours"), entry.standing)
+                        }));
+                    }
+                    Ok(other) => panic!("{other:?}"),
+                    Err(why) => prop_assert_eq!(why, NotHeeded::Unknown),
+                }
+                for (name, standing) in &said {
+                    let held_out = out.contains(name);
+                    let expected = match standing {
+                        Standing::Ready if held_out => Standing::Draining,
+                        other => *other,
+                    };
+                    prop_assert_eq!(heard.get(name), Some(&expected));
+                    let number = directory.numbers[&format!("w{name}")];
+                    let host = directory.host(number).expect("few are known");
+                    prop_assert_eq!(host.suspended(), held_out);
+                    prop_assert_eq!(host.barred(), expected != Standing::Ready);
+                }
+            }
+        }
+    }
+
     /// Guards memory against a list that grows without end, and the rule on drains meanwhile: those that have
     /// gone give way, a newcomer without room is left out, and whoever is known is heard of.
     #[test]
--- a/crates/node/src/memory/seats.rs
+++ b/crates/node/src/memory/seats.rs
@@ -20,6 +20,8 @@
     since: Ms,
     /// It was told to go.
     leaving: bool,
+    /// It is closed once nothing is owed on it.
+    let_go: bool,
 }
 
 /// What a seat's connection is waiting for.
@@ -43,7 +45,7 @@
     /// Gives a new connection a seat; tells its number.
     pub fn sit(&mut self, handle: H, now: Ms) -> u64 {
         self.next += 1;
-        let seat = Seat { handle, open: 0, answered: false, since: now, leaving: false };
+        let seat = Seat { handle, open: 0, answered: false, since: now, leaving: false, let_go: false };
         self.seats.insert(self.next, seat);
         self.next
     }
@@ -82,6 +84,21 @@
         })
     }
 
+    /// Lets all go that were not let go yet: each is closed once nothing is owed on it. Each is named once.
+    pub fn let_go(&mut self) -> Vec<H> {
+        let staying = self.seats.values_mut().filter(|seat| !seat.let_go);
+        let let_go = staying.map(|seat| {
+            seat.let_go = true;
+            seat.handle.clone()
+        });
+        let_go.collect()
+    }
+
+    /// Whether it was let go.
+    pub fn is_let_go(&self, number: u64) -> bool {
+        self.seats.get(&number).is_some_and(|seat| seat.let_go)
+    }
+
     /// Whose place is given to another: of those with nothing open one that never had an answer, else
     /// the one idle longest. Each is named once.
     pub fn give_way(&mut self) -> Option<H> {
@@ -122,4 +139,17 @@
         seats.leave(busy);
         assert_eq!(seats.give_way(), None);
     }
+
+    /// Guards a drain: all are let go, newcomers too, and each is told once.
+    #[test]
+    fn all_are_let_go_once() {
+        let mut seats = Seats::default();
+        let first = seats.sit("first", 1.0);
+        assert!(!seats.is_let_go(first));
+        assert_eq!((seats.let_go(), seats.is_let_go(first)), (vec!["first"], true));
+        seats.opened(first);
+        let second = seats.sit("second", 2.0);
+        assert_eq!((seats.let_go(), seats.is_let_go(second)), (vec!["second"], true));
+        assert!(seats.let_go().is_empty());
+    }
 }
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -41,18 +41,35 @@
     pub account: Account,
 }
 
+/// Those whose connections are held at one address.
+#[derive(Clone, Default)]
+pub struct Guests(Table);
+
+impl Guests {
+    /// Lets all connections go that there are: their readers close them once nothing is owed on them. What a client
+    /// has sent by then is still read.
+    pub fn let_go(&self) {
+        let all: Vec<_> = lock(&self.0).let_go();
+        all.iter().filter_map(Weak::upgrade).for_each(|guest| guest.socket.shut(std::net::Shutdown::Read));
+    }
+}
+
 /// Accepts clients for as long as the process lives. When all places or the room for them are taken, a
 /// newcomer gets that of a client that is owed nothing: the silent go first.
-pub fn accept(listener: &TcpListener, house: &House, serve: impl Fn(Arc<Guest>) + Send + Sync + 'static) {
+pub fn accept(
+    listener: &TcpListener,
+    house: &House,
+    Guests(seats): &Guests,
+    serve: impl Fn(Arc<Guest>) + Send + Sync + 'static,
+) {
     let serve = Arc::new(serve);
     let places = Arc::new(Semphore::new(house.most.max(1)));
-    let seats = Table::default();
     loop {
         let accepted = listener.accept().and_then(|(stream, _)| Socket::new(stream, house.stall));
         match accepted {
             Ok(socket) => {
-                let place = make_way(&places, &seats, &house.account);
-                let guest = Guest::new(socket, &seats, place);
+                let place = make_way(&places, seats, &house.account);
+                let guest = Guest::new(socket, seats, place);
                 let serve = serve.clone();
                 spawn(move || serve(guest));
             }
@@ -119,6 +136,11 @@
         Ok(())
     }
 
+    /// Whether it is to be closed once nothing is owed on it.
+    pub fn is_let_go(&self) -> bool {
+        lock(&self.seats).is_let_go(self.number)
+    }
+
     /// What the connection is waiting for, and since when.
     pub fn stance(&self) -> (Stance, Ms) {
         lock(&self.seats).stance(self.number)
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -28,6 +28,8 @@
 /// Unusable messages after which a connection is closed, and how many of them are written to the log.
 const STRIKES: u32 = 64;
 const LOGGED: u32 = 3;
+/// How often a connection that is let go is looked at.
+const LET_GO_LOOK: Duration = Duration::from_millis(20);
 /// Advice to a client that opens more than it may.
 const CROWDED_MS: f64 = 100.0;
 /// Advice to a client of a process that is about to end.
@@ -63,7 +65,7 @@
 /// Reads messages until the connection ends, is no longer kept or can't be read any further.
 fn receive(invoker: &Arc<Invoker>, guest: &Arc<Guest>, open: &Open) -> Result<(), Malformed> {
     let (mut intake, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
-    let (mut begun, mut strikes) = (0.0, 0);
+    let (mut begun, mut strikes, mut last_request) = (0.0, 0, 0.0);
     loop {
         let Some(message) = thrift::unframe(intake.bytes())? else {
             let (stance, since) = guest.stance();
@@ -75,6 +77,17 @@
             };
             let fresh = intake.is_empty();
             match intake.fill(guest, &mut chunk, until(end)) {
+                // Let go: what crosses is read on, and the connection is closed once nothing is owed on it.
+                Ok(0) if guest.is_let_go() => {
+                    let owed: Vec<RequestId> = lock(open).values().copied().collect();
+                    if owed.is_empty() && (intake.is_empty() || now_ms() > end) {
+                        return Ok(());
+                    }
+                    if invoker.duty().ends(now_ms(), last_request) {
+                        owed.into_iter().for_each(|id| invoker.end(id));
+                    }
+                    may::coroutine::sleep(LET_GO_LOOK);
+                }
                 Ok(0) => return Ok(()),
                 Ok(_) => begun = if fresh { now_ms() } else { begun },
                 Err(error) if error.kind() == ErrorKind::TimedOut => {
@@ -90,6 +103,7 @@
         begun = now_ms();
         let usable = match thrift::read(&message) {
             Ok(Message::Dispatch { seqid, fields, body }) => {
+                last_request = begun;
                 if lock(open).contains_key(&seqid) {
                     // An answer to one could be taken for the other's.
                     let what = "the sequence number is open already";
@@ -103,7 +117,8 @@
                 Ok(())
             }
             Ok(Message::Alive { seqid }) => {
-                write(guest, &thrift::reply("alive", seqid, &Reply::Answer(Vec::new())));
+                let good = invoker.duty().leaving().is_none();
+                write(guest, &thrift::reply("alive", seqid, &Reply::Answer { body: Vec::new(), good }));
                 Ok(())
             }
             Err(malformed) => match &malformed.call {
@@ -167,7 +182,7 @@
                 lock(&open).remove(&seqid);
                 invoker.counters.answered(&answer);
                 let reply = match answer {
-                    Answer::Served { body } => Some(Reply::Answer(body)),
+                    Answer::Served { body } => Some(Reply::Answer { body, good: true }),
                     Answer::Refused { retry_after, .. } => Some(rejected(retry_after)),
                     Answer::Failed(_) => Some(Reply::Crashed(Fields::new())),
                     Answer::Withdrawn => None,
--- a/crates/node/src/wire/http.rs
+++ b/crates/node/src/wire/http.rs
@@ -290,6 +290,7 @@
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
+        507 => "Insufficient Storage",
         _ => "Unknown",
     }
 }
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -124,6 +124,9 @@
     fn evict(&self, _: &Arc<Host>, _: ModelId) {}
 
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
+        if host.suspended() {
+            return Err(AttemptError::Unfinished(Cause::Barred));
+        }
         TcpStream::connect_timeout(&host.address, within).map(|_| ()).map_err(|_| AttemptError::Unconnected)
     }
 }
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub mod intake;
 pub mod invoke;
 pub mod metrics;
+pub mod operators;
 pub mod replicate;
 pub mod socket;
 pub mod sse;
--- a/crates/node/src/wire/replicate.rs
+++ b/crates/node/src/wire/replicate.rs
@@ -1,5 +1,5 @@
 //! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
-use super::accept::{accept, House};
+use super::accept::{accept, Guests, House};
 use super::socket::Patient;
 use crate::core::{now_ms, until};
 use crate::life::spawn;
@@ -57,7 +57,7 @@
     spawn(move || {
         let account = store.ledger().account(Purpose::Replication).clone();
         let house = House { most: CALLERS, stall: STALL, account };
-        accept(&listener, &house, move |guest| {
+        accept(&listener, &house, &Guests::default(), move |guest| {
             // A swap under way keeps its place.
             guest.opened();
             if let Err(error) = answer(&store, &mut guest.patient(STALL), &on_news) {
--- a/crates/node/src/wire/thrift.rs
+++ b/crates/node/src/wire/thrift.rs
@@ -73,7 +73,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
     /// `Answer`.
-    Answer(Vec<u8>),
+    Answer {
+        /// Its body.
+        body: Vec<u8>,
+        /// Whether it is good.
+        good: bool,
+    },
     /// `Rejected`, with the time to stay away.
     Rejected(Fields),
     /// `Crashed`.
@@ -274,14 +279,14 @@
 pub fn reply(method: &str, seqid: i32, reply: &Reply) -> Vec<u8> {
     let mut writer = Writer::message(REPLY, method, seqid);
     match reply {
-        Reply::Answer(body) => {
+        Reply::Answer { body, good } => {
             writer.field(STRUCT, 0);
             writer.field(STRING, 1);
             writer.bytes(body);
             writer.field(MAP, 2);
             writer.map(&Fields::new());
             writer.field(BOOL, 3);
-            writer.0.push(1);
+            writer.0.push(u8::from(*good));
         }
         Reply::Rejected(fields) | Reply::Crashed(fields) => {
             writer.field(STRUCT, if matches!(reply, Reply::Rejected(_)) { 1 } else { 2 });
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -52,13 +52,33 @@
     pub answer: usize,
 }
 
+/// Which workers a frame may still be written to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Goes {
+    /// New work: to those that take some.
+    Work,
+    /// A question or an unloading: to all that are not held out by the operators.
+    Word,
+    /// The giving up of what is out: to all.
+    GiveUp,
+}
+
+impl Goes {
+    fn barred(self, host: &Host) -> bool {
+        match self {
+            Goes::Work => host.barred() || host.suspended(),
+            Goes::Word => host.suspended(),
+            Goes::GiveUp => false,
+        }
+    }
+}
+
 /// One frame on its way out.
 struct Outgoing {
     frame: Frame,
     /// Somebody waits for an answer to it.
     tracked: bool,
-    /// It is new work, which a barred worker must not be sent.
-    work: bool,
+    goes: Goes,
 }
 
 enum Out {
@@ -110,14 +130,14 @@
         &self,
         host: &Arc<Host>,
         frame: Frame,
-        work: bool,
+        goes: Goes,
         mut waiter: Option<Waiter>,
     ) -> Option<Arc<Connection>> {
         let tracked = waiter.is_some();
         let barred = |waiter: Option<Waiter>| {
             waiter.into_iter().for_each(|waiter| waiter(Err(AttemptError::Unfinished(Cause::Barred))));
         };
-        if work && host.barred() {
+        if goes.barred(host) {
             barred(waiter);
             return None;
         }
@@ -145,7 +165,7 @@
         let connection = fresh.or_else(|| pool.iter().find(|connection| enlist(connection)).cloned());
         drop(pools);
         match &connection {
-            Some(connection) => _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, work })),
+            Some(connection) => _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, goes })),
             None => barred(waiter),
         }
         connection
@@ -178,13 +198,13 @@
         &self,
         host: &Arc<Host>,
         frame: Frame,
-        work: bool,
+        goes: Goes,
         within: Duration,
     ) -> Result<Frame, AttemptError> {
         let id = frame.id;
         let (sender, answer) = channel();
         let waiter: Waiter = Box::new(move |end| _ = sender.send(end));
-        let connection = self.open(host, frame, work, Some(waiter));
+        let connection = self.open(host, frame, goes, Some(waiter));
         match answer.recv_timeout(within) {
             Ok(end) => end,
             Err(_) => {
@@ -277,8 +297,8 @@
                 Err(RecvTimeoutError::Timeout) => continue,
             };
             let id = out.frame.id;
-            if out.work && host.barred() {
-                // Told to drain while the frame waited: it must not go out any more.
+            if out.goes.barred(host) {
+                // Told so while the frame waited: it must not go out any more.
                 let given_up = lock(&self.link).give_up(id);
                 if let Some((_, waiter)) = given_up {
                     waiter(Err(AttemptError::Unfinished(Cause::Barred)));
@@ -362,7 +382,8 @@
         let (stage, _) = lock(&connection.link).give_up(self.id)?;
         if stage != Stage::Queued {
             let frame = Frame::command(code::GIVE_UP, self.id, String::new(), Vec::new());
-            let _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked: false, work: false }));
+            let _ =
+                connection.outbox.send(Out::Frame(Outgoing { frame, tracked: false, goes: Goes::GiveUp }));
         }
         Some(broken(stage, cause))
     }
@@ -384,7 +405,7 @@
         let waiter: Waiter = Box::new(move |answer| {
             end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
         });
-        let connection = self.open(host, frame, true, Some(waiter));
+        let connection = self.open(host, frame, Goes::Work, Some(waiter));
         Box::new(FrameExchange { connection, id: call.request.id.0 })
     }
 
@@ -397,7 +418,7 @@
     ) -> (Result<(), AttemptError>, u32) {
         let fields = format!("obj={:016x},replicas={copies}", model.0);
         let frame = Frame::command(code::LOAD, self.order_id(), fields, Vec::new());
-        match self.ask(host, frame, copies > 0, within) {
+        match self.ask(host, frame, if copies > 0 { Goes::Work } else { Goes::Word }, within) {
             // An order that fails tells as well how many copies stand.
             Ok(frame) => {
                 let standing = frame.field("replicas").and_then(|count| count.parse().ok());
@@ -410,7 +431,7 @@
 
     fn evict(&self, host: &Arc<Host>, model: ModelId) {
         let frame = Frame::command(code::EVICT, model.0, String::new(), Vec::new());
-        self.open(host, frame, false, None);
+        self.open(host, frame, Goes::Word, None);
     }
 
     fn dials(&self) -> Arc<Dials> {
@@ -419,7 +440,7 @@
 
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
         let frame = Frame::command(code::PROBE, self.order_id(), String::new(), Vec::new());
-        self.ask(host, frame, false, within).and_then(|frame| verdict(frame, code::ALIVE)).map(|_| ())
+        self.ask(host, frame, Goes::Word, within).and_then(|frame| verdict(frame, code::ALIVE)).map(|_| ())
     }
 }
 
