--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -1,15 +1,20 @@
 //! What operators ask of a running invoker, as decisions without I/O and without a clock.
 //!
 //! [`Bans`] are their word on hosts, which stands beside the directory's. [`Duty`] tells whether the invoker wants
-//! clients, whether it takes requests, and when it lets the connections of clients go.
+//! clients, whether it takes requests, and when it lets the connections of clients go. [`Word`] is what of this passes
+//! from a process to its successor, and [`Company`] which of the two this one is.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod bans;
+mod company;
 mod duty;
+mod word;
 
 pub use bans::{Bans, Stay};
+pub use company::{Company, Other, Seen};
 pub use duty::{Duty, Leave, Terms};
+pub use word::{look, BadWord, Look, Word, MOST};
 
 /// Milliseconds: points in time on the Unix clock, and spans.
 pub type Ms = f64;
--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -11,6 +11,7 @@
 use corkbay_ledger::{Full, Ledger, Purpose, Reservation};
 use may::sync::{mpsc, Condvar, Mutex};
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -151,6 +152,8 @@
     settled: Condvar,
     duty: Mutex<Duty>,
     duty_changed: Condvar,
+    has_word: AtomicBool,
+    serving: AtomicBool,
     /// Numbers and names of classes, tenants, zones and kinds.
     pub names: Names,
     /// What the decisions were told at the start.
@@ -197,6 +200,8 @@
             settled: Condvar::new(),
             duty: Mutex::default(),
             duty_changed: Condvar::new(),
+            has_word: AtomicBool::new(false),
+            serving: AtomicBool::new(false),
             names,
             settings,
             give_up,
@@ -261,24 +266,44 @@
         self.feed(Event::Roster(roster));
     }
 
-    /// Holds a host out until [`Invoker::resume`]: from here on nothing begins there, whatever the directory says.
-    pub fn suspend(self: &Arc<Self>, name: &str) -> Result<(), NotHeeded> {
-        self.heed(|directory| directory.suspend(name, now_ms()))
+    /// Takes over the operators' word on hosts: from here on nothing begins where they hold one out, whatever the
+    /// directory says.
+    pub fn adopt(self: &Arc<Self>, bans: Bans) {
+        let _turn = lock(&self.telling);
+        let roster = lock(&self.directory).adopt(bans);
+        if !matches!(&roster, corkbay::Roster::Changes(entries) if entries.is_empty()) {
+            self.feed(Event::Roster(roster));
+        }
     }
 
-    /// Lets a host serve again.
-    pub fn resume(self: &Arc<Self>, name: &str) -> Result<(), NotHeeded> {
-        self.heed(|directory| directory.resume(name, now_ms()))
+    /// Whether a host can be held out.
+    pub fn may_suspend(&self, name: &str) -> Result<(), NotHeeded> {
+        lock(&self.directory).may_suspend(name)
     }
 
-    fn heed(
-        self: &Arc<Self>,
-        word: impl FnOnce(&mut Directory) -> Result<corkbay::Roster, NotHeeded>,
-    ) -> Result<(), NotHeeded> {
-        let _turn = lock(&self.telling);
-        let roster = word(&mut lock(&self.directory))?;
-        self.feed(Event::Roster(roster));
-        Ok(())
+    /// Whether a host can be let back.
+    pub fn may_resume(&self, name: &str) -> Result<(), NotHeeded> {
+        lock(&self.directory).may_resume(name)
+    }
+
+    /// The operators' word of an earlier process is known here.
+    pub fn word_is_known(&self) {
+        self.has_word.store(true, Ordering::Release);
+    }
+
+    /// Whether it is.
+    pub fn has_word(&self) -> bool {
+        self.has_word.load(Ordering::Acquire)
+    }
+
+    /// Clients can come from now on.
+    pub fn serving(&self) {
+        self.serving.store(true, Ordering::Release);
+    }
+
+    /// Whether clients can come, as far as this process goes.
+    pub fn is_serving(&self) -> bool {
+        self.serving.load(Ordering::Acquire)
     }
 
     /// The operators' word on hosts.
@@ -656,7 +681,7 @@
     use super::*;
     use crate::core::Ending;
     use corkbay::{ModelId, Request, Standing};
-    use std::sync::atomic::{AtomicUsize, Ordering};
+    use std::sync::atomic::AtomicUsize;
 
     /// Workers whose first send panics and whose others serve.
     #[derive(Default)]
--- a/crates/node/src/life/accounts.rs
+++ b/crates/node/src/life/accounts.rs
@@ -27,10 +27,10 @@
     resident_bytes().max(USUAL_BASE)
 }
 
-/// The caps on the platform, whose configuration names only the memory.
-pub fn platform_budget(memory_mb: u64, base: usize) -> Result<Budget, ConfigError> {
+/// The caps on the platform, whose configuration names only the memory, for one of so many processes that share it.
+pub fn platform_budget(memory_mb: u64, base: usize, parts: usize) -> Result<Budget, ConfigError> {
     let keys = ("limits.memory_mb", "limits.memory_mb");
-    let memory = memory_mb as usize * MIB;
+    let memory = memory_mb as usize * MIB / parts;
     Ok(Budget::plan(memory, base, PLATFORM_RESERVE, &Shares::platform(), keys)?)
 }
 
--- a/crates/node/src/life/config.rs
+++ b/crates/node/src/life/config.rs
@@ -40,6 +40,8 @@
     pub listen: Option<String>,
     /// Where operators call, whatever the file says.
     pub admin: Option<String>,
+    /// What this process and the one beside it can both write in.
+    pub shared: Option<PathBuf>,
 }
 
 impl Source {
@@ -47,7 +49,12 @@
     pub fn from_env() -> Result<Self, ConfigError> {
         let path = std::env::var("PROXY_CONFIG").map_err(|error| ConfigError::new("PROXY_CONFIG", error))?;
         let variable = |name: &str| std::env::var(name).ok();
-        Ok(Source { path: path.into(), listen: variable("PROXY_LISTEN"), admin: variable("PROXY_ADMIN") })
+        Ok(Source {
+            path: path.into(),
+            listen: variable("PROXY_LISTEN"),
+            admin: variable("PROXY_ADMIN"),
+            shared: variable("TMPDIR").map(PathBuf::from),
+        })
     }
 
     /// Reads the file as it is now.
--- /dev/null
+++ b/crates/node/src/life/handover.rs
@@ -0,0 +1,556 @@
+//! What two processes of one invoker owe each other while both live, through files in a folder that they share.
+//!
+//! `word` is the operators' word, replaced by rename under the lock on `lock`. `seat-0` and `seat-1` are held by a lock
+//! each for as long as their processes live, and say whether they serve. All files are met on one thread: coroutines
+//! must not wait for a disk.
+use crate::core::Invoker;
+use crate::memory::roster::NotHeeded;
+use corkbay_duty::{look, BadWord, Company, Leave, Look, Seen, Terms, Word, MOST};
+use may::sync::{mpsc as answers, Mutex};
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{self, Read, Seek, Write};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How often the files are looked at: what one process is told binds the other within 2 s.
+pub const LOOK: Duration = Duration::from_millis(50);
+/// Longest wait for a seat, which somebody may be looking at, and for the lock on the word.
+const LOCK_WAIT: Duration = Duration::from_millis(500);
+const LOCK_PAUSE: Duration = Duration::from_millis(5);
+/// An operator waits 1 s for an answer.
+const ANSWER_WAIT: Duration = Duration::from_millis(800);
+/// Stack of the thread, in bytes of address space.
+const STACK: usize = 256 << 10;
+/// What a seat says once its process serves.
+const READY: &[u8] = b"ready\n";
+
+/// What operators ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// Nothing more to that host.
+    Suspend(String),
+    /// That host may serve again.
+    Resume(String),
+    /// No more clients.
+    Drain,
+    /// Clients again.
+    Activate,
+}
+
+impl Ask {
+    /// Whether it holds something back: that takes effect before it is written, and what lifts something after.
+    fn holds(&self) -> bool {
+        matches!(self, Ask::Suspend(_) | Ask::Drain)
+    }
+
+    fn apply(&self, word: &mut Word, now: f64) {
+        match self {
+            Ask::Suspend(name) => _ = word.bans.suspend(name, now),
+            Ask::Resume(name) => _ = word.bans.resume(name, now),
+            Ask::Drain => word.drained = true,
+            Ask::Activate => word.drained = false,
+        }
+    }
+}
+
+/// Why what was asked for is not so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unheeded {
+    /// No list ever named the host.
+    Unknown,
+    /// There is no room for one more name.
+    NoRoom,
+    /// The process is about to end.
+    Ending,
+    /// It could not be written, or not in time: what is held back is held back here, what was to be lifted is not.
+    Unwritten,
+}
+
+impl From<NotHeeded> for Unheeded {
+    fn from(error: NotHeeded) -> Self {
+        match error {
+            NotHeeded::Unknown => Unheeded::Unknown,
+            NotHeeded::NoRoom => Unheeded::NoRoom,
+        }
+    }
+}
+
+/// The times of a drain. The front asks every 0.1 s and sends connections for 0.2 s more, so after 0.7 s nobody comes
+/// who could not know; requests on connections that are still open are taken until what is taken can be 2 s old when
+/// 4 s are over.
+const DRAIN: Terms = Terms { let_go: 700.0, refuse: 1600.0, gone: Some((4000.0, 2000.0)) };
+
+/// Makes a word hold in this process.
+fn obey(invoker: &Arc<Invoker>, word: &Word) {
+    invoker.adopt(word.bans.clone());
+    match (word.drained, invoker.duty().leaving()) {
+        (true, None) => invoker.leave(Leave::Drained, DRAIN),
+        (false, Some(Leave::Drained)) => _ = invoker.come_back(),
+        _ => {}
+    }
+}
+
+enum Order {
+    Heed(Ask, answers::Sender<Result<(), Unheeded>>),
+    /// This process serves.
+    Serving,
+}
+
+/// The operators' word as this process keeps it, alone or beside another.
+#[derive(Clone)]
+pub struct Keeper {
+    invoker: Arc<Invoker>,
+    /// To the thread that keeps the files; none where nothing is shared.
+    files: Option<(Sender<Order>, Arc<Mutex<Company>>)>,
+}
+
+impl Keeper {
+    /// Keeps the word in memory alone.
+    pub fn alone(invoker: &Arc<Invoker>) -> Self {
+        Keeper { invoker: invoker.clone(), files: None }
+    }
+
+    /// Keeps it in files, too; `on_company` is told whenever the number of processes changes.
+    pub fn beside(
+        invoker: &Arc<Invoker>,
+        files: Files,
+        on_company: impl Fn(usize) + Send + 'static,
+    ) -> io::Result<Self> {
+        let (orders, queue) = channel();
+        let company = Arc::new(Mutex::new(files.company));
+        let clerk = Clerk {
+            invoker: invoker.clone(),
+            files,
+            known: None,
+            seen: None,
+            company: company.clone(),
+            failing: false,
+        };
+        let thread = std::thread::Builder::new().name("handover".into()).stack_size(STACK);
+        thread.spawn(move || clerk.run(&queue, on_company))?;
+        Ok(Keeper { invoker: invoker.clone(), files: Some((orders, company)) })
+    }
+
+    /// The processes that serve.
+    pub fn company(&self) -> Company {
+        self.files.as_ref().map_or_else(Company::default, |(_, company)| *crate::core::lock(company))
+    }
+
+    /// Tells the other process that this one serves.
+    pub fn serving(&self) {
+        if let Some((orders, _)) = &self.files {
+            let _ = orders.send(Order::Serving);
+        }
+    }
+
+    /// Whether the word that stands is known here: before that a successor must not serve.
+    pub fn knows(&self) -> bool {
+        self.files.is_none() || self.invoker.has_word()
+    }
+
+    /// Does what operators ask for.
+    pub fn ask(&self, ask: Ask) -> Result<(), Unheeded> {
+        let invoker = &self.invoker;
+        match &ask {
+            Ask::Suspend(name) => invoker.may_suspend(name)?,
+            Ask::Resume(name) => invoker.may_resume(name)?,
+            Ask::Activate if invoker.duty().leaving() == Some(Leave::Ending) => return Err(Unheeded::Ending),
+            Ask::Drain | Ask::Activate => {}
+        }
+        let Some((orders, _)) = &self.files else {
+            let drained = invoker.duty().leaving() == Some(Leave::Drained);
+            let mut word = Word { version: 0, drained, bans: invoker.bans() };
+            ask.apply(&mut word, crate::core::now_ms());
+            obey(invoker, &word);
+            return Ok(());
+        };
+        let (sender, answer) = answers::channel();
+        let _ = orders.send(Order::Heed(ask, sender));
+        answer.recv_timeout(ANSWER_WAIT).unwrap_or(Err(Unheeded::Unwritten))
+    }
+}
+
+/// The files of one invoker, with a seat that this process holds.
+pub struct Files {
+    folder: PathBuf,
+    number: usize,
+    seat: File,
+    other: File,
+    company: Company,
+}
+
+impl Files {
+    /// Takes a seat in the folder, which is made where there is none. [`io::ErrorKind::WouldBlock`] where both seats
+    /// are taken.
+    pub fn join(folder: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let open = |number: usize| {
+            let path = folder.join(format!("seat-{number}"));
+            OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
+        };
+        let seats = [open(0)?, open(1)?];
+        let end = Instant::now() + LOCK_WAIT;
+        loop {
+            for number in 0..2 {
+                match seats[number].try_lock() {
+                    Ok(()) => {
+                        let [first, second] = seats;
+                        let (mut seat, other) = if number == 0 { (first, second) } else { (second, first) };
+                        say(&mut seat, b"")?;
+                        let mut files = Files {
+                            folder: folder.to_path_buf(),
+                            number,
+                            seat,
+                            other,
+                            company: Company::default(),
+                        };
+                        files.company = Company::new(files.look_at_other());
+                        return Ok(files);
+                    }
+                    Err(TryLockError::WouldBlock) => {}
+                    Err(TryLockError::Error(error)) => return Err(error),
+                }
+            }
+            if Instant::now() >= end {
+                return Err(io::ErrorKind::WouldBlock.into());
+            }
+            std::thread::sleep(LOCK_PAUSE);
+        }
+    }
+
+    /// Into how many parts the invoker's limits go.
+    pub fn parts(&self) -> usize {
+        self.company.parts()
+    }
+
+    fn look_at_other(&mut self) -> Seen {
+        match self.other.try_lock_shared() {
+            // Nobody holds it; the look itself must not.
+            Ok(()) => {
+                let _ = self.other.unlock();
+                Seen::Empty
+            }
+            Err(_) => {
+                let mut text = Vec::new();
+                let read = self.other.rewind().and_then(|()| (&self.other).take(64).read_to_end(&mut text));
+                Seen::Taken { ready: read.is_ok() && text == READY }
+            }
+        }
+    }
+
+    fn read(&self) -> Option<Result<Word, BadWord>> {
+        let file = match File::open(self.folder.join("word")) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+            Err(_) => return Some(Err(BadWord::Form)),
+            Ok(file) => file,
+        };
+        let mut bytes = Vec::new();
+        match file.take(MOST as u64).read_to_end(&mut bytes) {
+            Ok(_) => Some(Word::decode(&bytes)),
+            Err(_) => Some(Err(BadWord::Form)),
+        }
+    }
+
+    /// What changes whenever the record is replaced.
+    fn mark(&self) -> Option<(u64, i64, i64, u64)> {
+        let data = std::fs::metadata(self.folder.join("word")).ok()?;
+        Some((data.ino(), data.mtime(), data.mtime_nsec(), data.len()))
+    }
+
+    /// Runs a task that nobody else runs meanwhile.
+    fn alone<T>(&self, task: impl FnOnce() -> io::Result<T>) -> io::Result<T> {
+        let path = self.folder.join("lock");
+        let lock = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
+        let end = Instant::now() + LOCK_WAIT;
+        loop {
+            match lock.try_lock() {
+                Ok(()) => return task(),
+                Err(TryLockError::WouldBlock) if Instant::now() < end => std::thread::sleep(LOCK_PAUSE),
+                Err(TryLockError::WouldBlock) => return Err(io::ErrorKind::TimedOut.into()),
+                Err(TryLockError::Error(error)) => return Err(error),
+            }
+        }
+    }
+
+    fn write(&self, word: &Word) -> io::Result<()> {
+        let fresh = self.folder.join(format!("word.{}", self.number));
+        let mut file = File::create(&fresh)?;
+        file.write_all(&word.encode())?;
+        file.sync_data()?;
+        std::fs::rename(&fresh, self.folder.join("word"))
+    }
+}
+
+fn say(seat: &mut File, text: &[u8]) -> io::Result<()> {
+    seat.set_len(0)?;
+    seat.rewind()?;
+    seat.write_all(text)
+}
+
+/// Keeps the files, on a thread of its own.
+struct Clerk {
+    invoker: Arc<Invoker>,
+    files: Files,
+    /// The word that holds here; none before the one that stands was read.
+    known: Option<Word>,
+    /// The record that was read last.
+    seen: Option<Option<(u64, i64, i64, u64)>>,
+    company: Arc<Mutex<Company>>,
+    /// The last look met a failure, which is logged once.
+    failing: bool,
+}
+
+impl Clerk {
+    fn run(mut self, queue: &Receiver<Order>, on_company: impl Fn(usize)) {
+        loop {
+            self.look_at_company(&on_company);
+            if let Err(error) = self.look_at_word() {
+                if !std::mem::replace(&mut self.failing, true) {
+                    tracing::error!(%error, "handover: the operators' word can't be kept in a file");
+                }
+            } else {
+                self.failing = false;
+            }
+            match queue.recv_timeout(LOOK) {
+                Ok(Order::Heed(ask, answer)) => {
+                    let end = self.heed(&ask);
+                    // Nobody may wait any more.
+                    let _ = answer.send(end);
+                }
+                Ok(Order::Serving) => {
+                    if let Err(error) = say(&mut self.files.seat, READY) {
+                        tracing::error!(%error, "handover: can't say that this process serves");
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn look_at_company(&mut self, on_company: &impl Fn(usize)) {
+        let seen = self.files.look_at_other();
+        let (changed, parts) = {
+            let mut company = crate::core::lock(&self.company);
+            (company.look(seen), company.parts())
+        };
+        if changed {
+            tracing::info!(processes = parts, "handover");
+            on_company(parts);
+        }
+    }
+
+    fn look_at_word(&mut self) -> io::Result<()> {
+        let mark = self.files.mark();
+        if self.seen == Some(mark) && self.known.is_some() {
+            return Ok(());
+        }
+        match look(self.files.read(), self.known.as_ref()) {
+            Look::Same => {}
+            Look::Newer(word) => self.know(word),
+            Look::Restore => self.restore()?,
+            Look::Wait if crate::core::lock(&self.company).other().is_some() => return Ok(()),
+            Look::Wait => {
+                tracing::error!("handover: the operators' word is damaged and nobody knows what it said");
+                self.know(Word::default());
+                std::fs::rename(self.files.folder.join("word"), self.files.folder.join("word.damaged"))?;
+            }
+        }
+        self.seen = Some(mark);
+        Ok(())
+    }
+
+    fn know(&mut self, word: Word) {
+        obey(&self.invoker, &word);
+        self.known = Some(word);
+        self.invoker.word_is_known();
+    }
+
+    /// Writes what is known, unless somebody who knows better wrote meanwhile.
+    fn restore(&mut self) -> io::Result<()> {
+        let Some(known) = self.known.clone() else { return Ok(()) };
+        let newer = self.files.alone(|| match look(self.files.read(), Some(&known)) {
+            Look::Newer(word) => Ok(Some(word)),
+            Look::Restore => self.files.write(&known).map(|()| None),
+            Look::Same | Look::Wait => Ok(None),
+        })?;
+        if let Some(word) = newer {
+            self.know(word);
+        }
+        Ok(())
+    }
+
+    fn heed(&mut self, ask: &Ask) -> Result<(), Unheeded> {
+        let before = self.known.clone().unwrap_or_default();
+        let now = crate::core::now_ms();
+        if ask.holds() {
+            // At once, whatever becomes of the file.
+            let mut word = before.clone();
+            ask.apply(&mut word, now);
+            obey(&self.invoker, &word);
+        }
+        let written = self.files.alone(|| {
+            let mut word = match look(self.files.read(), Some(&before)) {
+                Look::Newer(word) => word,
+                Look::Same | Look::Restore | Look::Wait => before.clone(),
+            };
+            ask.apply(&mut word, now);
+            word.version += 1;
+            self.files.write(&word).map(|()| word)
+        });
+        match written {
+            Ok(word) => {
+                self.know(word);
+                Ok(())
+            }
+            Err(error) => {
+                tracing::error!(%error, ?ask, "handover: not written");
+                if ask.holds() {
+                    // Newer than what stands: written as soon as that can be done.
+                    let mut word = before;
+                    ask.apply(&mut word, now);
+                    word.version += 1;
+                    self.know(word);
+                    self.seen = None;
+                }
+                Err(Unheeded::Unwritten)
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use corkbay_duty::Other;
+
+    fn folder(name: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("corkbay-handover-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        path
+    }
+
+    fn clerk(folder: &Path) -> Clerk {
+        let setup = serde_json::json!({"classes": [{"name": "check"}]});
+        let ledger = crate::memory::roomy();
+        let limits = crate::wire::workers::Limits {
+            streams: 1,
+            connect: Duration::from_millis(10),
+            idle: Duration::from_secs(1),
+            connections: 1,
+            answer: 1,
+        };
+        let account = ledger.account(corkbay_ledger::Purpose::Workers).clone();
+        let workers = Arc::new(crate::wire::workers::FrameWorkers::new(limits, account));
+        let files = Files::join(folder).expect("a seat");
+        let company = Arc::new(Mutex::new(files.company));
+        let invoker = Invoker::new(&setup, 1, workers, ledger);
+        Clerk { invoker, files, known: None, seen: None, company, failing: false }
+    }
+
+    fn suspend(name: &str) -> Ask {
+        Ask::Suspend(name.to_string())
+    }
+
+    /// Guards bans over an upgrade, in both directions, and over a death without a word.
+    #[test]
+    fn a_word_passes_both_ways_and_outlives_its_writer() {
+        let folder = folder("both");
+        let mut old = clerk(&folder);
+        old.look_at_word().expect("nothing stands");
+        assert_eq!(old.heed(&suspend("a")), Ok(()));
+        let mut new = clerk(&folder);
+        assert_eq!(new.company.lock().expect("whole").other(), Some(Other::Predecessor));
+        new.look_at_word().expect("read");
+        assert!(new.invoker.bans().is_out("a"));
+        assert_eq!(new.heed(&suspend("b")), Ok(()));
+        assert_eq!(new.heed(&Ask::Drain), Ok(()));
+        old.look_at_word().expect("read");
+        assert!(old.invoker.bans().is_out("b"));
+        assert_eq!(old.invoker.duty().leaving(), Some(Leave::Drained));
+        assert_eq!(old.heed(&Ask::Resume("a".into())), Ok(()));
+        assert_eq!(old.heed(&Ask::Activate), Ok(()));
+        new.look_at_word().expect("read");
+        assert!(!new.invoker.bans().is_out("a") && new.invoker.bans().is_out("b"));
+        assert!(new.invoker.bans().back_at("a").is_some(), "it is cold for the other one, too");
+        assert_eq!(new.invoker.duty().leaving(), None);
+        drop((old, new));
+        let mut later = clerk(&folder);
+        assert_eq!(later.company.lock().expect("whole").other(), None, "seats end with their processes");
+        later.look_at_word().expect("read");
+        assert!(later.invoker.bans().is_out("b"));
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+
+    /// Guards bans against a record that is damaged or gone: who knows better writes it again, a successor waits for
+    /// that, and nothing is lifted.
+    #[test]
+    fn a_damaged_record_lifts_nothing_and_is_written_again() {
+        let folder = folder("torn");
+        let mut old = clerk(&folder);
+        old.look_at_word().expect("nothing stands");
+        old.heed(&suspend("a")).expect("written");
+        let whole = std::fs::read(folder.join("word")).expect("stands");
+        for damage in [&whole[..whole.len() / 2], b"", b"nonsense"] {
+            std::fs::write(folder.join("word"), damage).expect("torn");
+            let mut new = clerk(&folder);
+            new.look_at_word().expect("looked at");
+            assert!(!new.invoker.has_word(), "it waits for its predecessor");
+            old.look_at_word().expect("restored");
+            assert!(old.invoker.bans().is_out("a"));
+            new.look_at_word().expect("read");
+            assert!(new.invoker.has_word() && new.invoker.bans().is_out("a"));
+        }
+        std::fs::remove_file(folder.join("word")).expect("gone");
+        old.look_at_word().expect("restored");
+        assert_eq!(std::fs::read(folder.join("word")).expect("stands"), whole);
+        drop(old);
+        // Without anybody who knows, the record is set aside and the process goes on.
+        std::fs::write(folder.join("word"), b"nonsense").expect("torn");
+        let mut later = clerk(&folder);
+        later.look_at_word().expect("set aside");
+        assert!(later.invoker.has_word() && folder.join("word.damaged").exists());
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+
+    /// Guards against a full or broken disk: a ban holds all the same and is written later; a return that can't be
+    /// written is told as a no and lifts nothing.
+    #[test]
+    fn what_cannot_be_written_is_held_and_not_lifted() {
+        let folder = folder("full");
+        let mut clerk = clerk(&folder);
+        clerk.look_at_word().expect("nothing stands");
+        clerk.heed(&suspend("a")).expect("written");
+        // A folder in the place of the file that is to be renamed stands for any failure to write.
+        let blocked = folder.join(format!("word.{}", clerk.files.number));
+        std::fs::create_dir(&blocked).expect("in the way");
+        assert_eq!(clerk.heed(&Ask::Resume("a".into())), Err(Unheeded::Unwritten));
+        assert_eq!(clerk.heed(&suspend("b")), Err(Unheeded::Unwritten));
+        assert!(clerk.look_at_word().is_err(), "it goes on trying");
+        let bans = clerk.invoker.bans();
+        assert!(bans.is_out("a") && bans.is_out("b"));
+        std::fs::remove_dir(&blocked).expect("out of the way");
+        clerk.look_at_word().expect("written");
+        let word = clerk.files.read().expect("stands").expect("whole");
+        assert!(word.bans.is_out("a") && word.bans.is_out("b"));
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+
+    #[test]
+    fn there_are_two_seats() {
+        let folder = folder("seats");
+        let (first, mut second) = (Files::join(&folder).expect("free"), Files::join(&folder).expect("free"));
+        assert_eq!((first.parts(), second.parts()), (1, 2));
+        assert_eq!(Files::join(&folder).err().map(|error| error.kind()), Some(io::ErrorKind::WouldBlock));
+        assert_eq!(second.look_at_other(), Seen::Taken { ready: false });
+        let mut first = first;
+        say(&mut first.seat, READY).expect("written");
+        assert_eq!(second.look_at_other(), Seen::Taken { ready: true });
+        drop(first);
+        assert_eq!(second.look_at_other(), Seen::Empty);
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
--- a/crates/node/src/life/mod.rs
+++ b/crates/node/src/life/mod.rs
@@ -2,6 +2,7 @@
 pub mod accounts;
 pub mod config;
 pub mod deploy;
+pub mod handover;
 pub mod import;
 pub mod logs;
 pub mod platform;
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -1,27 +1,36 @@
 //! The daemon on the platform: start, service, drain.
 use super::config::{ConfigError, Platform, Source};
+use super::handover::{self, Files, Keeper};
 use super::{accounts, spawn};
 use crate::core::{now_ms, Invoker};
-use crate::wire::accept::{accept, Guests, House};
+use crate::wire::accept::{Door, House};
 use crate::wire::channel::{self, Line};
 use crate::wire::frames::MAX_BODY;
-use crate::wire::workers::{FrameWorkers, Limits};
+use crate::wire::workers::{FrameWorkers, Limits as WorkerLimits};
 use crate::wire::{front, operators};
 use corkbay_duty::{Leave, Terms};
-use corkbay_ledger::{Ledger, Purpose};
-use may::net::TcpListener;
+use corkbay_ledger::{Budget, Ledger, Purpose};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 /// Words of a coroutine's stack: 128 KiB of address space, of which only what is touched is memory.
 const STACK_WORDS: usize = 0x4000;
 /// After SIGTERM connections go on coming for up to 0.4 s and requests on open ones for 0.2 s more; what comes
 /// later than this is lost if it has no answer when SIGKILL comes, so it is refused.
-const STILL_TAKING: Duration = Duration::from_millis(700);
-const ENDING: Terms =
-    Terms { let_go: STILL_TAKING.as_millis() as f64, refuse: STILL_TAKING.as_millis() as f64, gone: None };
+pub const STILL_TAKING: Duration = Duration::from_millis(700);
+/// With a successor, what comes on connections that are owed something is taken for so long.
+const SUCCEEDED_TAKES: Duration = Duration::from_millis(2000);
+/// How often an end is looked at.
+const END_LOOK: Duration = Duration::from_millis(10);
+/// Longest wait of a successor for the command channel: it is due to serve within 6 s, news or none.
+const CHANNEL_WAIT: Duration = Duration::from_secs(3);
+/// By then the other process has looked at the seat of this one twice.
+const SEEN_BY_OTHER: Duration = Duration::from_millis(4 * handover::LOOK.as_millis() as u64);
+const NEWS_LOOK: Duration = Duration::from_millis(10);
+const NEWS_REST: Duration = Duration::from_millis(100);
 /// How often connections are looked at that are to be let go.
 const LET_GO_LOOK: Duration = Duration::from_millis(20);
 /// SIGKILL comes no sooner than the longest deadline after that, which counts as this at most.
@@ -48,37 +57,106 @@
     may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
 }
 
+/// What the invoker may take in all, and the part of it that is this process's while another lives beside it.
+struct Limits {
+    memory_mb: AtomicU64,
+    sockets: usize,
+    base: usize,
+    parts: AtomicUsize,
+    ledger: Arc<Ledger>,
+    workers: Arc<FrameWorkers>,
+    door: OnceLock<Arc<Door>>,
+}
+
+impl Limits {
+    /// Adopts the limits as they are now.
+    fn adopt(&self) -> Result<(), ConfigError> {
+        let (memory, parts) = (self.memory_mb.load(Ordering::Relaxed), self.parts.load(Ordering::Relaxed));
+        self.ledger.adopt(&budget(memory, self.base, parts)?);
+        let (clients, to_workers) = connections(self.sockets / parts);
+        self.workers.set_most(to_workers);
+        self.door.get().into_iter().for_each(|door| door.set_most(clients));
+        Ok(())
+    }
+
+    fn share(&self, parts: usize) {
+        self.parts.store(parts, Ordering::Relaxed);
+        if let Err(error) = self.adopt() {
+            tracing::error!(%error, parts, "limits can't be shared");
+        }
+    }
+}
+
+/// The caps of one of so many processes. Where a part is less than any process needs, the whole is kept: it is for some
+/// seconds, and what is held counts as it is held.
+fn budget(memory_mb: u64, base: usize, parts: usize) -> Result<Budget, ConfigError> {
+    accounts::platform_budget(memory_mb, base, parts).or_else(|error| {
+        tracing::warn!(%error, parts, "too little memory to be shared");
+        accounts::platform_budget(memory_mb, base, 1)
+    })
+}
+
+/// Takes a seat beside a process of the same invoker, where operators are heard and there is a folder for both.
+fn join(config: &Platform, source: &Source) -> Option<Files> {
+    let (_, shared) = (config.admin?, source.shared.as_ref()?);
+    // More than one invoker may be given the same folder.
+    let folder = shared.join(format!("corkbay-{}", config.listen.to_string().replace(':', "-")));
+    Files::join(&folder)
+        .inspect_err(
+            |error| tracing::error!(%error, ?folder, "handover: nothing is shared with another process"),
+        )
+        .ok()
+}
+
 /// Serves until a signal ends it and nothing is owed; true if all was answered.
 pub fn run(config: Platform, source: &Source) -> Result<bool, ConfigError> {
     let mut signals = signals()?;
-    let (clients, to_workers) = connections(config.sockets);
     let base = accounts::measured_base();
-    let budget = accounts::platform_budget(config.memory_mb, base)?;
-    let ledger = Arc::new(Ledger::new(&budget, &accounts::tenants(&config.settings)));
+    let files = join(&config, source);
+    let parts = files.as_ref().map_or(1, Files::parts);
+    let ledger =
+        Arc::new(Ledger::new(&budget(config.memory_mb, base, parts)?, &accounts::tenants(&config.settings)));
+    let (clients, to_workers) = connections(config.sockets / parts);
     let to_workers = limits(&config.settings, to_workers, MAX_BODY);
-    let workers = FrameWorkers::new(to_workers, ledger.account(Purpose::Workers).clone());
-    let invoker = Invoker::new(&config.settings, config.seed, Arc::new(workers), ledger.clone());
+    let workers = Arc::new(FrameWorkers::new(to_workers, ledger.account(Purpose::Workers).clone()));
+    let invoker = Invoker::new(&config.settings, config.seed, workers.clone(), ledger.clone());
     accounts::watch(&invoker);
     for news in config.known {
         news.tell(&invoker, true);
     }
-    let listener = TcpListener::bind(config.listen).map_err(|error| ConfigError::new("listen", error))?;
+    let limits = Arc::new(Limits {
+        memory_mb: AtomicU64::new(config.memory_mb),
+        sockets: config.sockets,
+        base,
+        parts: AtomicUsize::new(parts),
+        ledger: ledger.clone(),
+        workers,
+        door: OnceLock::new(),
+    });
+    let keeper = match files {
+        Some(files) => {
+            let limits = limits.clone();
+            let keeper = Keeper::beside(&invoker, files, move |parts| limits.share(parts));
+            keeper.map_err(|error| ConfigError::new("TMPDIR", error))?
+        }
+        None => Keeper::alone(&invoker),
+    };
     if let Some(admin) = config.admin {
-        let listener = TcpListener::bind(admin).map_err(|error| ConfigError::new("admin", error))?;
-        let (ours, account) = (invoker.clone(), ledger.account(Purpose::Operators).clone());
+        let account = ledger.account(Purpose::Operators).clone();
         let house = House { most: operators::SEATS, stall: operators::WRITE_STALL, account };
-        spawn(move || {
-            accept(&listener, &house, &Guests::default(), move |guest| operators::serve(&ours, &guest))
-        });
+        let door = Door::open(admin, house).map_err(|error| ConfigError::new("admin", error))?;
+        let (ours, keeper) = (invoker.clone(), keeper.clone());
+        spawn(move || door.accept(move |guest| operators::serve(&ours, &keeper, &guest)));
     }
     let (ours, line, cursor) = (invoker.clone(), Line::new(config.channel), config.cursor);
     let reload = {
         let (line, listen, settings) = (line.clone(), config.listen, config.settings.clone());
-        let admin = config.admin;
-        let ledger = ledger.clone();
+        let (admin, limits) = (config.admin, limits.clone());
         move || {
             let next = source.read()?;
-            ledger.adopt(&accounts::platform_budget(next.memory_mb, base)?);
+            accounts::platform_budget(next.memory_mb, base, 1)?;
+            limits.memory_mb.store(next.memory_mb, Ordering::Relaxed);
+            limits.adopt()?;
             line.move_to(next.channel);
             let kept = [
                 ("listen", next.listen == listen),
@@ -93,25 +171,63 @@
             Ok(())
         }
     };
+    let heard = line.clone();
     spawn(move || channel::follow(&ours, &line, cursor));
-    let ours = invoker.clone();
+    wait_for_news(&keeper, &heard);
     let account = ledger.account(Purpose::Clients).clone();
     let house = House { most: clients, stall: front::WRITE_STALL, account };
-    let guests = Guests::default();
-    let theirs = guests.clone();
-    spawn(move || accept(&listener, &house, &theirs, move |guest| front::serve(&ours, guest)));
-    let ours = invoker.clone();
-    spawn(move || let_go(&ours, &guests));
+    let door = Door::open(config.listen, house).map_err(|error| ConfigError::new("listen", error))?;
+    // Whoever lived beside this process may have gone since.
+    if limits.door.set(door.clone()).is_ok() {
+        limits.share(keeper.company().parts());
+    }
+    let (ours, theirs) = (invoker.clone(), door.clone());
+    spawn(move || theirs.accept(move |guest| front::serve(&ours, guest)));
+    let (ours, theirs) = (invoker.clone(), door.clone());
+    spawn(move || let_go(&ours, &theirs));
+    keeper.serving();
+    if keeper.company().other().is_some() {
+        // Whoever is told yes may end the other process at once, which has to know by then.
+        std::thread::sleep(SEEN_BY_OTHER);
+    }
+    invoker.serving();
     let longest = longest_deadline(&config.settings).min(LONGEST_COUNTED);
-    Ok(serve_until_signalled(&invoker, &mut signals, reload, longest.saturating_sub(LAST_ANSWERS)))
+    let end = End {
+        terms: || {
+            let company = keeper.company();
+            if company.is_succeeded() {
+                // What stands in the queue is taken; whoever comes later comes to the successor.
+                door.close();
+            }
+            company.ending(ENDING, SUCCEEDED_TAKES.as_millis() as f64)
+        },
+        is_over: || keeper.company().is_succeeded() && door.held() == 0,
+        within: STILL_TAKING + longest.saturating_sub(LAST_ANSWERS),
+    };
+    Ok(serve_until_signalled(&invoker, &mut signals, reload, end))
+}
+
+/// Waits until a process beside another knows what that one knows: the operators' word, and what the command channel
+/// has to tell. Alone there is nobody who could serve meanwhile.
+fn wait_for_news(keeper: &Keeper, channel: &Line) {
+    let start = Instant::now();
+    while keeper.company().other().is_some() && !keeper.knows()
+        || keeper.company().other().is_some() && !channel.is_heard() && start.elapsed() < CHANNEL_WAIT
+    {
+        std::thread::sleep(NEWS_LOOK);
+    }
+    // What stood in the channel comes at once, event by event.
+    if keeper.company().other().is_some() {
+        std::thread::sleep(NEWS_REST);
+    }
 }
 
 /// Lets the connections of clients go whenever they are left, for as long as the process lives.
-fn let_go(invoker: &Invoker, guests: &Guests) {
+fn let_go(invoker: &Invoker, door: &Door) {
     loop {
         invoker.wait_for_leave();
         if invoker.duty().lets_go(now_ms()) {
-            guests.let_go();
+            door.let_go();
         }
         may::coroutine::sleep(LET_GO_LOOK);
     }
@@ -122,13 +238,23 @@
     Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1]).map_err(|error| ConfigError::new("signals", error))
 }
 
+/// How a process ends.
+pub struct End<T, O> {
+    /// Begins the end: on what terms the clients are left.
+    pub terms: T,
+    /// Whether no client can come any more, so that the end need not be waited for once nothing is owed.
+    pub is_over: O,
+    /// From its beginning until what is still owed is ended.
+    pub within: Duration,
+}
+
 /// Waits for signals on the main thread: SIGHUP reloads, SIGUSR1 prints the counters, any other ends the
-/// process. Then requests are taken for a little longer, and what was taken has `owed` to end by itself.
-pub fn serve_until_signalled(
+/// process. Then requests are taken for a little longer, and what was taken has some time to end by itself.
+pub fn serve_until_signalled<T: FnOnce() -> Terms, O: Fn() -> bool>(
     invoker: &Arc<Invoker>,
     signals: &mut Signals,
     reload: impl Fn() -> Result<(), ConfigError>,
-    owed: Duration,
+    end: End<T, O>,
 ) -> bool {
     for signal in signals.forever() {
         match signal {
@@ -143,9 +269,14 @@
             _ => break,
         }
     }
-    invoker.leave(Leave::Ending, ENDING);
-    std::thread::sleep(STILL_TAKING);
-    let settled = invoker.settle(owed) || {
+    let begun = Instant::now();
+    let terms = (end.terms)();
+    invoker.leave(Leave::Ending, terms);
+    let still_taking = Duration::from_secs_f64(terms.refuse / 1000.0);
+    while begun.elapsed() < still_taking && !((end.is_over)() && invoker.owed() == 0) {
+        std::thread::sleep(END_LOOK);
+    }
+    let settled = invoker.settle(end.within.saturating_sub(begun.elapsed())) || {
         invoker.end_all();
         invoker.settle(LAST_ANSWERS / 2)
     };
@@ -153,6 +284,10 @@
     settled
 }
 
+/// The terms of an end with nobody to come after this process.
+pub const ENDING: Terms =
+    Terms { let_go: STILL_TAKING.as_millis() as f64, refuse: STILL_TAKING.as_millis() as f64, gone: None };
+
 /// The longest time that a client of any class waits, from the settings object.
 pub fn longest_deadline(settings: &serde_json::Value) -> Duration {
     let classes = settings["classes"].as_array().map(Vec::as_slice).unwrap_or_default();
@@ -161,11 +296,11 @@
 }
 
 /// Figures for worker connections, from the settings object; `answer` is the largest body of an answer.
-pub fn limits(settings: &serde_json::Value, connections: usize, answer: usize) -> Limits {
+pub fn limits(settings: &serde_json::Value, connections: usize, answer: usize) -> WorkerLimits {
     let ceiling = |key: &str, default: f64| {
         settings["ceilings"][key].as_f64().filter(|value| *value > 0.0).unwrap_or(default)
     };
-    Limits {
+    WorkerLimits {
         streams: ceiling("streamsPerConn", 32.0) as usize,
         connect: Duration::from_secs_f64(ceiling("connectTimeoutMs", 250.0) / 1000.0),
         // Sooner than the worker's own, so that no request crosses its close.
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -1,19 +1,20 @@
 //! The daemon off the platform: the invoke API over its own store.
 use super::config::ConfigError;
 use super::deploy::{Deploy, Protocol, Style};
-use super::platform::{connections, limits, longest_deadline, serve_until_signalled, signals};
+use super::platform::{
+    connections, limits, longest_deadline, serve_until_signalled, signals, End, ENDING, STILL_TAKING,
+};
 use super::{accounts, spawn};
 use crate::core::{Invoker, Workers};
 use crate::memory::catalog::{Catalog, Worker};
 use crate::memory::invocations::Invocations;
 use crate::memory::store::Store;
-use crate::wire::accept::{accept, Guests, House};
+use crate::wire::accept::{Door, House};
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, Desk};
 use crate::wire::replicate;
 use crate::wire::workers::FrameWorkers;
 use corkbay_ledger::{Account, Ledger, Purpose};
-use may::net::TcpListener;
 use serde_json::Value;
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -50,19 +51,16 @@
     accounts::watch(&invoker);
     catalog.announce(&invoker);
     let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog });
-    let listener = TcpListener::bind(deploy.listen).map_err(|e| at("listen")(&e))?;
-    let bound = listener.local_addr().map_err(|e| at("listen")(&e))?;
+    let account = ledger.account(Purpose::Clients).clone();
+    let house = House { most: clients, stall: invoke::WRITE_STALL, account };
+    let door = Door::open(deploy.listen, house).map_err(|e| at("listen")(&e))?;
+    let bound = door.address().map_err(|e| at("listen")(&e))?;
     if let Some(replication) = &deploy.replication {
-        let listener = TcpListener::bind(replication.listen).map_err(|e| at("replication.listen")(&e))?;
-        let bound = listener.local_addr().map_err(|e| at("replication.listen")(&e))?;
+        let door = replicate::open(replication.listen, &store).map_err(|e| at("replication.listen")(&e))?;
+        let bound = door.address().map_err(|e| at("replication.listen")(&e))?;
         println!("replication on {bound}");
-        replicate(
-            &desk,
-            &store,
-            listener,
-            &replication.peers,
-            Duration::from_millis(replication.interval_ms),
-        );
+        let interval = Duration::from_millis(replication.interval_ms);
+        replicate(&desk, &store, door, &replication.peers, interval);
     }
     spawn(move || loop {
         may::coroutine::sleep(SWEEP);
@@ -71,9 +69,7 @@
         }
     });
     let ours = desk.clone();
-    let account = ledger.account(Purpose::Clients).clone();
-    let house = House { most: clients, stall: invoke::WRITE_STALL, account };
-    spawn(move || accept(&listener, &house, &Guests::default(), move |guest| invoke::serve(&ours, &guest)));
+    spawn(move || door.accept(move |guest| invoke::serve(&ours, &guest)));
     println!("invoke API on {bound}");
     // Functions, workers and caps of memory are taken up; what the file says besides holds from the next start on.
     let reload = || {
@@ -83,14 +79,15 @@
         desk.catalog.announce(&desk.invoker);
         Ok(())
     };
-    let owed = longest_deadline(&settings) + LAST_ANSWERS;
-    Ok(serve_until_signalled(&invoker, &mut signals, reload, owed))
+    let within = STILL_TAKING + longest_deadline(&settings) + LAST_ANSWERS;
+    let end = End { terms: || ENDING, is_over: || false, within };
+    Ok(serve_until_signalled(&invoker, &mut signals, reload, end))
 }
 
 fn replicate(
     desk: &Arc<Desk>,
     store: &Arc<Store>,
-    listener: TcpListener,
+    door: Arc<Door>,
     peers: &[SocketAddr],
     interval: Duration,
 ) {
@@ -99,7 +96,7 @@
         ours.catalog.announce(&ours.invoker);
         ours.invocations.wake();
     });
-    replicate::listen(store.clone(), listener, on_news.clone());
+    replicate::listen(store.clone(), door, on_news.clone());
     let listeners =
         peers.iter().map(|peer| replicate::follow(store.clone(), *peer, interval, on_news.clone()));
     store.on_write(listeners.collect());
--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -146,28 +146,23 @@
         &self.bans
     }
 
-    /// Holds a host out until it is resumed; what the decisions are to hear of it.
-    pub fn suspend(&mut self, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
-        if !self.was_listed(name) {
-            return Err(NotHeeded::Unknown);
-        }
+    /// Whether a host can be held out: some list named it, and there is room for its name.
+    pub fn may_suspend(&mut self, name: &str) -> Result<(), NotHeeded> {
+        self.may_resume(name)?;
         let bytes = self.bans.bytes() + Bans::cost(name);
         if !self.bans.is_out(name) && self.bans_held.resize(bytes).is_err() {
             return Err(NotHeeded::NoRoom);
         }
-        let mut bans = self.bans.clone();
-        bans.suspend(name, now);
-        Ok(self.adopt(bans))
+        Ok(())
     }
 
-    /// Lets a host serve again, as far as the directory has it serve.
-    pub fn resume(&mut self, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
-        if !self.was_listed(name) {
+    /// Whether a host can be let back: some list named it.
+    pub fn may_resume(&self, name: &str) -> Result<(), NotHeeded> {
+        let listed = self.numbers.contains_key(name) || self.bans.is_out(name);
+        if !listed && !self.forgotten.contains(&hash(name)) {
             return Err(NotHeeded::Unknown);
         }
-        let mut bans = self.bans.clone();
-        bans.resume(name, now);
-        Ok(self.adopt(bans))
+        Ok(())
     }
 
     /// Takes over the operators' word on all hosts; what the decisions are to hear of those for which it has changed.
@@ -183,10 +178,6 @@
         Roster::Changes(entries)
     }
 
-    fn was_listed(&self, name: &str) -> bool {
-        self.numbers.contains_key(name) || self.bans.is_out(name) || self.forgotten.contains(&hash(name))
-    }
-
     /// Takes in news and puts it in the decisions' words. Whom a whole list leaves out has gone.
     pub fn apply(&mut self, listings: Vec<Listing>, whole: bool, remembered: bool) -> Roster {
         if whole {
@@ -333,6 +324,20 @@
         assert_eq!(account.used(), 0);
     }
 
+    fn suspend(directory: &mut Directory, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
+        directory.may_suspend(name)?;
+        let mut bans = directory.bans().clone();
+        bans.suspend(name, now);
+        Ok(directory.adopt(bans))
+    }
+
+    fn resume(directory: &mut Directory, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
+        directory.may_resume(name)?;
+        let mut bans = directory.bans().clone();
+        bans.resume(name, now);
+        Ok(directory.adopt(bans))
+    }
+
     /// Guards names of hosts that left long ago: an operator may still hold them out, and a host that comes back under
     /// such a name stays out.
     #[test]
@@ -344,13 +349,13 @@
             directory.apply(vec![listing(name, Standing::Gone)], false, false);
         }
         assert!(!directory.numbers.contains_key("w0"));
-        assert_eq!(directory.suspend("never", 1.0).err(), Some(NotHeeded::Unknown));
-        assert!(directory.suspend("w0", 1.0).is_ok());
+        assert_eq!(suspend(&mut directory, "never", 1.0).err(), Some(NotHeeded::Unknown));
+        assert!(suspend(&mut directory, "w0", 1.0).is_ok());
         let Roster::Changes(back) = directory.apply(vec![listing(0, Standing::Ready)], false, false) else {
             panic!("changes")
         };
         assert_eq!(back[0].standing, Standing::Draining);
-        let Ok(Roster::Changes(back)) = directory.resume("w0", 7.0) else { panic!("changes") };
+        let Ok(Roster::Changes(back)) = resume(&mut directory, "w0", 7.0) else { panic!("changes") };
         assert_eq!((back[0].standing, back[0].born), (Standing::Ready, 7.0), "restarted, and cold");
         drop(directory);
         assert_eq!(account.used(), 0);
@@ -400,11 +405,11 @@
                     }
                     Step::Suspend(name) => {
                         out.extend(said.contains_key(&name).then_some(name));
-                        directory.suspend(&format!("w{name}"), now as f64)
+                        suspend(&mut directory, &format!("w{name}"), now as f64)
                     }
                     Step::Resume(name) => {
                         out.remove(&name);
-                        directory.resume(&format!("w{name}"), now as f64)
+                        resume(&mut directory, &format!("w{name}"), now as f64)
                     }
                 };
                 match roster {
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -7,8 +7,11 @@
 use corkbay::Ms;
 use corkbay_ledger::{Account, Reservation};
 use may::net::TcpListener;
-use may::sync::{Mutex, Semphore};
+use may::sync::{Condvar, Mutex, Semphore};
+use socket2::SockRef;
+use std::net::{Shutdown, SocketAddr};
 use std::ops::Deref;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -17,6 +20,9 @@
 /// How long a newcomer waits for a place before another connection is asked to give way.
 const GIVE_WAY: Duration = Duration::from_millis(100);
 
+/// Longest wait for the acceptor to have taken up what stands in its queue, before the listener is closed.
+const EMPTIED: Duration = Duration::from_millis(100);
+
 type Table = Arc<Mutex<Seats<Weak<Guest>>>>;
 
 /// A client's connection with its seat, which it holds until the descriptor is closed.
@@ -24,6 +30,8 @@
     socket: Socket,
     number: u64,
     seats: Table,
+    /// Posted when a request has come to its end on a connection that is let go.
+    ended: Semphore,
     /// Given back last, after the descriptor.
     place: Place,
 }
@@ -41,76 +49,144 @@
     pub account: Account,
 }
 
-/// Those whose connections are held at one address.
-#[derive(Clone, Default)]
-pub struct Guests(Table);
+/// The connections that are taken, and how many may be.
+struct Places {
+    taken: Mutex<usize>,
+    most: AtomicUsize,
+    freed: Condvar,
+}
 
-impl Guests {
-    /// Lets all connections go that there are: their readers close them once nothing is owed on them. What a client
-    /// has sent by then is still read.
-    pub fn let_go(&self) {
-        let all: Vec<_> = lock(&self.0).let_go();
-        all.iter().filter_map(Weak::upgrade).for_each(|guest| guest.socket.shut(std::net::Shutdown::Read));
-    }
+/// One address with the connections that came there.
+pub struct Door {
+    listener: TcpListener,
+    house: House,
+    seats: Table,
+    places: Arc<Places>,
+    /// The acceptor waits for the next connection: its queue is empty.
+    waits: AtomicBool,
+    closed: AtomicBool,
 }
 
-/// Accepts clients for as long as the process lives. When all places or the room for them are taken, a
-/// newcomer gets that of a client that is owed nothing: the silent go first.
-pub fn accept(
-    listener: &TcpListener,
-    house: &House,
-    Guests(seats): &Guests,
-    serve: impl Fn(Arc<Guest>) + Send + Sync + 'static,
-) {
-    let serve = Arc::new(serve);
-    let places = Arc::new(Semphore::new(house.most.max(1)));
-    loop {
-        let accepted = listener.accept().and_then(|(stream, _)| Socket::new(stream, house.stall));
-        match accepted {
-            Ok(socket) => {
-                let place = make_way(&places, seats, &house.account);
-                let guest = Guest::new(socket, seats, place);
-                let serve = serve.clone();
-                spawn(move || serve(guest));
+impl Door {
+    /// Listens at an address; others of the same user may listen there, too.
+    pub fn open(address: SocketAddr, house: House) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address)?;
+        let (taken, most, freed) = (Mutex::new(0), AtomicUsize::new(house.most.max(1)), Condvar::new());
+        Ok(Arc::new(Door {
+            listener,
+            house,
+            seats: Table::default(),
+            places: Arc::new(Places { taken, most, freed }),
+            waits: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+        }))
+    }
+
+    /// The address that it listens at.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Accepts clients until it is closed. When all places or the room for them are taken, a newcomer gets that of a
+    /// client that is owed nothing: the silent go first.
+    pub fn accept(&self, serve: impl Fn(Arc<Guest>) + Send + Sync + 'static) {
+        let serve = Arc::new(serve);
+        while !self.closed.load(Ordering::Acquire) {
+            self.waits.store(true, Ordering::Release);
+            let accepted = self.listener.accept();
+            self.waits.store(false, Ordering::Release);
+            match accepted.and_then(|(stream, _)| Socket::new(stream, self.house.stall)) {
+                Ok(socket) => {
+                    let guest = Guest::new(socket, &self.seats, self.make_way());
+                    let serve = serve.clone();
+                    spawn(move || serve(guest));
+                }
+                Err(_) if self.closed.load(Ordering::Acquire) => return,
+                Err(error) => {
+                    tracing::warn!(%error, "accept");
+                    may::coroutine::sleep(ACCEPT_PAUSE);
+                }
             }
-            Err(error) => {
-                tracing::warn!(%error, "accept");
-                may::coroutine::sleep(ACCEPT_PAUSE);
+        }
+    }
+
+    /// Takes up what stands in the queue and listens no more; another process may listen at the address.
+    pub fn close(&self) {
+        let end = now_ms() + EMPTIED.as_secs_f64() * 1000.0;
+        loop {
+            // At least once: the acceptor goes first.
+            may::coroutine::sleep(Duration::from_millis(1));
+            if self.waits.load(Ordering::Acquire) || now_ms() > end {
+                break;
             }
         }
+        self.closed.store(true, Ordering::Release);
+        if let Err(error) = SockRef::from(self.listener.inner()).shutdown(Shutdown::Both) {
+            tracing::warn!(%error, "close");
+        }
     }
-}
 
-/// A place for a newcomer, taken from another where none is free.
-fn make_way(places: &Arc<Semphore>, seats: &Table, account: &Account) -> Place {
-    let give_way = || {
-        let leaver = lock(seats).give_way().and_then(|leaver| leaver.upgrade());
+    /// Lets all connections go that there are: their readers close them once nothing is owed on them. What a client
+    /// has sent by then is still read.
+    pub fn let_go(&self) {
+        let all: Vec<_> = lock(&self.seats).let_go();
+        all.iter().filter_map(Weak::upgrade).for_each(|guest| guest.socket.shut(Shutdown::Read));
+    }
+
+    /// Connections that are held.
+    pub fn held(&self) -> usize {
+        *lock(&self.places.taken)
+    }
+
+    /// Holds so many connections at most from now on; those beyond that give way as far as they are owed nothing.
+    pub fn set_most(&self, most: usize) {
+        self.places.most.store(most.max(1), Ordering::Release);
+        (most..self.held()).for_each(|_| self.give_way());
+    }
+
+    fn give_way(&self) {
+        let leaver = lock(&self.seats).give_way().and_then(|leaver| leaver.upgrade());
         if let Some(leaver) = leaver {
-            leaver.socket.shut(std::net::Shutdown::Both);
+            leaver.socket.shut(Shutdown::Both);
         }
-    };
-    let mut free = places.try_wait();
-    while !free {
-        give_way();
-        free = places.wait_timeout(GIVE_WAY);
-    }
-    let held = loop {
-        match account.reserve(GUEST) {
-            Ok(held) => break held,
-            Err(full) => {
-                give_way();
-                wait(&full.account, GUEST, GIVE_WAY.as_secs_f64() * 1000.0);
+    }
+
+    /// A place for a newcomer, taken from another where none is free.
+    fn make_way(&self) -> Place {
+        let mut taken = lock(&self.places.taken);
+        while *taken >= self.places.most.load(Ordering::Acquire) {
+            drop(taken);
+            self.give_way();
+            taken = lock(&self.places.taken);
+            if *taken < self.places.most.load(Ordering::Acquire) {
+                break;
             }
+            taken = match self.places.freed.wait_timeout(taken, GIVE_WAY) {
+                Ok((guard, _)) => guard,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
         }
-    };
-    Place { places: places.clone(), held }
+        *taken += 1;
+        drop(taken);
+        let account = &self.house.account;
+        let held = loop {
+            match account.reserve(GUEST) {
+                Ok(held) => break held,
+                Err(full) => {
+                    self.give_way();
+                    wait(&full.account, GUEST, GIVE_WAY.as_secs_f64() * 1000.0);
+                }
+            }
+        };
+        Place { places: self.places.clone(), held }
+    }
 }
 
 impl Guest {
     fn new(socket: Socket, seats: &Table, place: Place) -> Arc<Self> {
         Arc::new_cyclic(|guest| {
             let number = lock(seats).sit(guest.clone(), now_ms());
-            Guest { socket, number, seats: seats.clone(), place }
+            Guest { socket, number, seats: seats.clone(), ended: Semphore::new(0), place }
         })
     }
 
@@ -122,6 +198,14 @@
     /// A request on it has come to its end.
     pub fn closed(&self) {
         lock(&self.seats).closed(self.number, now_ms());
+        if self.is_let_go() {
+            self.ended.post();
+        }
+    }
+
+    /// Waits until a request has come to its end on the connection, which was let go, or for that long.
+    pub fn wait_for_an_end(&self, within: Duration) {
+        self.ended.wait_timeout(within);
     }
 
     /// Where what is read on the connection counts.
@@ -163,12 +247,13 @@
 
 /// A client's place, given back however its task ends.
 struct Place {
-    places: Arc<Semphore>,
+    places: Arc<Places>,
     held: Reservation,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.places.post();
+        *lock(&self.places.taken) -= 1;
+        self.places.freed.notify_all();
     }
 }
--- a/crates/node/src/wire/channel.rs
+++ b/crates/node/src/wire/channel.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -111,7 +112,10 @@
 }
 
 /// Where the channel is read, which a reload may change, and the connection that is read now.
-pub struct Line(Mutex<Reading>);
+pub struct Line {
+    reading: Mutex<Reading>,
+    heard: AtomicBool,
+}
 
 struct Reading {
     address: SocketAddr,
@@ -121,25 +125,31 @@
 impl Line {
     /// A channel at an address.
     pub fn new(address: SocketAddr) -> Arc<Self> {
-        Arc::new(Line(Mutex::new(Reading { address, socket: Weak::new() })))
+        let reading = Mutex::new(Reading { address, socket: Weak::new() });
+        Arc::new(Line { reading, heard: AtomicBool::new(false) })
     }
 
     /// Goes on at another address: what is read now ends at once, and the cursor is kept.
     pub fn move_to(&self, address: SocketAddr) {
-        let mut reading = lock(&self.0);
+        let mut reading = lock(&self.reading);
         if reading.address != address {
             reading.address = address;
             reading.socket.upgrade().into_iter().for_each(|socket| socket.shut(Shutdown::Both));
         }
     }
 
+    /// Whether the channel has answered since the start.
+    pub fn is_heard(&self) -> bool {
+        self.heard.load(Ordering::Acquire)
+    }
+
     fn address(&self) -> SocketAddr {
-        lock(&self.0).address
+        lock(&self.reading).address
     }
 
     /// Notes a connection that is to be read; false if the channel has moved meanwhile.
     fn reads(&self, address: SocketAddr, socket: &Arc<Socket>) -> bool {
-        let mut reading = lock(&self.0);
+        let mut reading = lock(&self.reading);
         reading.socket = Arc::downgrade(socket);
         reading.address == address
     }
@@ -175,6 +185,7 @@
             break;
         }
         let events = stream.feed(&chunk[..size]).map_err(io::Error::other)?;
+        line.heard.store(true, Ordering::Release);
         for event in events {
             let news: Result<News, _> = serde_json::from_str(&event.data);
             let number = event.id.and_then(|id| id.parse().ok());
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -79,14 +79,16 @@
             match intake.fill(guest, &mut chunk, until(end)) {
                 // Let go: what crosses is read on, and the connection is closed once nothing is owed on it.
                 Ok(0) if guest.is_let_go() => {
-                    let owed: Vec<RequestId> = lock(open).values().copied().collect();
-                    if owed.is_empty() && (intake.is_empty() || now_ms() > end) {
+                    // An answer that is being written is owed as well.
+                    let owes = guest.stance().0 == Stance::Busy;
+                    if !owes && (intake.is_empty() || now_ms() > end) {
                         return Ok(());
                     }
                     if invoker.duty().ends(now_ms(), last_request) {
+                        let owed: Vec<RequestId> = lock(open).values().copied().collect();
                         owed.into_iter().for_each(|id| invoker.end(id));
                     }
-                    may::coroutine::sleep(LET_GO_LOOK);
+                    guest.wait_for_an_end(LET_GO_LOOK);
                 }
                 Ok(0) => return Ok(()),
                 Ok(_) => begun = if fresh { now_ms() } else { begun },
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -3,9 +3,9 @@
 use super::http::{BadHttp, RequestHead, Response};
 use super::intake::{Intake, CHUNK};
 use crate::core::{now_ms, until, Invoker};
-use crate::memory::roster::NotHeeded;
+use crate::life::handover::{Ask, Keeper, Unheeded};
 use corkbay::Ms;
-use corkbay_duty::{Leave, Terms};
+use corkbay_duty::Leave;
 use corkbay_ledger::Purpose;
 use serde_json::json;
 use std::net::Shutdown;
@@ -23,27 +23,19 @@
 /// How long a caller is listened to after its answer, so that a close over unread bytes resets nothing.
 const LINGER: Duration = Duration::from_millis(100);
 
-/// The times of a drain. The front asks every 0.1 s and sends connections for 0.2 s more, so after 0.7 s nobody comes
-/// who could not know; requests on connections that are still open are taken until what is taken can be 2 s old when
-/// 4 s are over.
-const DRAIN: Terms = Terms { let_go: 700.0, refuse: 1600.0, gone: Some((4000.0, 2000.0)) };
-
 /// What is called.
 #[derive(Debug, PartialEq, Eq)]
 enum Call {
     Ready,
-    Suspend(String),
-    Resume(String),
-    Drain,
-    Activate,
+    Ask(Ask),
 }
 
 /// What a call comes to; its status code, and what is told of it.
 struct Word(u16, serde_json::Value);
 
 /// The life of one connection.
-pub fn serve(invoker: &Arc<Invoker>, guest: &Arc<Guest>) {
-    let Some(response) = converse(invoker, guest) else { return };
+pub fn serve(invoker: &Arc<Invoker>, keeper: &Keeper, guest: &Arc<Guest>) {
+    let Some(response) = converse(invoker, keeper, guest) else { return };
     let counters = &invoker.counters;
     if response.status < 300 { &counters.operators_yes } else { &counters.operators_no }.add();
     if guest.answer(&response.encode(false)).is_ok() {
@@ -54,7 +46,7 @@
 }
 
 /// Reads the call and answers it; `None` where the caller left or took too long.
-fn converse(invoker: &Arc<Invoker>, guest: &Arc<Guest>) -> Option<Response> {
+fn converse(invoker: &Invoker, keeper: &Keeper, guest: &Arc<Guest>) -> Option<Response> {
     let (mut raw, mut chunk) = (Intake::new(guest.account(), Purpose::Operators), vec![0; CHUNK]);
     let end = now_ms() + CALL_MS;
     let mut fill = |raw: &mut Intake| match raw.fill(guest, &mut chunk, until(end)) {
@@ -78,8 +70,14 @@
     }
     Some(match route(&head.method, &head.path) {
         Ok(call) => {
-            let Word(status, told) = obey(invoker, &call);
-            tracing::info!(?call, status, "operators");
+            let Word(status, told) = match &call {
+                Call::Ready => ready(invoker),
+                Call::Ask(ask) => {
+                    let end = keeper.ask(ask.clone());
+                    tracing::info!(?ask, ?end, "operators");
+                    heeded(ask, end)
+                }
+            };
             Response::new(status, "application/json", told.to_string().into_bytes())
         }
         Err(response) => response,
@@ -100,10 +98,10 @@
     let words: Vec<&str> = path.strip_prefix("/v1/").unwrap_or_default().split('/').collect();
     let (allowed, call) = match words.as_slice() {
         ["readyz"] => ("GET", Call::Ready),
-        ["hosts", id, "suspend"] => ("PUT", Call::Suspend(unescape(id))),
-        ["hosts", id, "resume"] => ("PUT", Call::Resume(unescape(id))),
-        ["invoker", "drain"] => ("PUT", Call::Drain),
-        ["invoker", "activate"] => ("PUT", Call::Activate),
+        ["hosts", id, "suspend"] => ("PUT", Call::Ask(Ask::Suspend(unescape(id)))),
+        ["hosts", id, "resume"] => ("PUT", Call::Ask(Ask::Resume(unescape(id)))),
+        ["invoker", "drain"] => ("PUT", Call::Ask(Ask::Drain)),
+        ["invoker", "activate"] => ("PUT", Call::Ask(Ask::Activate)),
         _ => return Err(problem(404, "no such path")),
     };
     if method != allowed {
@@ -125,32 +123,36 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
-/// Does what was called for.
-fn obey(invoker: &Arc<Invoker>, call: &Call) -> Word {
-    let host = |id: &str, state: &str, end: Result<(), NotHeeded>| match end {
-        Ok(()) => Word(200, json!({"host": id, "state": state})),
-        Err(NotHeeded::Unknown) => Word(404, json!({"host": id, "detail": "no list ever named this host"})),
-        Err(NotHeeded::NoRoom) => Word(507, json!({"host": id, "detail": "too many hosts are suspended"})),
-    };
-    match call {
-        Call::Ready => match invoker.duty().leaving() {
-            Some(Leave::Ending) => {
-                Word(503, json!({"ready": false, "detail": "this process is about to end"}))
-            }
-            // It could serve; that no clients are wanted is told at the clients' address.
-            leaving => Word(200, json!({"ready": true, "drained": leaving.is_some()})),
-        },
-        Call::Suspend(id) => host(id, "suspended", invoker.suspend(id)),
-        Call::Resume(id) => host(id, "resumed", invoker.resume(id)),
-        Call::Drain => {
-            invoker.leave(Leave::Drained, DRAIN);
-            Word(200, json!({"state": "drained"}))
+/// Whether this process could serve. That the operators want no clients is told at the clients' address: else a
+/// successor of a drained process would never count as ready.
+fn ready(invoker: &Invoker) -> Word {
+    match invoker.duty().leaving() {
+        _ if !invoker.is_serving() => {
+            Word(503, json!({"ready": false, "detail": "this process is starting"}))
         }
-        Call::Activate if invoker.come_back() => Word(200, json!({"state": "active"})),
-        Call::Activate => Word(409, json!({"detail": "this process is about to end"})),
+        Some(Leave::Ending) => Word(503, json!({"ready": false, "detail": "this process is about to end"})),
+        leaving => Word(200, json!({"ready": true, "drained": leaving.is_some()})),
     }
 }
 
+/// What is told of a call that operators made.
+fn heeded(ask: &Ask, end: Result<(), Unheeded>) -> Word {
+    let (host, state) = match ask {
+        Ask::Suspend(host) => (Some(host), "suspended"),
+        Ask::Resume(host) => (Some(host), "resumed"),
+        Ask::Drain => (None, "drained"),
+        Ask::Activate => (None, "active"),
+    };
+    let (status, detail) = match end {
+        Ok(()) => return Word(200, json!({"host": host, "state": state})),
+        Err(Unheeded::Unknown) => (404, "no list ever named this host"),
+        Err(Unheeded::NoRoom) => (507, "too many hosts are suspended"),
+        Err(Unheeded::Ending) => (409, "this process is about to end"),
+        Err(Unheeded::Unwritten) => (503, "not written: what is held back holds here, nothing was lifted"),
+    };
+    Word(status, json!({"host": host, "status": status, "detail": detail}))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -159,9 +161,9 @@
     fn calls_are_told_by_method_and_path() {
         let status = |method: &str, path: &str| route(method, path).map_err(|response| response.status);
         assert_eq!(status("GET", "/v1/readyz"), Ok(Call::Ready));
-        assert_eq!(status("PUT", "/v1/hosts/s-1/suspend"), Ok(Call::Suspend("s-1".into())));
-        assert_eq!(status("PUT", "/v1/hosts/a%2fb%zz%/resume"), Ok(Call::Resume("a/b%zz%".into())));
-        assert_eq!(status("PUT", "/v1/invoker/activate"), Ok(Call::Activate));
+        assert_eq!(status("PUT", "/v1/hosts/s-1/suspend"), Ok(Call::Ask(Ask::Suspend("s-1".into()))));
+        assert_eq!(status("PUT", "/v1/hosts/a%2fb%zz%/resume"), Ok(Call::Ask(Ask::Resume("a/b%zz%".into()))));
+        assert_eq!(status("PUT", "/v1/invoker/activate"), Ok(Call::Ask(Ask::Activate)));
         assert_eq!(status("POST", "/v1/invoker/drain"), Err(405));
         assert_eq!(status("PUT", "/v1/readyz"), Err(405));
         for path in
--- a/crates/node/src/wire/replicate.rs
+++ b/crates/node/src/wire/replicate.rs
@@ -1,12 +1,12 @@
 //! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
-use super::accept::{accept, Guests, House};
+use super::accept::{Door, House};
 use super::socket::Patient;
 use crate::core::{now_ms, until};
 use crate::life::spawn;
 use crate::memory::record::{Record, Stamp};
 use crate::memory::store::Store;
 use corkbay_ledger::{Purpose, Reservation};
-use may::net::{TcpListener, TcpStream};
+use may::net::TcpStream;
 use may::sync::mpsc;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -52,12 +52,16 @@
 /// Called after records of others came in.
 pub type OnNews = Arc<dyn Fn() + Send + Sync>;
 
+/// Listens for other nodes.
+pub fn open(address: SocketAddr, store: &Store) -> io::Result<Arc<Door>> {
+    let account = store.ledger().account(Purpose::Replication).clone();
+    Door::open(address, House { most: CALLERS, stall: STALL, account })
+}
+
 /// Answers other nodes for as long as the process lives.
-pub fn listen(store: Arc<Store>, listener: TcpListener, on_news: OnNews) {
+pub fn listen(store: Arc<Store>, door: Arc<Door>, on_news: OnNews) {
     spawn(move || {
-        let account = store.ledger().account(Purpose::Replication).clone();
-        let house = House { most: CALLERS, stall: STALL, account };
-        accept(&listener, &house, &Guests::default(), move |guest| {
+        door.accept(move |guest| {
             // A swap under way keeps its place.
             guest.opened();
             if let Err(error) = answer(&store, &mut guest.patient(STALL), &on_news) {
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -102,6 +102,8 @@
     account: Account,
     pools: Mutex<HashMap<(WorkerId, SocketAddr), Pool>>,
     connections: Arc<AtomicUsize>,
+    /// Most connections in all.
+    most: AtomicUsize,
     order: AtomicU64,
     dials: Arc<Dials>,
 }
@@ -119,11 +121,17 @@
             account,
             pools: Mutex::new(HashMap::new()),
             connections: Arc::new(AtomicUsize::new(0)),
+            most: AtomicUsize::new(limits.connections),
             order: AtomicU64::new(1 << 62),
             dials: Arc::default(),
         }
     }
 
+    /// Holds so many connections at most from now on; those beyond that end when they are idle.
+    pub fn set_most(&self, most: usize) {
+        self.most.store(most, Ordering::Relaxed);
+    }
+
     /// Puts a frame on a connection to the host, a new one where none has room. With a waiter, the
     /// frame opens an exchange there.
     fn open(
@@ -175,7 +183,7 @@
     fn dial(&self, host: &Arc<Host>) -> Option<Arc<Connection>> {
         let held = self.account.reserve(CONNECTION).ok()?;
         let place = Place(self.connections.clone());
-        if self.connections.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+        if self.connections.fetch_add(1, Ordering::Relaxed) >= self.most.load(Ordering::Relaxed) {
             return None;
         }
         let (outbox, queue) = channel();
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -176,6 +176,9 @@
             std::thread::spawn(move || {
                 let mut clients: Vec<TcpStream> =
                     (0..40).filter_map(|_| TcpStream::connect(address).ok()).collect();
+                // Those that are not let in, or no longer read, are passed over.
+                let patience = Some(Duration::from_millis(10));
+                clients.iter().for_each(|client| client.set_write_timeout(patience).expect("set"));
                 let end = Instant::now() + Duration::from_secs(2);
                 let mut number = thread << 32;
                 while Instant::now() < end {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -112,11 +112,20 @@
 
     /// Starts the platform's front and waits until it listens.
     pub fn platform(config: &Path, address: SocketAddr) -> Self {
+        let daemon = Self::beside(config, address, &[]);
+        until("it listens", || TcpStream::connect(address).is_ok());
+        daemon
+    }
+
+    /// Starts the platform's front with more in its environment, and waits for nothing. What processes of one address
+    /// share stands beside their configuration.
+    pub fn beside(config: &Path, address: SocketAddr, environment: &[(&str, String)]) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_corkbay"));
         command.env("PROXY_CONFIG", config).env("PROXY_LISTEN", address.to_string());
+        command.env("TMPDIR", config.parent().expect("a folder"));
+        command.envs(environment.iter().map(|(name, value)| (name, value)));
         let mut child = spawn(&mut command);
         let errors = gather(&mut child);
-        until("it listens", || TcpStream::connect(address).is_ok());
         Daemon { child, address, replication: None, errors }
     }
 
--- /dev/null
+++ b/crates/node/tests/upgrade.rs
@@ -0,0 +1,158 @@
+//! Two processes of one invoker: a new version is started beside the old one under load, and takes over.
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use support::platform::{dispatch, fields, message, Bench, Client, Reply};
+use support::workers::Act;
+use support::{ask, free_address, until, Daemon};
+
+/// The advice of a process that takes no more requests, in milliseconds.
+const DRAINING: &str = "200";
+
+/// A second process at the same address, with operators' calls at one of its own.
+fn successor(bench: &Bench) -> (Daemon, SocketAddr) {
+    let admin = free_address();
+    let config = bench.folder.0.join("config.json");
+    (Daemon::beside(&config, bench.daemon.address, &[("PROXY_ADMIN", admin.to_string())]), admin)
+}
+
+fn status(admin: SocketAddr, method: &str, path: &str) -> Option<u16> {
+    // Nobody may listen there yet.
+    std::net::TcpStream::connect(admin).ok()?;
+    Some(ask(admin, method, path, &[], b"").status)
+}
+
+fn put(admin: SocketAddr, path: &str) -> u16 {
+    ask(admin, "PUT", path, &[], b"").status
+}
+
+fn until_ready(admin: SocketAddr) {
+    until("the successor is ready", || status(admin, "GET", "/v1/readyz") == Some(200));
+}
+
+/// Guards an upgrade under load: clients that keep a connection as long as they may, and come again when it is closed,
+/// lose no request, are answered once each, and end up with the new process; the old one ends early and with 0.
+#[test]
+fn no_request_is_lost_while_a_successor_takes_over() {
+    let mut bench = Bench::new(&[Act::Serve], 3);
+    let address = bench.daemon.address;
+    let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let clients: Vec<_> = (0..8u64)
+        .map(|client| {
+            let (stop, count) = (stop.clone(), count.clone());
+            std::thread::spawn(move || {
+                let (mut number, mut connection, mut crossed) = (client << 32, None, 0);
+                while !stop.load(Ordering::Relaxed) {
+                    number += 1;
+                    let id = format!("{number:016x}");
+                    let request = dispatch(number as i32, &fields("check", &id, "4000"), b"x");
+                    // A request may cross a close once; it is sent again on a new connection.
+                    let mut tries = 0;
+                    loop {
+                        let client = connection.get_or_insert_with(|| Client::new(address));
+                        let sent = std::io::Write::write_all(&mut client.socket, &request).is_ok();
+                        match client.receive().filter(|_| sent) {
+                            Some((seqid, Reply::Answer(body))) => {
+                                assert_eq!((seqid, body), (number as i32, b"done: x".to_vec()));
+                                break;
+                            }
+                            // The decisions may refuse what they like, but nobody is turned away for the upgrade.
+                            Some((_, Reply::Rejected(advice)))
+                                if advice.get("cooldown").is_some_and(|span| span != DRAINING) =>
+                            {
+                                break
+                            }
+                            Some(other) => panic!("{other:?}"),
+                            None => {
+                                (connection, tries, crossed) = (None, tries + 1, crossed + 1);
+                                assert!(tries < 2, "a new connection is closed, too");
+                            }
+                        }
+                    }
+                    count.fetch_add(1, Ordering::Relaxed);
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                crossed
+            })
+        })
+        .collect();
+    until("clients are served", || count.load(Ordering::Relaxed) > 100);
+    let (next, admin) = successor(&bench);
+    until_ready(admin);
+    bench.daemon.signal("TERM");
+    assert_eq!(bench.daemon.exit_code(), Some(0), "{}", bench.daemon.errors());
+    let served = count.load(Ordering::Relaxed);
+    until("the successor serves", || count.load(Ordering::Relaxed) > served + 200);
+    stop.store(true, Ordering::Relaxed);
+    let crossed: i32 = clients.into_iter().map(|client| client.join().expect("no request is lost")).sum();
+    println!("{} requests, {crossed} crossed a close", count.load(Ordering::Relaxed));
+    assert!(crossed <= 8, "each connection is closed once at most: {crossed}");
+    next.signal("USR1");
+    until("the successor took clients", || next.errors().contains("taken="));
+    assert!(!next.errors().contains("taken=0 "), "{}", next.errors());
+}
+
+/// Guards bans and drains over an upgrade: what one process was told binds the other, whichever it was, and the
+/// successor keeps it once it is alone.
+#[test]
+fn what_operators_asked_for_passes_to_the_successor_and_back() {
+    let mut bench = Bench::new(&[Act::Serve], 2);
+    assert_eq!(put(bench.admin, "/v1/hosts/h0/suspend"), 200);
+    let (next, admin) = successor(&bench);
+    until_ready(admin);
+    // Told to the successor, while both serve.
+    assert_eq!(put(admin, "/v1/hosts/h0/resume"), 200);
+    assert_eq!(put(admin, "/v1/hosts/h1/suspend"), 200);
+    std::thread::sleep(Duration::from_millis(300));
+    // Whichever process a connection comes to.
+    for number in 0..12u64 {
+        let mut client = bench.client();
+        client.send(&dispatch(1, &fields("check", &format!("{:016x}", 0xd0 + number), "4000"), b"x"));
+        assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
+    }
+    assert!(bench.fleet.sent().iter().all(|sent| sent.worker == "h0"), "{:?}", bench.fleet.sent());
+    assert_eq!(put(bench.admin, "/v1/invoker/drain"), 200);
+    std::thread::sleep(Duration::from_millis(300));
+    let mut front = bench.client();
+    front.send(&message(1, "alive", 1, &[2, 0, 1, 1, 0]));
+    front.receive().expect("answered");
+    assert!(!front.good, "whichever process it asked");
+    bench.daemon.signal("TERM");
+    assert_eq!(bench.daemon.exit_code(), Some(0));
+    assert_eq!(status(admin, "GET", "/v1/readyz"), Some(200), "drained, it could serve");
+    assert_eq!(put(admin, "/v1/invoker/activate"), 200);
+    let before = bench.fleet.sent().len();
+    let mut client = Client::new(next.address);
+    client.send(&dispatch(1, &fields("check", "00000000000000e1", "4000"), b"x"));
+    assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
+    assert!(bench.fleet.sent()[before..].iter().all(|sent| sent.worker == "h0"));
+}
+
+/// Guards the old process where the new one fails: it goes on as if nothing had been, and its end is one without a
+/// successor.
+#[test]
+fn a_successor_that_dies_changes_nothing() {
+    let mut bench = Bench::new(&[Act::Serve], 1);
+    let (mut next, admin) = successor(&bench);
+    until_ready(admin);
+    next.child.kill().expect("own child");
+    next.child.wait().expect("own child");
+    until("it is seen", || bench.daemon.errors().contains("processes=1"));
+    for number in 0..4 {
+        let mut client = bench.client();
+        client.send(&dispatch(1, &fields("check", &format!("{:016x}", 0xf0 + number), "4000"), b"x"));
+        assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
+    }
+    bench.daemon.signal("TERM");
+    std::thread::sleep(Duration::from_millis(300));
+    let mut late = bench.client();
+    late.send(&dispatch(1, &fields("check", "00000000000000fa", "4000"), b"x"));
+    assert!(
+        matches!(late.receive(), Some((1, Reply::Answer(_)))),
+        "without a successor it still takes clients"
+    );
+    assert_eq!(bench.daemon.exit_code(), Some(0));
+}
