--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -28,6 +28,9 @@
 /// Unusable messages after which a connection is closed, and how many of them are written to the log.
 const STRIKES: u32 = 64;
 const LOGGED: u32 = 3;
+/// Chunks that may be read in a row that a client keeps full, and the rest after them.
+const TURN_CHUNKS: u32 = 4;
+const TURN_REST: Duration = Duration::from_millis(1);
 /// How often a connection that is let go is looked at.
 const LET_GO_LOOK: Duration = Duration::from_millis(20);
 /// Advice to a client that opens more than it may.
@@ -65,7 +68,7 @@
 /// Reads messages until the connection ends, is no longer kept or can't be read any further.
 fn receive(invoker: &Arc<Invoker>, guest: &Arc<Guest>, open: &Open) -> Result<(), Malformed> {
     let (mut intake, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
-    let (mut begun, mut strikes, mut last_request) = (0.0, 0, 0.0);
+    let (mut begun, mut strikes, mut last_request, mut full_chunks) = (0.0, 0, 0.0, 0);
     loop {
         let Some(message) = thrift::unframe(intake.bytes())? else {
             let (stance, since) = guest.stance();
@@ -91,7 +94,16 @@
                     guest.wait_for_an_end(LET_GO_LOOK);
                 }
                 Ok(0) => return Ok(()),
-                Ok(_) => begun = if fresh { now_ms() } else { begun },
+                Ok(size) => {
+                    begun = if fresh { now_ms() } else { begun };
+                    full_chunks = if size < CHUNK { 0 } else { full_chunks + 1 };
+                    if full_chunks >= TURN_CHUNKS {
+                        // Reading what is there never waits, and who never waits holds up all others. A yield would not
+                        // do: the scheduler asks for events once its queue is empty.
+                        full_chunks = 0;
+                        may::coroutine::sleep(TURN_REST);
+                    }
+                }
                 Err(error) if error.kind() == ErrorKind::TimedOut => {
                     // An answer may have gone out, or a request may have ended, while this waited.
                     if !intake.is_empty() || guest.stance() == (stance, since) && stance != Stance::Busy {
