Answers of up to 256 KiB pass, and whoever takes some of an answer keeps its connection

Cause: frames over 64 KiB ended the worker's connection (wire/frames.rs, MAX_BODY), and with it all that was open there; a client's answer had 2 s in all (wire/socket.rs, write_all). Change: 256 KiB; writes wait 2 s for progress; the body is given back before its encoded copy is written, and both count.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -587,11 +587,11 @@
         answer
     }
 
-    /// Counts the answer on the call until it is written. Where there is no room it waits a little, and is
-    /// counted all the same: it is owed.
+    /// Counts the answer on the call until it is written: once, and once more as it is written. Where there is no room
+    /// it waits a little, and is counted all the same: it is owed.
     fn hold(&self, body: &Vec<u8>) {
         let held = &mut *lock(&self.held);
-        let bytes = CALL + self.call.size() + body.capacity();
+        let bytes = CALL + self.call.size() + 2 * body.capacity();
         if let Err(full) = held.resize(bytes) {
             // It must still be written in time.
             let left = (self.call.request.expires - now_ms()) / 2.0;
--- a/crates/node/src/life/deploy.rs
+++ b/crates/node/src/life/deploy.rs
@@ -10,6 +10,9 @@
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::{Path, PathBuf};
 
+/// Largest answer where the file sets none, in KiB: calls that are kept hold room for one from the start.
+const USUAL_ANSWER_KB: usize = 64;
+
 /// The whole file.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -191,7 +194,7 @@
             streams: 32,
             keep_ms: 10_000.0,
             max_retry_after_ms: 1000.0,
-            answer_kb: MAX_BODY / KIB,
+            answer_kb: USUAL_ANSWER_KB,
         }
     }
 }
--- a/crates/node/src/wire/frames.rs
+++ b/crates/node/src/wire/frames.rs
@@ -36,8 +36,8 @@
 
 const HEAD: usize = 16;
 const TAIL: usize = 4;
-/// Largest body that is read: four times what a request may hold.
-pub const MAX_BODY: usize = 64 << 10;
+/// Largest body that is read: the next power of two above the longest answers that workers give (230,000 bytes).
+pub const MAX_BODY: usize = 256 << 10;
 
 /// One frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -23,7 +23,7 @@
 const SILENT_MS: Ms = 1000.0;
 /// Longest time from a message's first byte to its last.
 const MESSAGE_MS: Ms = 1500.0;
-/// Longest time for which a client may stop reading while an answer is written to it.
+/// Longest time for which a client may take nothing of an answer that is written to it.
 pub const WRITE_STALL: Duration = Duration::from_secs(2);
 /// Unusable messages after which a connection is closed, and how many of them are written to the log.
 const STRIKES: u32 = 64;
@@ -132,7 +132,7 @@
             }
             Ok(Message::Alive { seqid }) => {
                 let good = invoker.duty().leaving().is_none();
-                write(guest, &thrift::reply("alive", seqid, &Reply::Answer { body: Vec::new(), good }));
+                write(guest, &thrift::reply("alive", seqid, Reply::Answer { body: Vec::new(), good }));
                 Ok(())
             }
             Err(malformed) => match &malformed.call {
@@ -170,7 +170,7 @@
     fields: &Fields,
     body: Vec<u8>,
 ) -> Result<(), &'static str> {
-    let answer_now = |reply| write(guest, &thrift::reply("dispatch", seqid, &reply));
+    let answer_now = |reply| write(guest, &thrift::reply("dispatch", seqid, reply));
     if lock(open).len() >= OPEN {
         answer_now(rejected(CROWDED_MS));
         return Ok(());
@@ -202,7 +202,7 @@
                     Answer::Withdrawn => None,
                 };
                 if let Some(reply) = reply {
-                    write(&guest, &thrift::reply("dispatch", seqid, &reply));
+                    write(&guest, &thrift::reply("dispatch", seqid, reply));
                 }
                 guest.closed();
                 // What is owed is owed until the answer is written.
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -8,7 +8,7 @@
 use may::sync::Mutex;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// The shortest wait that a timer is set for.
 const LEAST: Duration = Duration::from_millis(1);
@@ -17,12 +17,12 @@
 pub struct Socket {
     stream: TcpStream,
     writing: Mutex<()>,
-    /// How long the other side may let a message stand unread in all.
+    /// How long the other side may take nothing of a message.
     stall: Duration,
 }
 
 impl Socket {
-    /// Wraps a stream; a message that is not taken within `stall` ends the connection.
+    /// Wraps a stream; a message of which nothing is taken for `stall` ends the connection.
     pub fn new(stream: TcpStream, stall: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         Ok(Socket { stream, writing: Mutex::new(()), stall })
@@ -64,27 +64,22 @@
     }
 
     fn write_all(&self, mut rest: &[u8]) -> io::Result<()> {
-        let end = Instant::now() + self.stall;
         // A second registration to wait on, once the buffer proves full.
         let mut second: Option<TcpStream> = None;
         while !rest.is_empty() {
             let written = match &mut second {
                 None => self.stream.inner().write(rest),
-                Some(stream) => {
-                    let left = end.saturating_duration_since(Instant::now());
-                    if left < LEAST {
-                        return Err(ErrorKind::TimedOut.into());
-                    }
-                    stream.set_write_timeout(Some(left))?;
-                    stream.write(rest)
-                }
+                Some(stream) => stream.write(rest),
             };
             match written {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(size) => rest = &rest[size..],
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock && second.is_none() => {
-                    second = Some(self.stream.try_clone()?);
+                    let stream = self.stream.try_clone()?;
+                    // Each wait by itself: whoever takes some of a message is given time for the rest.
+                    stream.set_write_timeout(Some(self.stall.max(LEAST)))?;
+                    second = Some(stream);
                 }
                 Err(error) => return Err(error),
             }
@@ -162,6 +157,24 @@
         assert!(got == long && writing.join().expect("no panic").is_ok());
     }
 
+    /// Guards long answers to slow readers: a message takes far longer in all than its reader may take nothing of it.
+    #[test]
+    fn a_message_that_is_taken_slowly_is_written_whole() {
+        let (socket, mut other) = pair(Duration::from_millis(400));
+        let long = vec![7; 24 << 20];
+        let size = long.len();
+        let writing = spawn(move || socket.write(&long).map_err(|error| error.kind()));
+        let (mut got, mut chunk) = (0, vec![0; 1 << 20]);
+        while got < size {
+            std::thread::sleep(Duration::from_millis(40));
+            match other.read(&mut chunk).expect("not ended") {
+                0 => break,
+                read => got += read,
+            }
+        }
+        assert_eq!((got, writing.join().expect("no panic")), (size, Ok(())));
+    }
+
     /// Guards against a client that never reads and so holds whoever writes to it.
     #[test]
     fn a_message_left_unread_ends_the_connection() {
--- a/crates/node/src/wire/thrift.rs
+++ b/crates/node/src/wire/thrift.rs
@@ -275,11 +275,16 @@
     }
 }
 
-/// The framed reply to a call of `method`.
-pub fn reply(method: &str, seqid: i32, reply: &Reply) -> Vec<u8> {
+/// Room for what stands round an answer's body.
+const ANSWER_ROOM: usize = 64;
+
+/// The framed reply to a call of `method`, whose body is given back before it is written.
+pub fn reply(method: &str, seqid: i32, reply: Reply) -> Vec<u8> {
     let mut writer = Writer::message(REPLY, method, seqid);
-    match reply {
+    match &reply {
         Reply::Answer { body, good } => {
+            // A long answer must not double what it takes while it is copied.
+            writer.0.reserve_exact(body.len() + ANSWER_ROOM);
             writer.field(STRUCT, 0);
             writer.field(STRING, 1);
             writer.bytes(body);
@@ -289,7 +294,7 @@
             writer.0.push(u8::from(*good));
         }
         Reply::Rejected(fields) | Reply::Crashed(fields) => {
-            writer.field(STRUCT, if matches!(reply, Reply::Rejected(_)) { 1 } else { 2 });
+            writer.field(STRUCT, if matches!(&reply, Reply::Rejected(_)) { 1 } else { 2 });
             writer.field(MAP, 1);
             writer.map(fields);
         }
