First calls of a few front ends to a cold worker need no draw

Checked: all of the calls that would go there are drawn for (src/brain.rs, admitted), and homes follow warmth (homes), so a front end with little traffic has hardly a model whose home is a cold worker: of 40 models 0.9 at a fifth of its capacity. Change: where front ends are at most 4, a cold worker ranks like any other until the first call wants it, and that call is let in; with more, the first calls of all together stay at 4. The many-front-ends test now tells the front ends how many they are.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,6 +18,8 @@
 const MEMORY: f64 = 4.0;
 /// Part of the allowed multiple that all front ends together may use on a worker that is nearly warm.
 const COLD_PART: f64 = 1.0;
+/// First calls to a cold worker, of all front ends together, that need no draw: where those are few.
+const FIRST_CALLS: f64 = 4.0;
 /// Time after which the homes of models are ranked anew, as cold workers grow warm.
 const STEP: Ms = 1000.0;
 /// Retries of calls that may have run, as a part of the calls taken.
@@ -609,10 +611,8 @@
 
     /// Whether a call may go to a worker now, as far as the rules go.
     fn open(&self, worker: &Worker, pending: &Pending) -> bool {
-        if !worker.ready || worker.full_until > self.now || f64::from(worker.out) >= worker.limit {
-            return false;
-        }
-        self.within_group(worker, pending)
+        let shut = !worker.ready || worker.full_until > self.now || f64::from(worker.out) >= worker.limit;
+        !shut && self.within_group(worker, pending)
     }
 
     /// Whether a keyed call that may have run may go to a worker.
@@ -768,17 +768,7 @@
         holder.out += 1;
         worker.lines.insert(model);
         let (warm, life) = (holder.stands(now, keep), worker.life);
-        let flight = Flight {
-            worker: at,
-            life,
-            model,
-            class,
-            sent: now,
-            warm,
-            overdue: false,
-            called_off: false,
-            lost: false,
-        };
+        let flight = Flight { worker: at, life, model, class, sent: now, warm, ..Flight::default() };
         self.plan(now + self.patience(&flight), Due::Answer(id, attempt));
         self.flights.insert((id, attempt), flight);
         act.push(Action::Send { id, worker: at, within: 0.0 });
@@ -813,7 +803,9 @@
         let even = self.taking.at(now, set.keep) / self.ready.max(1) as f64;
         worker.wanted.add(now, set.keep);
         let part = capacity * set.fall_multiple * COLD_PART * even / worker.wanted.at(now, set.keep);
-        let drawn = self.rng.random::<f64>() < part;
+        let first = worker.wanted.at(now, set.keep) <= 1.0;
+        let least = if first { FIRST_CALLS / f64::from(set.front_ends) } else { 0.0 };
+        let drawn = self.rng.random::<f64>() < part.max(least);
         pending.cold = Some((at, drawn, now));
         drawn
     }
@@ -837,8 +829,11 @@
         // By the same clock, so that all see cold workers grow in the same steps.
         let now = (self.now / STEP).floor() * STEP;
         if model.homes_of != (self.roster_of, now) {
+            let few = f64::from(self.set.front_ends) <= FIRST_CALLS;
             let key = |(id, worker): (&WorkerId, &Worker)| {
-                let warmth = worker.warmth(now, &self.set);
+                // Where a first call does no harm, a cold worker is looked at like any other until it comes.
+                let untried = few && worker.wanted.last <= 0.0;
+                let warmth = if untried { 1.0 } else { worker.warmth(now, &self.set) };
                 (worker.zone != self.set.zone, rank(worker, name, warmth), *id)
             };
             let mut ranked: Vec<_> = self.workers.iter().filter(|entry| entry.1.ready).map(key).collect();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 pub type Ms = f64;
 
 /// A worker, numbered by the host; the number is stable for the life of one dispatcher.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerId(pub u32);
 
 /// A request; never reused.
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,7 @@
 }
 
 /// An attempt that has no outcome yet.
+#[derive(Default)]
 pub(crate) struct Flight {
     pub worker: WorkerId,
     pub life: u32,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -162,14 +162,37 @@
     assert!(counts[2] <= 25, "{counts:?}");
 }
 
+/// Guards hosts that come back from maintenance at one of a few front ends with little traffic: the draw alone left
+/// some of them without any call for as long as they were cold.
+#[test]
+fn a_cold_worker_is_in_use_soon_where_front_ends_are_few() {
+    for seed in 0..20 {
+        let list = || (0..10).map(|worker| entry(worker, 0)).collect::<Vec<_>>();
+        let mut front = Front::new(settings(), list());
+        front.dispatcher = Dispatcher::new(settings(), seed);
+        front.tell(Event::Roster(Roster::Whole(list())));
+        let born = front.now;
+        front.tell(Event::Roster(Roster::Changes(vec![RosterEntry { born, ..entry(2, 0) }])));
+        let mut used = false;
+        for id in 1..=40 {
+            front.now += 100.0;
+            let at = bring(&mut front, call(id, 0, id % 40, 90000.0));
+            used |= at == 2;
+            front.end(id, 0, at, Outcome::Ok);
+        }
+        assert!(used, "seed {seed}");
+    }
+}
+
 /// Sends to the cold one of ten workers, and all sends, by many front ends in a second and a half.
 fn cold_share(fronts: u64, calls_of: impl Fn(u64) -> u64) -> (usize, usize) {
     let (mut cold, mut all) = (0, 0);
     for number in 0..fronts {
         let mut list: Vec<_> = (0..10).map(|worker| entry(worker, 0)).collect();
         list[2].born = 900.0;
-        let mut front = Front::new(settings(), list);
-        front.dispatcher = Dispatcher::new(settings(), number);
+        let settings = Settings { front_ends: fronts as u32, ..settings() };
+        let mut front = Front::new(settings.clone(), list);
+        front.dispatcher = Dispatcher::new(settings, number);
         let list = (0..10)
             .map(|worker| RosterEntry { born: if worker == 2 { 900.0 } else { 0.0 }, ..entry(worker, 0) });
         front.tell(Event::Roster(Roster::Whole(list.collect())));
