A process with a successor takes requests for 1 s instead of 2, so what is open can end

Checked: its connections carry many requests at once and are hardly ever empty, so what stood open when it began to refuse (2.0 s after SIGTERM) had 1.45 s left (life/platform.rs, SUCCEEDED_TAKES), less than calls may take. Ruled out: connections not let in (0 'not taken').

--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -22,7 +22,7 @@
 /// later than this is lost if it has no answer when SIGKILL comes, so it is refused.
 pub const STILL_TAKING: Duration = Duration::from_millis(700);
 /// With a successor, what comes on connections that are owed something is taken for so long.
-const SUCCEEDED_TAKES: Duration = Duration::from_millis(2000);
+const SUCCEEDED_TAKES: Duration = Duration::from_millis(1000);
 /// How often an end is looked at.
 const END_LOOK: Duration = Duration::from_millis(10);
 /// Longest wait of a successor for the command channel: it is due to serve within 6 s, news or none.
