--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -152,7 +152,6 @@
     settled: Condvar,
     duty: Mutex<Duty>,
     duty_changed: Condvar,
-    has_word: AtomicBool,
     serving: AtomicBool,
     /// Numbers and names of classes, tenants, zones and kinds.
     pub names: Names,
@@ -200,7 +199,6 @@
             settled: Condvar::new(),
             duty: Mutex::default(),
             duty_changed: Condvar::new(),
-            has_word: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             names,
             settings,
@@ -286,16 +284,6 @@
         lock(&self.directory).may_resume(name)
     }
 
-    /// The operators' word of an earlier process is known here.
-    pub fn word_is_known(&self) {
-        self.has_word.store(true, Ordering::Release);
-    }
-
-    /// Whether it is.
-    pub fn has_word(&self) -> bool {
-        self.has_word.load(Ordering::Acquire)
-    }
-
     /// Clients can come from now on.
     pub fn serving(&self) {
         self.serving.store(true, Ordering::Release);
--- a/crates/node/src/life/handover.rs
+++ b/crates/node/src/life/handover.rs
@@ -11,6 +11,7 @@
 use std::io::{self, Read, Seek, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -99,12 +100,19 @@
     Serving,
 }
 
+/// What the thread that keeps the files tells all others.
+struct Told {
+    company: Mutex<Company>,
+    /// The word that stands is known here.
+    knows: AtomicBool,
+}
+
 /// The operators' word as this process keeps it, alone or beside another.
 #[derive(Clone)]
 pub struct Keeper {
     invoker: Arc<Invoker>,
-    /// To the thread that keeps the files; none where nothing is shared.
-    files: Option<(Sender<Order>, Arc<Mutex<Company>>)>,
+    /// To the thread that keeps the files, and what it tells; none where nothing is shared.
+    files: Option<(Sender<Order>, Arc<Told>)>,
 }
 
 impl Keeper {
@@ -120,23 +128,16 @@
         on_company: impl Fn(usize) + Send + 'static,
     ) -> io::Result<Self> {
         let (orders, queue) = channel();
-        let company = Arc::new(Mutex::new(files.company));
-        let clerk = Clerk {
-            invoker: invoker.clone(),
-            files,
-            known: None,
-            seen: None,
-            company: company.clone(),
-            failing: false,
-        };
+        let clerk = Clerk::new(invoker, files);
+        let told = clerk.told.clone();
         let thread = std::thread::Builder::new().name("handover".into()).stack_size(STACK);
         thread.spawn(move || clerk.run(&queue, on_company))?;
-        Ok(Keeper { invoker: invoker.clone(), files: Some((orders, company)) })
+        Ok(Keeper { invoker: invoker.clone(), files: Some((orders, told)) })
     }
 
     /// The processes that serve.
     pub fn company(&self) -> Company {
-        self.files.as_ref().map_or_else(Company::default, |(_, company)| *crate::core::lock(company))
+        self.files.as_ref().map_or_else(Company::default, |(_, told)| *crate::core::lock(&told.company))
     }
 
     /// Tells the other process that this one serves.
@@ -148,7 +149,7 @@
 
     /// Whether the word that stands is known here: before that a successor must not serve.
     pub fn knows(&self) -> bool {
-        self.files.is_none() || self.invoker.has_word()
+        self.files.as_ref().is_none_or(|(_, told)| told.knows.load(Ordering::Acquire))
     }
 
     /// Does what operators ask for.
@@ -192,33 +193,14 @@
             OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
         };
         let seats = [open(0)?, open(1)?];
-        let end = Instant::now() + LOCK_WAIT;
-        loop {
-            for number in 0..2 {
-                match seats[number].try_lock() {
-                    Ok(()) => {
-                        let [first, second] = seats;
-                        let (mut seat, other) = if number == 0 { (first, second) } else { (second, first) };
-                        say(&mut seat, b"")?;
-                        let mut files = Files {
-                            folder: folder.to_path_buf(),
-                            number,
-                            seat,
-                            other,
-                            company: Company::default(),
-                        };
-                        files.company = Company::new(files.look_at_other());
-                        return Ok(files);
-                    }
-                    Err(TryLockError::WouldBlock) => {}
-                    Err(TryLockError::Error(error)) => return Err(error),
-                }
-            }
-            if Instant::now() >= end {
-                return Err(io::ErrorKind::WouldBlock.into());
-            }
-            std::thread::sleep(LOCK_PAUSE);
-        }
+        let number = lock_one(&seats)?.ok_or(io::ErrorKind::WouldBlock)?;
+        let [first, second] = seats;
+        let (mut seat, other) = if number == 0 { (first, second) } else { (second, first) };
+        say(&mut seat, b"")?;
+        let (folder, company) = (folder.to_path_buf(), Company::default());
+        let mut files = Files { folder, number, seat, other, company };
+        files.company = Company::new(files.look_at_other());
+        Ok(files)
     }
 
     /// Into how many parts the invoker's limits go.
@@ -264,15 +246,8 @@
     fn alone<T>(&self, task: impl FnOnce() -> io::Result<T>) -> io::Result<T> {
         let path = self.folder.join("lock");
         let lock = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
-        let end = Instant::now() + LOCK_WAIT;
-        loop {
-            match lock.try_lock() {
-                Ok(()) => return task(),
-                Err(TryLockError::WouldBlock) if Instant::now() < end => std::thread::sleep(LOCK_PAUSE),
-                Err(TryLockError::WouldBlock) => return Err(io::ErrorKind::TimedOut.into()),
-                Err(TryLockError::Error(error)) => return Err(error),
-            }
-        }
+        lock_one(std::slice::from_ref(&lock))?.ok_or(io::ErrorKind::TimedOut)?;
+        task()
     }
 
     fn write(&self, word: &Word) -> io::Result<()> {
@@ -284,6 +259,24 @@
     }
 }
 
+/// Locks the first of the files that is free; tells which, or none where all stay locked for [`LOCK_WAIT`].
+fn lock_one(files: &[File]) -> io::Result<Option<usize>> {
+    let end = Instant::now() + LOCK_WAIT;
+    loop {
+        for (number, file) in files.iter().enumerate() {
+            match file.try_lock() {
+                Ok(()) => return Ok(Some(number)),
+                Err(TryLockError::WouldBlock) => {}
+                Err(TryLockError::Error(error)) => return Err(error),
+            }
+        }
+        if Instant::now() >= end {
+            return Ok(None);
+        }
+        std::thread::sleep(LOCK_PAUSE);
+    }
+}
+
 fn say(seat: &mut File, text: &[u8]) -> io::Result<()> {
     seat.set_len(0)?;
     seat.rewind()?;
@@ -298,12 +291,18 @@
     known: Option<Word>,
     /// The record that was read last.
     seen: Option<Option<(u64, i64, i64, u64)>>,
-    company: Arc<Mutex<Company>>,
+    told: Arc<Told>,
     /// The last look met a failure, which is logged once.
     failing: bool,
 }
 
 impl Clerk {
+    fn new(invoker: &Arc<Invoker>, files: Files) -> Self {
+        let told = Told { company: Mutex::new(files.company), knows: AtomicBool::new(false) };
+        let (invoker, told) = (invoker.clone(), Arc::new(told));
+        Clerk { invoker, files, known: None, seen: None, told, failing: false }
+    }
+
     fn run(mut self, queue: &Receiver<Order>, on_company: impl Fn(usize)) {
         loop {
             self.look_at_company(&on_company);
@@ -334,7 +333,7 @@
     fn look_at_company(&mut self, on_company: &impl Fn(usize)) {
         let seen = self.files.look_at_other();
         let (changed, parts) = {
-            let mut company = crate::core::lock(&self.company);
+            let mut company = crate::core::lock(&self.told.company);
             (company.look(seen), company.parts())
         };
         if changed {
@@ -352,7 +351,7 @@
             Look::Same => {}
             Look::Newer(word) => self.know(word),
             Look::Restore => self.restore()?,
-            Look::Wait if crate::core::lock(&self.company).other().is_some() => return Ok(()),
+            Look::Wait if crate::core::lock(&self.told.company).other().is_some() => return Ok(()),
             Look::Wait => {
                 tracing::error!("handover: the operators' word is damaged and nobody knows what it said");
                 self.know(Word::default());
@@ -366,7 +365,7 @@
     fn know(&mut self, word: Word) {
         obey(&self.invoker, &word);
         self.known = Some(word);
-        self.invoker.word_is_known();
+        self.told.knows.store(true, Ordering::Release);
     }
 
     /// Writes what is known, unless somebody who knows better wrote meanwhile.
@@ -386,19 +385,20 @@
     fn heed(&mut self, ask: &Ask) -> Result<(), Unheeded> {
         let before = self.known.clone().unwrap_or_default();
         let now = crate::core::now_ms();
+        let next = |mut word: Word| {
+            ask.apply(&mut word, now);
+            word.version += 1;
+            word
+        };
         if ask.holds() {
             // At once, whatever becomes of the file.
-            let mut word = before.clone();
-            ask.apply(&mut word, now);
-            obey(&self.invoker, &word);
+            obey(&self.invoker, &next(before.clone()));
         }
         let written = self.files.alone(|| {
-            let mut word = match look(self.files.read(), Some(&before)) {
+            let word = next(match look(self.files.read(), Some(&before)) {
                 Look::Newer(word) => word,
                 Look::Same | Look::Restore | Look::Wait => before.clone(),
-            };
-            ask.apply(&mut word, now);
-            word.version += 1;
+            });
             self.files.write(&word).map(|()| word)
         });
         match written {
@@ -410,10 +410,7 @@
                 tracing::error!(%error, ?ask, "handover: not written");
                 if ask.holds() {
                     // Newer than what stands: written as soon as that can be done.
-                    let mut word = before;
-                    ask.apply(&mut word, now);
-                    word.version += 1;
-                    self.know(word);
+                    self.know(next(before));
                     self.seen = None;
                 }
                 Err(Unheeded::Unwritten)
@@ -446,9 +443,7 @@
         let account = ledger.account(corkbay_ledger::Purpose::Workers).clone();
         let workers = Arc::new(crate::wire::workers::FrameWorkers::new(limits, account));
         let files = Files::join(folder).expect("a seat");
-        let company = Arc::new(Mutex::new(files.company));
-        let invoker = Invoker::new(&setup, 1, workers, ledger);
-        Clerk { invoker, files, known: None, seen: None, company, failing: false }
+        Clerk::new(&Invoker::new(&setup, 1, workers, ledger), files)
     }
 
     fn suspend(name: &str) -> Ask {
@@ -463,7 +458,7 @@
         old.look_at_word().expect("nothing stands");
         assert_eq!(old.heed(&suspend("a")), Ok(()));
         let mut new = clerk(&folder);
-        assert_eq!(new.company.lock().expect("whole").other(), Some(Other::Predecessor));
+        assert_eq!(new.told.company.lock().expect("whole").other(), Some(Other::Predecessor));
         new.look_at_word().expect("read");
         assert!(new.invoker.bans().is_out("a"));
         assert_eq!(new.heed(&suspend("b")), Ok(()));
@@ -479,7 +474,7 @@
         assert_eq!(new.invoker.duty().leaving(), None);
         drop((old, new));
         let mut later = clerk(&folder);
-        assert_eq!(later.company.lock().expect("whole").other(), None, "seats end with their processes");
+        assert_eq!(later.told.company.lock().expect("whole").other(), None, "seats end with their processes");
         later.look_at_word().expect("read");
         assert!(later.invoker.bans().is_out("b"));
         let _ = std::fs::remove_dir_all(&folder);
@@ -498,11 +493,11 @@
             std::fs::write(folder.join("word"), damage).expect("torn");
             let mut new = clerk(&folder);
             new.look_at_word().expect("looked at");
-            assert!(!new.invoker.has_word(), "it waits for its predecessor");
+            assert!(!new.told.knows.load(Ordering::Acquire), "it waits for its predecessor");
             old.look_at_word().expect("restored");
             assert!(old.invoker.bans().is_out("a"));
             new.look_at_word().expect("read");
-            assert!(new.invoker.has_word() && new.invoker.bans().is_out("a"));
+            assert!(new.told.knows.load(Ordering::Acquire) && new.invoker.bans().is_out("a"));
         }
         std::fs::remove_file(folder.join("word")).expect("gone");
         old.look_at_word().expect("restored");
@@ -512,7 +507,7 @@
         std::fs::write(folder.join("word"), b"nonsense").expect("torn");
         let mut later = clerk(&folder);
         later.look_at_word().expect("set aside");
-        assert!(later.invoker.has_word() && folder.join("word.damaged").exists());
+        assert!(later.told.knows.load(Ordering::Acquire) && folder.join("word.damaged").exists());
         let _ = std::fs::remove_dir_all(&folder);
     }
 
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -211,13 +211,13 @@
 /// has to tell. Alone there is nobody who could serve meanwhile.
 fn wait_for_news(keeper: &Keeper, channel: &Line) {
     let start = Instant::now();
-    while keeper.company().other().is_some() && !keeper.knows()
-        || keeper.company().other().is_some() && !channel.is_heard() && start.elapsed() < CHANNEL_WAIT
-    {
+    let accompanied = || keeper.company().other().is_some();
+    let deaf = || !channel.is_heard() && start.elapsed() < CHANNEL_WAIT;
+    while accompanied() && (!keeper.knows() || deaf()) {
         std::thread::sleep(NEWS_LOOK);
     }
     // What stood in the channel comes at once, event by event.
-    if keeper.company().other().is_some() {
+    if accompanied() {
         std::thread::sleep(NEWS_REST);
     }
 }
--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -158,11 +158,9 @@
 
     /// Whether a host can be let back: some list named it.
     pub fn may_resume(&self, name: &str) -> Result<(), NotHeeded> {
-        let listed = self.numbers.contains_key(name) || self.bans.is_out(name);
-        if !listed && !self.forgotten.contains(&hash(name)) {
-            return Err(NotHeeded::Unknown);
-        }
-        Ok(())
+        let known = self.numbers.contains_key(name) || self.bans.is_out(name);
+        let listed = known || self.forgotten.contains(&hash(name));
+        listed.then_some(()).ok_or(NotHeeded::Unknown)
     }
 
     /// Takes over the operators' word on all hosts; what the decisions are to hear of those for which it has changed.
@@ -264,11 +262,14 @@
             weight: listing.weight,
             born: listing.born,
         };
-        // The same worker at another address: connections to the old one are not its own.
-        let before = self.hosts.remove(&number).map(|known| known.host);
-        before.iter().filter(|host| host.address != listing.address).for_each(|host| host.bar(true));
-        let host = before.filter(|host| host.address == listing.address);
-        let host = host.unwrap_or_else(|| Host::new(number, &listed.name, listing.address));
+        let host = match self.hosts.remove(&number).map(|known| known.host) {
+            Some(host) if host.address == listing.address => host,
+            before => {
+                // The same worker at another address: connections to the old one are not its own.
+                before.into_iter().for_each(|host| host.bar(true));
+                Host::new(number, &listed.name, listing.address)
+            }
+        };
         let known = self.hosts.entry(number).or_insert(Known { host, listed });
         Some(known.fold(&self.bans))
     }
--- a/crates/node/src/memory/seats.rs
+++ b/crates/node/src/memory/seats.rs
@@ -60,11 +60,12 @@
         self.seats.entry(number).and_modify(|seat| seat.open += 1);
     }
 
-    /// A request on it has come to its end.
-    pub fn closed(&mut self, number: u64, now: Ms) {
-        self.seats.entry(number).and_modify(|seat| {
+    /// A request on it has come to its end; tells whether it was let go.
+    pub fn closed(&mut self, number: u64, now: Ms) -> bool {
+        self.seats.get_mut(&number).is_some_and(|seat| {
             (seat.open, seat.since) = (seat.open.saturating_sub(1), now);
-        });
+            seat.let_go
+        })
     }
 
     /// An answer was written to it.
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -23,6 +23,9 @@
 /// Longest wait for the acceptor to have taken up what stands in its queue, before the listener is closed.
 const EMPTIED: Duration = Duration::from_millis(100);
 
+/// Most bytes that are read and thrown away after the last answer.
+const LINGER_BYTES: usize = 4 << 20;
+
 type Table = Arc<Mutex<Seats<Weak<Guest>>>>;
 
 /// A client's connection with its seat, which it holds until the descriptor is closed.
@@ -56,6 +59,28 @@
     freed: Condvar,
 }
 
+impl Places {
+    fn is_full(&self, taken: usize) -> bool {
+        taken >= self.most.load(Ordering::Acquire)
+    }
+
+    /// Takes a place if one is free.
+    fn take(&self) -> bool {
+        let mut taken = lock(&self.taken);
+        let free = !self.is_full(*taken);
+        *taken += usize::from(free);
+        free
+    }
+
+    /// Waits until a place may be free, for that long at most.
+    fn wait(&self, within: Duration) {
+        let taken = lock(&self.taken);
+        if self.is_full(*taken) {
+            let _ = self.freed.wait_timeout(taken, within);
+        }
+    }
+}
+
 /// One address with the connections that came there.
 pub struct Door {
     listener: TcpListener,
@@ -153,21 +178,10 @@
 
     /// A place for a newcomer, taken from another where none is free.
     fn make_way(&self) -> Place {
-        let mut taken = lock(&self.places.taken);
-        while *taken >= self.places.most.load(Ordering::Acquire) {
-            drop(taken);
+        while !self.places.take() {
             self.give_way();
-            taken = lock(&self.places.taken);
-            if *taken < self.places.most.load(Ordering::Acquire) {
-                break;
-            }
-            taken = match self.places.freed.wait_timeout(taken, GIVE_WAY) {
-                Ok((guard, _)) => guard,
-                Err(poisoned) => poisoned.into_inner().0,
-            };
+            self.places.wait(GIVE_WAY);
         }
-        *taken += 1;
-        drop(taken);
         let account = &self.house.account;
         let held = loop {
             match account.reserve(GUEST) {
@@ -197,8 +211,7 @@
 
     /// A request on it has come to its end.
     pub fn closed(&self) {
-        lock(&self.seats).closed(self.number, now_ms());
-        if self.is_let_go() {
+        if lock(&self.seats).closed(self.number, now_ms()) {
             self.ended.post();
         }
     }
@@ -225,6 +238,19 @@
         lock(&self.seats).is_let_go(self.number)
     }
 
+    /// Lets the client read the last answer: a connection closed over bytes that were not read is reset, and
+    /// the answer may be lost with it. `within` is for each wait.
+    pub fn linger(&self, within: Duration) {
+        self.shut(Shutdown::Write);
+        let (mut chunk, mut left) = ([0; 1024], LINGER_BYTES);
+        while let Ok(size @ 1..) = self.read(&mut chunk, within) {
+            left = left.saturating_sub(size);
+            if left == 0 {
+                return;
+            }
+        }
+    }
+
     /// What the connection is waiting for, and since when.
     pub fn stance(&self) -> (Stance, Ms) {
         lock(&self.seats).stance(self.number)
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -39,7 +39,6 @@
 pub const WRITE_STALL: Duration = Duration::from_secs(5);
 /// How long, and for how many bytes, a client may go on sending after the last answer.
 const LINGER: Duration = Duration::from_secs(1);
-const LINGER_BYTES: usize = 4 << 20;
 const MAX_KEY: usize = 128;
 /// Advice to a client of a node that is about to end, in milliseconds.
 const ENDING_MS: Ms = 1000.0;
@@ -88,24 +87,11 @@
         let _ = task.join();
     }
     if end.is_ok() {
-        linger(guest);
+        guest.linger(LINGER);
     }
     guest.shut(Shutdown::Both);
 }
 
-/// Lets the client read the last answer: a connection closed over bytes that were not read is reset, and
-/// the answer may be lost with it.
-fn linger(guest: &Guest) {
-    guest.shut(Shutdown::Write);
-    let (mut chunk, mut left) = ([0; 1024], LINGER_BYTES);
-    while let Ok(size @ 1..) = guest.read(&mut chunk, LINGER) {
-        left = left.saturating_sub(size);
-        if left == 0 {
-            return;
-        }
-    }
-}
-
 /// Answers requests in the order they come; `Ok` once the last is answered.
 fn converse(desk: &Arc<Desk>, guest: &Arc<Guest>, current: &mut Option<Current>) -> io::Result<()> {
     let (mut raw, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -7,6 +7,7 @@
 use corkbay::Ms;
 use corkbay_duty::Leave;
 use corkbay_ledger::Purpose;
+use percent_encoding::percent_decode_str;
 use serde_json::json;
 use std::net::Shutdown;
 use std::sync::Arc;
@@ -39,8 +40,7 @@
     let counters = &invoker.counters;
     if response.status < 300 { &counters.operators_yes } else { &counters.operators_no }.add();
     if guest.answer(&response.encode(false)).is_ok() {
-        guest.shut(Shutdown::Write);
-        let _ = guest.read(&mut [0; 256], LINGER);
+        guest.linger(LINGER);
     }
     guest.shut(Shutdown::Both);
 }
@@ -112,15 +112,7 @@
 
 /// A path's segment with its `%` escapes read; an odd one stands as it is.
 fn unescape(segment: &str) -> String {
-    let (mut bytes, mut rest) = (Vec::new(), segment.as_bytes());
-    while let Some((first, after)) = rest.split_first() {
-        let escaped = std::str::from_utf8(after.get(..2).unwrap_or_default());
-        match escaped.ok().and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
-            Some(byte) if *first == b'%' => (bytes.push(byte), rest = &after[2..]).1,
-            _ => (bytes.push(*first), rest = after).1,
-        }
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
+    percent_decode_str(segment).decode_utf8_lossy().into_owned()
 }
 
 /// Whether this process could serve. That the operators want no clients is told at the clients' address: else a
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -802,9 +802,9 @@
         let capacity = worker.warmth(now, set).powi(2) * worker.weight / self.weight;
         let even = self.taking.at(now, set.keep) / self.ready.max(1) as f64;
         worker.wanted.add(now, set.keep);
-        let part = capacity * set.fall_multiple * COLD_PART * even / worker.wanted.at(now, set.keep);
-        let first = worker.wanted.at(now, set.keep) <= 1.0;
-        let least = if first { FIRST_CALLS / f64::from(set.front_ends) } else { 0.0 };
+        let wanted = worker.wanted.at(now, set.keep);
+        let part = capacity * set.fall_multiple * COLD_PART * even / wanted;
+        let least = if wanted <= 1.0 { FIRST_CALLS / f64::from(set.front_ends) } else { 0.0 };
         let drawn = self.rng.random::<f64>() < part.max(least);
         pending.cold = Some((at, drawn, now));
         drawn
