Tests: a drain's owed request is asked for again where the busy invoker refuses it

The set-up now asks up to three times and prints the counters, the log and the answer each time, so that a next time tells why.

--- a/crates/node/tests/support/platform.rs
+++ b/crates/node/tests/support/platform.rs
@@ -6,7 +6,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Sender};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A command channel that a test speaks through.
 pub struct Channel {
@@ -118,6 +118,26 @@
     pub fn client(&self) -> Client {
         Client::new(self.daemon.address)
     }
+
+    /// Asks on a connection until a call is out at a worker; the sequence number of that one. The decisions may refuse
+    /// a call, on a machine that stands still for a moment for one; why is told by the counters and the log.
+    pub fn send_out(&self, client: &mut Client, id: u64, allow: &str) -> i32 {
+        let before = self.fleet.sent().len();
+        for seqid in 1..=3 {
+            let id = format!("{:016x}", (id << 8) + seqid as u64);
+            client.send(&dispatch(seqid, &fields("check", &id, allow), b"x"));
+            let start = Instant::now();
+            while start.elapsed() < PATIENCE / 4 {
+                if self.fleet.sent().len() > before {
+                    return seqid;
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            self.daemon.signal("USR1");
+            println!("{id} did not go out: {:?}; log:\n{}", client.receive(), self.daemon.errors());
+        }
+        panic!("no call goes out");
+    }
 }
 
 /// A Thrift client, written apart from the program's own codec.
