Busy connections pass to the successor with what is owed on them, none are refused

Cause: Door::let_go shut every connection's reading and waited for a moment with nothing open; clients put on the last connections what the closed ones carried (20 open at a time), so from 1 s on front.rs refused all. Ruled out: lack of room (no account was refused), the successor's beliefs (17 refusals of 1,470).

--- a/crates/node/src/life/handover.rs
+++ b/crates/node/src/life/handover.rs
@@ -183,6 +183,21 @@
     company: Company,
 }
 
+/// Where two processes of one invoker meet.
+pub struct Meeting {
+    /// The folder that they share.
+    pub folder: PathBuf,
+    /// The seat of this one.
+    pub seat: usize,
+}
+
+impl Meeting {
+    /// The seat of the other one.
+    pub fn other(&self) -> usize {
+        1 - self.seat
+    }
+}
+
 impl Files {
     /// Takes a seat in the folder, which is made where there is none. [`io::ErrorKind::WouldBlock`] where both seats
     /// are taken.
@@ -203,6 +218,11 @@
         Ok(files)
     }
 
+    /// Where the two meet.
+    pub fn meeting(&self) -> Meeting {
+        Meeting { folder: self.folder.clone(), seat: self.number }
+    }
+
     /// Into how many parts the invoker's limits go.
     pub fn parts(&self) -> usize {
         self.company.parts()
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -6,6 +6,7 @@
 use crate::wire::accept::{Door, House};
 use crate::wire::channel::{self, Line};
 use crate::wire::frames::MAX_BODY;
+use crate::wire::passage::{self, Passage};
 use crate::wire::workers::{FrameWorkers, Limits as WorkerLimits};
 use crate::wire::{front, operators};
 use corkbay_duty::{Leave, Terms};
@@ -113,6 +114,7 @@
     let mut signals = signals()?;
     let base = accounts::measured_base();
     let files = join(&config, source);
+    let meeting = files.as_ref().map(Files::meeting);
     let parts = files.as_ref().map_or(1, Files::parts);
     let ledger =
         Arc::new(Ledger::new(&budget(config.memory_mb, base, parts)?, &accounts::tenants(&config.settings)));
@@ -181,10 +183,20 @@
     if limits.door.set(door.clone()).is_ok() {
         limits.share(keeper.company().parts());
     }
-    let (ours, theirs) = (invoker.clone(), door.clone());
-    spawn(move || theirs.accept(move |guest| front::serve(&ours, guest)));
-    let (ours, theirs) = (invoker.clone(), door.clone());
-    spawn(move || let_go(&ours, &theirs));
+    let passage = Arc::<Passage>::default();
+    let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
+    spawn(move || theirs.accept(move |guest| front::serve(&ours, &onward, guest)));
+    let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
+    spawn(move || let_go(&ours, &theirs, &onward));
+    if let Some(meeting) = &meeting {
+        let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
+        let arrive = move |stream, owed: &[i32]| {
+            theirs.take_over(stream).map(|guest| front::resume(&ours, &onward, guest, owed))
+        };
+        if let Err(error) = passage::listen(&meeting.folder, meeting.seat, arrive) {
+            tracing::warn!(%error, "handover: no connections can be taken over");
+        }
+    }
     keeper.serving();
     if keeper.company().other().is_some() {
         // Whoever is told yes may end the other process at once, which has to know by then.
@@ -198,13 +210,19 @@
             if company.is_succeeded() {
                 // What stands in the queue is taken; whoever comes later comes to the successor.
                 door.close();
+                let opened = meeting.as_ref().map(|meeting| passage.open(&meeting.folder, meeting.other()));
+                if let Some(Err(error)) = opened {
+                    tracing::warn!(%error, "handover: no connections can be passed on");
+                }
             }
             company.ending(ENDING, SUCCEEDED_TAKES.as_millis() as f64)
         },
         is_over: || keeper.company().is_succeeded() && door.held() == 0,
         within: STILL_TAKING + longest.saturating_sub(LAST_ANSWERS),
     };
-    Ok(serve_until_signalled(&invoker, &mut signals, reload, end))
+    let settled = serve_until_signalled(&invoker, &mut signals, reload, end);
+    passage.finish();
+    Ok(settled)
 }
 
 /// Waits until a process beside another knows what that one knows: the operators' word, and what the command channel
@@ -223,11 +241,12 @@
 }
 
 /// Lets the connections of clients go whenever they are left, for as long as the process lives.
-fn let_go(invoker: &Invoker, door: &Door) {
+fn let_go(invoker: &Invoker, door: &Door, passage: &Passage) {
     loop {
         invoker.wait_for_leave();
-        if invoker.duty().lets_go(now_ms()) {
-            door.let_go();
+        let (duty, now) = (invoker.duty(), now_ms());
+        if duty.lets_go(now) {
+            door.let_go(passage.is_open() && !duty.refuses(now));
         }
         may::coroutine::sleep(LET_GO_LOOK);
     }
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -66,6 +66,10 @@
     pub operators_yes: Counter,
     /// Operators' calls that were answered with no.
     pub operators_no: Counter,
+    /// Connections of clients that went to the successor.
+    pub passed_on: Counter,
+    /// Connections of clients that came from the process before.
+    pub taken_over: Counter,
     /// Attempts that brought nothing, by outcome.
     lost: [Counter; 9],
     /// Bodies of calls that were taken, in bytes.
@@ -95,6 +99,8 @@
             turned_away: counter(),
             operators_yes: counter(),
             operators_no: counter(),
+            passed_on: counter(),
+            taken_over: counter(),
             lost: Default::default(),
             body_bytes: Histogram::new(exponential_buckets(64.0, 4.0, 6)),
             call_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 11)),
@@ -154,6 +160,8 @@
             ("turned_away", &self.turned_away),
             ("operators_yes", &self.operators_yes),
             ("operators_no", &self.operators_no),
+            ("passed_on", &self.passed_on),
+            ("taken_over", &self.taken_over),
         ];
         let lost = OUTCOMES.iter().zip(&self.lost).skip(1);
         let lost = lost.map(|((_, name), counter)| (format!("lost_{name}"), counter.get()));
--- a/crates/node/src/memory/seats.rs
+++ b/crates/node/src/memory/seats.rs
@@ -20,8 +20,10 @@
     since: Ms,
     /// It was told to go.
     leaving: bool,
-    /// It is closed once nothing is owed on it.
+    /// It is closed once nothing is owed on it, or passed on before.
     let_go: bool,
+    /// Its reader was told so, or passes it on.
+    told: bool,
 }
 
 /// What a seat's connection is waiting for.
@@ -45,7 +47,8 @@
     /// Gives a new connection a seat; tells its number.
     pub fn sit(&mut self, handle: H, now: Ms) -> u64 {
         self.next += 1;
-        let seat = Seat { handle, open: 0, answered: false, since: now, leaving: false, let_go: false };
+        let seat =
+            Seat { handle, open: 0, answered: false, since: now, leaving: false, let_go: false, told: false };
         self.seats.insert(self.next, seat);
         self.next
     }
@@ -85,14 +88,22 @@
         })
     }
 
-    /// Lets all go that were not let go yet: each is closed once nothing is owed on it. Each is named once.
-    pub fn let_go(&mut self) -> Vec<H> {
-        let staying = self.seats.values_mut().filter(|seat| !seat.let_go);
-        let let_go = staying.map(|seat| {
-            seat.let_go = true;
+    /// Lets all go: each is closed once nothing is owed on it. Names those whose readers are to be told, each once; while
+    /// connections pass to a successor, those on which something is owed are left to that.
+    pub fn let_go(&mut self, passing: bool) -> Vec<H> {
+        self.seats.values_mut().for_each(|seat| seat.let_go = true);
+        let untold = self.seats.values_mut().filter(|seat| !(seat.told || passing && seat.open > 0));
+        let untold = untold.map(|seat| {
+            seat.told = true;
             seat.handle.clone()
         });
-        let_go.collect()
+        untold.collect()
+    }
+
+    /// Whether the connection may be passed on; from then on it is nobody else's to close.
+    pub fn pass(&mut self, number: u64) -> bool {
+        let seat = self.seats.get_mut(&number).filter(|seat| seat.let_go && !seat.told && !seat.leaving);
+        seat.map(|seat| (seat.told, seat.leaving) = (true, true)).is_some()
     }
 
     /// Whether it was let go.
@@ -147,10 +158,25 @@
         let mut seats = Seats::default();
         let first = seats.sit("first", 1.0);
         assert!(!seats.is_let_go(first));
-        assert_eq!((seats.let_go(), seats.is_let_go(first)), (vec!["first"], true));
+        assert_eq!((seats.let_go(false), seats.is_let_go(first)), (vec!["first"], true));
         seats.opened(first);
         let second = seats.sit("second", 2.0);
-        assert_eq!((seats.let_go(), seats.is_let_go(second)), (vec!["second"], true));
-        assert!(seats.let_go().is_empty());
+        assert_eq!((seats.let_go(false), seats.is_let_go(second)), (vec!["second"], true));
+        assert!(seats.let_go(false).is_empty());
+    }
+
+    /// Guards a connection that passes to a successor: it is passed or closed, never both, and by one alone.
+    #[test]
+    fn what_is_busy_is_passed_on_or_told_to_go() {
+        let mut seats = Seats::default();
+        let [idle, busy, late] = ["idle", "busy", "late"].map(|name| seats.sit(name, 1.0));
+        [busy, late].into_iter().for_each(|number| seats.opened(number));
+        assert!(!seats.pass(busy), "nobody leaves yet");
+        assert_eq!(seats.let_go(true), ["idle"]);
+        assert!(!seats.pass(idle) && seats.pass(busy) && !seats.pass(busy));
+        seats.closed(busy, 2.0);
+        assert_eq!((seats.let_go(true), seats.give_way()), (vec![], Some("idle")));
+        assert_eq!(seats.let_go(false), ["late"], "the time is over");
+        assert!(!seats.pass(late));
     }
 }
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -1,4 +1,5 @@
 //! Accepting connections within a budget of descriptors.
+use super::passage::{Passage, Passed};
 use super::socket::Socket;
 use crate::core::{lock, now_ms};
 use crate::life::spawn;
@@ -9,7 +10,7 @@
 use may::net::TcpListener;
 use may::sync::{Condvar, Mutex, Semphore};
 use socket2::SockRef;
-use std::net::{Shutdown, SocketAddr};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::ops::Deref;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
@@ -35,8 +36,11 @@
     seats: Table,
     /// Posted when a request has come to its end on a connection that is let go.
     ended: Semphore,
-    /// Given back last, after the descriptor.
-    place: Place,
+    /// Where answers go once it was passed on. Held while one is written.
+    passed: Mutex<Option<Passed>>,
+    account: Account,
+    /// Given back when it is passed on, or last, after the descriptor.
+    place: Mutex<Option<Place>>,
 }
 
 /// What a connection takes: the stack of its task as far as it is touched, a chunk, its seat. Measured.
@@ -152,12 +156,24 @@
     }
 
     /// Lets all connections go that there are: their readers close them once nothing is owed on them. What a client
-    /// has sent by then is still read.
-    pub fn let_go(&self) {
-        let all: Vec<_> = lock(&self.seats).let_go();
+    /// has sent by then is still read. While connections pass to a successor, readers of those on which something is
+    /// owed are not told: they pass them on when they come to it.
+    pub fn let_go(&self, passing: bool) {
+        let all: Vec<_> = lock(&self.seats).let_go(passing);
         all.iter().filter_map(Weak::upgrade).for_each(|guest| guest.socket.shut(Shutdown::Read));
     }
 
+    /// Takes over a connection that was accepted elsewhere, whether there is a place for it or not: its client was let
+    /// in.
+    pub fn take_over(&self, stream: TcpStream) -> std::io::Result<Arc<Guest>> {
+        let socket = Socket::adopt(stream, self.house.stall)?;
+        *lock(&self.places.taken) += 1;
+        let place = Place { places: self.places.clone(), held: self.house.account.owe(GUEST) };
+        let guest = Guest::new(socket, &self.seats, place);
+        lock(&self.seats).answered(guest.number, now_ms());
+        Ok(guest)
+    }
+
     /// Connections that are held.
     pub fn held(&self) -> usize {
         *lock(&self.places.taken)
@@ -200,7 +216,9 @@
     fn new(socket: Socket, seats: &Table, place: Place) -> Arc<Self> {
         Arc::new_cyclic(|guest| {
             let number = lock(seats).sit(guest.clone(), now_ms());
-            Guest { socket, number, seats: seats.clone(), ended: Semphore::new(0), place }
+            let (account, place) = (place.held.account().clone(), Mutex::new(Some(place)));
+            let (ended, passed) = (Semphore::new(0), Mutex::new(None));
+            Guest { socket, number, seats: seats.clone(), ended, passed, account, place }
         })
     }
 
@@ -223,7 +241,7 @@
 
     /// Where what is read on the connection counts.
     pub fn account(&self) -> &Account {
-        self.place.held.account()
+        &self.account
     }
 
     /// Writes an answer.
@@ -233,6 +251,41 @@
         Ok(())
     }
 
+    /// Ends what is owed under that number, with these bytes or, where nobody waits any more, with none. `settled` comes
+    /// before; what is `held` for it is given back after, whichever process writes.
+    pub fn end(&self, seqid: i32, bytes: Vec<u8>, settled: impl FnOnce(), held: impl Send + 'static) {
+        let passed = lock(&self.passed);
+        settled();
+        if let Some(passed) = &*passed {
+            return passed.end(seqid, bytes, Box::new(held));
+        }
+        if !bytes.is_empty() {
+            // A client that can't be written to is seen by the reading side of its connection.
+            let _ = self.answer(&bytes);
+        }
+        drop(passed);
+        self.closed();
+    }
+
+    /// Passes the connection on, unless an answer is being written; told by its reader, which has read whole messages
+    /// only and reads no more once it is true.
+    pub fn pass(&self, passage: &Passage, owed: impl FnOnce() -> Vec<i32>) -> bool {
+        let Ok(mut passed) = self.passed.try_lock() else { return false };
+        if !passage.is_open() || !lock(&self.seats).pass(self.number) {
+            return false;
+        }
+        let ours = self.socket.duplicate().ok().and_then(|stream| passage.pass(stream, owed()));
+        if ours.is_none() {
+            // It is left as any other.
+            self.shut(Shutdown::Read);
+            return false;
+        }
+        *passed = ours;
+        lock(&self.seats).leave(self.number);
+        drop(lock(&self.place).take());
+        true
+    }
+
     /// Whether it is to be closed once nothing is owed on it.
     pub fn is_let_go(&self) -> bool {
         lock(&self.seats).is_let_go(self.number)
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -1,6 +1,7 @@
 //! The platform's front: Thrift in, calls to the core, answers out.
 use super::accept::Guest;
 use super::intake::{Intake, CHUNK};
+use super::passage::{Arrival, Passage};
 use super::thrift::{self, Fields, Malformed, Message, Reply};
 use crate::core::{lock, now_ms, until, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
@@ -12,7 +13,7 @@
 use std::io::ErrorKind;
 use std::net::Shutdown;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 /// Requests that one connection may have open.
@@ -41,36 +42,133 @@
 /// Largest figure of a request that is believed.
 const MOST_FIGURE: f64 = 1e6;
 
-type Open = Arc<Mutex<HashMap<i32, RequestId>>>;
+/// What is owed on a connection, by its sequence number.
+#[derive(Clone, Copy, Debug)]
+enum Owed {
+    /// By this process.
+    Here(RequestId),
+    /// By the one that passed the connection on.
+    Before,
+}
 
-/// The life of one client connection.
-pub fn serve(invoker: &Arc<Invoker>, guest: Arc<Guest>) {
-    let open = Open::default();
-    let left = Leave(invoker.clone(), open.clone());
-    if let Err(malformed) = receive(invoker, &guest, &open) {
-        invoker.counters.malformed.add();
-        tracing::info!(%malformed, "client connection closed");
+impl Owed {
+    fn here(self) -> Option<RequestId> {
+        match self {
+            Owed::Here(id) => Some(id),
+            Owed::Before => None,
+        }
+    }
+}
+
+type Open = Arc<Mutex<HashMap<i32, Owed>>>;
+
+/// The life of one client connection. Once this process leaves, it may pass on to the next one.
+pub fn serve(invoker: &Arc<Invoker>, passage: &Passage, guest: Arc<Guest>) {
+    keep(invoker, passage, &guest, Open::default());
+}
+
+/// Takes over a connection on which another process still owes those requests; what it tells of them goes to what is
+/// returned.
+pub fn resume(
+    invoker: &Arc<Invoker>,
+    passage: &Arc<Passage>,
+    guest: Arc<Guest>,
+    owed: &[i32],
+) -> impl Arrival {
+    let open: Open = Arc::new(Mutex::new(owed.iter().map(|seqid| (*seqid, Owed::Before)).collect()));
+    owed.iter().for_each(|_| guest.opened());
+    invoker.counters.taken_over.add();
+    let arrived = Arrived { guest: Arc::downgrade(&guest), open: open.clone() };
+    let (invoker, passage) = (invoker.clone(), passage.clone());
+    spawn(move || keep(&invoker, &passage, &guest, open));
+    arrived
+}
+
+fn keep(invoker: &Arc<Invoker>, passage: &Passage, guest: &Arc<Guest>, open: Open) {
+    let mut left = Leave { invoker: invoker.clone(), open: open.clone(), passed: false };
+    match receive(invoker, passage, guest, &open) {
+        Ok(End::Passed) => {
+            invoker.counters.passed_on.add();
+            left.passed = true;
+            return;
+        }
+        Ok(End::Closed) => {}
+        Err(malformed) => {
+            invoker.counters.malformed.add();
+            tracing::info!(%malformed, "client connection closed");
+        }
     }
     guest.shut(Shutdown::Both);
-    drop(left);
+}
+
+/// A connection that was taken over, as the process that passed it on sees it.
+struct Arrived {
+    guest: Weak<Guest>,
+    open: Open,
+}
+
+impl Arrival for Arrived {
+    fn end(&self, seqid: i32, bytes: Vec<u8>) {
+        // The connection may have ended, or its client may have taken the request back.
+        let Some(guest) = self.guest.upgrade() else { return };
+        if lock(&self.open).remove(&seqid).is_none() {
+            return;
+        }
+        let held = guest.account().owe(bytes.len());
+        spawn(move || guest.end(seqid, bytes, || {}, held));
+    }
+
+    fn abandon(&self) {
+        let owed = |open: &HashMap<i32, Owed>| -> Vec<i32> {
+            open.iter().filter(|entry| entry.1.here().is_none()).map(|entry| *entry.0).collect()
+        };
+        let owed = owed(&lock(&self.open));
+        let answer = |seqid| thrift::reply("dispatch", seqid, crashed("the process that took it has ended"));
+        owed.into_iter().for_each(|seqid| self.end(seqid, answer(seqid)));
+    }
+}
+
+/// How a connection ended for its reader.
+enum End {
+    Closed,
+    /// Another process reads on.
+    Passed,
 }
 
 /// Withdraws what a connection left open, however its task ends.
-struct Leave(Arc<Invoker>, Open);
+struct Leave {
+    invoker: Arc<Invoker>,
+    open: Open,
+    /// Whoever was asked for goes on.
+    passed: bool,
+}
 
 impl Drop for Leave {
     fn drop(&mut self) {
-        let left: Vec<RequestId> = lock(&self.1).values().copied().collect();
-        left.into_iter().for_each(|id| self.0.withdraw(id));
+        if !self.passed {
+            let left: Vec<RequestId> = lock(&self.open).values().filter_map(|owed| owed.here()).collect();
+            left.into_iter().for_each(|id| self.invoker.withdraw(id));
+        }
     }
 }
 
 /// Reads messages until the connection ends, is no longer kept or can't be read any further.
-fn receive(invoker: &Arc<Invoker>, guest: &Arc<Guest>, open: &Open) -> Result<(), Malformed> {
+fn receive(
+    invoker: &Arc<Invoker>,
+    passage: &Passage,
+    guest: &Arc<Guest>,
+    open: &Open,
+) -> Result<End, Malformed> {
     let (mut intake, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
     let (mut begun, mut strikes, mut last_request, mut full_chunks) = (0.0, 0, 0.0, 0);
     loop {
         let Some(message) = thrift::unframe(intake.bytes())? else {
+            if intake.is_empty()
+                && guest.is_let_go()
+                && guest.pass(passage, || lock(open).keys().copied().collect())
+            {
+                return Ok(End::Passed);
+            }
             let (stance, since) = guest.stance();
             let end = match stance {
                 _ if !intake.is_empty() => begun + MESSAGE_MS,
@@ -85,15 +183,16 @@
                     // An answer that is being written is owed as well.
                     let owes = guest.stance().0 == Stance::Busy;
                     if !owes && (intake.is_empty() || now_ms() > end) {
-                        return Ok(());
+                        return Ok(End::Closed);
                     }
                     if invoker.duty().ends(now_ms(), last_request) {
-                        let owed: Vec<RequestId> = lock(open).values().copied().collect();
+                        let owed: Vec<RequestId> =
+                            lock(open).values().filter_map(|owed| owed.here()).collect();
                         owed.into_iter().for_each(|id| invoker.end(id));
                     }
                     guest.wait_for_an_end(LET_GO_LOOK);
                 }
-                Ok(0) => return Ok(()),
+                Ok(0) => return Ok(End::Closed),
                 Ok(size) => {
                     begun = if fresh { now_ms() } else { begun };
                     full_chunks = if size < CHUNK { 0 } else { full_chunks + 1 };
@@ -107,10 +206,10 @@
                 Err(error) if error.kind() == ErrorKind::TimedOut => {
                     // An answer may have gone out, or a request may have ended, while this waited.
                     if !intake.is_empty() || guest.stance() == (stance, since) && stance != Stance::Busy {
-                        return Ok(());
+                        return Ok(End::Closed);
                     }
                 }
-                Err(_) => return Ok(()),
+                Err(_) => return Ok(End::Closed),
             }
             continue;
         };
@@ -126,8 +225,16 @@
                 dispatch(invoker, open, guest, seqid, &fields, body)
             }
             Ok(Message::Cancel { seqid }) => {
-                let id = lock(open).get(&seqid).copied();
-                id.into_iter().for_each(|id| invoker.withdraw(id));
+                let owed = lock(open).get(&seqid).copied();
+                match owed {
+                    Some(Owed::Here(id)) => invoker.withdraw(id),
+                    // It runs to its end there, and nobody is told.
+                    Some(Owed::Before) => {
+                        lock(open).remove(&seqid);
+                        guest.closed();
+                    }
+                    None => {}
+                }
                 Ok(())
             }
             Ok(Message::Alive { seqid }) => {
@@ -179,7 +286,7 @@
         let id = call.request.id;
         let taken = invoker.take(call);
         if taken.is_ok() {
-            lock(open).insert(seqid, id);
+            lock(open).insert(seqid, Owed::Here(id));
         }
         taken
     });
@@ -193,7 +300,6 @@
             spawn(move || {
                 let answer = catch_unwind(AssertUnwindSafe(|| taken.serve()))
                     .unwrap_or(Answer::Failed(Failure { may_have_run: true, late: false }));
-                lock(&open).remove(&seqid);
                 invoker.counters.answered(&answer);
                 let reply = match answer {
                     Answer::Served { body } => Some(Reply::Answer { body, good: true }),
@@ -201,12 +307,9 @@
                     Answer::Failed(_) => Some(Reply::Crashed(Fields::new())),
                     Answer::Withdrawn => None,
                 };
-                if let Some(reply) = reply {
-                    write(&guest, &thrift::reply("dispatch", seqid, reply));
-                }
-                guest.closed();
+                let bytes = reply.map(|reply| thrift::reply("dispatch", seqid, reply)).unwrap_or_default();
                 // What is owed is owed until the answer is written.
-                drop(taken);
+                guest.end(seqid, bytes, || _ = lock(&open).remove(&seqid), taken);
             });
         }
         Err(what) => {
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -9,6 +9,7 @@
 pub mod invoke;
 pub mod metrics;
 pub mod operators;
+pub mod passage;
 pub mod replicate;
 pub mod socket;
 pub mod sse;
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -4,18 +4,73 @@
 //! on the same descriptor. Here the reader alone waits on it. A writer writes what the kernel takes at
 //! once; only one that meets a full buffer takes a second descriptor, for as long as it waits.
 use crate::core::lock;
+use may::io::CoIo;
 use may::net::TcpStream;
 use may::sync::Mutex;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr};
+use std::net::{self, Shutdown, SocketAddr};
+use std::os::fd::OwnedFd;
 use std::time::Duration;
 
 /// The shortest wait that a timer is set for.
 const LEAST: Duration = Duration::from_millis(1);
 
+/// A stream that was made elsewhere. Other descriptors of it may stand, here or in another process, so that its
+/// registration does not end with this one: it has to be taken back before the descriptor is closed.
+struct Adopted(Option<CoIo<net::TcpStream>>);
+
+impl Adopted {
+    fn new(stream: net::TcpStream) -> io::Result<Self> {
+        Ok(Adopted(Some(CoIo::new(stream)?)))
+    }
+
+    fn get(&self) -> &CoIo<net::TcpStream> {
+        self.0.as_ref().expect("there until it is dropped")
+    }
+
+    fn get_mut(&mut self) -> &mut CoIo<net::TcpStream> {
+        self.0.as_mut().expect("there until it is dropped")
+    }
+}
+
+impl Drop for Adopted {
+    fn drop(&mut self) {
+        drop(self.0.take().map(CoIo::into_inner));
+    }
+}
+
+/// A stream that coroutines can wait for.
+enum Stream {
+    /// Accepted or connected here.
+    Own(TcpStream),
+    Adopted(Adopted),
+}
+
+impl Stream {
+    fn inner(&self) -> &net::TcpStream {
+        match self {
+            Stream::Own(stream) => stream.inner(),
+            Stream::Adopted(stream) => stream.get().inner(),
+        }
+    }
+
+    /// Waits until there is something to read.
+    fn wait(&self, within: Duration) -> io::Result<()> {
+        let (within, byte) = (Some(within.max(LEAST)), &mut [0; 1]);
+        match self {
+            Stream::Own(stream) => stream.set_read_timeout(within).and_then(|()| stream.peek(byte)),
+            Stream::Adopted(stream) => {
+                let stream = stream.get();
+                stream.set_read_timeout(within).and_then(|()| stream.peek(byte))
+            }
+        }
+        .map(drop)
+    }
+}
+
 /// A connected socket. One task at a time reads; any may write.
 pub struct Socket {
-    stream: TcpStream,
+    stream: Stream,
     writing: Mutex<()>,
     /// How long the other side may take nothing of a message.
     stall: Duration,
@@ -25,7 +80,17 @@
     /// Wraps a stream; a message of which nothing is taken for `stall` ends the connection.
     pub fn new(stream: TcpStream, stall: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Socket { stream, writing: Mutex::new(()), stall })
+        Ok(Socket { stream: Stream::Own(stream), writing: Mutex::new(()), stall })
+    }
+
+    /// Wraps a stream that was made elsewhere.
+    pub fn adopt(stream: net::TcpStream, stall: Duration) -> io::Result<Self> {
+        Ok(Socket { stream: Stream::Adopted(Adopted::new(stream)?), writing: Mutex::new(()), stall })
+    }
+
+    /// A second descriptor of the same connection.
+    pub fn duplicate(&self) -> io::Result<OwnedFd> {
+        self.stream.inner().try_clone().map(Into::into)
     }
 
     /// Connects within the time given.
@@ -39,8 +104,7 @@
             match self.stream.inner().read(buffer) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    self.stream.set_read_timeout(Some(within.max(LEAST)))?;
-                    match self.stream.peek(&mut [0; 1]) {
+                    match self.stream.wait(within) {
                         // What came just as the time was up has come.
                         Err(error) if error.kind() == ErrorKind::TimedOut => {
                             return self.stream.inner().read(buffer).map_err(|late| match late.kind() {
@@ -48,7 +112,7 @@
                                 _ => late,
                             });
                         }
-                        waited => _ = waited?,
+                        waited => waited?,
                     }
                 }
                 end => return end,
@@ -65,20 +129,20 @@
 
     fn write_all(&self, mut rest: &[u8]) -> io::Result<()> {
         // A second registration to wait on, once the buffer proves full.
-        let mut second: Option<TcpStream> = None;
+        let mut second: Option<Adopted> = None;
         while !rest.is_empty() {
             let written = match &mut second {
                 None => self.stream.inner().write(rest),
-                Some(stream) => stream.write(rest),
+                Some(second) => second.get_mut().write(rest),
             };
             match written {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(size) => rest = &rest[size..],
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock && second.is_none() => {
-                    let stream = self.stream.try_clone()?;
+                    let stream = Adopted::new(self.stream.inner().try_clone()?)?;
                     // Each wait by itself: whoever takes some of a message is given time for the rest.
-                    stream.set_write_timeout(Some(self.stall.max(LEAST)))?;
+                    stream.get().set_write_timeout(Some(self.stall.max(LEAST)))?;
                     second = Some(stream);
                 }
                 Err(error) => return Err(error),
@@ -95,7 +159,7 @@
     /// Ends the connection in one direction or both; whoever waits on it goes on.
     pub fn shut(&self, how: Shutdown) {
         // The other side may have ended it before.
-        let _ = self.stream.shutdown(how);
+        let _ = self.stream.inner().shutdown(how);
     }
 }
 
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,6 +1,7 @@
 //! Two processes of one invoker: a new version is started beside the old one under load, and takes over.
 mod support;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -95,6 +96,79 @@
     assert!(!next.errors().contains("taken=0 "), "{}", next.errors());
 }
 
+/// Guards connections that are never idle: the client of one keeps as many requests open as it was answered, before,
+/// while and after a successor takes over. Nothing is refused, the connection stays open, each request has one answer.
+#[test]
+fn a_connection_that_is_never_idle_passes_to_the_successor() {
+    let mut bench = Bench::new(&[Act::Late], 3);
+    let mut client = bench.client();
+    let ask = |client: &mut Client, seqid: i32| {
+        let id = format!("{:016x}", 0xa000 + seqid);
+        client.send(&dispatch(seqid, &fields("check", &id, "4000"), seqid.to_string().as_bytes()));
+    };
+    let mut open: BTreeSet<i32> = (1..=6).collect();
+    for seqid in 1..=6 {
+        ask(&mut client, seqid);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let (mut next, mut answered, mut last) = (6, 0, None);
+    let mut turn = |client: &mut Client| {
+        let (seqid, reply) = client.receive().expect("the connection stays open");
+        assert!(open.remove(&seqid), "one answer for {seqid}");
+        match reply {
+            Reply::Answer(body) => assert_eq!(body, format!("done: {seqid}").into_bytes()),
+            // The decisions may refuse what they like, but nobody is turned away for the upgrade.
+            Reply::Rejected(advice) => assert_ne!(advice.get("cooldown").map(String::as_str), Some(DRAINING)),
+            other => panic!("{other:?}"),
+        }
+        next += 1;
+        ask(client, next);
+        open.insert(next);
+    };
+    (0..20).for_each(|_| turn(&mut client));
+    let (successor, admin) = successor(&bench);
+    until_ready(admin);
+    bench.daemon.signal("TERM");
+    while last.is_none() {
+        turn(&mut client);
+        last = bench.daemon.child.try_wait().expect("own child");
+        answered += 1;
+        assert!(answered < 2000, "the old process ends: {}", bench.daemon.errors());
+    }
+    assert_eq!(last.and_then(|status| status.code()), Some(0), "{}", bench.daemon.errors());
+    (0..20).for_each(|_| turn(&mut client));
+    assert!(bench.daemon.errors().contains("passed_on=1"), "{}", bench.daemon.errors());
+    assert!(bench.daemon.errors().contains("turned_away=0"), "{}", bench.daemon.errors());
+    successor.signal("USR1");
+    until("it was taken over", || successor.errors().contains("taken_over=1"));
+}
+
+/// Guards what is owed on a connection that was passed on, where the old process dies before it is answered: the client
+/// is told that it failed, and the connection serves on.
+#[test]
+fn what_a_process_that_dies_owed_is_answered_by_its_successor() {
+    let mut bench = Bench::new(&[Act::Hold], 2);
+    let mut client = bench.client();
+    let old = bench.send_out(&mut client, 0xb1, "8000");
+    let (successor, admin) = successor(&bench);
+    until_ready(admin);
+    bench.daemon.signal("TERM");
+    std::thread::sleep(Duration::from_millis(200));
+    // It is read by the old process, which passes the connection on then.
+    client.send(&dispatch(old + 1, &fields("check", "00000000000000b2", "8000"), b"x"));
+    until("it is taken over", || {
+        successor.signal("USR1");
+        successor.errors().contains("taken_over=1")
+    });
+    bench.daemon.child.kill().expect("own child");
+    let mut failed: Vec<_> = (0..2).filter_map(|_| client.receive()).collect();
+    failed.sort_by_key(|reply| reply.0);
+    assert_eq!(failed, [(old, Reply::Crashed), (old + 1, Reply::Crashed)]);
+    bench.fleet.release();
+    client.send(&dispatch(old + 2, &fields("check", "00000000000000b3", "4000"), b"y"));
+    assert!(matches!(client.receive(), Some((seqid, Reply::Answer(_))) if seqid == old + 2));
+}
+
 /// Guards bans and drains over an upgrade: what one process was told binds the other, whichever it was, and the
 /// successor keeps it once it is alone.
 #[test]
