Hosts that come back are given one call at once; ends of passed requests in coroutines

Ruled out: the ban, the draw for cold workers. At fault: survey() in src/brain.rs looks only where a copy is believed to stand and at the first home of a zone; while a host was out, all that is called came to stand elsewhere. Change: a worker that was known, started anew and had no call since is given the next first attempt. Test in tests/rules.rs, which fails without it. Also: what a process still owes on a passed connection ends in a coroutine, since the connection may be dropped with it and may's registrations are not safe against other threads.

--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -109,13 +109,17 @@
 
 impl Arrival for Arrived {
     fn end(&self, seqid: i32, bytes: Vec<u8>) {
-        // The connection may have ended, or its client may have taken the request back.
-        let Some(guest) = self.guest.upgrade() else { return };
-        if lock(&self.open).remove(&seqid).is_none() {
-            return;
-        }
-        let held = guest.account().owe(bytes.len());
-        spawn(move || guest.end(seqid, bytes, || {}, held));
+        let (guest, open) = (self.guest.clone(), self.open.clone());
+        // The connection may end here, which only a coroutine may do.
+        spawn(move || {
+            // It may have ended before, or its client may have taken the request back.
+            let Some(guest) = guest.upgrade() else { return };
+            let owed = lock(&open).remove(&seqid).is_some();
+            if owed {
+                let held = guest.account().owe(bytes.len());
+                guest.end(seqid, bytes, || {}, held);
+            }
+        });
     }
 
     fn abandon(&self) {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -153,6 +153,11 @@
         self.started() > 0.0 && now < self.started() + set.cold_span
     }
 
+    /// Whether it is looked at like any other, cold or not: no call of ours came yet, and front ends are few.
+    fn untried(&self, set: &Settings) -> bool {
+        self.wanted.last <= 0.0 && f64::from(set.front_ends) <= FIRST_CALLS
+    }
+
     /// Part of its full capacity that it has at least: all of it unless it is cold.
     fn warmth(&self, now: Ms, set: &Settings) -> f64 {
         let age = ((now - self.started()) / set.cold_span.max(1.0)).clamp(0.0, 1.0);
@@ -692,8 +697,7 @@
         let look = misses && pending.attempts + 1 < self.set.max_attempts || !may_order;
         // Unsafe calls are no bait: not sent where they rather fail than not, unless they do everywhere.
         let doubt = self.doubt[class] / (1.0 - self.doubt[class]).max(0.01);
-        let (roams, mut zones) = (self.roams(), BTreeSet::new());
-        let mut found = Found::default();
+        let (roams, mut zones, mut found) = (self.roams(), BTreeSet::new(), Found::default());
         for &at in &model.homes {
             let line = model.holders.get(&at);
             let stands = line.is_some_and(|line| line.stands(now, self.set.keep));
@@ -701,7 +705,9 @@
             let cold = worker.cold(now, &self.set);
             // A cold worker that is far holds little yet, and has no calls to spare.
             let near = zones.is_empty() || roams && !cold && !zones.contains(&worker.zone);
-            if !stands && !near || spares && cold || !self.open(worker, pending) {
+            // One that has come back is looked at once, whatever stands elsewhere.
+            let back = cold && worker.life > 1 && pending.attempts == 0 && worker.untried(&self.set);
+            if !(stands || near || back) || spares && cold || !self.open(worker, pending) {
                 continue;
             }
             let odds = self.odds(worker, class);
@@ -709,6 +715,9 @@
             if effect == Effect::Unsafe && odds > 1.0 + doubt {
                 continue;
             }
+            if back {
+                return Some(Found { best: Some(((false, false, 0.0), at)), known: true });
+            }
             let clear = line.is_none_or(|line| line.lacks <= now) && !self.loads.contains(&(name, at));
             let presumed = near && look && (clear || !may_order);
             if !stands && !presumed {
@@ -829,11 +838,8 @@
         // By the same clock, so that all see cold workers grow in the same steps.
         let now = (self.now / STEP).floor() * STEP;
         if model.homes_of != (self.roster_of, now) {
-            let few = f64::from(self.set.front_ends) <= FIRST_CALLS;
             let key = |(id, worker): (&WorkerId, &Worker)| {
-                // Where a first call does no harm, a cold worker is looked at like any other until it comes.
-                let untried = few && worker.wanted.last <= 0.0;
-                let warmth = if untried { 1.0 } else { worker.warmth(now, &self.set) };
+                let warmth = if worker.untried(&self.set) { 1.0 } else { worker.warmth(now, &self.set) };
                 (worker.zone != self.set.zone, rank(worker, name, warmth), *id)
             };
             let mut ranked: Vec<_> = self.workers.iter().filter(|entry| entry.1.ready).map(key).collect();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -184,6 +184,30 @@
     }
 }
 
+/// Guards hosts that come back from maintenance while all that is called stands elsewhere: each is given one call at
+/// once, however far it is, and no more than that; not where front ends are many.
+#[test]
+fn a_worker_that_comes_back_is_looked_at_once_whatever_stands_elsewhere() {
+    for (front_ends, looks) in [(3, 1), (100, 0)] {
+        let set = Settings { front_ends, lacking: Lacking::Misses, ..settings() };
+        let mut front = Front::new(set, vec![entry(0, 0), entry(1, 1)]);
+        let mut serve = |front: &mut Front, id: u64| {
+            front.now += 10.0;
+            let at = bring(front, call(id, 0, 5, 900_000.0));
+            front.end(id, 0, at, Outcome::Ok);
+            at
+        };
+        (1..10).for_each(|id| assert_eq!(serve(&mut front, id), 0, "its own zone's stands"));
+        let draining = RosterEntry { standing: Standing::Draining, ..entry(1, 1) };
+        front.tell(Event::Roster(Roster::Changes(vec![draining])));
+        front.now += 3000.0;
+        let born = front.now;
+        front.tell(Event::Roster(Roster::Changes(vec![RosterEntry { born, ..entry(1, 1) }])));
+        let there = (10..30).filter(|id| serve(&mut front, *id) == 1).count();
+        assert_eq!(there, looks, "{front_ends} front ends");
+    }
+}
+
 /// Sends to the cold one of ten workers, and all sends, by many front ends in a second and a half.
 fn cold_share(fronts: u64, calls_of: impl Fn(u64) -> u64) -> (usize, usize) {
     let (mut cold, mut all) = (0, 0);
