A call that loses its draw at a cold worker looks at others before it spares them all

At fault: spares() and place() in src/brain.rs: one lost draw spared every cold worker for fall_span, and all were cold. Change: Pending keeps its draws by worker; survey leaves out those that were lost, all after three. The bound of each worker is as it was.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,8 +16,8 @@
 const PATIENCE: f64 = 10.0;
 /// Answers and failures remembered of a worker and class at most, so that it can be forgiven.
 const MEMORY: f64 = 4.0;
-/// Part of the allowed multiple that all front ends together may use on a worker that is nearly warm.
-const COLD_PART: f64 = 1.0;
+/// Cold workers at which a call may lose its draw until it spares them all.
+const DRAWS: usize = 3;
 /// First calls to a cold worker, of all front ends together, that need no draw: where those are few.
 const FIRST_CALLS: f64 = 4.0;
 /// Time after which the homes of models are ranked anew, as cold workers grow warm.
@@ -658,10 +658,9 @@
             self.end(id, act);
             return true;
         }
-        let Some(mut found) = self.survey(pending, may_order, self.spares(pending)) else { return false };
-        if found.best.is_some_and(|best| !self.admitted(id, best.1)) {
-            let pending = self.pending.get(&id);
-            found = pending.and_then(|pending| self.survey(pending, may_order, true)).unwrap_or(found);
+        let Some(mut found) = self.survey(pending, may_order) else { return false };
+        while found.best.is_some_and(|best| !self.admitted(id, best.1)) {
+            found = self.pending.get(&id).and_then(|call| self.survey(call, may_order)).unwrap_or_default();
         }
         let Found { best, known } = found;
         let dear = best.is_none_or(|best| best.0 .2 > self.load_ms + usual);
@@ -683,7 +682,7 @@
 
     /// Looks for the best worker for a call: the likeliest home and what else is believed to stand; cold ones
     /// left out where they are spared.
-    fn survey(&self, pending: &Pending, may_order: bool, spares: bool) -> Option<Found> {
+    fn survey(&self, pending: &Pending, may_order: bool) -> Option<Found> {
         let (name, class, now) = (pending.request.model, pending.request.class, self.now);
         let (model, &Class { aim, effect, .. }) = (self.models.get(&name)?, &self.set.classes[class]);
         let crossing_pays = |zone: usize| {
@@ -707,7 +706,7 @@
             let near = zones.is_empty() || roams && !cold && !zones.contains(&worker.zone);
             // One that has come back is looked at once, whatever stands elsewhere.
             let back = cold && worker.life > 1 && pending.attempts == 0 && worker.untried(&self.set);
-            if !(stands || near || back) || spares && cold || !self.open(worker, pending) {
+            if !(stands || near || back) || cold && self.spares(pending, at) || !self.open(worker, pending) {
                 continue;
             }
             let odds = self.odds(worker, class);
@@ -788,9 +787,10 @@
         PATIENCE * self.usual[flight.class].max(1.0) + if flight.warm { 0.0 } else { self.load_ms }
     }
 
-    /// Whether it was drawn of late that a call spares cold workers.
-    fn spares(&self, pending: &Pending) -> bool {
-        pending.cold.is_some_and(|met| !met.1 && self.now < met.2 + self.set.fall_span)
+    /// Whether a call spares a cold worker: it lost its draw there of late, or at several others.
+    fn spares(&self, pending: &Pending, at: WorkerId) -> bool {
+        let lost = pending.draws.iter().filter(|draw| !draw.1 && self.now < draw.2 + self.set.fall_span);
+        lost.clone().count() >= DRAWS || { lost }.any(|draw| draw.0 == at)
     }
 
     /// Whether a call may go to a worker. Where that one is cold, it is drawn: so many may that the sum over
@@ -804,7 +804,8 @@
         if !worker.cold(now, set) {
             return true;
         }
-        if let Some(met) = pending.cold.filter(|met| met.0 == at && now < met.2 + set.fall_span) {
+        pending.draws.retain(|draw| now < draw.2 + set.fall_span);
+        if let Some(met) = pending.draws.iter().find(|draw| draw.0 == at) {
             return met.1;
         }
         // Less of it the colder it is: all hear of it at once, and each looks there for what it calls.
@@ -812,10 +813,10 @@
         let even = self.taking.at(now, set.keep) / self.ready.max(1) as f64;
         worker.wanted.add(now, set.keep);
         let wanted = worker.wanted.at(now, set.keep);
-        let part = capacity * set.fall_multiple * COLD_PART * even / wanted;
+        let part = capacity * set.fall_multiple * even / wanted;
         let least = if wanted <= 1.0 { FIRST_CALLS / f64::from(set.front_ends) } else { 0.0 };
         let drawn = self.rng.random::<f64>() < part.max(least);
-        pending.cold = Some((at, drawn, now));
+        pending.draws.push((at, drawn, now));
         drawn
     }
 
@@ -858,7 +859,7 @@
             return;
         }
         let (Some(model), Some(pending)) = (self.models.get(&name), self.pending.get(&id)) else { return };
-        let (class, spares) = (pending.request.class, self.spares(pending));
+        let class = pending.request.class;
         let shut = |id: &WorkerId, worker: &Worker| {
             let stands = model.holders.get(id).is_some_and(|line| line.stands(self.now, self.set.keep));
             let until = worker.no_room_until.max(worker.full_until);
@@ -867,7 +868,7 @@
                 || stands
                 || until > self.now
                 || self.loads.contains(&(name, *id))
-                || spares && worker.cold(self.now, &self.set)
+                || worker.cold(self.now, &self.set) && self.spares(pending, *id)
         };
         let key = |worker: &Worker| (self.odds(worker, class) >= 1.0, worker.zone != self.set.zone);
         let homes = model.homes.iter().filter_map(|id| self.workers.get(id).map(|worker| (*id, worker)));
@@ -876,8 +877,7 @@
         if !self.admitted(id, worker) {
             return self.order(id, name, act);
         }
-        let Some(model) = self.models.get(&name) else { return };
-        self.make_room(worker, name, model.memory, act);
+        self.make_room(worker, name, act);
         self.models.entry(name).or_default().holders.entry(worker).or_default();
         self.workers.entry(worker).and_modify(|worker| _ = worker.lines.insert(name));
         self.loads.insert((name, worker));
@@ -886,10 +886,10 @@
         act.push(Action::Load { worker, model: name, copies: 1 });
     }
 
-    fn make_room(&mut self, at: WorkerId, name: ModelId, memory: f64, act: &mut Vec<Action>) {
+    fn make_room(&mut self, at: WorkerId, name: ModelId, act: &mut Vec<Action>) {
         let Some(worker) = self.workers.get(&at) else { return };
         let Some(&total) = self.set.kind_memory.get(worker.kind) else { return };
-        let mut placed = memory;
+        let mut placed = self.models.get(&name).map_or(0.0, |model| model.memory);
         let mut idle: Vec<(ModelId, f64, f64)> = Vec::new();
         for &id in worker.lines.iter().filter(|id| **id != name) {
             let Some(model) = self.models.get(&id) else { continue };
--- a/src/state.rs
+++ b/src/state.rs
@@ -110,8 +110,8 @@
     /// Attempts that may have run, oldest first.
     pub ran: Vec<(u32, WorkerId, Ms)>,
     pub streaming: bool,
-    /// The first cold worker that it would have gone to, whether it may, and when that was drawn.
-    pub cold: Option<(WorkerId, bool, Ms)>,
+    /// Cold workers that it would have gone to, whether it may, and when that was drawn.
+    pub draws: Vec<(WorkerId, bool, Ms)>,
 }
 
 /// What a look over the workers found for a call.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -103,3 +103,24 @@
         before = fleet.sums.at.clone();
     }
 }
+
+/// Guards service while all workers are cold, as after a release: a call that loses its draw at one is drawn for at
+/// others, so that what all of them may bear together is used; and the rule on cold workers all the same.
+#[test]
+fn a_call_that_is_spared_one_cold_worker_may_go_to_another() {
+    let set = Settings { front_ends: 6, ..large(0.08) };
+    let mut fleet = Fleet::new(&set, 6, 12, 3);
+    fleet.now += 60_000.0;
+    let born = fleet.now;
+    let young: Vec<_> = (0..12).map(|host| RosterEntry { born, ..entry(host, host as usize % 3) }).collect();
+    fleet.announce(&young);
+    for call in 0..1000u64 {
+        fleet.call(call as f64 * 4.0, (call % 6) as usize, call, 0, call * call % 7 + 1, 3000.0);
+    }
+    fleet.run(8000.0);
+    let sent: Vec<usize> = (0..12).map(|host| fleet.sums.at.get(&host).copied().unwrap_or(0)).collect();
+    assert!(sent.iter().all(|sent| *sent >= 8), "each is used: {sent:?}");
+    // Four seconds at the coldest, if the fleet were full.
+    let allowed = set.fall_multiple * set.cold_from * 1000.0 / 12.0;
+    assert!(sent.iter().all(|sent| (*sent as f64) <= allowed), "none is pushed over: {sent:?}, {allowed}");
+}
