--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -191,7 +191,7 @@
     for (front_ends, looks) in [(3, 1), (100, 0)] {
         let set = Settings { front_ends, lacking: Lacking::Misses, ..settings() };
         let mut front = Front::new(set, vec![entry(0, 0), entry(1, 1)]);
-        let mut serve = |front: &mut Front, id: u64| {
+        let serve = |front: &mut Front, id: u64| {
             front.now += 10.0;
             let at = bring(front, call(id, 0, 5, 900_000.0));
             front.end(id, 0, at, Outcome::Ok);
