The command channel is called again with growing, drawn pauses; calls counted by kind

Need: a channel that fails was called again every 50 ms by every invoker (PAUSE in wire/channel.rs); operators' calls were counted by yes and no only, and hosts held out were told nowhere.

--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -279,6 +279,8 @@
         match signal {
             SIGUSR1 => {
                 tracing::info!("{}", invoker.counters);
+                let (suspended, leaving) = (invoker.bans().out().count(), invoker.duty().leaving());
+                tracing::info!(suspended, ?leaving, "operators' word");
                 accounts::log(invoker);
             }
             SIGHUP => match reload() {
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -66,6 +66,8 @@
     pub operators_yes: Counter,
     /// Operators' calls that were answered with no.
     pub operators_no: Counter,
+    /// Those of each kind, by [`OPERATORS`]: yes, no.
+    pub operators: [[Counter; 2]; OPERATORS.len()],
     /// Connections of clients that went to the successor.
     pub passed_on: Counter,
     /// Connections of clients that came from the process before.
@@ -99,6 +101,7 @@
             turned_away: counter(),
             operators_yes: counter(),
             operators_no: counter(),
+            operators: Default::default(),
             passed_on: counter(),
             taken_over: counter(),
             lost: Default::default(),
@@ -108,6 +111,9 @@
     }
 }
 
+/// Operators' calls.
+pub const OPERATORS: [&str; 5] = ["readyz", "suspend", "resume", "drain", "activate"];
+
 const OUTCOMES: [(Outcome, &str); 9] = [
     (Outcome::Ok, "ok"),
     (Outcome::Error, "error"),
@@ -163,9 +169,12 @@
             ("passed_on", &self.passed_on),
             ("taken_over", &self.taken_over),
         ];
+        let calls = OPERATORS.iter().zip(&self.operators).flat_map(|(name, [yes, no])| {
+            [(format!("operators_{name}_yes"), yes.get()), (format!("operators_{name}_no"), no.get())]
+        });
         let lost = OUTCOMES.iter().zip(&self.lost).skip(1);
         let lost = lost.map(|((_, name), counter)| (format!("lost_{name}"), counter.get()));
-        named.into_iter().map(|(name, counter)| (name.to_string(), counter.get())).chain(lost)
+        named.into_iter().map(|(name, counter)| (name.to_string(), counter.get())).chain(calls).chain(lost)
     }
 }
 
--- a/crates/node/src/wire/channel.rs
+++ b/crates/node/src/wire/channel.rs
@@ -4,6 +4,7 @@
 use crate::core::{lock, Invoker};
 use crate::memory::roster::Listing;
 use corkbay::Standing;
+use corkbay_duty::Redial;
 use may::sync::Mutex;
 use serde::Deserialize;
 use serde_json::Value;
@@ -16,8 +17,6 @@
 /// A comment comes each second: a channel silent for longer is dead, and news may be waiting.
 const SILENCE: Duration = Duration::from_millis(1300);
 const CONNECT: Duration = Duration::from_millis(300);
-/// Pause before a channel that failed is called again.
-const PAUSE: Duration = Duration::from_millis(50);
 const CHUNK: usize = 4096;
 
 /// One event of the channel.
@@ -155,8 +154,10 @@
     }
 }
 
-/// Reads the channel for as long as the process lives: each time it ends it is called again at once.
+/// Reads the channel for as long as the process lives: each time it ends it is called again, at once where it brought
+/// news.
 pub fn follow(invoker: &Arc<Invoker>, line: &Line, mut cursor: u64) {
+    let mut redial = Redial::default();
     loop {
         let (before, address) = (cursor, line.address());
         invoker.counters.channel_calls.add();
@@ -164,7 +165,10 @@
             tracing::warn!(%error, "command channel");
         }
         if cursor == before && line.address() == address {
-            may::coroutine::sleep(PAUSE);
+            let pause = redial.pause(rand::random());
+            may::coroutine::sleep(Duration::from_secs_f64(pause / 1000.0));
+        } else {
+            redial.heard();
         }
     }
 }
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -31,6 +31,19 @@
     Ask(Ask),
 }
 
+impl Call {
+    /// Its place among the counters.
+    fn place(&self) -> usize {
+        match self {
+            Call::Ready => 0,
+            Call::Ask(Ask::Suspend(_)) => 1,
+            Call::Ask(Ask::Resume(_)) => 2,
+            Call::Ask(Ask::Drain) => 3,
+            Call::Ask(Ask::Activate) => 4,
+        }
+    }
+}
+
 /// What a call comes to; its status code, and what is told of it.
 struct Word(u16, serde_json::Value);
 
@@ -78,6 +91,8 @@
                     heeded(ask, end)
                 }
             };
+            let [yes, no] = &invoker.counters.operators[call.place()];
+            if status < 300 { yes } else { no }.add();
             Response::new(status, "application/json", told.to_string().into_bytes())
         }
         Err(response) => response,
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -53,6 +53,15 @@
     assert_eq!(put(&bench, "/v1/hosts/h0/resume"), 200, "more than once, too");
     bench.daemon.signal("USR1");
     until("calls are counted", || bench.daemon.errors().contains("operators_yes=5 operators_no=5"));
+    until("each by its kind", || {
+        let log = bench.daemon.errors();
+        log.contains(
+            "operators_suspend_yes=2 operators_suspend_no=1 operators_resume_yes=2 operators_resume_no=1",
+        )
+    });
+    assert_eq!(put(&bench, "/v1/hosts/h0/suspend"), 200);
+    bench.daemon.signal("USR1");
+    until("it is told who is out", || bench.daemon.errors().contains("suspended=1"));
 }
 
 /// Guards a host under maintenance: from the yes on it is sent nothing, whatever the directory says, and one resume
