What is owed on a passed connection is struck out under the lock that passes it on

Read again: Arrived::end removed a request before it held Guest::passed, so a connection that passed on once more in between would have named it nowhere, and its answer been dropped. Guest::end now strikes it out itself.

--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -251,11 +251,14 @@
         Ok(())
     }
 
-    /// Ends what is owed under that number, with these bytes or, where nobody waits any more, with none. `settled` comes
-    /// before; what is `held` for it is given back after, whichever process writes.
-    pub fn end(&self, seqid: i32, bytes: Vec<u8>, settled: impl FnOnce(), held: impl Send + 'static) {
+    /// Ends what is owed under that number, with these bytes or, where nobody waits any more, with none. `settle` strikes
+    /// it out, and tells whether it was still owed; what is `held` for it is given back after, whichever process writes.
+    pub fn end(&self, seqid: i32, bytes: Vec<u8>, settle: impl FnOnce() -> bool, held: impl Send + 'static) {
+        // Not while the connection passes on: what is owed goes with it or is ended, never neither or both.
         let passed = lock(&self.passed);
-        settled();
+        if !settle() {
+            return;
+        }
         if let Some(passed) = &*passed {
             return passed.end(seqid, bytes, Box::new(held));
         }
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -114,11 +114,8 @@
         spawn(move || {
             // It may have ended before, or its client may have taken the request back.
             let Some(guest) = guest.upgrade() else { return };
-            let owed = lock(&open).remove(&seqid).is_some();
-            if owed {
-                let held = guest.account().owe(bytes.len());
-                guest.end(seqid, bytes, || {}, held);
-            }
+            let held = guest.account().owe(bytes.len());
+            guest.end(seqid, bytes, || lock(&open).remove(&seqid).is_some(), held);
         });
     }
 
@@ -313,7 +310,7 @@
                 };
                 let bytes = reply.map(|reply| thrift::reply("dispatch", seqid, reply)).unwrap_or_default();
                 // What is owed is owed until the answer is written.
-                guest.end(seqid, bytes, || _ = lock(&open).remove(&seqid), taken);
+                guest.end(seqid, bytes, || lock(&open).remove(&seqid).is_some(), taken);
             });
         }
         Err(what) => {
