Read once more: relayed answers are not copied, what is owed here is gathered in one place

receive_all() cloned each relayed answer (up to 230 KB) for the one arrival it goes to; the requests that this process owes on a connection were gathered by the same expression in two places; abandon() had a closure that was called once. Behaviour unchanged.

--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -62,6 +62,11 @@
 
 type Open = Arc<Mutex<HashMap<i32, Owed>>>;
 
+/// What this process owes of it.
+fn owed_here(open: &Open) -> Vec<RequestId> {
+    lock(open).values().filter_map(|owed| owed.here()).collect()
+}
+
 /// The life of one client connection. Once this process leaves, it may pass on to the next one.
 pub fn serve(invoker: &Arc<Invoker>, passage: &Passage, guest: Arc<Guest>) {
     keep(invoker, passage, &guest, Open::default());
@@ -120,10 +125,11 @@
     }
 
     fn abandon(&self) {
-        let owed = |open: &HashMap<i32, Owed>| -> Vec<i32> {
-            open.iter().filter(|entry| entry.1.here().is_none()).map(|entry| *entry.0).collect()
-        };
-        let owed = owed(&lock(&self.open));
+        let owed: Vec<i32> = lock(&self.open)
+            .iter()
+            .filter(|(_, owed)| owed.here().is_none())
+            .map(|(seqid, _)| *seqid)
+            .collect();
         let answer = |seqid| thrift::reply("dispatch", seqid, crashed("the process that took it has ended"));
         owed.into_iter().for_each(|seqid| self.end(seqid, answer(seqid)));
     }
@@ -147,8 +153,7 @@
 impl Drop for Leave {
     fn drop(&mut self) {
         if !self.passed {
-            let left: Vec<RequestId> = lock(&self.open).values().filter_map(|owed| owed.here()).collect();
-            left.into_iter().for_each(|id| self.invoker.withdraw(id));
+            owed_here(&self.open).into_iter().for_each(|id| self.invoker.withdraw(id));
         }
     }
 }
@@ -187,9 +192,7 @@
                         return Ok(End::Closed);
                     }
                     if invoker.duty().ends(now_ms(), last_request) {
-                        let owed: Vec<RequestId> =
-                            lock(open).values().filter_map(|owed| owed.here()).collect();
-                        owed.into_iter().for_each(|id| invoker.end(id));
+                        owed_here(open).into_iter().for_each(|id| invoker.end(id));
                     }
                     guest.wait_for_an_end(LET_GO_LOOK);
                 }
--- a/crates/node/src/wire/passage.rs
+++ b/crates/node/src/wire/passage.rs
@@ -181,7 +181,9 @@
             }
             (Message::Connection { .. }, None) => return Err(io::Error::other("no descriptor came")),
             (Message::End { number, seqid, bytes }, _) => {
-                arrivals.get(&number).into_iter().for_each(|arrival| arrival.end(seqid, bytes.clone()));
+                if let Some(arrival) = arrivals.get(&number) {
+                    arrival.end(seqid, bytes);
+                }
             }
         }
     }
