An order to load goes out within the connect time-out or not at all

Lines: FrameWorkers::open and Connection::write put no bound on the wait. Change: Workers::load is told by when; Connection::write gives up what is late, as not run.

--- a/crates/node/src/core/attempt.rs
+++ b/crates/node/src/core/attempt.rs
@@ -10,7 +10,7 @@
     Silent,
     /// The attempt was called off.
     GivenUp,
-    /// The worker may be sent nothing more, or no descriptor was left for it.
+    /// The worker may be sent nothing more, no descriptor was left for it, or it would have gone out too late.
     Barred,
 }
 
--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -395,13 +395,14 @@
                         ends.push_back(Event::Loaded { worker, model, outcome, copies, took });
                         continue;
                     };
+                    let started = now_ms();
+                    let by = started + self.settings.order_lag;
                     self.spawn(held, move |invoker| {
-                        let started = now_ms();
                         let (end, copies) = match invoker.host(worker) {
                             Some(host) => {
                                 let counters = &invoker.counters;
                                 if copies > 0 { &counters.orders } else { &counters.questions }.add();
-                                invoker.workers.load(&host, model, copies, invoker.spans.order)
+                                invoker.workers.load(&host, model, copies, by, invoker.spans.order)
                             }
                             None => (Err(AttemptError::Unconnected), 0),
                         };
@@ -690,7 +691,14 @@
             Box::new(Over)
         }
 
-        fn load(&self, _: &Arc<Host>, _: ModelId, _: u32, _: Duration) -> (Result<(), AttemptError>, u32) {
+        fn load(
+            &self,
+            _: &Arc<Host>,
+            _: ModelId,
+            _: u32,
+            _: Ms,
+            _: Duration,
+        ) -> (Result<(), AttemptError>, u32) {
             (Err(AttemptError::Unconnected), 0)
         }
 
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -38,12 +38,14 @@
 pub trait Workers: Send + Sync + 'static {
     /// Starts an attempt that the client waits for until `expires`; never blocks.
     fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange>;
-    /// Orders copies of a model held (0 only asks) and waits for the word on it: how many stand.
+    /// Orders copies of a model held (0 only asks) and waits for the word on it: how many stand. An order that
+    /// can't go out by that time is not given.
     fn load(
         &self,
         host: &Arc<Host>,
         model: ModelId,
         copies: u32,
+        by: Ms,
         within: Duration,
     ) -> (Result<(), AttemptError>, u32);
     /// Has the idle copies of a model unloaded; nothing is heard of it.
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -117,7 +117,7 @@
     }
 
     /// These workers load by themselves; nothing is ordered of them.
-    fn load(&self, _: &Arc<Host>, _: ModelId, _: u32, _: Duration) -> (Result<(), AttemptError>, u32) {
+    fn load(&self, _: &Arc<Host>, _: ModelId, _: u32, _: Ms, _: Duration) -> (Result<(), AttemptError>, u32) {
         (Err(AttemptError::Answered(Verdict::Failed)), 0)
     }
 
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -79,6 +79,8 @@
     /// Somebody waits for an answer to it.
     tracked: bool,
     goes: Goes,
+    /// It goes out by then or not at all.
+    by: Ms,
 }
 
 enum Out {
@@ -139,6 +141,7 @@
         host: &Arc<Host>,
         frame: Frame,
         goes: Goes,
+        by: Ms,
         mut waiter: Option<Waiter>,
     ) -> Option<Arc<Connection>> {
         let tracked = waiter.is_some();
@@ -173,7 +176,7 @@
         let connection = fresh.or_else(|| pool.iter().find(|connection| enlist(connection)).cloned());
         drop(pools);
         match &connection {
-            Some(connection) => _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, goes })),
+            Some(connection) => _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, goes, by })),
             None => barred(waiter),
         }
         connection
@@ -207,12 +210,13 @@
         host: &Arc<Host>,
         frame: Frame,
         goes: Goes,
+        by: Ms,
         within: Duration,
     ) -> Result<Frame, AttemptError> {
         let id = frame.id;
         let (sender, answer) = channel();
         let waiter: Waiter = Box::new(move |end| _ = sender.send(end));
-        let connection = self.open(host, frame, goes, Some(waiter));
+        let connection = self.open(host, frame, goes, by, Some(waiter));
         match answer.recv_timeout(within) {
             Ok(end) => end,
             Err(_) => {
@@ -305,8 +309,8 @@
                 Err(RecvTimeoutError::Timeout) => continue,
             };
             let id = out.frame.id;
-            if out.goes.barred(host) {
-                // Told so while the frame waited: it must not go out any more.
+            if out.goes.barred(host) || now_ms() > out.by {
+                // Told so while the frame waited, or it waited too long: it must not go out any more.
                 let given_up = lock(&self.link).give_up(id);
                 if let Some((_, waiter)) = given_up {
                     waiter(Err(AttemptError::Unfinished(Cause::Barred)));
@@ -390,8 +394,12 @@
         let (stage, _) = lock(&connection.link).give_up(self.id)?;
         if stage != Stage::Queued {
             let frame = Frame::command(code::GIVE_UP, self.id, String::new(), Vec::new());
-            let _ =
-                connection.outbox.send(Out::Frame(Outgoing { frame, tracked: false, goes: Goes::GiveUp }));
+            let _ = connection.outbox.send(Out::Frame(Outgoing {
+                frame,
+                tracked: false,
+                goes: Goes::GiveUp,
+                by: Ms::INFINITY,
+            }));
         }
         Some(broken(stage, cause))
     }
@@ -413,7 +421,7 @@
         let waiter: Waiter = Box::new(move |answer| {
             end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
         });
-        let connection = self.open(host, frame, Goes::Work, Some(waiter));
+        let connection = self.open(host, frame, Goes::Work, Ms::INFINITY, Some(waiter));
         Box::new(FrameExchange { connection, id: call.request.id.0 })
     }
 
@@ -422,11 +430,12 @@
         host: &Arc<Host>,
         model: ModelId,
         copies: u32,
+        by: Ms,
         within: Duration,
     ) -> (Result<(), AttemptError>, u32) {
         let fields = format!("obj={:016x},replicas={copies}", model.0);
         let frame = Frame::command(code::LOAD, self.order_id(), fields, Vec::new());
-        match self.ask(host, frame, if copies > 0 { Goes::Work } else { Goes::Word }, within) {
+        match self.ask(host, frame, if copies > 0 { Goes::Work } else { Goes::Word }, by, within) {
             // An order that fails tells as well how many copies stand.
             Ok(frame) => {
                 let standing = frame.field("replicas").and_then(|count| count.parse().ok());
@@ -439,7 +448,7 @@
 
     fn evict(&self, host: &Arc<Host>, model: ModelId) {
         let frame = Frame::command(code::EVICT, model.0, String::new(), Vec::new());
-        self.open(host, frame, Goes::Word, None);
+        self.open(host, frame, Goes::Word, Ms::INFINITY, None);
     }
 
     fn dials(&self) -> Arc<Dials> {
@@ -448,7 +457,9 @@
 
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
         let frame = Frame::command(code::PROBE, self.order_id(), String::new(), Vec::new());
-        self.ask(host, frame, Goes::Word, within).and_then(|frame| verdict(frame, code::ALIVE)).map(|_| ())
+        self.ask(host, frame, Goes::Word, Ms::INFINITY, within)
+            .and_then(|frame| verdict(frame, code::ALIVE))
+            .map(|_| ())
     }
 }
 
--- a/crates/node/tests/frames.rs
+++ b/crates/node/tests/frames.rs
@@ -171,12 +171,23 @@
     let error = end.recv_timeout(PATIENCE).expect("told").expect_err("barred");
     assert_eq!(error, AttemptError::Unfinished(Cause::Barred));
     assert!(error.outcome().proves_not_run());
-    let (order, _) = bench.workers.load(&bench.host, ModelId(5), 1, PATIENCE);
+    let (order, _) = bench.workers.load(&bench.host, ModelId(5), 1, f64::INFINITY, PATIENCE);
     assert_eq!(order, Err(AttemptError::Unfinished(Cause::Barred)));
     bench.listener.set_nonblocking(true).expect("set");
     assert!(bench.listener.accept().is_err(), "nobody called");
 }
 
+/// Guards the ration against orders that wait too long on their way: one counts when it arrives, and leaves its
+/// window only as long as that is soon after it was decided.
+#[test]
+fn an_order_that_is_too_late_is_not_written() {
+    let bench = Bench::new();
+    let (order, copies) = bench.workers.load(&bench.host, ModelId(5), 1, now_ms() - 1.0, PATIENCE);
+    assert_eq!((order, copies), (Err(AttemptError::Unfinished(Cause::Barred)), 0));
+    bench.workers.evict(&bench.host, ModelId(6));
+    assert_eq!(bench.peer().next().code, code::EVICT, "nothing went before it");
+}
+
 #[test]
 fn a_refused_connection_never_ran() {
     let bench = Bench::new();
@@ -205,7 +216,7 @@
             }
             assert_eq!((peer.next().code, 5), (code::EVICT, 5));
         });
-        let order = || bench.workers.load(&bench.host, ModelId(5), 2, PATIENCE);
+        let order = || bench.workers.load(&bench.host, ModelId(5), 2, f64::INFINITY, PATIENCE);
         assert_eq!(order(), (Ok(()), 2));
         assert_eq!(order(), (Err(AttemptError::Answered(Verdict::Full)), 1));
         assert_eq!(order(), (Err(AttemptError::Answered(Verdict::Failed)), 0));
--- a/crates/node/tests/support/platform.rs
+++ b/crates/node/tests/support/platform.rs
@@ -83,13 +83,24 @@
     }
 
     pub fn limited(script: &[Act], hosts: usize, sockets: u32, memory_mb: u32) -> Self {
+        Self::changed(script, hosts, sockets, memory_mb, |_| {})
+    }
+
+    /// The same with settings that the test changes.
+    pub fn changed(
+        script: &[Act],
+        hosts: usize,
+        sockets: u32,
+        memory_mb: u32,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
         let fleet = Fleet::new(script);
         let hosts: Vec<SocketAddr> = (0..hosts).map(|number| fleet.frames(&format!("h{number}"))).collect();
         let channel = Channel::new();
         let names: Vec<String> = (0..hosts.len()).map(|number| format!("h{number}")).collect();
         let known: Vec<_> = names.iter().zip(&hosts).map(|(name, at)| (name.as_str(), *at, "up")).collect();
         let admin = free_address();
-        let config = json!({
+        let mut config = json!({
             "name": "n0", "listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
             "admin": admin.to_string(), "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "channel": channel.address.to_string(),
@@ -109,6 +120,7 @@
                 "safety": {"drainGraceMs": 2000.0, "coldFrom": 1.0, "coldMs": 0.0, "fallMs": 2000.0, "fallMultiple": 2.0}
             }
         });
+        change(&mut config["settings"]);
         let folder = Folder::new();
         let path = folder.write("config.json", &config.to_string());
         let daemon = Daemon::platform(&path, free_address());
--- a/crates/node/tests/support/workers.rs
+++ b/crates/node/tests/support/workers.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What a worker does with a call that has come whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +52,10 @@
 struct Shared {
     script: Vec<Act>,
     sent: Vec<Sent>,
+    /// When orders to load came whole.
+    ordered: Vec<Instant>,
+    /// Connections are read late, and break after some frames.
+    rough: bool,
     /// Answers by key: a rack drops repeats.
     served: HashMap<String, Vec<u8>>,
     runs: usize,
@@ -77,6 +81,16 @@
         self.shared.0.lock().expect("whole").sent.clone()
     }
 
+    /// When orders to load came whole.
+    pub fn ordered(&self) -> Vec<Instant> {
+        self.shared.0.lock().expect("whole").ordered.clone()
+    }
+
+    /// From now on connections are read late, each by up to 0.12 s, and break after every ninth frame.
+    pub fn rough(&self) {
+        self.shared.0.lock().expect("whole").rough = true;
+    }
+
     /// Calls that were carried out, repeats of a key left out.
     pub fn runs(&self) -> usize {
         self.shared.0.lock().expect("whole").runs
@@ -215,7 +229,12 @@
     }
 
     fn frame_by_frame(&self, worker: &str, mut socket: TcpStream) {
-        let (mut buffer, mut chunk) = (Vec::new(), [0; 4096]);
+        let (mut buffer, mut chunk, mut frames) = (Vec::new(), [0; 4096], 0);
+        let rough = self.shared.0.lock().expect("whole").rough;
+        if rough {
+            let port = socket.peer_addr().map_or(0, |address| address.port());
+            std::thread::sleep(Duration::from_millis(u64::from(port) * 37 % 120));
+        }
         loop {
             let frame = match Frame::decode(&mut buffer, FROM_INVOKER).expect("a good frame") {
                 Some(frame) => frame,
@@ -232,9 +251,18 @@
                     Frame { mark: FROM_WORKER, code, id: frame.id, fields: "replicas=1".into(), body };
                 let _ = socket.write_all(&answer.encode());
             };
+            frames += 1;
+            if rough && frames % 10 == 0 {
+                return;
+            }
             match frame.code {
                 code::GIVE_UP => self.note_called_off(),
-                code::LOAD => answer(code::OK, Vec::new()),
+                code::LOAD => {
+                    if frame.field("replicas") != Some("0") {
+                        self.shared.0.lock().expect("whole").ordered.push(Instant::now());
+                    }
+                    answer(code::OK, Vec::new());
+                }
                 code::REQUEST => {
                     let key = frame.field("token").map(str::to_string);
                     let act = self.take(worker, key.clone(), &frame.body);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,7 +124,7 @@
     pub load_share: f64,
     /// Window for counting load orders; 0 for no limit.
     pub load_window: Ms,
-    /// Longest time from an order's decision to its arrival whole at the worker.
+    /// Longest time from an order's decision until it goes out; the host gives up one that would go later.
     pub order_lag: Ms,
     /// Answers tell whether a loaded copy was found.
     pub tells_warm: bool,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -107,7 +107,9 @@
             load_free: number("specifics", "loadFloor", 0.0),
             load_share: number("specifics", "loadPart", 0.0),
             load_window: number("specifics", "loadSpanMs", 0.0),
-            order_lag: number("ceilings", "connectTimeoutMs", 0.0),
+            order_lag: Some(number("ceilings", "connectTimeoutMs", 0.0))
+                .filter(|ms| *ms > 0.0)
+                .unwrap_or(250.0),
             tells_warm: flag("specifics", "saysWarm"),
             price_cross: number("prices", "crossZone", 0.0),
             price_probe: number("prices", "probe", 0.0),
