--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,6 +1,8 @@
 //! The five rules: each by a dialogue, then all under seeded streams of random legal events.
 mod support;
 use corkbay::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
 use support::*;
@@ -354,29 +356,71 @@
     done: bool,
 }
 
-/// A world that answers at random but legally, and checks the rules on every action.
-fn random_day(seed: u64) -> (usize, usize) {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let effects = [
-        Effect::Repeatable,
-        Effect::Unsafe,
-        Effect::Keyed(Group::Zone, 700.0),
-        Effect::Keyed(Group::All, 700.0),
-    ];
-    let rationed = rng.random_bool(0.5);
-    let set = Settings {
-        classes: effects.iter().map(|effect| class(*effect, 1.0)).collect(),
+/// Classes of a random day, by the number of a call.
+const EFFECTS: [Effect; 4] =
+    [Effect::Repeatable, Effect::Unsafe, Effect::Keyed(Group::Zone, 700.0), Effect::Keyed(Group::All, 700.0)];
+
+/// Settings of a random day.
+fn drawn(rng: &mut SmallRng) -> Settings {
+    Settings {
+        classes: EFFECTS.iter().map(|effect| class(*effect, 1.0)).collect(),
         cancel: rng.random_bool(0.5),
         orders: rng.random_bool(0.8),
         lacking: if rng.random_bool(0.5) { Lacking::Misses } else { Lacking::Loads },
-        load_window: if rationed { 3000.0 } else { 0.0 },
+        load_window: if rng.random_bool(0.5) { 3000.0 } else { 0.0 },
         load_free: 3.0,
         load_share: 0.2,
         ..settings()
-    };
+    }
+}
+
+/// Any deployment: what a site allows, what its answers tell, how it rations loads, how its workers start.
+fn deployments() -> impl Strategy<Value = (Settings, u32, u64)> {
+    let allow = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>(), 1u32..6);
+    let family = (any::<bool>(), any::<bool>(), 0.0..5.0f64, 0.0..0.5f64, 0.0..6000.0f64, 500.0..20_000.0f64);
+    let start = (0.05..1.0f64, 0.0..17_000.0f64, 1.2..4.0f64, 0.0..4000.0f64, 0.0..300.0f64);
+    let prices = (0.0..0.1f64, 0.0..0.1f64, 0.0..0.2f64, any::<bool>(), 1u32..200);
+    (allow, family, start, prices, 1u32..4, any::<u64>()).prop_map(
+        |(allow, family, start, prices, zones, seed)| {
+            let classes = EFFECTS.iter().enumerate();
+            let worth = |(number, effect): (usize, &Effect)| class(*effect, [1.0, 5.0, 2.0, 0.5][number]);
+            let set = Settings {
+                classes: classes.map(worth).collect(),
+                cancel: allow.0,
+                second_copies: allow.1,
+                retry_after: allow.2,
+                tells_warm: allow.3,
+                max_attempts: allow.4,
+                orders: family.0,
+                lacking: if family.1 { Lacking::Loads } else { Lacking::Misses },
+                load_free: family.2.floor(),
+                load_share: family.3,
+                load_window: if family.4 < 2000.0 { 0.0 } else { family.4 },
+                keep: family.5,
+                cold_from: start.0,
+                cold_span: start.1,
+                fall_multiple: start.2,
+                fall_span: start.3,
+                order_lag: start.4,
+                price_cross: prices.0,
+                price_probe: prices.1,
+                price_fetch: prices.2,
+                worth_by_work: prices.3,
+                front_ends: prices.4,
+                ..settings()
+            };
+            (set, zones, seed)
+        },
+    )
+}
+
+/// A world that answers at random but legally, and checks the rules on every action.
+fn random_day(seed: u64, set: Settings, zones: u32) -> (usize, usize) {
+    let mut rng = SmallRng::seed_from_u64(seed);
     let (cancel, orders, max) = (set.cancel, set.orders, set.max_attempts as usize);
+    let (window, free, share) = (set.load_window, set.load_free, set.load_share);
     let mut front = Front::new(set, vec![]);
-    let zone = |worker: u32| (worker % 2) as usize;
+    let zone = |worker: u32| (worker % zones) as usize;
     let mut ready: BTreeMap<u32, bool> = BTreeMap::new();
     let mut open: BTreeMap<u64, (Ms, Vec<Out>)> = BTreeMap::new();
     let mut questions: VecDeque<(u32, u64)> = VecDeque::new();
@@ -391,11 +435,15 @@
                 let standing = [Standing::Ready, Standing::Ready, Standing::Draining, Standing::Gone]
                     [rng.random_range(0..4)];
                 ready.insert(number, standing == Standing::Ready);
-                Event::Roster(Roster::Changes(vec![RosterEntry { standing, ..entry(number, zone(number)) }]))
+                // One in four has just started.
+                let born = if rng.random_bool(0.25) { front.now } else { 0.0 };
+                let line = RosterEntry { standing, born, ..entry(number, zone(number)) };
+                Event::Roster(Roster::Changes(vec![line]))
             }
             1..=3 if !drain => {
                 let expires = front.now + 20.0 + rng.random::<f64>() * 1500.0;
                 let request = call(next, (next % 4) as usize, rng.random_range(0..12), expires);
+                let request = Request { lanes: rng.random_range(1..5).into(), ..request };
                 open.insert(next, (expires, vec![]));
                 taken.push(front.now);
                 next += 1;
@@ -441,8 +489,12 @@
                         outcome,
                         took: rng.random::<f64>() * 400.0,
                         warmth: Warmth::Untold,
-                        crowd: None,
-                        report: None,
+                        crowd: rng.random_bool(0.5).then_some(3),
+                        report: rng.random_bool(0.5).then(|| Report {
+                            inflight: Some(rng.random_range(0.0..20.0)),
+                            pinned: Some(rng.random::<f64>()),
+                            loading: None,
+                        }),
                     })
                 }
             }
@@ -490,9 +542,10 @@
                             "a load at a draining worker"
                         );
                         ordered.push(front.now);
-                        let since = front.now - 3000.0;
-                        let count = |times: &[Ms]| times.iter().filter(|at| **at > since).count() as f64;
-                        assert!(!rationed || count(&ordered) <= 3.0 + 0.2 * count(&taken), "over the ration");
+                        let count =
+                            |times: &[Ms]| times.iter().filter(|at| **at > front.now - window).count();
+                        let allowed = free + share * count(&taken) as f64;
+                        assert!(window <= 0.0 || count(&ordered) as f64 <= allowed, "over the ration");
                     }
                 }
                 Action::Cancel { .. } => assert!(cancel),
@@ -510,11 +563,25 @@
 #[test]
 fn random_legal_events_never_break_a_rule() {
     for seed in 0..12 {
-        let (served, taken) = random_day(seed);
+        let set = drawn(&mut SmallRng::seed_from_u64(seed));
+        let (served, taken) = random_day(seed, set, 2);
         assert!(taken > 500 && served > 5, "seed {seed}: {served} of {taken}");
     }
 }
 
+/// Guards deployments that nobody has described yet: the rules hold under any legal settings.
+#[test]
+fn no_legal_settings_lead_to_a_broken_rule() {
+    let config = Config { cases: 64, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
+    let days = runner.run(&deployments(), |(set, zones, seed)| {
+        let (_, taken) = random_day(seed, set, zones);
+        prop_assert!(taken > 500);
+        Ok(())
+    });
+    days.unwrap_or_else(|error| panic!("{error}"));
+}
+
 /// Guards clients against coming back at once: a call that is given up ends at once, and its refusal says
 /// when to return where the site passes that on.
 #[test]
