A call loses its draw for a cold worker once, also where no fall span is given

Cause: with a fall span of 0 a lost draw was out of date at the moment it was made, so that place() drew for the same worker without end. Seen: a planted bug in within_group hung the settings proptest for 20 minutes (likely its shrinking, which goes towards 0); a test of a_site with fall_span 0 ran into its limit of 60 s, and takes no time now. Change: a fall span is 1 ms at least.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -180,7 +180,7 @@
         }
         let aim = set.classes.iter().map(|class| class.aim).reduce(f64::min).unwrap_or(1000.0);
         set.keep = if set.keep > 0.0 { set.keep } else { 10.0 * aim };
-        set.order_lag = set.order_lag.max(set.tick);
+        (set.order_lag, set.fall_span) = (set.order_lag.max(set.tick), set.fall_span.max(1.0));
         Dispatcher {
             rng: SmallRng::seed_from_u64(seed),
             now: 0.0,
@@ -206,7 +206,7 @@
             taking: Fading::default(),
             served: Fading::default(),
             whole: 1.0,
-            half: set.fall_span.max(1.0) * std::f64::consts::LN_2,
+            half: set.fall_span * std::f64::consts::LN_2,
             taken: Recent::default(),
             ordered: Recent::default(),
             aim,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -569,6 +569,19 @@
     }
 }
 
+/// Guards against a call that draws for a cold worker without end: where the settings give no span in which one
+/// falls, a lost draw was forgotten at the moment it was made.
+#[test]
+fn a_draw_is_lost_once_where_no_span_is_given() {
+    let set = Settings { fall_span: 0.0, front_ends: 200, lacking: Lacking::Misses, ..settings() };
+    let born = 1000.0;
+    let mut front = Front::new(set, vec![RosterEntry { born, ..entry(0, 0) }]);
+    for id in 1..20 {
+        front.ask(call(id, 0, id, front.now + 300.0));
+    }
+    assert_eq!(ended(&front.wait(300.0)).len(), 19, "each gets its one answer");
+}
+
 /// Guards deployments that nobody has described yet: the rules hold under any legal settings.
 #[test]
 fn no_legal_settings_lead_to_a_broken_rule() {
