Attempts asked for behind their request's end hold no place; one attempt at a time on sockets

Ruled out: the ration (202 of 313 allowed), the store (no load failed), orders for made-up names (1 or 2 a second). Cause: Taken::serve read "withdrawn" first and ended with a note to send behind it. The attempt never went out, so its end was never told, and the decisions counted it for ever. Clients that leave at once bring that about. Change: Out::call_off reads what is left in the mailbox and tells the end of what was asked for.

Nothing orders two connections: against stand-in hosts with a thread for each, 4 of 132 second attempts came first. Change: where second copies are not allowed, the end of an attempt that may be running is told 5 ms after the word was written, or its connection ended; a connection that we close ourselves likewise.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -21,6 +21,10 @@
 /// A request that ends unserved this short before its time, as the decisions do, ends for want of time.
 const LAST_CALL_MS: Ms = 40.0;
 
+/// Where a request may have one attempt out at a time, the next one follows so long after the word that ends one
+/// which may be running. Nothing orders what goes out on two connections: without a pause the next overtakes it.
+const WORD_ARRIVES_MS: Ms = 5.0;
+
 /// What a call takes beside its texts and body: the stack of its task as far as it is touched, its mailbox,
 /// its places in tables. Measured.
 const CALL: usize = 26 << 10;
@@ -93,6 +97,8 @@
     started: Ms,
     until: Ms,
     exchange: Box<dyn Exchange>,
+    /// How it ended, while its worker may not know yet that it did.
+    over: Option<AttemptError>,
 }
 
 /// The attempts of a request that are out. However its task ends, each is given up and the decisions hear
@@ -100,6 +106,8 @@
 struct Out<'a> {
     taken: &'a Taken,
     flights: Vec<Flight>,
+    /// Attempts that the decisions asked for and this task has read of.
+    asked: u32,
 }
 
 impl Out<'_> {
@@ -107,11 +115,47 @@
         self.flights.iter().position(|flight| flight.attempt == attempt)
     }
 
+    /// Tells of an attempt that brought nothing, now or once its worker has had time to hear; true if it may have
+    /// run.
+    fn ended(&mut self, mut flight: Flight, error: AttemptError) -> bool {
+        let one_at_a_time = !self.taken.invoker.settings.second_copies;
+        if !one_at_a_time || !matches!(error, AttemptError::Unanswered(_)) {
+            return self.taken.lost(&flight, error, false);
+        }
+        (flight.over, flight.until) = (Some(error), now_ms() + WORD_ARRIVES_MS);
+        self.flights.push(flight);
+        true
+    }
+
+    /// The time of an attempt is up; true if it may have run.
+    fn overdue(&mut self, at: usize) -> bool {
+        let mut flight = self.flights.swap_remove(at);
+        let now = now_ms();
+        match flight.over {
+            Some(error) if flight.exchange.word().is_out() => return self.taken.lost(&flight, error, false),
+            Some(_) => flight.until = now + WORD_ARRIVES_MS,
+            None => match flight.exchange.give_up(Cause::Silent) {
+                Some(error) => return self.ended(flight, error),
+                // An end that is on its way already comes as the next note.
+                None => flight.until = now + LAST_WORD_MS,
+            },
+        }
+        self.flights.push(flight);
+        false
+    }
+
     /// Calls off what is still out; true if any of it may have run.
     fn call_off(&mut self) -> bool {
         let mut may_have_run = false;
+        // An attempt that was asked for behind the note that ended the request: the decisions count it as out.
+        while let Ok(note) = self.taken.inbox.notes.try_recv() {
+            if let Note::Send { worker, .. } = note {
+                self.taken.finished(self.asked, worker, now_ms(), Outcome::Moot, true);
+                self.asked += 1;
+            }
+        }
         for mut flight in self.flights.drain(..) {
-            let error = flight.exchange.give_up(Cause::GivenUp);
+            let error = flight.over.or_else(|| flight.exchange.give_up(Cause::GivenUp));
             let error = error.unwrap_or(AttemptError::Unanswered(Cause::GivenUp));
             may_have_run |= self.taken.lost(&flight, error, true);
         }
@@ -495,8 +539,8 @@
     /// The life of the request, from its first event to its one final answer.
     pub fn serve(&self) -> Answer {
         let (invoker, call) = (&self.invoker, &self.call);
-        let mut out = Out { taken: self, flights: Vec::new() };
-        let (mut sent, mut may_have_run) = (0, false);
+        let mut out = Out { taken: self, flights: Vec::new(), asked: 0 };
+        let mut may_have_run = false;
         invoker.feed(Event::Request(call.request.clone()));
         let mut answer = loop {
             let due = out
@@ -506,11 +550,11 @@
                 .fold(call.request.expires + LAST_WORD_MS, f64::min);
             match self.inbox.next(due) {
                 Some(Note::Send { worker, within }) => {
-                    let flight = self.start(sent, worker, within);
-                    sent += 1;
-                    match flight {
+                    let attempt = out.asked;
+                    out.asked += 1;
+                    match self.start(attempt, worker, within) {
                         Some(flight) => out.flights.push(flight),
-                        None => self.finished(sent - 1, worker, now_ms(), Outcome::Moot, false),
+                        None => self.finished(attempt, worker, now_ms(), Outcome::Moot, false),
                     }
                 }
                 Some(Note::Ended { attempt, end }) => {
@@ -524,7 +568,7 @@
                             self.finished(attempt, flight.worker, flight.started, Outcome::Ok, true);
                             break Answer::Served { body };
                         }
-                        Err(error) => may_have_run |= self.lost(&flight, error, false),
+                        Err(error) => may_have_run |= out.ended(flight, error),
                     }
                 }
                 Some(Note::Cancel { attempt }) => {
@@ -533,7 +577,7 @@
                     };
                     if let Some(error) = out.flights[at].exchange.give_up(Cause::GivenUp) {
                         let flight = out.flights.swap_remove(at);
-                        may_have_run |= self.lost(&flight, error, false);
+                        may_have_run |= out.ended(flight, error);
                     }
                 }
                 Some(Note::Refuse { retry_after }) => {
@@ -556,12 +600,7 @@
                     let now = now_ms();
                     let over = out.flights.iter().position(|flight| flight.until <= now);
                     if let Some(at) = over {
-                        // An end that is on its way already comes as the next note.
-                        let mut flight = out.flights.swap_remove(at);
-                        match flight.exchange.give_up(Cause::Silent) {
-                            Some(error) => may_have_run |= self.lost(&flight, error, false),
-                            None => out.flights.push(Flight { until: now + LAST_WORD_MS, ..flight }),
-                        }
+                        may_have_run |= out.overdue(at);
                     } else if now >= call.request.expires {
                         invoker.feed(Event::Withdrawn { id: call.request.id });
                         break Answer::Failed(self.known());
@@ -611,7 +650,7 @@
         let end = Box::new(move |end| _ = sender.send(Note::Ended { attempt, end }));
         self.invoker.counters.sent.add();
         let exchange = self.invoker.workers.send(&host, &self.call, until, end);
-        Some(Flight { attempt, worker, started, until, exchange })
+        Some(Flight { attempt, worker, started, until, exchange, over: None })
     }
 
     /// Tells of an attempt that brought nothing; true if it may have run.
@@ -668,7 +707,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::core::Ending;
+    use crate::core::{Ending, Word};
     use corkbay::{ModelId, Request, Standing};
     use std::sync::atomic::AtomicUsize;
 
@@ -682,6 +721,71 @@
         fn give_up(&mut self, _: Cause) -> Option<AttemptError> {
             None
         }
+
+        fn word(&self) -> &Word {
+            static NOTHING: std::sync::LazyLock<Word> = std::sync::LazyLock::new(Word::default);
+            &NOTHING
+        }
+    }
+
+    /// Workers that are silent to the first send and serve the others; what gives the first up is written late.
+    #[derive(Default)]
+    struct Slow {
+        sends: AtomicUsize,
+        /// The word on its way, and whether another send came before it was out.
+        word: Arc<std::sync::Mutex<Option<Word>>>,
+        overtaken: Arc<AtomicBool>,
+    }
+
+    struct Silent {
+        word: Word,
+        held: Arc<std::sync::Mutex<Option<Word>>>,
+    }
+
+    impl Exchange for Silent {
+        fn give_up(&mut self, cause: Cause) -> Option<AttemptError> {
+            *self.held.lock().expect("whole") = Some(self.word.clone());
+            let held = self.held.clone();
+            crate::life::spawn(move || {
+                may::coroutine::sleep(Duration::from_millis(60));
+                held.lock().expect("whole").take();
+            });
+            Some(AttemptError::Unanswered(cause))
+        }
+
+        fn word(&self) -> &Word {
+            &self.word
+        }
+    }
+
+    impl Workers for Slow {
+        fn send(&self, _: &Arc<Host>, call: &Arc<Call>, _: Ms, end: Ending) -> Box<dyn Exchange> {
+            if self.sends.fetch_add(1, Ordering::Relaxed) == 0 {
+                // Nobody else holds the end, so it can't come.
+                std::mem::forget(end);
+                return Box::new(Silent { word: Word::default(), held: self.word.clone() });
+            }
+            self.overtaken.fetch_or(self.word.lock().expect("whole").is_some(), Ordering::Relaxed);
+            end(Ok(call.body.clone()));
+            Box::new(Over)
+        }
+
+        fn load(
+            &self,
+            _: &Arc<Host>,
+            _: ModelId,
+            _: u32,
+            _: Ms,
+            _: Duration,
+        ) -> (Result<(), AttemptError>, u32) {
+            (Err(AttemptError::Unconnected), 0)
+        }
+
+        fn evict(&self, _: &Arc<Host>, _: ModelId) {}
+
+        fn probe(&self, _: &Arc<Host>, _: Duration) -> Result<(), AttemptError> {
+            Ok(())
+        }
     }
 
     impl Workers for Panicking {
@@ -710,10 +814,11 @@
     }
 
     /// An invoker with one worker that is ready, and the accounts of what it holds.
-    fn with_one_worker(workers: Panicking) -> (Arc<Invoker>, Arc<Ledger>) {
+    fn with_one_worker(workers: impl Workers, second_copies: bool) -> (Arc<Invoker>, Arc<Ledger>) {
         let setup = serde_json::json!({
             "classes": [{"name": "check", "aimMs": 1000.0, "giveUpMs": 4000.0, "idempotency": "pure"}],
-            "zones": ["a"], "myZone": "a", "ceilings": {"attemptsCap": 5, "cancel": true},
+            "zones": ["a"], "myZone": "a",
+            "ceilings": {"attemptsCap": 5, "cancel": true, "secondCopies": second_copies},
             "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
         });
         let ledger = crate::memory::roomy();
@@ -730,7 +835,7 @@
     /// request is served.
     #[test]
     fn a_panic_ends_its_request_and_no_other() {
-        let (invoker, ledger) = with_one_worker(Panicking::default());
+        let (invoker, ledger) = with_one_worker(Panicking::default(), true);
         let request = |id| Request { id: RequestId(id), expires: now_ms() + 4000.0, ..Request::default() };
         let call = |id| Call { request: request(id), body: vec![7], ..Call::default() };
         let taken = invoker.take(call(1)).expect("taken");
@@ -747,11 +852,44 @@
         assert_eq!(invoker.take(call(3)).err(), Some(NotTaken::Draining));
     }
 
+    /// Guards a worker's places against calls whose clients leave just as they are to go out: such an attempt never
+    /// goes out, and holds no place for ever.
+    #[test]
+    fn an_attempt_asked_for_behind_the_end_of_its_request_holds_no_place() {
+        let (invoker, _) = with_one_worker(Panicking(AtomicUsize::new(1)), true);
+        let call = |id| {
+            let request = Request { id: RequestId(id), expires: now_ms() + 1000.0, ..Request::default() };
+            Call { request, body: vec![7], ..Call::default() }
+        };
+        for id in 1..=200 {
+            let taken = invoker.take(call(id)).expect("taken");
+            invoker.withdraw(RequestId(id));
+            assert_eq!(taken.serve(), Answer::Withdrawn);
+        }
+        let taken = invoker.take(call(1000)).expect("taken");
+        assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
+    }
+
+    /// Guards the rule on second copies where none are allowed: the next attempt waits until the word that gives the
+    /// one before up is out, however late that is; where copies are allowed nothing waits for it.
+    #[test]
+    fn the_next_attempt_does_not_overtake_the_word_that_ends_the_last() {
+        for second_copies in [false, true] {
+            let workers = Slow::default();
+            let overtaken = workers.overtaken.clone();
+            let (invoker, _) = with_one_worker(workers, second_copies);
+            let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
+            let taken = invoker.take(Call { request, body: vec![7], ..Call::default() }).expect("taken");
+            assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
+            assert_eq!(overtaken.load(Ordering::Relaxed), second_copies);
+        }
+    }
+
     /// Guards the one final answer at a cap that is met between an attempt's end and the client's answer: the
     /// answer waits a little for room and goes out all the same, counted.
     #[test]
     fn an_answer_that_finds_no_room_is_given_all_the_same() {
-        let (invoker, ledger) = with_one_worker(Panicking(AtomicUsize::new(1)));
+        let (invoker, ledger) = with_one_worker(Panicking(AtomicUsize::new(1)), true);
         let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
         let taken = invoker.take(Call { request, body: vec![7; 100_000], ..Call::default() }).expect("taken");
         let calls = ledger.account(Purpose::Calls);
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -5,7 +5,7 @@
 use super::invoke::{DEADLINE_HEADER, MAY_HAVE_RUN_HEADER};
 use super::socket::Socket;
 use super::workers::PARTIAL;
-use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
+use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Word, Workers};
 use crate::life::spawn;
 use crate::memory::link::{Link, Stage};
 use crate::memory::roster::Host;
@@ -70,6 +70,7 @@
     host: Arc<Host>,
     limits: Limits,
     account: Account,
+    word: Word,
 }
 
 struct Answered {
@@ -96,7 +97,13 @@
         let refused = lock(&attempt.link).open(id, end).err();
         debug_assert!(refused.is_none(), "a fresh link has room");
         let (limits, account) = (self.limits, self.account.clone());
-        let exchange = HttpExchange { attempt: attempt.clone(), host: host.clone(), limits, account };
+        let exchange = HttpExchange {
+            attempt: attempt.clone(),
+            host: host.clone(),
+            limits,
+            account,
+            word: Word::default(),
+        };
         let held = self.account.reserve(ATTEMPT + call.body.len());
         let crowded = self.out.fetch_add(1, Ordering::Relaxed) >= self.limits.connections;
         let (Ok(held), false) = (held, crowded) else {
@@ -230,7 +237,7 @@
         let location = lock(&self.attempt.location).take();
         let held = self.account.reserve(ATTEMPT);
         if let (Some(location), Ok(held)) = (location, held) {
-            let (host, limits) = (self.host.clone(), self.limits);
+            let (host, limits, word) = (self.host.clone(), self.limits, self.word.clone());
             let mut intake = Intake::new(&self.account, Purpose::Workers);
             spawn(move || {
                 // As good as the worker can be told; nothing hangs on it.
@@ -245,12 +252,16 @@
                 if let Err(error) = told {
                     tracing::warn!(worker = %host.name, %error, "not called off");
                 }
-                drop(held);
+                drop((held, word));
             });
         }
         // What is being written may still come whole.
         Some(if stage == Stage::Writing { AttemptError::Unanswered(cause) } else { after(stage, cause) })
     }
+
+    fn word(&self) -> &Word {
+        &self.word
+    }
 }
 
 fn cause(error: &io::Error) -> Cause {
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -2,7 +2,7 @@
 use super::frames::{code, Frame, FROM_WORKER};
 use super::intake::{Intake, CHUNK};
 use super::socket::Socket;
-use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Workers};
+use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Word, Workers};
 use crate::life::spawn;
 use crate::memory::counters::Dials;
 use crate::memory::link::{Link, Stage};
@@ -81,6 +81,8 @@
     goes: Goes,
     /// It goes out by then or not at all.
     by: Ms,
+    /// What else it carries, until it is written or lost.
+    word: Option<Word>,
 }
 
 enum Out {
@@ -113,6 +115,7 @@
 struct FrameExchange {
     connection: Option<Arc<Connection>>,
     id: u64,
+    word: Word,
 }
 
 impl FrameWorkers {
@@ -176,7 +179,9 @@
         let connection = fresh.or_else(|| pool.iter().find(|connection| enlist(connection)).cloned());
         drop(pools);
         match &connection {
-            Some(connection) => _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, goes, by })),
+            Some(connection) => {
+                let _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, goes, by, word: None }));
+            }
             None => barred(waiter),
         }
         connection
@@ -335,6 +340,7 @@
             if out.tracked {
                 lock(&self.link).whole(id);
             }
+            drop(out.word);
         }
     }
 
@@ -399,10 +405,15 @@
                 tracked: false,
                 goes: Goes::GiveUp,
                 by: Ms::INFINITY,
+                word: Some(self.word.clone()),
             }));
         }
         Some(broken(stage, cause))
     }
+
+    fn word(&self) -> &Word {
+        &self.word
+    }
 }
 
 impl Workers for FrameWorkers {
@@ -422,7 +433,7 @@
             end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
         });
         let connection = self.open(host, frame, Goes::Work, Ms::INFINITY, Some(waiter));
-        Box::new(FrameExchange { connection, id: call.request.id.0 })
+        Box::new(FrameExchange { connection, id: call.request.id.0, word: Word::default() })
     }
 
     fn load(
@@ -467,6 +478,36 @@
 mod tests {
     use super::*;
 
+    /// Guards the rule on second copies: the word that gives an attempt up is out once it was written, not once it was
+    /// queued behind what a worker does not read.
+    #[test]
+    fn word_is_out_once_it_was_written() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let host = Host::new(WorkerId(1), "w", listener.local_addr().expect("bound"));
+        let second = Duration::from_secs(1);
+        let limits = Limits { streams: 8, connect: second, idle: 30 * second, connections: 8, answer: 1024 };
+        let workers = FrameWorkers::new(limits, crate::memory::roomy().account(Purpose::Workers).clone());
+        let call = |id, size| {
+            let request = corkbay::Request { id: corkbay::RequestId(id), ..Default::default() };
+            Arc::new(Call { request, body: vec![7; size], ..Call::default() })
+        };
+        let mut first = workers.send(&host, &call(1, 1), now_ms() + 30_000.0, Box::new(|_| ()));
+        let (mut socket, _) = listener.accept().expect("dialled");
+        let mut head = [0; 18];
+        std::io::Read::read_exact(&mut socket, &mut head).expect("the first call");
+        // More than buffers hold: the writer is stuck in it.
+        let _second = workers.send(&host, &call(2, 32 << 20), now_ms() + 30_000.0, Box::new(|_| ()));
+        assert_eq!(first.give_up(Cause::GivenUp), Some(AttemptError::Unanswered(Cause::GivenUp)));
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(!first.word().is_out(), "it waits behind the second call");
+        std::thread::spawn(move || std::io::copy(&mut socket, &mut std::io::sink()));
+        let end = now_ms() + 20_000.0;
+        while !first.word().is_out() {
+            assert!(now_ms() < end, "it is written at last");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Guards the rule on repeats against a race: an answer, or the end of the connection, may be read
     /// before the writer has noted that the last byte was out.
     #[test]
--- a/crates/node/tests/support/platform.rs
+++ b/crates/node/tests/support/platform.rs
@@ -201,9 +201,15 @@
 
 impl Client {
     pub fn new(address: SocketAddr) -> Self {
-        let socket = TcpStream::connect(address).expect("connects");
+        Self::connect(address).expect("connects")
+    }
+
+    /// `None` where the connection is refused: so ends one that came to a listener just as that was closed, though
+    /// another listens at the same address.
+    pub fn connect(address: SocketAddr) -> Option<Self> {
+        let socket = TcpStream::connect(address).ok()?;
         socket.set_read_timeout(Some(PATIENCE)).expect("set");
-        Client { socket, good: false }
+        Some(Client { socket, good: false })
     }
 
     pub fn send(&mut self, bytes: &[u8]) {
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -2,6 +2,7 @@
 mod support;
 
 use std::collections::BTreeSet;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -193,14 +194,13 @@
                 while !stop.load(Ordering::Relaxed) {
                     number += 1;
                     let id = format!("{number:016x}");
-                    let client = connection.get_or_insert_with(|| Client::new(address));
                     let request = dispatch(number as i32, &fields("check", &id, "4000"), b"x");
-                    let sent = std::io::Write::write_all(&mut client.socket, &request).is_ok();
+                    connection = connection.take().or_else(|| Client::connect(address));
+                    let sent = connection.as_mut().map(|client| client.socket.write_all(&request).is_ok());
                     // 1 MB a second.
                     std::thread::sleep(Duration::from_millis(230));
-                    if !sent || client.receive().is_none() {
-                        connection = None;
-                    }
+                    connection = connection.take().filter(|_| sent == Some(true));
+                    connection = connection.take().and_then(|mut client| client.receive().map(|_| client));
                 }
             })
         })
