--- a/crates/tenure/src/watch.rs
+++ b/crates/tenure/src/watch.rs
@@ -30,14 +30,17 @@
         names.iter().for_each(|name| self.note(now, name, book));
     }
 
-    /// A change of this lease was committed.
+    /// A command about this lease was committed. Only a grant or a renewal is a sign of its holder: others who ask for
+    /// the name in vain must not keep a dead one in it.
     pub fn note(&mut self, now: Instant, name: &str, book: &Book) {
-        match book.lease(name).filter(|lease| lease.holder.is_some()) {
-            Some(lease) => {
-                let heard = Heard { term: lease.term, renewals: lease.renewals, at: now };
-                self.heard.insert(name.to_string(), heard);
-            }
-            None => _ = self.heard.remove(name),
+        let Some(lease) = book.lease(name).filter(|lease| lease.holder.is_some()) else {
+            self.heard.remove(name);
+            return;
+        };
+        let known = self.heard.get(name);
+        if known.is_none_or(|heard| (heard.term, heard.renewals) != (lease.term, lease.renewals)) {
+            let heard = Heard { term: lease.term, renewals: lease.renewals, at: now };
+            self.heard.insert(name.to_string(), heard);
         }
     }
 
@@ -54,3 +57,24 @@
         silent.map(expire).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Owner;
+    use std::time::Duration;
+
+    /// Guards the next holder against the others who want the name: what they ask in vain is no sign of the dead one.
+    #[test]
+    fn asking_in_vain_keeps_nobody_in_a_lease() {
+        let span = Span { length: Duration::from_secs(2), drift: 100 };
+        let (mut book, mut watch) = (Book::default(), Watch::new(span));
+        let take = |node| Command::Take { name: "sweep".into(), owner: Owner { node, life: 1 } };
+        for second in 0..10u64 {
+            book.apply(&take(if second == 0 { 1 } else { 2 }));
+            watch.note(Duration::from_secs(second), "sweep", &book);
+            let due = watch.due(Duration::from_secs(second));
+            assert_eq!(due.len(), usize::from(second > 2), "after {second} s");
+        }
+    }
+}
