--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -154,6 +154,8 @@
     applied: u64,
     /// The last change that the snapshot holds.
     compacted: u64,
+    /// Members changed since: a newcomer takes no snapshot that does not name it.
+    outdated: bool,
     ticks: u64,
     leads: bool,
     failed: Option<io::Error>,
@@ -223,6 +225,7 @@
             registry,
             applied: index,
             compacted: index,
+            outdated: false,
             ticks: 0,
             leads: false,
             failed: None,
@@ -464,6 +467,7 @@
                 let change = ConfChange::parse_from_bytes(&entry.data).map_err(io::Error::other)?;
                 let members = self.raft.apply_conf_change(&change).map_err(io::Error::other)?;
                 self.raft.mut_store().log.wl().set_conf_state(members);
+                self.outdated = true;
                 continue;
             }
             // A new leader's first entry is empty.
@@ -503,7 +507,7 @@
 
     /// Puts a snapshot in the place of what was applied, once that is long; the journal is written anew.
     fn compact(&mut self) -> io::Result<()> {
-        if self.applied < self.compacted + self.config.compact {
+        if self.applied < self.compacted + if self.outdated { 1 } else { self.config.compact } {
             return Ok(());
         }
         let store = self.raft.store();
@@ -529,7 +533,7 @@
         // The entry at the snapshot's end stays in memory: its term is asked for.
         store.log.wl().compact(self.applied).map_err(io::Error::other)?;
         store.snapshot = snapshot;
-        self.compacted = self.applied;
+        (self.compacted, self.outdated) = (self.applied, false);
         Ok(())
     }
 }
