--- a/crates/jobs/src/maintenance.rs
+++ b/crates/jobs/src/maintenance.rs
@@ -60,7 +60,8 @@
 }
 
 /// An event that does not fit; the job is as it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[serde(rename_all = "snake_case")]
 pub enum Refused {
     /// The job has no such worker.
     #[error("no such worker")]
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -11,7 +11,7 @@
 mod shelf;
 
 pub use disk::{Disk, FileDisk};
-pub use registry::{Answer, Change, Registry};
+pub use registry::{lease_of, Answer, Change, Registry};
 pub use replica::{Config, Member, NotProposed, OpenError, Output, Replica, Standing, Start, Ticket};
 
 /// Parts that can be left out, to see that simulation and model find it.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -474,7 +474,7 @@
             let Ok(change) = serde_json::from_slice::<Change>(&entry.data) else { continue };
             let lease = match &change {
                 Change::Lease(command) => Some(command.name().to_string()),
-                Change::Put { .. } | Change::PutUnder { .. } => None,
+                _ => None,
             };
             #[cfg(feature = "planted")]
             let answer = if self.config.planted == Planted::NoFence {
