--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -711,10 +711,6 @@
     use corkbay::{ModelId, Request, Standing};
     use std::sync::atomic::AtomicUsize;
 
-    /// Workers whose first send panics and whose others serve.
-    #[derive(Default)]
-    struct Panicking(AtomicUsize);
-
     struct Over;
 
     impl Exchange for Over {
@@ -728,15 +724,22 @@
         }
     }
 
-    /// Workers that are silent to the first send and serve the others; what gives the first up is written late.
-    #[derive(Default)]
-    struct Slow {
+    /// Workers that do with each send, by its number, what the test says.
+    struct Scripted<F> {
         sends: AtomicUsize,
-        /// The word on its way, and whether another send came before it was out.
-        word: Arc<std::sync::Mutex<Option<Word>>>,
-        overtaken: Arc<AtomicBool>,
+        act: F,
+    }
+
+    fn scripted<F: Fn(usize, &Call, Ending) -> Box<dyn Exchange>>(act: F) -> Scripted<F> {
+        Scripted { sends: AtomicUsize::new(0), act }
+    }
+
+    fn serve(call: &Call, end: Ending) -> Box<dyn Exchange> {
+        end(Ok(call.body.clone()));
+        Box::new(Over)
     }
 
+    /// An attempt that is never answered, and whose word of being given up is written late.
     struct Silent {
         word: Word,
         held: Arc<std::sync::Mutex<Option<Word>>>,
@@ -758,41 +761,12 @@
         }
     }
 
-    impl Workers for Slow {
-        fn send(&self, _: &Arc<Host>, call: &Arc<Call>, _: Ms, end: Ending) -> Box<dyn Exchange> {
-            if self.sends.fetch_add(1, Ordering::Relaxed) == 0 {
-                // Nobody else holds the end, so it can't come.
-                std::mem::forget(end);
-                return Box::new(Silent { word: Word::default(), held: self.word.clone() });
-            }
-            self.overtaken.fetch_or(self.word.lock().expect("whole").is_some(), Ordering::Relaxed);
-            end(Ok(call.body.clone()));
-            Box::new(Over)
-        }
-
-        fn load(
-            &self,
-            _: &Arc<Host>,
-            _: ModelId,
-            _: u32,
-            _: Ms,
-            _: Duration,
-        ) -> (Result<(), AttemptError>, u32) {
-            (Err(AttemptError::Unconnected), 0)
-        }
-
-        fn evict(&self, _: &Arc<Host>, _: ModelId) {}
-
-        fn probe(&self, _: &Arc<Host>, _: Duration) -> Result<(), AttemptError> {
-            Ok(())
-        }
-    }
-
-    impl Workers for Panicking {
+    impl<F> Workers for Scripted<F>
+    where
+        F: Fn(usize, &Call, Ending) -> Box<dyn Exchange> + Send + Sync + 'static,
+    {
         fn send(&self, _: &Arc<Host>, call: &Arc<Call>, _: Ms, end: Ending) -> Box<dyn Exchange> {
-            assert!(self.0.fetch_add(1, Ordering::Relaxed) > 0, "the first send panics");
-            end(Ok(call.body.clone()));
-            Box::new(Over)
+            (self.act)(self.sends.fetch_add(1, Ordering::Relaxed), call, end)
         }
 
         fn load(
@@ -835,7 +809,11 @@
     /// request is served.
     #[test]
     fn a_panic_ends_its_request_and_no_other() {
-        let (invoker, ledger) = with_one_worker(Panicking::default(), true);
+        let workers = scripted(|number, call, end| {
+            assert!(number > 0, "the first send panics");
+            serve(call, end)
+        });
+        let (invoker, ledger) = with_one_worker(workers, true);
         let request = |id| Request { id: RequestId(id), expires: now_ms() + 4000.0, ..Request::default() };
         let call = |id| Call { request: request(id), body: vec![7], ..Call::default() };
         let taken = invoker.take(call(1)).expect("taken");
@@ -856,7 +834,7 @@
     /// goes out, and holds no place for ever.
     #[test]
     fn an_attempt_asked_for_behind_the_end_of_its_request_holds_no_place() {
-        let (invoker, _) = with_one_worker(Panicking(AtomicUsize::new(1)), true);
+        let (invoker, _) = with_one_worker(scripted(|_, call, end| serve(call, end)), true);
         let call = |id| {
             let request = Request { id: RequestId(id), expires: now_ms() + 1000.0, ..Request::default() };
             Call { request, body: vec![7], ..Call::default() }
@@ -875,8 +853,19 @@
     #[test]
     fn the_next_attempt_does_not_overtake_the_word_that_ends_the_last() {
         for second_copies in [false, true] {
-            let workers = Slow::default();
-            let overtaken = workers.overtaken.clone();
+            // The word on its way, and whether another send came before it was out.
+            let held = Arc::<std::sync::Mutex<Option<Word>>>::default();
+            let overtaken = Arc::new(AtomicBool::new(false));
+            let came = overtaken.clone();
+            let workers = scripted(move |number, call, end| {
+                if number == 0 {
+                    // Nobody else holds the end, so it can't come.
+                    std::mem::forget(end);
+                    return Box::new(Silent { word: Word::default(), held: held.clone() });
+                }
+                came.fetch_or(held.lock().expect("whole").is_some(), Ordering::Relaxed);
+                serve(call, end)
+            });
             let (invoker, _) = with_one_worker(workers, second_copies);
             let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
             let taken = invoker.take(Call { request, body: vec![7], ..Call::default() }).expect("taken");
@@ -889,7 +878,7 @@
     /// answer waits a little for room and goes out all the same, counted.
     #[test]
     fn an_answer_that_finds_no_room_is_given_all_the_same() {
-        let (invoker, ledger) = with_one_worker(Panicking(AtomicUsize::new(1)), true);
+        let (invoker, ledger) = with_one_worker(scripted(|_, call, end| serve(call, end)), true);
         let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
         let taken = invoker.take(Call { request, body: vec![7; 100_000], ..Call::default() }).expect("taken");
         let calls = ledger.account(Purpose::Calls);
