Read once more: proposals and questions carry one mark; the simulated network is slower

Before, questions left the node out: those of two nodes under one life and ticket passed for one, and one got no answer (it was never a wrong one). Election times are drawn by the hash that crates/jobs uses, in place of a second copy of the decisions' mixing.

--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -9,7 +9,9 @@
     ConfChange, ConfChangeType, ConfState, Entry, EntryType, Message, MessageType, Snapshot,
 };
 use raft::{GetEntriesContext, RawNode, SnapshotStatus, StateRole, Storage};
+use siphasher::sip::SipHasher13;
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::io;
 
 /// Most bytes in one message of entries.
@@ -166,12 +168,6 @@
     outputs: Vec<Output>,
 }
 
-fn draw(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 fn restored(snapshot: &Snapshot) -> Result<Registry, io::Error> {
     serde_json::from_slice(snapshot.get_data()).map_err(io::Error::other)
 }
@@ -242,9 +238,13 @@
         self.ticks += 1;
         // Drawn here and not by the crate, so that a run can be repeated from its seed.
         let era = self.ticks / (4 * self.config.election as u64);
-        let drawn = draw(self.config.seed ^ draw(self.raft.raft.term ^ draw(self.config.node ^ draw(era))));
+        let mut hasher = SipHasher13::new_with_keys(self.config.seed, self.config.node);
+        hasher.write_u64(self.raft.raft.term);
+        hasher.write_u64(era);
         let election = self.config.election;
-        self.raft.raft.set_randomized_election_timeout(election + (drawn % election as u64) as usize);
+        self.raft
+            .raft
+            .set_randomized_election_timeout(election + (hasher.finish() % election as u64) as usize);
         // A snapshot may be lost on its way, and its receiver does not know of it: one without a sign is sent again.
         let patience = self.ticks.saturating_sub(2 * election as u64);
         let lost: Vec<u64> =
@@ -272,7 +272,7 @@
     /// See [`NotProposed`]; the change is then never made.
     pub fn propose(&mut self, ticket: Ticket, change: &Change) -> Result<(), NotProposed> {
         self.takes_part()?;
-        let context = [self.config.node, self.config.life, ticket.0].map(u64::to_be_bytes).concat();
+        let context = self.context(ticket);
         let data = serde_json::to_vec(change).expect("a change is plain data");
         let proposed = self.raft.propose(context, data).map_err(|_| NotProposed::NoLeader);
         self.settle();
@@ -294,8 +294,7 @@
         if self.raft.raft.leader_id == 0 {
             return Err(NotProposed::NoLeader);
         }
-        let context = [self.config.life, ticket.0].map(u64::to_be_bytes).concat();
-        self.raft.read_index(context);
+        self.raft.read_index(self.context(ticket));
         self.settle();
         Ok(())
     }
@@ -350,11 +349,6 @@
         }
     }
 
-    /// The disk, for whoever starts the replica again.
-    pub fn into_disk(self) -> D {
-        self.disk
-    }
-
     fn takes_part(&self) -> Result<(), NotProposed> {
         self.failed.as_ref().map_or(Ok(()), |_| Err(NotProposed::Failed))
     }
@@ -393,7 +387,7 @@
             self.send(ready.take_persisted_messages());
             self.make(committed)?;
             for read in ready.take_read_states() {
-                if let Some(ticket) = self.asked(&read.request_ctx) {
+                if let Some(ticket) = self.ours(&read.request_ctx) {
                     self.reading.entry(read.index).or_default().push(ticket);
                 }
             }
@@ -485,17 +479,20 @@
             #[cfg(not(feature = "planted"))]
             let answer = self.registry.apply(change);
             self.outputs.extend(lease.map(|name| Output::Leases { name }));
-            let ours = [self.config.node, self.config.life].map(u64::to_be_bytes).concat();
-            if let Some(ticket) = entry.context.strip_prefix(&ours[..]).and_then(|rest| rest.first_chunk()) {
-                self.outputs.push(Output::Made { ticket: Ticket(u64::from_be_bytes(*ticket)), answer });
-            }
+            self.outputs.extend(self.ours(&entry.context).map(|ticket| Output::Made { ticket, answer }));
         }
         Ok(())
     }
 
-    fn asked(&self, context: &[u8]) -> Option<Ticket> {
-        let rest = context.strip_prefix(&self.config.life.to_be_bytes()[..])?;
-        Some(Ticket(u64::from_be_bytes(*rest.first_chunk()?)))
+    /// What marks a proposal or question among those of all nodes and their lives.
+    fn context(&self, ticket: Ticket) -> Vec<u8> {
+        [self.config.node, self.config.life, ticket.0].map(u64::to_be_bytes).concat()
+    }
+
+    /// The ticket of a mark that this life of this node made.
+    fn ours(&self, context: &[u8]) -> Option<Ticket> {
+        let ticket = Ticket(u64::from_be_bytes(*context.last_chunk()?));
+        (context == self.context(ticket)).then_some(ticket)
     }
 
     fn answer_reads(&mut self) {
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -35,18 +35,13 @@
     tickets: u64,
 }
 
+fn config(node: u64, life: u64) -> Config {
+    Config { node, election: 6, heartbeat: 1, compact: 8, seed: 3, life, planted: Default::default() }
+}
+
 impl Net {
     fn add(&mut self, node: u64, start: Start) {
-        let config = Config {
-            node,
-            election: 6,
-            heartbeat: 1,
-            compact: 8,
-            seed: 3,
-            life: 1,
-            planted: Default::default(),
-        };
-        self.nodes.insert(node, Replica::open(config, start, Memory::default()).expect("starts"));
+        self.nodes.insert(node, Replica::open(config(node, 1), start, Memory::default()).expect("starts"));
     }
 
     fn run(&mut self, ticks: usize) {
@@ -106,16 +101,7 @@
     assert_eq!(net.made, 20);
     let lost = *net.nodes.keys().find(|node| **node != net.leader()).expect("followers");
     net.nodes.remove(&lost);
-    let config = Config {
-        node: lost,
-        election: 6,
-        heartbeat: 1,
-        compact: 8,
-        seed: 3,
-        life: 2,
-        planted: Default::default(),
-    };
-    let again = Replica::open(config, Start::Again, Memory::default());
+    let again = Replica::open(config(lost, 2), Start::Again, Memory::default());
     assert!(matches!(again.err(), Some(OpenError::Lost)));
     net.at_leader(|replica| replica.change(Member::Learner(4)).expect("it leads"));
     net.add(4, Start::Newcomer);
--- a/crates/quorum/tests/support/mod.rs
+++ b/crates/quorum/tests/support/mod.rs
@@ -152,6 +152,8 @@
     election: usize,
     troubles: f64,
     down: u64,
+    /// The part of messages that are late by several steps.
+    slow: f64,
     now: u64,
     nodes: Vec<Node>,
     /// By the time at which they arrive, and their number.
@@ -177,6 +179,7 @@
         let election = [4, 10][rng.random_range(0..2)];
         let troubles = [0.01, 0.03, 0.15][rng.random_range(0..3)];
         let down = [4, 60][rng.random_range(0..2)];
+        let slow = [0.1, 0.5][rng.random_range(0..2)];
         let count = if rng.random_bool(0.7) { 3 } else { 5 };
         let nodes = (0..count)
             .map(|node| Node {
@@ -205,6 +208,7 @@
             election,
             troubles,
             down,
+            slow,
             now: 0,
             nodes,
             network: BTreeMap::new(),
@@ -259,7 +263,7 @@
                     let to = to as usize - 1;
                     let lost = self.lossy() && self.rng.random_bool(0.02);
                     if !lost && !self.cut.contains(&(at, to)) {
-                        let delay = if self.rng.random_bool(0.1) { 8 } else { 1 };
+                        let delay = if self.rng.random_bool(self.slow) { 8 } else { 1 };
                         self.messages += 1;
                         let due = self.now + self.rng.random_range(0..=delay);
                         self.network.insert((due, self.messages), (to, bytes));
@@ -448,7 +452,7 @@
             return;
         };
         let new = std::mem::replace(&mut self.nodes[at].term, term) < term;
-        if new && self.now < TROUBLED && self.rng.random_bool(0.2) {
+        if new && self.now < TROUBLED && self.rng.random_bool(0.4) {
             self.crash(at, 1);
         }
     }
--- a/crates/tenure/src/watch.rs
+++ b/crates/tenure/src/watch.rs
@@ -22,8 +22,7 @@
         Watch { span, heard: BTreeMap::new() }
     }
 
-    /// Begins to lead: how long a holder has been silent before that is not known, so each counts as renewed now. So
-    /// does a leader that stood still: whatever was committed meanwhile is in the book that it is shown.
+    /// Begins to lead: how long a holder has been silent before that is not known, so each counts as renewed now.
     pub fn lead(&mut self, now: Instant, book: &Book) {
         self.heard.clear();
         let names: Vec<String> = book.leases().map(|(name, _)| name.to_string()).collect();
