--- /dev/null
+++ b/crates/node/src/memory/invocations/tests.rs
@@ -0,0 +1,140 @@
+use super::*;
+use crate::memory::roomy;
+use corkbay_ledger::{Budget, Ledger, Shares, TenantShare, MIB};
+
+const LARGEST: usize = 64 << 10;
+
+fn deferred(key: &str) -> Deferred {
+    Deferred {
+        function: "f".into(),
+        key: Some(key.into()),
+        body_check: crc32fast::hash(b"x"),
+        repeats_until: now_ms() + 60_000.0,
+        answer: None,
+    }
+}
+
+/// Guards the rule on repeats across a restart: what was open may have run, so it fails, and its key
+/// is not run again.
+#[test]
+fn what_was_open_at_a_restart_fails_and_its_key_stays_taken() {
+    let store = Arc::new(Store::in_memory("a", roomy()));
+    let before = Invocations::new(store.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
+    before.accept(RequestId(7), deferred("k"), None).expect("in memory");
+    let after = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
+    let failed = Answer::Failed(Failure { may_have_run: true, late: false });
+    let (record, kept) = after.get(RequestId(7)).expect("kept");
+    assert!(record.is_final);
+    assert_eq!(kept.answer, Some(failed.clone()));
+    let repeat = after.admit(&("f".into(), "k".into()), RequestId(8), b"x", now_ms() + 1000.0, None);
+    assert_eq!(repeat, Repeat::Done(RequestId(7), failed));
+}
+
+/// Guards a key across a restart: a call that was refused before does not stand for the one that was
+/// served after it.
+#[test]
+fn a_refused_call_does_not_hold_its_key_after_a_restart() {
+    let store = Arc::new(Store::in_memory("a", roomy()));
+    let before = Invocations::new(store.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
+    let key = ("f".to_string(), "k".to_string());
+    let refused = Answer::Refused { retry_after: 0.0, known: Failure { may_have_run: false, late: false } };
+    let served = Answer::Served { body: b"z".to_vec() };
+    for (id, answer) in [(9, &refused), (8, &served), (10, &refused)] {
+        let promise = before.accept(RequestId(id), deferred("k"), None).expect("in memory");
+        before.finish(RequestId(id), Some(&key), answer, Some(promise));
+    }
+    let after = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
+    let repeat = after.admit(&key, RequestId(11), b"x", now_ms() + 1000.0, None);
+    assert_eq!(repeat, Repeat::Done(RequestId(8), served));
+}
+
+/// Guards against a replica that answers for the node that accepted the call.
+#[test]
+fn a_replica_invents_no_answer() {
+    let (one, two) = (Arc::new(Store::in_memory("one", roomy())), Arc::new(Store::in_memory("two", roomy())));
+    let accepting = Invocations::new(one.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
+    accepting.accept(RequestId(7), deferred("k"), None).expect("in memory");
+    two.merge(one.lacking(&two.digest(), usize::MAX)).expect("in memory");
+    let replica = Invocations::new(two.clone(), Duration::from_secs(60), LARGEST).expect("in memory");
+    let (record, kept) = replica.get(RequestId(7)).expect("replicated");
+    assert!(!record.is_final && kept.answer.is_none());
+}
+
+#[test]
+fn a_key_is_free_again_only_if_nothing_ran() {
+    let store = Arc::new(Store::in_memory("a", roomy()));
+    let invocations = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
+    let key = ("f".to_string(), "k".to_string());
+    let admit = |id, body: &[u8]| invocations.admit(&key, RequestId(id), body, now_ms() + 60_000.0, None);
+    assert_eq!(admit(1, b"x"), Repeat::Fresh);
+    assert_eq!(admit(2, b"x"), Repeat::Open(RequestId(1)));
+    assert_eq!(admit(2, b"y"), Repeat::Mismatch);
+    let refused = Answer::Refused { retry_after: 0.0, known: Failure { may_have_run: false, late: false } };
+    invocations.finish(RequestId(1), Some(&key), &refused, None);
+    assert_eq!(admit(3, b"x"), Repeat::Fresh);
+    let served = Answer::Served { body: b"z".to_vec() };
+    invocations.finish(RequestId(3), Some(&key), &served, None);
+    assert_eq!(admit(4, b"x"), Repeat::Done(RequestId(3), served));
+}
+
+fn small() -> (Invocations, Arc<Ledger>) {
+    let budget = Budget::plan(32 * MIB, 0, 0.0, &Shares::daemon(), ("memory_mb", "memory.shares"));
+    let share = |name: &str| TenantShare { name: name.into(), weight: 1.0 };
+    let ledger = Arc::new(Ledger::new(&budget.expect("fits"), &[share("desk"), share("coop")]));
+    let store = Arc::new(Store::in_memory("a", ledger.clone()));
+    (Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory"), ledger)
+}
+
+/// Guards the promise to keep a final answer: it is refused at the start where there is no room for the
+/// largest, so that none is lost at its end; and a flood by one tenant leaves another its part.
+#[test]
+fn what_is_accepted_has_room_for_its_end_and_a_flood_leaves_others_theirs() {
+    let (invocations, ledger) = small();
+    let accept = |id, tenant| invocations.accept(RequestId(id), deferred("k"), Some(tenant));
+    let flood: Vec<_> = (0..1000).map_while(|id| accept(id, 0).ok().map(|promise| (id, promise))).collect();
+    assert!((10..100).contains(&flood.len()), "{}", flood.len());
+    let refused = accept(5000, 0);
+    assert!(matches!(refused, Err(StoreError::Full { retry_after: Some(span), .. }) if span > 60_000.0));
+    let other: Vec<_> = (2000..2010).map(|id| (id, accept(id, 1).expect("its own part"))).collect();
+    let answer = Answer::Served { body: vec![7; LARGEST] };
+    for (id, promise) in flood.into_iter().chain(other) {
+        invocations.finish(RequestId(id), None, &answer, Some(promise));
+        assert_eq!(invocations.get(RequestId(id)).and_then(|found| found.1.answer), Some(answer.clone()));
+    }
+    assert_eq!(ledger.account(Purpose::DeferredOpen).used(), 0);
+    let finals = ledger.account(Purpose::DeferredFinal);
+    assert!(finals.used() <= finals.cap() && finals.used() > finals.cap() / 4);
+    drop(invocations);
+    assert_eq!(ledger.held(), 0);
+}
+
+/// Guards memory against a flood of keys: each is held with the answer it may have to repeat, and those
+/// whose window is over make room.
+#[test]
+fn a_flood_of_keys_is_told_when_to_come_again() {
+    let (invocations, ledger) = small();
+    let (key, soon) = (|at: u32| ("f".to_string(), at.to_string()), now_ms() + 400.0);
+    let admit = |at| invocations.admit(&key(at), RequestId(u64::from(at)), b"x", soon, None);
+    let served = Answer::Served { body: vec![7; 10] };
+    let mut fresh = 0;
+    let told = loop {
+        match admit(fresh) {
+            Repeat::Fresh if fresh % 2 == 0 => {
+                invocations.finish(RequestId(0), Some(&key(fresh)), &served, None)
+            }
+            Repeat::Fresh => {}
+            other => break other,
+        }
+        fresh += 1;
+    };
+    assert!(matches!(told, Repeat::Crowded(Some(span)) if span > 0.0), "{told:?}");
+    assert!(matches!(admit(0), Repeat::Done(..)) && matches!(admit(1), Repeat::Open(_)));
+    let account = ledger.account(Purpose::Keys);
+    let before = account.used();
+    std::thread::sleep(Duration::from_millis(450));
+    let refused = Answer::Refused { retry_after: 0.0, known: Failure { may_have_run: false, late: false } };
+    invocations.finish(RequestId(1), Some(&key(1)), &refused, None);
+    let other = invocations.admit(&key(2), RequestId(1), b"x", now_ms() + 60_000.0, None);
+    assert_eq!(other, Repeat::Fresh, "a key is new once its window is over");
+    assert!(account.used() < before + LARGEST, "what is over has gone");
+}
