A keyed repeat goes out within the window of its class or not at all

Seen: an attempt whose connection takes longer to come up than the window of a keyed class has left went out after it, where the worker no longer knows the key, so that it may run twice. The decisions ask for it in time; nothing between them and the first byte looked at the window (core/invoker.rs started it, wire/workers.rs wrote it with no end). Attempts now carry the time by which they go out: their own end, and for a repeat the end of the window since the first attempt that may have run. What may have run is kept attempt by attempt, so that an attempt which proves not to have run no longer leaves its mark.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -4,7 +4,8 @@
 use crate::memory::room;
 use crate::memory::roster::{Directory, Host, Listing, NotHeeded};
 use corkbay::{
-    Action, Dispatcher, Event, Finished, ModelId, Ms, Names, Outcome, RequestId, Settings, Warmth, WorkerId,
+    Action, Dispatcher, Effect, Event, Finished, ModelId, Ms, Names, Outcome, RequestId, Settings, Warmth,
+    WorkerId,
 };
 use corkbay_duty::{Bans, Duty, Leave, Terms};
 use corkbay_ledger::pressure::{decide, Case, Decision};
@@ -108,6 +109,8 @@
     flights: Vec<Flight>,
     /// Attempts that the decisions asked for and this task has read of.
     asked: u32,
+    /// Attempts that went to a worker and are not proved never to have run, with the time of each, in order.
+    ran: Vec<(u32, Ms)>,
 }
 
 impl Out<'_> {
@@ -115,24 +118,55 @@
         self.flights.iter().position(|flight| flight.attempt == attempt)
     }
 
-    /// Tells of an attempt that brought nothing, now or once its worker has had time to hear; true if it may have
-    /// run.
-    fn ended(&mut self, mut flight: Flight, error: AttemptError) -> bool {
+    /// Starts an attempt. One that repeats what may have run goes out within the window of its class.
+    fn start(&mut self, worker: WorkerId, within: Ms) {
+        let (attempt, call, invoker) = (self.asked, &self.taken.call, &self.taken.invoker);
+        self.asked += 1;
+        let started = now_ms();
+        let Some(host) = invoker.host(worker) else {
+            return self.taken.finished(attempt, worker, started, Outcome::Moot, false);
+        };
+        let expires = call.request.expires;
+        let until = if within > 0.0 { expires.min(started + within) } else { expires };
+        let window = match invoker.settings.classes.get(call.request.class).map(|class| class.effect) {
+            Some(Effect::Keyed(_, window)) => self.ran.first().map(|(_, first)| first + window),
+            _ => None,
+        };
+        let by = window.unwrap_or(until).min(until);
+        self.ran.push((attempt, started));
+        let sender = self.taken.inbox.sender.clone();
+        let end = Box::new(move |end| _ = sender.send(Note::Ended { attempt, end }));
+        invoker.counters.sent.add();
+        let exchange = invoker.workers.send(&host, call, until, by, end);
+        self.flights.push(Flight { attempt, worker, started, until, exchange, over: None });
+    }
+
+    /// Tells of an attempt that brought nothing.
+    fn lost(&mut self, flight: &Flight, error: AttemptError, closed: bool) {
+        let outcome = error.outcome();
+        self.taken.invoker.counters.lost(outcome);
+        self.taken.finished(flight.attempt, flight.worker, flight.started, outcome, closed);
+        if outcome.proves_not_run() {
+            self.ran.retain(|(attempt, _)| *attempt != flight.attempt);
+        }
+    }
+
+    /// Tells of an attempt that brought nothing, now or once its worker has had time to hear.
+    fn ended(&mut self, mut flight: Flight, error: AttemptError) {
         let one_at_a_time = !self.taken.invoker.settings.second_copies;
         if !one_at_a_time || !matches!(error, AttemptError::Unanswered(_)) {
-            return self.taken.lost(&flight, error, false);
+            return self.lost(&flight, error, false);
         }
         (flight.over, flight.until) = (Some(error), now_ms() + WORD_ARRIVES_MS);
         self.flights.push(flight);
-        true
     }
 
-    /// The time of an attempt is up; true if it may have run.
-    fn overdue(&mut self, at: usize) -> bool {
+    /// The time of an attempt is up.
+    fn overdue(&mut self, at: usize) {
         let mut flight = self.flights.swap_remove(at);
         let now = now_ms();
         match flight.over {
-            Some(error) if flight.exchange.word().is_out() => return self.taken.lost(&flight, error, false),
+            Some(error) if flight.exchange.word().is_out() => return self.lost(&flight, error, false),
             Some(_) => flight.until = now + WORD_ARRIVES_MS,
             None => match flight.exchange.give_up(Cause::Silent) {
                 Some(error) => return self.ended(flight, error),
@@ -141,12 +175,10 @@
             },
         }
         self.flights.push(flight);
-        false
     }
 
-    /// Calls off what is still out; true if any of it may have run.
-    fn call_off(&mut self) -> bool {
-        let mut may_have_run = false;
+    /// Calls off what is still out.
+    fn call_off(&mut self) {
         // An attempt that was asked for behind the note that ended the request: the decisions count it as out.
         while let Ok(note) = self.taken.inbox.notes.try_recv() {
             if let Note::Send { worker, .. } = note {
@@ -154,12 +186,11 @@
                 self.asked += 1;
             }
         }
-        for mut flight in self.flights.drain(..) {
+        for mut flight in std::mem::take(&mut self.flights) {
             let error = flight.over.or_else(|| flight.exchange.give_up(Cause::GivenUp));
             let error = error.unwrap_or(AttemptError::Unanswered(Cause::GivenUp));
-            may_have_run |= self.taken.lost(&flight, error, true);
+            self.lost(&flight, error, true);
         }
-        may_have_run
     }
 }
 
@@ -539,8 +570,7 @@
     /// The life of the request, from its first event to its one final answer.
     pub fn serve(&self) -> Answer {
         let (invoker, call) = (&self.invoker, &self.call);
-        let mut out = Out { taken: self, flights: Vec::new(), asked: 0 };
-        let mut may_have_run = false;
+        let mut out = Out { taken: self, flights: Vec::new(), asked: 0, ran: Vec::new() };
         invoker.feed(Event::Request(call.request.clone()));
         let mut answer = loop {
             let due = out
@@ -549,14 +579,7 @@
                 .map(|flight| flight.until)
                 .fold(call.request.expires + LAST_WORD_MS, f64::min);
             match self.inbox.next(due) {
-                Some(Note::Send { worker, within }) => {
-                    let attempt = out.asked;
-                    out.asked += 1;
-                    match self.start(attempt, worker, within) {
-                        Some(flight) => out.flights.push(flight),
-                        None => self.finished(attempt, worker, now_ms(), Outcome::Moot, false),
-                    }
-                }
+                Some(Note::Send { worker, within }) => out.start(worker, within),
                 Some(Note::Ended { attempt, end }) => {
                     let Some(at) = out.position(attempt) else {
                         continue;
@@ -568,7 +591,7 @@
                             self.finished(attempt, flight.worker, flight.started, Outcome::Ok, true);
                             break Answer::Served { body };
                         }
-                        Err(error) => may_have_run |= out.ended(flight, error),
+                        Err(error) => out.ended(flight, error),
                     }
                 }
                 Some(Note::Cancel { attempt }) => {
@@ -577,7 +600,7 @@
                     };
                     if let Some(error) = out.flights[at].exchange.give_up(Cause::GivenUp) {
                         let flight = out.flights.swap_remove(at);
-                        may_have_run |= out.ended(flight, error);
+                        out.ended(flight, error);
                     }
                 }
                 Some(Note::Refuse { retry_after }) => {
@@ -586,7 +609,7 @@
                 Some(Note::Fail) => break Answer::Failed(self.known()),
                 Some(Note::Close) => {
                     invoker.feed(Event::Withdrawn { id: call.request.id });
-                    if may_have_run || !out.flights.is_empty() {
+                    if !out.ran.is_empty() {
                         break Answer::Failed(self.known());
                     }
                     let retry_after = invoker.settings.max_retry_after;
@@ -600,7 +623,7 @@
                     let now = now_ms();
                     let over = out.flights.iter().position(|flight| flight.until <= now);
                     if let Some(at) = over {
-                        may_have_run |= out.overdue(at);
+                        out.overdue(at);
                     } else if now >= call.request.expires {
                         invoker.feed(Event::Withdrawn { id: call.request.id });
                         break Answer::Failed(self.known());
@@ -608,9 +631,9 @@
                 }
             }
         };
-        may_have_run |= out.call_off();
+        out.call_off();
         if let Answer::Refused { known, .. } | Answer::Failed(known) = &mut answer {
-            known.may_have_run = may_have_run;
+            known.may_have_run = !out.ran.is_empty();
         }
         answer
     }
@@ -638,29 +661,6 @@
         Failure { may_have_run: false, late: now_ms() + LAST_CALL_MS >= self.call.request.expires }
     }
 
-    fn start(&self, attempt: u32, worker: WorkerId, within: Ms) -> Option<Flight> {
-        let host = self.invoker.host(worker)?;
-        let started = now_ms();
-        let until = if within > 0.0 {
-            self.call.request.expires.min(started + within)
-        } else {
-            self.call.request.expires
-        };
-        let sender = self.inbox.sender.clone();
-        let end = Box::new(move |end| _ = sender.send(Note::Ended { attempt, end }));
-        self.invoker.counters.sent.add();
-        let exchange = self.invoker.workers.send(&host, &self.call, until, end);
-        Some(Flight { attempt, worker, started, until, exchange, over: None })
-    }
-
-    /// Tells of an attempt that brought nothing; true if it may have run.
-    fn lost(&self, flight: &Flight, error: AttemptError, closed: bool) -> bool {
-        let outcome = error.outcome();
-        self.invoker.counters.lost(outcome);
-        self.finished(flight.attempt, flight.worker, flight.started, outcome, closed);
-        !outcome.proves_not_run()
-    }
-
     fn finished(&self, attempt: u32, worker: WorkerId, started: Ms, outcome: Outcome, closed: bool) {
         self.invoker.feed(Event::Finished(Finished {
             id: self.call.request.id,
--- a/crates/node/src/core/invoker/tests.rs
+++ b/crates/node/src/core/invoker/tests.rs
@@ -57,7 +57,7 @@
 where
     F: Fn(usize, &Call, Ending) -> Box<dyn Exchange> + Send + Sync + 'static,
 {
-    fn send(&self, _: &Arc<Host>, call: &Arc<Call>, _: Ms, end: Ending) -> Box<dyn Exchange> {
+    fn send(&self, _: &Arc<Host>, call: &Arc<Call>, _: Ms, _: Ms, end: Ending) -> Box<dyn Exchange> {
         (self.act)(self.sends.fetch_add(1, Ordering::Relaxed), call, end)
     }
 
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -50,8 +50,10 @@
 
 /// The way to the workers, whatever is spoken there.
 pub trait Workers: Send + Sync + 'static {
-    /// Starts an attempt that the client waits for until `expires`; never blocks.
-    fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange>;
+    /// Starts an attempt that the client waits for until `expires` and that goes out until `by` or not at all; never
+    /// blocks.
+    fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, by: Ms, end: Ending)
+        -> Box<dyn Exchange>;
     /// Orders copies of a model held (0 only asks) and waits for the word on it: how many stand. An order that
     /// can't go out by that time is not given.
     fn load(
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -65,6 +65,15 @@
     location: Mutex<Option<String>>,
 }
 
+/// The times of an attempt.
+#[derive(Clone, Copy)]
+struct Times {
+    /// The client waits until then.
+    expires: Ms,
+    /// It goes out until then or not at all.
+    by: Ms,
+}
+
 struct HttpExchange {
     attempt: Arc<Attempt>,
     host: Arc<Host>,
@@ -86,7 +95,14 @@
 }
 
 impl Workers for HttpWorkers {
-    fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange> {
+    fn send(
+        &self,
+        host: &Arc<Host>,
+        call: &Arc<Call>,
+        expires: Ms,
+        by: Ms,
+        end: Ending,
+    ) -> Box<dyn Exchange> {
         let id = call.request.id.0;
         let attempt = Arc::new(Attempt {
             link: Mutex::new(Link::new(1)),
@@ -116,7 +132,7 @@
         let (host, call) = (host.clone(), call.clone());
         spawn(move || {
             let _end = EndGuard(attempt.clone(), out);
-            let end = attempt.run(&host, &call, expires, style, &limits, intake);
+            let end = attempt.run(&host, &call, Times { expires, by }, style, &limits, intake);
             drop(held);
             attempt.settle(end);
         });
@@ -172,13 +188,13 @@
         &self,
         host: &Host,
         call: &Call,
-        expires: Ms,
+        Times { expires, by }: Times,
         style: Style,
         limits: &Limits,
         mut intake: Intake,
     ) -> Result<Vec<u8>, AttemptError> {
         let socket = self.connect(host, limits.connect)?;
-        if host.barred() {
+        if host.barred() || now_ms() > by {
             return Err(AttemptError::Unfinished(Cause::Barred));
         }
         if !lock(&self.link).begin(self.id) {
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -417,7 +417,14 @@
 }
 
 impl Workers for FrameWorkers {
-    fn send(&self, host: &Arc<Host>, call: &Arc<Call>, expires: Ms, end: Ending) -> Box<dyn Exchange> {
+    fn send(
+        &self,
+        host: &Arc<Host>,
+        call: &Arc<Call>,
+        expires: Ms,
+        by: Ms,
+        end: Ending,
+    ) -> Box<dyn Exchange> {
         let mut fields = format!(
             "kind={},obj={:016x},ms={}",
             call.class_name,
@@ -432,7 +439,7 @@
         let waiter: Waiter = Box::new(move |answer| {
             end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
         });
-        let connection = self.open(host, frame, Goes::Work, Ms::INFINITY, Some(waiter));
+        let connection = self.open(host, frame, Goes::Work, by, Some(waiter));
         Box::new(FrameExchange { connection, id: call.request.id.0, word: Word::default() })
     }
 
--- a/crates/node/src/wire/workers/tests.rs
+++ b/crates/node/src/wire/workers/tests.rs
@@ -13,12 +13,13 @@
         let request = corkbay::Request { id: corkbay::RequestId(id), ..Default::default() };
         Arc::new(Call { request, body: vec![7; size], ..Call::default() })
     };
-    let mut first = workers.send(&host, &call(1, 1), now_ms() + 30_000.0, Box::new(|_| ()));
+    let mut first = workers.send(&host, &call(1, 1), now_ms() + 30_000.0, f64::INFINITY, Box::new(|_| ()));
     let (mut socket, _) = listener.accept().expect("dialled");
     let mut head = [0; 18];
     std::io::Read::read_exact(&mut socket, &mut head).expect("the first call");
     // More than buffers hold: the writer is stuck in it.
-    let _second = workers.send(&host, &call(2, 32 << 20), now_ms() + 30_000.0, Box::new(|_| ()));
+    let _second =
+        workers.send(&host, &call(2, 32 << 20), now_ms() + 30_000.0, f64::INFINITY, Box::new(|_| ()));
     assert_eq!(first.give_up(Cause::GivenUp), Some(AttemptError::Unanswered(Cause::GivenUp)));
     std::thread::sleep(Duration::from_millis(100));
     assert!(!first.word().is_out(), "it waits behind the second call");
--- a/crates/node/tests/frames.rs
+++ b/crates/node/tests/frames.rs
@@ -48,7 +48,7 @@
         let call = Call { request, class_name: "check".into(), body: vec![1, 2], ..Call::default() };
         let (told, end) = channel();
         let ending = Box::new(move |end| _ = told.send(end));
-        (self.workers.send(&self.host, &Arc::new(call), now_ms() + 60_000.0, ending), end)
+        (self.workers.send(&self.host, &Arc::new(call), now_ms() + 60_000.0, f64::INFINITY, ending), end)
     }
 
     fn peer(&self) -> Peer {
--- a/crates/node/tests/moments.rs
+++ b/crates/node/tests/moments.rs
@@ -284,6 +284,33 @@
     assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
 }
 
+/// Guards the window of a keyed class, which may be shorter than a connection takes to come up: a repeat that would go
+/// out after it does not go out.
+#[test]
+fn a_keyed_repeat_goes_out_within_its_window_or_not_at_all() {
+    let worker = LateListener::new();
+    let bench = Bench::changed(&[Act::Serve], 0, 1024, 192, |settings| {
+        settings["ceilings"]["connectTimeoutMs"] = json!(3000.0);
+        settings["classes"][1]["dedupWindowMs"] = json!(700.0);
+        settings["classes"][1]["giveUpMs"] = json!(8000.0);
+    });
+    bench.channel.tell(2, "h0", worker.address, "up");
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("post", "00000000000000a1", "8000"), b"x"));
+    let first = worker.accept(PATIENCE).expect("the first attempt");
+    assert_eq!(requests(&first, Duration::from_millis(100)), [0xa1]);
+    let _full = worker.fill();
+    drop(first);
+    until("the repeat waits for its connection", || {
+        bench.daemon.signal("USR1");
+        bench.daemon.errors().contains("sent=2 ")
+    });
+    worker.accept(PATIENCE).expect("what filled the queue");
+    let second = worker.accept(PATIENCE).expect("it comes up, a second late");
+    assert!(requests(&second, LONG_ENOUGH).is_empty(), "the window is over");
+    assert_eq!(client.receive(), Some((1, Reply::Crashed)), "it may have run");
+}
+
 /// A connection that comes up late, or never, holds up nobody beyond the time that it is given.
 #[test]
 fn a_connection_that_never_comes_up_is_given_up_and_another_worker_serves() {
