A client that leaves behind its second HTTP request is seen to leave

Seen: with the next request read whole, or with bytes that can't be read, behind a held call, the reader waited for that call's end (converse and refuse_to_read in wire/invoke.rs joined its task). A client that left meanwhile was not seen; its call was sent on 8 s later, at the end of its time or once a worker took work. What the client sends ahead is read on now, as far as it fits the chunk that is paid for, so that the end behind it is seen. The test fails without it (3 calls taken and one sent, where 2 and none of it are right). New in tests/styles.rs, in all styles, passing before: clients that leave while no worker takes work, while a connection comes up, and before the second attempt (a deferred call goes on without its client); answers that break off at five boundaries. Left: a client that sends more than 4 KiB ahead and then leaves is seen when its first call ends.

--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -37,6 +37,8 @@
 const MESSAGE: Duration = Duration::from_secs(10);
 /// Longest time for which a client may stop reading while a response is written to it.
 pub const WRITE_STALL: Duration = Duration::from_secs(5);
+/// How often a held call is looked at while its client has sent its next request already.
+const ANSWER_LOOK: Duration = Duration::from_millis(2);
 /// How long, and for how many bytes, a client may go on sending after the last answer.
 const LINGER: Duration = Duration::from_secs(1);
 const MAX_KEY: usize = 128;
@@ -95,8 +97,9 @@
 /// Answers requests in the order they come; `Ok` once the last is answered.
 fn converse(desk: &Arc<Desk>, guest: &Arc<Guest>, current: &mut Option<Current>) -> io::Result<()> {
     let (mut raw, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
-    let mut fill = |raw: &mut Intake, busy: bool| loop {
-        match raw.fill(guest, &mut chunk, if raw.is_empty() { IDLE } else { MESSAGE }) {
+    let chunk = chunk.as_mut_slice();
+    let fill = |raw: &mut Intake, chunk: &mut [u8], busy: bool| loop {
+        match raw.fill(guest, chunk, if raw.is_empty() { IDLE } else { MESSAGE }) {
             Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
             Ok(_) => return Ok(()),
             // While a call is held, the client has nothing to say.
@@ -108,13 +111,13 @@
         let mut head = loop {
             match RequestHead::decode(raw.bytes()) {
                 Ok(Some(head)) => break head,
-                Ok(None) => match fill(&mut raw, current.is_some()) {
+                Ok(None) => match fill(&mut raw, chunk, current.is_some()) {
                     Err(error) if error.kind() == NO_ROOM => {
-                        return refuse_to_read(guest, current, no_room())
+                        return refuse_to_read(guest, &mut raw, chunk, current, no_room())
                     }
                     end => end?,
                 },
-                Err(error) => return refuse_to_read(guest, current, unreadable(&error)),
+                Err(error) => return refuse_to_read(guest, &mut raw, chunk, current, unreadable(&error)),
             }
         };
         if head.headers.get("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
@@ -126,23 +129,21 @@
                 Ok(true) => break,
                 Ok(false) => {
                     let room = raw.beside(body.capacity());
-                    match room.and_then(|()| fill(&mut raw, current.is_some())) {
+                    match room.and_then(|()| fill(&mut raw, chunk, current.is_some())) {
                         Err(error) if error.kind() == NO_ROOM => {
-                            return refuse_to_read(guest, current, no_room());
+                            return refuse_to_read(guest, &mut raw, chunk, current, no_room());
                         }
                         end => end?,
                     }
                 }
-                Err(error) => return refuse_to_read(guest, current, unreadable(&error)),
+                Err(error) => return refuse_to_read(guest, &mut raw, chunk, current, unreadable(&error)),
             }
         }
         // From here on the body counts with the call.
         raw.beside(0)?;
         // One answer after the other, in the order of the requests.
-        if let Some(before) = current.take() {
-            if !before.task.join().unwrap_or(false) {
-                return Err(ErrorKind::BrokenPipe.into());
-            }
+        if !answered(guest, &mut raw, chunk, current, true)? {
+            return Err(ErrorKind::BrokenPipe.into());
         }
         match route(desk, &head, body, guest) {
             Next::Respond(response) => guest.answer(&response.encode(head.keep_alive))?,
@@ -156,18 +157,50 @@
             // A held call's task ends the connection after its answer; until then the client may leave.
             while current.is_some() {
                 raw.bytes().clear();
-                fill(&mut raw, true)?;
+                fill(&mut raw, chunk, true)?;
             }
             return Ok(());
         }
     }
 }
 
-/// Answers what can't be read any further, after what came before it.
-fn refuse_to_read(guest: &Guest, current: &mut Option<Current>, answer: Response) -> io::Result<()> {
-    if let Some(before) = current.take() {
-        let _ = before.task.join();
+/// Waits until the held call, if there is one, has its answer; whether that could be written. What the client sends
+/// ahead is read meanwhile, as far as it fits the chunk that is paid for, since its leaving comes behind that; it is kept
+/// or thrown away.
+fn answered(
+    guest: &Guest,
+    ahead: &mut Intake,
+    chunk: &mut [u8],
+    current: &mut Option<Current>,
+    keep: bool,
+) -> io::Result<bool> {
+    while current.as_ref().is_some_and(|before| !before.task.is_done()) {
+        if !keep {
+            ahead.bytes().clear();
+        }
+        let room = CHUNK.saturating_sub(ahead.bytes().len());
+        if room == 0 {
+            may::coroutine::sleep(ANSWER_LOOK);
+            continue;
+        }
+        match ahead.fill(guest, &mut chunk[..room], ANSWER_LOOK) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Err(error) if error.kind() != ErrorKind::TimedOut => return Err(error),
+            _ => {}
+        }
     }
+    Ok(current.take().is_none_or(|before| before.task.join().unwrap_or(false)))
+}
+
+/// Answers what can't be read any further, after what came before it.
+fn refuse_to_read(
+    guest: &Guest,
+    raw: &mut Intake,
+    chunk: &mut [u8],
+    current: &mut Option<Current>,
+    answer: Response,
+) -> io::Result<()> {
+    answered(guest, raw, chunk, current, false)?;
     guest.answer(&answer.encode(false))
 }
 
--- a/crates/node/tests/styles.rs
+++ b/crates/node/tests/styles.rs
@@ -1,8 +1,12 @@
 //! The same scenarios in every style, from clients and toward workers: equal outcomes, equal sends.
 mod support;
 
-use support::workers::{Act, Fleet, Sent};
-use support::{ask, start, until, Daemon, Folder, Response, CLASSES};
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+use support::late::LateListener;
+use support::workers::{Act, Fleet, Sent, Within};
+use support::{ask, receive, start, until, Daemon, Folder, Response, CLASSES, PATIENCE};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Client {
@@ -44,7 +48,12 @@
 }
 
 impl Bench {
-    fn new((client, server): (Client, Server), script: &[Act], cells: [u32; 2]) -> Self {
+    fn new(style: (Client, Server), script: &[Act], cells: [u32; 2]) -> Self {
+        Self::limited(style, script, cells, "")
+    }
+
+    /// The same with limits of the test's own.
+    fn limited((client, server): (Client, Server), script: &[Act], cells: [u32; 2], limits: &str) -> Self {
         let fleet = Fleet::new(script);
         let worker = |name: &str| match server {
             Server::Frames => fleet.frames(name).to_string(),
@@ -64,7 +73,7 @@
         let deploy = folder.write(
             "invoke.toml",
             &format!(
-                "node = \"n\"\nlisten = \"127.0.0.1:0\"\ndata_dir = \"data\"\n[transport]\n{transport}\n{CLASSES}{workers}"
+                "node = \"n\"\nlisten = \"127.0.0.1:0\"\ndata_dir = \"data\"\n[transport]\n{transport}\n{limits}{CLASSES}{workers}"
             ),
         );
         let daemon = Daemon::serve(&deploy);
@@ -91,6 +100,49 @@
         end(&ask(self.daemon.address, "GET", &location, &[("Prefer", "wait=30")], b""))
     }
 
+    /// Starts a call and leaves its client there, who has been told no more than that it was accepted.
+    fn start(&self, function: &str) -> TcpStream {
+        let path = format!("/v1/functions/{function}/invocations");
+        let key = ("Idempotency-Key", "started");
+        if self.client == Client::Synchronous {
+            return start(self.daemon.address, "POST", &path, &[key], b"input");
+        }
+        let headers = [key, ("Prefer", "respond-async")];
+        let socket = start(self.daemon.address, "POST", &path, &headers, b"input");
+        assert_eq!(receive(&mut BufReader::new(&socket)).status, 202);
+        socket
+    }
+
+    fn set_worker(&self, name: &str, address: &str, state: &str) {
+        let body = format!("{{\"address\":\"{address}\",\"state\":\"{state}\"}}");
+        let path = format!("/v1/workers/{name}");
+        assert_eq!(ask(self.daemon.address, "PUT", &path, &[], body.as_bytes()).status, 204);
+    }
+
+    fn set_both(&self, state: &str) {
+        self.set_worker("w1", &self.addresses[0], state);
+        self.set_worker("w2", &self.addresses[1], state);
+    }
+
+    fn counted(&self, counter: &str) -> u64 {
+        let status = ask(self.daemon.address, "GET", "/v1/status", &[], b"").json();
+        status["counters"][counter].as_u64().expect("a counter")
+    }
+
+    /// The client leaves; a call that waits for nobody else is withdrawn.
+    fn leave(&self, socket: TcpStream) {
+        drop(socket);
+        match self.client {
+            Client::Synchronous => until("it is withdrawn", || self.counted("withdrawn") == 1),
+            Client::Deferred => std::thread::sleep(Duration::from_millis(100)),
+        }
+    }
+
+    /// How many of the calls whose clients have left go on.
+    fn goes_on(&self) -> usize {
+        usize::from(self.client == Client::Deferred)
+    }
+
     fn workers_sent_to(&self) -> Vec<String> {
         self.fleet.sent().into_iter().map(|sent: Sent| sent.worker).collect()
     }
@@ -317,3 +369,97 @@
     assert_eq!((refused.status, refused.may_have_run.as_deref()), (503, Some("false")));
     assert_eq!((served.status, served.body.as_str(), sent), (200, "done: input", 1));
 }
+
+/// Guards the boundaries of an answer: wherever it breaks off, the call may have run.
+#[test]
+fn an_answer_that_breaks_off_is_no_proof_that_nothing_ran() {
+    for within in Within::ALL {
+        let act = Act::Breaks(within);
+        let (end, sent) = in_all_styles(&[act, Act::Serve], [0, 1], one_call("check"));
+        assert_eq!((end.status, end.body.as_str(), sent.len()), (200, "done: input", 2), "{within:?}");
+        let (end, sent) = in_all_styles(&[act, Act::Serve], [0, 1], one_call("once"));
+        let told = (end.status, end.may_have_run.as_deref(), sent.len());
+        assert_eq!(told, (502, Some("true"), 1), "{within:?}");
+    }
+}
+
+/// For what must not happen: long enough for it to have happened.
+const LONG_ENOUGH: Duration = Duration::from_millis(500);
+
+/// Guards what a client that has left still costs: nothing is sent on for it; a deferred call goes on without it.
+#[test]
+fn who_left_while_no_worker_took_work_is_not_sent_on() {
+    for style in STYLES {
+        let bench = Bench::new(style, &[Act::Serve], [0, 0]);
+        bench.set_both("draining");
+        let client = bench.start("check");
+        until("it is taken", || bench.counted("taken") == 1);
+        bench.leave(client);
+        bench.set_both("up");
+        assert_eq!(bench.call("check", 8000).status, 200, "{style:?}");
+        std::thread::sleep(LONG_ENOUGH);
+        assert_eq!(bench.fleet.sent().len(), 1 + bench.goes_on(), "{style:?}");
+    }
+}
+
+#[test]
+fn who_left_while_a_connection_came_up_is_not_sent_on() {
+    for style in STYLES {
+        let bench = Bench::limited(style, &[Act::Serve], [0, 0], "[limits]\nconnect_timeout_ms = 8000.0\n");
+        let late = LateListener::new();
+        let _full = late.fill();
+        bench.set_worker("w1", &late.address.to_string(), "up");
+        bench.set_worker("w2", &bench.addresses[1], "draining");
+        let client = bench.start("check");
+        until("it waits for its connection", || bench.counted("sent") == 1);
+        bench.leave(client);
+        late.accept(PATIENCE).expect("what filled the queue");
+        let came = late.accept(PATIENCE).map(|mut connection| {
+            connection.set_read_timeout(Some(LONG_ENOUGH)).expect("set");
+            connection.read(&mut [0; 64]).unwrap_or(0)
+        });
+        assert_eq!(came.unwrap_or(0) > 0, bench.goes_on() > 0, "{style:?}");
+    }
+}
+
+/// The first attempt breaks while no worker takes work, so that the second has to wait for one.
+#[test]
+fn who_left_before_the_second_attempt_is_not_sent_on() {
+    for style in STYLES {
+        let bench = Bench::new(style, &[Act::Serve], [0, 0]);
+        let first = LateListener::new();
+        bench.set_worker("w2", &bench.addresses[1], "draining");
+        bench.set_worker("w1", &first.address.to_string(), "up");
+        let client = bench.start("check");
+        let mut connection = first.accept(PATIENCE).expect("the first attempt");
+        assert!(connection.read(&mut [0; 64]).is_ok_and(|size| size > 0));
+        bench.set_worker("w1", &first.address.to_string(), "draining");
+        drop(connection);
+        until("it broke", || bench.counted("lost_reset") == 1);
+        bench.leave(client);
+        bench.set_worker("w2", &bench.addresses[1], "up");
+        assert_eq!(bench.call("check", 8000).status, 200, "{style:?}");
+        std::thread::sleep(LONG_ENOUGH);
+        assert_eq!(bench.fleet.sent().len(), 1 + bench.goes_on(), "{style:?}");
+    }
+}
+
+/// Guards a client that sends its next request before it has the answer to the first, and then leaves: with the next
+/// one read, nobody saw it leave, and the first went on and was sent out.
+#[test]
+fn who_left_behind_a_second_request_is_not_sent_on() {
+    let next = "POST /v1/functions/check/invocations HTTP/1.1\r\nHost: test\r\nContent-Length: 1\r\n\r\nx";
+    for (server, second) in [(Server::Held, next), (Server::Deferred, next), (Server::Frames, "\0\r\n\r\n")] {
+        let bench = Bench::new((Client::Synchronous, server), &[Act::Serve], [0, 0]);
+        bench.set_both("draining");
+        let mut client = bench.start("check");
+        until("it is taken", || bench.counted("taken") == 1);
+        client.write_all(second.as_bytes()).expect("written");
+        std::thread::sleep(Duration::from_millis(100));
+        bench.leave(client);
+        bench.set_both("up");
+        assert_eq!(bench.call("check", 8000).status, 200, "{server:?}");
+        std::thread::sleep(LONG_ENOUGH);
+        assert_eq!((bench.fleet.sent().len(), bench.counted("taken")), (1, 2), "{server:?}");
+    }
+}
