--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,84 @@
+//! The test command and the tests that it passes over, with a stand-in for cargo.
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::process::Command;
+
+/// Lists three tests, one of them in two programs, and writes down how it was called.
+const CARGO: &str = r#"#!/bin/bash
+echo "$*" >>calls
+if [[ " $* " == *" --list "* ]]; then
+    printf '%s: test\n' link::one link::one_more twice twice
+fi
+"#;
+
+struct Root(PathBuf);
+
+impl Root {
+    fn new(name: &str, known_red: Option<&str>) -> Self {
+        let root = std::env::temp_dir().join(format!("corkbay-known-red-{}-{name}", std::process::id()));
+        fs::create_dir_all(root.join(".ci")).expect("a folder");
+        fs::create_dir_all(root.join("bin")).expect("a folder");
+        fs::copy(concat!(env!("CARGO_MANIFEST_DIR"), "/.ci/test"), root.join(".ci/test"))
+            .expect("the script");
+        let cargo = root.join("bin/cargo");
+        fs::write(&cargo, CARGO).expect("written");
+        fs::set_permissions(&cargo, fs::Permissions::from_mode(0o755)).expect("set");
+        if let Some(text) = known_red {
+            fs::write(root.join("KNOWN-RED.txt"), text).expect("written");
+        }
+        Root(root)
+    }
+
+    /// Whether the command passed, how cargo was called, and all that was printed.
+    fn run(&self) -> (bool, String, String) {
+        let path = format!("{}:{}", self.0.join("bin").display(), std::env::var("PATH").expect("a path"));
+        let output = Command::new("bash").arg(self.0.join(".ci/test")).env("PATH", path).output();
+        let output = output.expect("runs");
+        let calls = fs::read_to_string(self.0.join("calls")).unwrap_or_default();
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.success(), calls, String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+impl Drop for Root {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn without_known_red_tests_all_are_run() {
+    for (name, text) in [("none", None), ("empty", Some(""))] {
+        let (passed, calls, _) = Root::new(name, text).run();
+        assert!(passed && calls == "test --workspace\n", "{name}: {calls}");
+    }
+}
+
+#[test]
+fn just_the_named_test_is_passed_over_and_printed() {
+    let (passed, calls, text) = Root::new("named", Some("link::one | a late word | issue 28\n")).run();
+    assert!(passed, "{text}");
+    assert!(calls.ends_with("test --workspace -- --exact --skip link::one\n"), "{calls}");
+    assert!(text.contains("passed over: link::one | a late word | issue 28"), "{text}");
+}
+
+#[test]
+fn a_file_that_is_wrong_fails_before_any_test_is_run() {
+    let four = "link::one | a | issue 1\n".repeat(4);
+    let wrong = [
+        ("malformed", "link::one, a late word, issue 28\n", "form"),
+        ("no-cause", "link::one |  | issue 28\n", "form"),
+        ("no-issue", "link::one | a late word\n", "form"),
+        ("no-test", "link::on | a late word | issue 28\n", "names 0 tests"),
+        ("ambiguous", "twice | a late word | issue 28\n", "names 2 tests"),
+        ("repeated", "link::one | a | issue 1\nlink::one | b | issue 2\n", "named twice"),
+        ("blank", "link::one | a | issue 1\n\n", "form"),
+        ("four", four.as_str(), "4 lines, 3 at most"),
+    ];
+    for (name, text, complaint) in wrong {
+        let (passed, calls, told) = Root::new(name, Some(text)).run();
+        assert!(!passed && told.contains(complaint), "{name}: {told}");
+        assert!(!calls.contains("--exact") && !calls.ends_with("--workspace\n"), "{name}: {calls}");
+    }
+}
