A key that may have run stays taken; what is held back ends no call of the same number

Invocations::finish freed its key: the client's next try was sent on as a first one, also after the workers had forgotten the key (seen: 10 sends where 5 are allowed). Desk::run ends it as failed, with its key kept. - An unloading that was held back for a suspended host looked up its model's number among the calls of its connection (Connection::write in wire/workers.rs gave up whatever stood under it). A client may choose the one as the other: its call ended as one that never ran, while it ran. Only what somebody waits for is looked up now.

--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -61,6 +61,11 @@
         self.barred.store(barred, Ordering::Release);
     }
 
+    /// Says whether the operators hold it out.
+    pub fn suspend(&self, out: bool) {
+        self.suspended.store(out, Ordering::Release);
+    }
+
     /// Whether the operators hold it out: nothing at all may begin there, no question either.
     pub fn suspended(&self) -> bool {
         self.suspended.load(Ordering::Acquire)
@@ -83,7 +88,7 @@
         }
         // Whoever was held out was restarted meanwhile; the directory may know only of an earlier start.
         entry.born = entry.born.max(bans.back_at(&entry.name).unwrap_or(0.0));
-        self.host.suspended.store(out, Ordering::Release);
+        self.host.suspend(out);
         self.host.bar(entry.standing != Standing::Ready);
         entry
     }
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -362,6 +362,11 @@
     fn run(&self, taken: &Taken, key: Option<&Key>, promise: Option<Promise>) -> Answer {
         let answer = catch_unwind(AssertUnwindSafe(|| taken.serve()))
             .unwrap_or(Answer::Failed(Failure { may_have_run: true, late: false }));
+        let answer = match answer {
+            // Another try is harmless only while workers know the key, and nobody can say when the client comes again.
+            Answer::Refused { known, .. } if key.is_some() && known.may_have_run => Answer::Failed(known),
+            answer => answer,
+        };
         self.invoker.counters.answered(&answer);
         self.invocations.finish(taken.call().request.id, key, &answer, promise);
         answer
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -316,7 +316,7 @@
             let id = out.frame.id;
             if out.goes.barred(host) || now_ms() > out.by {
                 // Told so while the frame waited, or it waited too long: it must not go out any more.
-                let given_up = lock(&self.link).give_up(id);
+                let given_up = if out.tracked { lock(&self.link).give_up(id) } else { None };
                 if let Some((_, waiter)) = given_up {
                     waiter(Err(AttemptError::Unfinished(Cause::Barred)));
                 }
--- a/crates/node/tests/frames.rs
+++ b/crates/node/tests/frames.rs
@@ -44,8 +44,12 @@
     }
 
     fn send(&self, id: u64) -> (Box<dyn Exchange>, End) {
+        self.send_body(id, vec![1, 2])
+    }
+
+    fn send_body(&self, id: u64, body: Vec<u8>) -> (Box<dyn Exchange>, End) {
         let request = Request { id: RequestId(id), model: ModelId(5), ..Request::default() };
-        let call = Call { request, class_name: "check".into(), body: vec![1, 2], ..Call::default() };
+        let call = Call { request, class_name: "check".into(), body, ..Call::default() };
         let (told, end) = channel();
         let ending = Box::new(move |end| _ = told.send(end));
         (self.workers.send(&self.host, &Arc::new(call), now_ms() + 60_000.0, f64::INFINITY, ending), end)
@@ -179,6 +183,29 @@
 
 /// Guards the ration against orders that wait too long on their way: one counts when it arrives, and leaves its
 /// window only as long as that is soon after it was decided.
+/// Guards a call whose id a client chose to be that of a model: an unloading of that model that is held back behind a
+/// long frame used to end the call as one that never ran, which may be sent on to another worker whatever its class.
+#[test]
+fn what_is_held_back_ends_no_call_of_the_same_number() {
+    let bench = Bench::new();
+    let (_exchange, end) = bench.send(5);
+    let mut peer = bench.peer();
+    assert_eq!(peer.next().id, 5);
+    // More than buffers hold: the writer is stuck in it.
+    let (mut long, _) = bench.send_body(6, vec![7; 32 << 20]);
+    bench.workers.evict(&bench.host, ModelId(5));
+    bench.host.suspend(true);
+    let mut head = [0; 16];
+    peer.socket.read_exact(&mut head).expect("the long frame");
+    assert!(long.give_up(Cause::GivenUp).is_some());
+    let fields = usize::from(u16::from_be_bytes([head[2], head[3]]));
+    peer.socket.read_exact(&mut vec![0; fields + (32 << 20) + 4]).expect("its rest");
+    // Written whatever is held back, and behind it.
+    assert_eq!(peer.next().code, code::GIVE_UP);
+    peer.answer(code::OK, 5, "", b"y");
+    assert_eq!(end.recv_timeout(PATIENCE).expect("told"), Ok(b"y".to_vec()));
+}
+
 #[test]
 fn an_order_that_is_too_late_is_not_written() {
     let bench = Bench::new();
--- a/crates/node/tests/moments.rs
+++ b/crates/node/tests/moments.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::late::{requests, LateListener};
 use support::platform::{cancel, dispatch, fields, Bench, Channel, Client, Reply};
 use support::workers::Act;
@@ -429,6 +429,47 @@
     assert!(matches!(client.receive(), Some((seqid, Reply::Answer(_))) if seqid == open + 1));
 }
 
+/// An answer and the end of its request's time stand together when the program looks: one of them is told, once.
+#[test]
+fn an_answer_in_the_instant_of_a_time_out_is_told_once_or_not_at_all() {
+    let bench = Bench::new(&[Act::Hold, Act::Serve], 1);
+    let mut client = bench.client();
+    let open = bench.send_out(&mut client, 0xa1, "2000");
+    std::thread::sleep(Duration::from_millis(1000));
+    bench.daemon.signal("STOP");
+    bench.fleet.release();
+    std::thread::sleep(Duration::from_millis(1200));
+    bench.daemon.signal("CONT");
+    let reply = client.receive();
+    assert!(matches!(&reply, Some((seqid, _)) if *seqid == open), "{reply:?}");
+    client.send(&check(open + 1, 0xb1));
+    assert!(matches!(client.receive(), Some((seqid, Reply::Answer(_))) if seqid == open + 1));
+}
+
+/// A worker whose machine takes what is written to it and reads none of it: each request has its end in time, and another
+/// worker serves.
+#[test]
+fn a_worker_that_reads_none_holds_up_nobody() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    let deaf = TcpListener::bind("127.0.0.1:0").expect("a port");
+    bench.channel.tell(2, "h9", deaf.local_addr().expect("bound"), "up");
+    let (mut clients, body) = ((0..8).map(|_| bench.client()).collect::<Vec<_>>(), vec![7; 16 << 10]);
+    let (mut answers, start) = (0, Instant::now());
+    for round in 1..=10 {
+        for (number, client) in clients.iter_mut().enumerate() {
+            let id = format!("{:016x}", 0x1000 * round + number as i32);
+            client.send(&dispatch(round, &fields("check", &id, "1500"), &body));
+        }
+        for client in &mut clients {
+            let (seqid, reply) = client.receive().expect("an answer");
+            answers += u32::from(matches!(reply, Reply::Answer(_)));
+            assert_eq!(seqid, round);
+        }
+    }
+    assert!(answers >= 40, "{answers} of 80 served");
+    assert!(start.elapsed() < Duration::from_secs(10 * 2), "{:?}", start.elapsed());
+}
+
 /// Where nobody listens any more the caller is refused, and not left without an answer.
 #[test]
 fn a_listener_that_has_ended_refuses() {
--- a/crates/node/tests/styles.rs
+++ b/crates/node/tests/styles.rs
@@ -2,8 +2,8 @@
 mod support;
 
 use std::io::{BufReader, Read, Write};
-use std::net::TcpStream;
-use std::time::Duration;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 use support::late::LateListener;
 use support::workers::{Act, Fleet, Sent, Within};
 use support::{ask, receive, start, until, Daemon, Folder, Response, CLASSES, PATIENCE};
@@ -85,19 +85,23 @@
     }
 
     fn call_with(&self, function: &str, deadline_ms: u32, key: &str) -> End {
+        self.call_at(self.daemon.address, function, deadline_ms, key)
+    }
+
+    fn call_at(&self, daemon: SocketAddr, function: &str, deadline_ms: u32, key: &str) -> End {
         let path = format!("/v1/functions/{function}/invocations");
         let deadline = deadline_ms.to_string();
         let mut headers = vec![("Corkbay-Deadline-Ms", deadline.as_str()), ("Idempotency-Key", key)];
         if self.client == Client::Synchronous {
-            return end(&ask(self.daemon.address, "POST", &path, &headers, b"input"));
+            return end(&ask(daemon, "POST", &path, &headers, b"input"));
         }
         headers.push(("Prefer", "respond-async"));
-        let accepted = ask(self.daemon.address, "POST", &path, &headers, b"input");
+        let accepted = ask(daemon, "POST", &path, &headers, b"input");
         if accepted.status != 202 {
             return end(&accepted);
         }
         let location = accepted.header("location").expect("where the answer will be").to_string();
-        end(&ask(self.daemon.address, "GET", &location, &[("Prefer", "wait=30")], b""))
+        end(&ask(daemon, "GET", &location, &[("Prefer", "wait=30")], b""))
     }
 
     /// Starts a call and leaves its client there, who has been told no more than that it was accepted.
@@ -383,6 +387,54 @@
     }
 }
 
+#[test]
+fn an_answer_that_comes_a_byte_at_a_time_is_served() {
+    let (end, sent) = in_all_styles(&[Act::Bytewise], [0, 1], one_call("once"));
+    assert_eq!((end.status, end.body.as_str(), sent.len()), (200, "done: input", 1));
+}
+
+/// Guards a key whose call may have run and was then refused by all: where any worker drops repeats the decisions refuse
+/// it, since another try is harmless; but only until the workers have forgotten the key, and the client may come later.
+/// Its key used to be free at once.
+#[test]
+fn a_key_that_may_have_run_stays_taken_however_its_call_ended() {
+    let script = [Act::Reset, Act::Refuse];
+    let (first, again, sent) = in_all_styles(&script, [0, 0], |bench| {
+        let path = bench.folder.0.join("invoke.toml");
+        let file = std::fs::read_to_string(&path).expect("written before");
+        let file = file.replace("dedup_scope = \"cell\"", "dedup_scope = \"all\"");
+        let daemon = Daemon::serve(&bench.folder.write("all.toml", &file.replace("data\"", "other\"")));
+        let ends = [0, 1].map(|_| bench.call_at(daemon.address, "post", 8000, "key-1"));
+        let [first, again] = ends;
+        (first, again, bench.fleet.sent().len())
+    });
+    assert_eq!((first.status, first.may_have_run.as_deref(), sent), (502, Some("true"), 5));
+    assert_eq!(again, first, "not sent again");
+}
+
+/// Guards the window of a key at the front: within it the repeat is answered, behind it it is a call of its own.
+#[test]
+fn a_key_comes_again_just_before_and_just_after_its_window() {
+    let (before, after, sends) = in_all_styles(&[Act::Serve], [0, 0], |bench| {
+        let path = bench.folder.0.join("invoke.toml");
+        let file = std::fs::read_to_string(&path).expect("written before").replace("data\"", "other\"");
+        let file = file.replace("dedup_window_ms = 20000", "dedup_window_ms = 1500");
+        let daemon = Daemon::serve(&bench.folder.write("short.toml", &file));
+        let call = || bench.call_at(daemon.address, "post", 1000, "key-1");
+        let first = call();
+        let sent = Instant::now();
+        assert_eq!(first.status, 200);
+        // A call's time and its window after it was taken the key is free again.
+        std::thread::sleep(Duration::from_millis(1800).saturating_sub(sent.elapsed()));
+        let before = (call(), bench.fleet.sent().len());
+        std::thread::sleep(Duration::from_millis(2600).saturating_sub(sent.elapsed()));
+        let after = (call(), bench.fleet.sent().len());
+        (before.0 == first, after.0 == first, [before.1, after.1])
+    });
+    assert!(before && after);
+    assert_eq!(sends, [1, 2]);
+}
+
 /// For what must not happen: long enough for it to have happened.
 const LONG_ENOUGH: Duration = Duration::from_millis(500);
 
--- a/crates/node/tests/support/workers.rs
+++ b/crates/node/tests/support/workers.rs
@@ -32,6 +32,8 @@
     MissTwice,
     /// Served, a little later.
     Late,
+    /// Served with an answer that comes a byte at a time.
+    Bytewise,
     /// Served with an answer as long as any that workers give.
     Long,
 }
@@ -251,6 +253,11 @@
                 std::thread::sleep(LATER);
                 respond(&socket, 200, "", &self.run(job.key.as_ref(), &job.body));
             }
+            Act::Bytewise => {
+                let body = self.run(job.key.as_ref(), &job.body);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                byte_by_byte(&socket, &[head.as_bytes(), &body].concat());
+            }
             Act::Long => {
                 self.run(job.key.as_ref(), &job.body);
                 respond(&socket, 200, "", &[b'l'; LONG]);
@@ -350,6 +357,12 @@
                             std::thread::sleep(LATER);
                             answer(code::OK, self.run(key.as_ref(), &frame.body));
                         }
+                        Act::Bytewise => {
+                            let (mark, fields) = (FROM_WORKER, String::new());
+                            let body = self.run(key.as_ref(), &frame.body);
+                            let answer = Frame { mark, code: code::OK, id: frame.id, fields, body };
+                            byte_by_byte(&socket, &answer.encode());
+                        }
                         Act::Long => {
                             self.run(key.as_ref(), &frame.body);
                             answer(code::OK, vec![b'l'; LONG]);
@@ -366,6 +379,16 @@
     }
 }
 
+fn byte_by_byte(mut socket: &TcpStream, bytes: &[u8]) {
+    let _ = socket.set_nodelay(true);
+    for byte in bytes {
+        std::thread::sleep(Duration::from_millis(1));
+        if socket.write_all(&[*byte]).is_err() {
+            return;
+        }
+    }
+}
+
 #[derive(Clone)]
 struct Job {
     act: Act,
