Names: client table, drained connections, the notice that calls an attempt off

No behaviour changes. Seats is ClientTable (memory/clients.rs) with insert, remove, state, drain, hand_over and evict_idle; told and let go are shut and draining. Word in the core is CancelNotice. What duty calls Word and Company is not renamed here: its files were not touched.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -22,7 +22,7 @@
 /// A request that ends unserved this short before its time, as the decisions do, ends for want of time.
 const LAST_CALL_MS: Ms = 40.0;
 
-/// Where a request may have one attempt out at a time, the next one follows so long after the word that ends one
+/// Where a request may have one attempt out at a time, the next one follows so long after the notice that ends one
 /// which may be running. Nothing orders what goes out on two connections: without a pause the next overtakes it.
 const WORD_ARRIVES_MS: Ms = 5.0;
 
@@ -166,7 +166,9 @@
         let mut flight = self.flights.swap_remove(at);
         let now = now_ms();
         match flight.over {
-            Some(error) if flight.exchange.word().is_out() => return self.lost(&flight, error, false),
+            Some(error) if flight.exchange.cancel_notice().is_sent() => {
+                return self.lost(&flight, error, false)
+            }
             Some(_) => flight.until = now + WORD_ARRIVES_MS,
             None => match flight.exchange.give_up(Cause::Silent) {
                 Some(error) => return self.ended(flight, error),
--- a/crates/node/src/core/invoker/tests.rs
+++ b/crates/node/src/core/invoker/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::core::{Ending, Word};
+use crate::core::{CancelNotice, Ending};
 use corkbay::{ModelId, Request, Standing};
 use std::sync::atomic::AtomicUsize;
 
@@ -10,8 +10,8 @@
         None
     }
 
-    fn word(&self) -> &Word {
-        static NOTHING: std::sync::LazyLock<Word> = std::sync::LazyLock::new(Word::default);
+    fn cancel_notice(&self) -> &CancelNotice {
+        static NOTHING: std::sync::LazyLock<CancelNotice> = std::sync::LazyLock::new(CancelNotice::default);
         &NOTHING
     }
 }
@@ -31,15 +31,15 @@
     Box::new(Over)
 }
 
-/// An attempt that is never answered, and whose word of being given up is written late.
+/// An attempt that is never answered, and whose notice of being given up is written late.
 struct Silent {
-    word: Word,
-    held: Arc<std::sync::Mutex<Option<Word>>>,
+    notice: CancelNotice,
+    held: Arc<std::sync::Mutex<Option<CancelNotice>>>,
 }
 
 impl Exchange for Silent {
     fn give_up(&mut self, cause: Cause) -> Option<AttemptError> {
-        *self.held.lock().expect("whole") = Some(self.word.clone());
+        *self.held.lock().expect("whole") = Some(self.notice.clone());
         let held = self.held.clone();
         crate::life::spawn(move || {
             may::coroutine::sleep(Duration::from_millis(60));
@@ -48,8 +48,8 @@
         Some(AttemptError::Unanswered(cause))
     }
 
-    fn word(&self) -> &Word {
-        &self.word
+    fn cancel_notice(&self) -> &CancelNotice {
+        &self.notice
     }
 }
 
@@ -133,20 +133,20 @@
     assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
 }
 
-/// Guards the rule on second copies where none are allowed: the next attempt waits until the word that gives the
+/// Guards the rule on second copies where none are allowed: the next attempt waits until the notice that gives the
 /// one before up is out, however late that is; where copies are allowed nothing waits for it.
 #[test]
-fn the_next_attempt_does_not_overtake_the_word_that_ends_the_last() {
+fn the_next_attempt_does_not_overtake_the_notice_that_ends_the_last() {
     for second_copies in [false, true] {
-        // The word on its way, and whether another send came before it was out.
-        let held = Arc::<std::sync::Mutex<Option<Word>>>::default();
+        // The notice on its way, and whether another send came before it was out.
+        let held = Arc::<std::sync::Mutex<Option<CancelNotice>>>::default();
         let overtaken = Arc::new(AtomicBool::new(false));
         let came = overtaken.clone();
         let workers = scripted(move |number, call, end| {
             if number == 0 {
                 // Nobody else holds the end, so it can't come.
                 std::mem::forget(end);
-                return Box::new(Silent { word: Word::default(), held: held.clone() });
+                return Box::new(Silent { notice: CancelNotice::default(), held: held.clone() });
             }
             came.fetch_or(held.lock().expect("whole").is_some(), Ordering::Relaxed);
             serve(call, end)
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -32,18 +32,18 @@
 pub trait Exchange: Send {
     /// Gives the attempt up and tells how far it had come; `None` when its end was told already.
     fn give_up(&mut self, cause: Cause) -> Option<AttemptError>;
-    /// The word that it was given up, on its way to the worker.
-    fn word(&self) -> &Word;
+    /// The notice that it was given up, on its way to the worker.
+    fn cancel_notice(&self) -> &CancelNotice;
 }
 
-/// Word on its way: held by whatever carries it, and out once nothing does, be it written or lost with its
-/// connection.
+/// A notice on its way that an attempt was given up: held by whatever carries it, and sent once nothing does, be it
+/// written or lost with its connection.
 #[derive(Clone, Debug, Default)]
-pub struct Word(Arc<()>);
+pub struct CancelNotice(Arc<()>);
 
-impl Word {
-    /// Whether nothing carries it any more; true as well where there was nothing to say.
-    pub fn is_out(&self) -> bool {
+impl CancelNotice {
+    /// Whether nothing carries it any more; true as well where there was nothing to tell.
+    pub fn is_sent(&self) -> bool {
         Arc::strong_count(&self.0) == 1
     }
 }
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -32,8 +32,8 @@
 const SEEN_BY_OTHER: Duration = Duration::from_millis(4 * handover::LOOK.as_millis() as u64);
 const NEWS_LOOK: Duration = Duration::from_millis(10);
 const NEWS_REST: Duration = Duration::from_millis(100);
-/// How often connections are looked at that are to be let go.
-const LET_GO_LOOK: Duration = Duration::from_millis(20);
+/// How often connections are looked at that are drained.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
 /// SIGKILL comes no sooner than the longest deadline after that, which counts as this at most.
 const LONGEST_COUNTED: Duration = Duration::from_secs(3);
 /// Longest wait for connections on which nothing is owed to end with their process.
@@ -189,7 +189,7 @@
     let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
     spawn(move || theirs.accept(move |guest| front::serve(&ours, &onward, guest)));
     let (ours, theirs) = (invoker.clone(), door.clone());
-    spawn(move || let_go(&ours, &theirs));
+    spawn(move || drain(&ours, &theirs));
     if let Some(meeting) = &meeting {
         let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
         let arrive = move |stream, owed: &[i32]| {
@@ -244,13 +244,13 @@
 }
 
 /// Lets the connections of clients go whenever they are left, for as long as the process lives.
-fn let_go(invoker: &Invoker, door: &Door) {
+fn drain(invoker: &Invoker, door: &Door) {
     loop {
         invoker.wait_for_leave();
         if invoker.duty().lets_go(now_ms()) {
-            door.let_go();
+            door.drain();
         }
-        may::coroutine::sleep(LET_GO_LOOK);
+        may::coroutine::sleep(DRAIN_LOOK);
     }
 }
 
--- /dev/null
+++ b/crates/node/src/memory/clients.rs
@@ -0,0 +1,139 @@
+//! The table of client connections: what each waits for, which are drained, and which is evicted when another client wants
+//! its place.
+use corkbay::Ms;
+use std::collections::BTreeMap;
+
+/// The connections of clients; `H` is what closes one.
+#[derive(Debug)]
+pub struct ClientTable<H> {
+    next: u64,
+    entries: BTreeMap<u64, Entry<H>>,
+}
+
+#[derive(Debug)]
+struct Entry<H> {
+    handle: H,
+    /// Requests that are owed an answer on it.
+    open: usize,
+    /// It was given an answer.
+    answered: bool,
+    /// When it connected, or last had an answer or a request open.
+    since: Ms,
+    /// Its place was given to another: it is to end.
+    evicted: bool,
+    /// It is closed once nothing is owed on it, or passed on before.
+    draining: bool,
+    /// Its reading side is shut, or it was handed over.
+    shut: bool,
+}
+
+/// What a client's connection is waiting for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientState {
+    /// Something is owed on it.
+    Busy,
+    /// It was answered before and has nothing open.
+    Idle,
+    /// It never had an answer and has nothing open.
+    Silent,
+}
+
+impl<H> Default for ClientTable<H> {
+    fn default() -> Self {
+        ClientTable { next: 0, entries: BTreeMap::new() }
+    }
+}
+
+impl<H: Clone> ClientTable<H> {
+    /// Takes a new connection in; tells its number.
+    pub fn insert(&mut self, handle: H, now: Ms) -> u64 {
+        self.next += 1;
+        let entry = Entry {
+            handle,
+            open: 0,
+            answered: false,
+            since: now,
+            evicted: false,
+            draining: false,
+            shut: false,
+        };
+        self.entries.insert(self.next, entry);
+        self.next
+    }
+
+    /// The connection has ended.
+    pub fn remove(&mut self, number: u64) {
+        self.entries.remove(&number);
+    }
+
+    /// A request was taken on it.
+    pub fn opened(&mut self, number: u64) {
+        self.entries.entry(number).and_modify(|entry| entry.open += 1);
+    }
+
+    /// A request on it has come to its end; tells whether it is drained.
+    pub fn closed(&mut self, number: u64, now: Ms) -> bool {
+        self.entries.get_mut(&number).is_some_and(|entry| {
+            (entry.open, entry.since) = (entry.open.saturating_sub(1), now);
+            entry.draining
+        })
+    }
+
+    /// An answer was written to it.
+    pub fn answered(&mut self, number: u64, now: Ms) {
+        self.entries.entry(number).and_modify(|entry| (entry.answered, entry.since) = (true, now));
+    }
+
+    /// What it is waiting for, and since when.
+    pub fn state(&self, number: u64) -> (ClientState, Ms) {
+        self.entries.get(&number).map_or((ClientState::Silent, 0.0), |entry| {
+            let state = match (entry.open, entry.answered) {
+                (1.., _) => ClientState::Busy,
+                (0, true) => ClientState::Idle,
+                (0, false) => ClientState::Silent,
+            };
+            (state, entry.since)
+        })
+    }
+
+    /// Drains all: each is closed once nothing is owed on it. Names those on which nothing is, whose reading sides are to be
+    /// shut, each once. One on which something is owed is read on as before, so that its client is seen to leave.
+    pub fn drain(&mut self) -> Vec<H> {
+        self.entries.values_mut().for_each(|entry| entry.draining = true);
+        let idle = self.entries.values_mut().filter(|entry| !entry.shut && entry.open == 0);
+        let idle = idle.map(|entry| {
+            entry.shut = true;
+            entry.handle.clone()
+        });
+        idle.collect()
+    }
+
+    /// Whether the connection may be passed on; from then on it is nobody else's to close.
+    pub fn hand_over(&mut self, number: u64) -> bool {
+        let entry =
+            self.entries.get_mut(&number).filter(|entry| entry.draining && !entry.shut && !entry.evicted);
+        entry.map(|entry| (entry.shut, entry.evicted) = (true, true)).is_some()
+    }
+
+    /// Whether it is closed once nothing is owed on it.
+    pub fn is_draining(&self, number: u64) -> bool {
+        self.entries.get(&number).is_some_and(|entry| entry.draining)
+    }
+
+    /// Whether its reading side is shut.
+    pub fn is_shut(&self, number: u64) -> bool {
+        self.entries.get(&number).is_some_and(|entry| entry.shut)
+    }
+
+    /// Whose place is given to another: of those with nothing open one that never had an answer, else
+    /// the one idle longest. Each is named once.
+    pub fn evict_idle(&mut self) -> Option<H> {
+        let idle = self.entries.values_mut().filter(|entry| entry.open == 0 && !entry.evicted);
+        let entry = idle.min_by(|a, b| a.answered.cmp(&b.answered).then(a.since.total_cmp(&b.since)))?;
+        entry.evicted = true;
+        Some(entry.handle.clone())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/memory/clients/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+/// Guards the usual clients against those that connect and say nothing, or ask once and stay: these
+/// give way first, and nobody who is owed an answer does.
+#[test]
+fn the_silent_give_way_first_then_the_longest_idle_and_the_busy_never() {
+    let mut clients = ClientTable::default();
+    let idle = clients.insert("idle", 1.0);
+    let fresh = clients.insert("fresh", 2.0);
+    let busy = clients.insert("busy", 0.0);
+    clients.insert("silent", 5.0);
+    clients.insert("silent longer", 4.0);
+    for (number, now) in [(idle, 3.0), (fresh, 6.0)] {
+        clients.opened(number);
+        assert_eq!(clients.state(number).0, ClientState::Busy);
+        clients.answered(number, now);
+        clients.closed(number, now);
+        assert_eq!(clients.state(number), (ClientState::Idle, now));
+    }
+    clients.opened(busy);
+    let ways: Vec<_> = std::iter::from_fn(|| clients.evict_idle()).collect();
+    assert_eq!(ways, ["silent longer", "silent", "idle", "fresh"]);
+    clients.closed(busy, 9.0);
+    assert_eq!(clients.state(busy), (ClientState::Silent, 9.0), "what it took back was never answered");
+    assert_eq!(clients.evict_idle(), Some("busy"));
+    clients.remove(busy);
+    assert_eq!(clients.evict_idle(), None);
+}
+
+/// Guards a drain: all are drained, newcomers too; each is shut once, and while something is owed on it not at all.
+#[test]
+fn all_are_drained_and_shut_once_nothing_is_owed() {
+    let mut clients = ClientTable::default();
+    let first = clients.insert("first", 1.0);
+    assert!(!clients.is_draining(first));
+    assert_eq!(
+        (clients.drain(), clients.is_draining(first), clients.is_shut(first)),
+        (vec!["first"], true, true)
+    );
+    let second = clients.insert("second", 2.0);
+    clients.opened(second);
+    assert_eq!(
+        (clients.drain(), clients.is_draining(second), clients.is_shut(second)),
+        (vec![], true, false)
+    );
+    clients.closed(second, 3.0);
+    assert_eq!(clients.drain(), ["second"]);
+    assert!(clients.drain().is_empty());
+}
+
+/// Guards a connection that passes to a successor: it is passed or closed, never both, and by one alone.
+#[test]
+fn what_is_busy_is_passed_on_or_told_to_go() {
+    let mut clients = ClientTable::default();
+    let [idle, busy, late] = ["idle", "busy", "late"].map(|name| clients.insert(name, 1.0));
+    [busy, late].into_iter().for_each(|number| clients.opened(number));
+    assert!(!clients.hand_over(busy), "nobody leaves yet");
+    assert_eq!(clients.drain(), ["idle"]);
+    assert!(!clients.hand_over(idle) && clients.hand_over(busy) && !clients.hand_over(busy));
+    clients.closed(busy, 2.0);
+    assert_eq!((clients.drain(), clients.evict_idle()), (vec![], Some("idle")));
+    clients.closed(late, 3.0);
+    assert_eq!(clients.drain(), ["late"], "nothing is owed on it any more");
+    assert!(!clients.hand_over(late));
+}
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -1,5 +1,6 @@
 //! What is kept in memory: the roster, connection states, counters.
 pub mod catalog;
+pub mod clients;
 pub mod counters;
 pub mod invocations;
 pub mod link;
@@ -8,7 +9,6 @@
 pub mod resident;
 pub mod room;
 pub mod roster;
-pub mod seats;
 pub mod store;
 
 /// Accounts with room for all that a test holds.
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -3,8 +3,8 @@
 use super::socket::Socket;
 use crate::core::{lock, now_ms};
 use crate::life::spawn;
+use crate::memory::clients::{ClientState, ClientTable};
 use crate::memory::room::wait;
-use crate::memory::seats::{Seats, Stance};
 use corkbay::Ms;
 use corkbay_ledger::{Account, Reservation};
 use may::net::TcpListener;
@@ -30,14 +30,14 @@
 /// Most bytes that are read and thrown away after the last answer.
 const LINGER_BYTES: usize = 4 << 20;
 
-type Table = Arc<Mutex<Seats<Weak<Guest>>>>;
+type Table = Arc<Mutex<ClientTable<Weak<Guest>>>>;
 
-/// A client's connection with its seat, which it holds until the descriptor is closed.
+/// A client's connection with its entry in the table, which it keeps until the descriptor is closed.
 pub struct Guest {
     socket: Socket,
     number: u64,
-    seats: Table,
-    /// Posted when a request has come to its end on a connection that is let go.
+    clients: Table,
+    /// Posted when a request has come to its end on a connection that is drained.
     ended: Semphore,
     /// Where answers go once it was passed on. Held while one is written.
     passed: Mutex<Option<Passed>>,
@@ -46,7 +46,7 @@
     place: Mutex<Option<Place>>,
 }
 
-/// What a connection takes: the stack of its task as far as it is touched, a chunk, its seat. Measured.
+/// What a connection takes: the stack of its task as far as it is touched, a chunk, its entry. Measured.
 const GUEST: usize = 14 << 10;
 
 /// What a front gives its clients.
@@ -92,7 +92,7 @@
 pub struct Door {
     listener: TcpListener,
     house: House,
-    seats: Table,
+    clients: Table,
     places: Arc<Places>,
     /// The acceptor waits for the next connection: its queue is empty.
     waits: AtomicBool,
@@ -107,7 +107,7 @@
         Ok(Arc::new(Door {
             listener,
             house,
-            seats: Table::default(),
+            clients: Table::default(),
             places: Arc::new(Places { taken, most, freed }),
             waits: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -129,7 +129,7 @@
             self.waits.store(false, Ordering::Release);
             match accepted.and_then(|(stream, _)| Socket::new(stream, self.house.stall)) {
                 Ok(socket) => {
-                    let guest = Guest::new(socket, &self.seats, self.make_way());
+                    let guest = Guest::new(socket, &self.clients, self.make_way());
                     let serve = serve.clone();
                     spawn(move || serve(guest));
                 }
@@ -161,11 +161,11 @@
         }
     }
 
-    /// Lets all connections go that there are: their readers close them once nothing is owed on them. What a client
-    /// has sent by then is still read. To be called again until all have ended: a reader is told once nothing is owed on
-    /// its connection, for one that was told can't see its client leave.
-    pub fn let_go(&self) {
-        let idle: Vec<_> = lock(&self.seats).let_go();
+    /// Drains all connections that there are: their readers close them once nothing is owed on them. What a client has
+    /// sent by then is still read. To be called again until all have ended: a reading side is shut once nothing is owed
+    /// on its connection, for where it is shut a client can't be seen to leave.
+    pub fn drain(&self) {
+        let idle: Vec<_> = lock(&self.clients).drain();
         idle.iter().filter_map(Weak::upgrade).for_each(|guest| guest.socket.shut(Shutdown::Read));
     }
 
@@ -174,10 +174,10 @@
     pub fn wind_up(&self, within: Duration) {
         let end = now_ms() + within.as_secs_f64() * 1000.0;
         self.close();
-        self.let_go();
+        self.drain();
         while self.held() > 0 && now_ms() < end {
             may::coroutine::sleep(WIND_UP_LOOK);
-            self.let_go();
+            self.drain();
         }
     }
 
@@ -187,8 +187,8 @@
         let socket = Socket::adopt(stream, self.house.stall)?;
         *lock(&self.places.taken) += 1;
         let place = Place { places: self.places.clone(), held: self.house.account.owe(GUEST) };
-        let guest = Guest::new(socket, &self.seats, place);
-        lock(&self.seats).answered(guest.number, now_ms());
+        let guest = Guest::new(socket, &self.clients, place);
+        lock(&self.clients).answered(guest.number, now_ms());
         Ok(guest)
     }
 
@@ -204,7 +204,7 @@
     }
 
     fn give_way(&self) {
-        let leaver = lock(&self.seats).give_way().and_then(|leaver| leaver.upgrade());
+        let leaver = lock(&self.clients).evict_idle().and_then(|leaver| leaver.upgrade());
         if let Some(leaver) = leaver {
             leaver.socket.shut(Shutdown::Both);
         }
@@ -231,28 +231,28 @@
 }
 
 impl Guest {
-    fn new(socket: Socket, seats: &Table, place: Place) -> Arc<Self> {
+    fn new(socket: Socket, clients: &Table, place: Place) -> Arc<Self> {
         Arc::new_cyclic(|guest| {
-            let number = lock(seats).sit(guest.clone(), now_ms());
+            let number = lock(clients).insert(guest.clone(), now_ms());
             let (account, place) = (place.held.account().clone(), Mutex::new(Some(place)));
             let (ended, passed) = (Semphore::new(0), Mutex::new(None));
-            Guest { socket, number, seats: seats.clone(), ended, passed, account, place }
+            Guest { socket, number, clients: clients.clone(), ended, passed, account, place }
         })
     }
 
     /// A request was taken on the connection: it keeps its place until [`Guest::closed`].
     pub fn opened(&self) {
-        lock(&self.seats).opened(self.number);
+        lock(&self.clients).opened(self.number);
     }
 
     /// A request on it has come to its end.
     pub fn closed(&self) {
-        if lock(&self.seats).closed(self.number, now_ms()) {
+        if lock(&self.clients).closed(self.number, now_ms()) {
             self.ended.post();
         }
     }
 
-    /// Waits until a request has come to its end on the connection, which was let go, or for that long.
+    /// Waits until a request has come to its end on the connection, which is drained, or for that long.
     pub fn wait_for_an_end(&self, within: Duration) {
         self.ended.wait_timeout(within);
     }
@@ -265,7 +265,7 @@
     /// Writes an answer.
     pub fn answer(&self, bytes: &[u8]) -> std::io::Result<()> {
         self.socket.write(bytes)?;
-        lock(&self.seats).answered(self.number, now_ms());
+        lock(&self.clients).answered(self.number, now_ms());
         Ok(())
     }
 
@@ -292,7 +292,7 @@
     /// only and reads no more once it is true.
     pub fn pass(&self, passage: &Passage, owed: impl FnOnce() -> Vec<i32>) -> bool {
         let Ok(mut passed) = self.passed.try_lock() else { return false };
-        if !passage.is_open() || !lock(&self.seats).pass(self.number) {
+        if !passage.is_open() || !lock(&self.clients).hand_over(self.number) {
             return false;
         }
         let ours = self.socket.duplicate().ok().and_then(|stream| passage.pass(stream, owed()));
@@ -302,19 +302,19 @@
             return false;
         }
         *passed = ours;
-        lock(&self.seats).leave(self.number);
+        lock(&self.clients).remove(self.number);
         drop(lock(&self.place).take());
         true
     }
 
     /// Whether it is to be closed once nothing is owed on it.
-    pub fn is_let_go(&self) -> bool {
-        lock(&self.seats).is_let_go(self.number)
+    pub fn is_draining(&self) -> bool {
+        lock(&self.clients).is_draining(self.number)
     }
 
     /// Whether its reader was told so: from then on an end of what is read tells nothing of the client.
-    pub fn is_told(&self) -> bool {
-        lock(&self.seats).is_told(self.number)
+    pub fn is_shut(&self) -> bool {
+        lock(&self.clients).is_shut(self.number)
     }
 
     /// Lets the client read the last answer: a connection closed over bytes that were not read is reset, and
@@ -331,8 +331,8 @@
     }
 
     /// What the connection is waiting for, and since when.
-    pub fn stance(&self) -> (Stance, Ms) {
-        lock(&self.seats).stance(self.number)
+    pub fn state(&self) -> (ClientState, Ms) {
+        lock(&self.clients).state(self.number)
     }
 }
 
@@ -346,7 +346,7 @@
 
 impl Drop for Guest {
     fn drop(&mut self) {
-        lock(&self.seats).leave(self.number);
+        lock(&self.clients).remove(self.number);
     }
 }
 
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -5,7 +5,7 @@
 use super::thrift::{self, Fields, Malformed, Message, Reply};
 use crate::core::{lock, now_ms, until, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
-use crate::memory::seats::Stance;
+use crate::memory::clients::ClientState;
 use corkbay::{position, Effect, ModelId, Ms, Request, RequestId};
 use corkbay_ledger::Purpose;
 use may::sync::Mutex;
@@ -32,8 +32,8 @@
 /// Chunks that may be read in a row that a client keeps full, and the rest after them.
 const TURN_CHUNKS: u32 = 4;
 const TURN_REST: Duration = Duration::from_millis(1);
-/// How often a connection that is let go is looked at.
-const LET_GO_LOOK: Duration = Duration::from_millis(20);
+/// How often a connection that is drained is looked at.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
 /// Advice to a client that opens more than it may.
 const CROWDED_MS: f64 = 100.0;
 /// Advice to a client of a process that is about to end.
@@ -170,32 +170,32 @@
     loop {
         let Some(message) = thrift::unframe(intake.bytes())? else {
             if intake.is_empty()
-                && guest.is_let_go()
+                && guest.is_draining()
                 && guest.pass(passage, || lock(open).keys().copied().collect())
             {
                 return Ok(End::Passed);
             }
-            let (stance, since) = guest.stance();
-            let end = match stance {
-                Stance::Busy if guest.is_let_go() => now_ms() + LET_GO_LOOK.as_millis() as Ms,
-                Stance::Busy => now_ms() + SILENT_MS,
+            let (state, since) = guest.state();
+            let end = match state {
+                ClientState::Busy if guest.is_draining() => now_ms() + DRAIN_LOOK.as_millis() as Ms,
+                ClientState::Busy => now_ms() + SILENT_MS,
                 _ if !intake.is_empty() => begun + MESSAGE_MS,
-                Stance::Idle => since + IDLE_MS,
-                Stance::Silent => since + SILENT_MS,
+                ClientState::Idle => since + IDLE_MS,
+                ClientState::Silent => since + SILENT_MS,
             };
-            if guest.is_let_go() && invoker.duty().ends(now_ms(), last_request) {
+            if guest.is_draining() && invoker.duty().ends(now_ms(), last_request) {
                 owed_here(open).into_iter().for_each(|id| invoker.end(id));
             }
             let fresh = intake.is_empty();
             match intake.fill(guest, &mut chunk, until(end)) {
-                // Told to go: what crosses is read on, and the connection is closed once nothing is owed on it.
-                Ok(0) if guest.is_told() => {
+                // Its reading side is shut: what crosses is read on, and the connection is closed once nothing is owed on it.
+                Ok(0) if guest.is_shut() => {
                     // An answer that is being written is owed as well.
-                    let owes = guest.stance().0 == Stance::Busy;
+                    let owes = guest.state().0 == ClientState::Busy;
                     if !owes && (intake.is_empty() || now_ms() > end) {
                         return Ok(End::Closed);
                     }
-                    guest.wait_for_an_end(LET_GO_LOOK);
+                    guest.wait_for_an_end(DRAIN_LOOK);
                 }
                 Ok(0) => return Ok(End::Closed),
                 Ok(size) => {
@@ -211,8 +211,8 @@
                 Err(error) if error.kind() == ErrorKind::TimedOut => {
                     // An answer may have gone out, or a request may have ended, while this waited. What is owed outlasts
                     // half a message behind it.
-                    let over = !intake.is_empty() || guest.stance() == (stance, since);
-                    if over && stance != Stance::Busy {
+                    let over = !intake.is_empty() || guest.state() == (state, since);
+                    if over && state != ClientState::Busy {
                         return Ok(End::Closed);
                     }
                 }
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -5,7 +5,9 @@
 use super::invoke::{DEADLINE_HEADER, MAY_HAVE_RUN_HEADER};
 use super::socket::Socket;
 use super::workers::PARTIAL;
-use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Word, Workers};
+use crate::core::{
+    lock, now_ms, until, AttemptError, Call, CancelNotice, Cause, Ending, Exchange, Verdict, Workers,
+};
 use crate::life::spawn;
 use crate::memory::link::{Link, Stage};
 use crate::memory::roster::Host;
@@ -79,7 +81,7 @@
     host: Arc<Host>,
     limits: Limits,
     account: Account,
-    word: Word,
+    notice: CancelNotice,
 }
 
 struct Answered {
@@ -118,7 +120,7 @@
             host: host.clone(),
             limits,
             account,
-            word: Word::default(),
+            notice: CancelNotice::default(),
         };
         let held = self.account.reserve(ATTEMPT + call.body.len());
         let crowded = self.out.fetch_add(1, Ordering::Relaxed) >= self.limits.connections;
@@ -253,7 +255,7 @@
         let location = lock(&self.attempt.location).take();
         let held = self.account.reserve(ATTEMPT);
         if let (Some(location), Ok(held)) = (location, held) {
-            let (host, limits, word) = (self.host.clone(), self.limits, self.word.clone());
+            let (host, limits, notice) = (self.host.clone(), self.limits, self.notice.clone());
             let mut intake = Intake::new(&self.account, Purpose::Workers);
             spawn(move || {
                 // As good as the worker can be told; nothing hangs on it.
@@ -268,15 +270,15 @@
                 if let Err(error) = told {
                     tracing::warn!(worker = %host.name, %error, "not called off");
                 }
-                drop((held, word));
+                drop((held, notice));
             });
         }
         // What is being written may still come whole.
         Some(if stage == Stage::Writing { AttemptError::Unanswered(cause) } else { after(stage, cause) })
     }
 
-    fn word(&self) -> &Word {
-        &self.word
+    fn cancel_notice(&self) -> &CancelNotice {
+        &self.notice
     }
 }
 
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -2,7 +2,9 @@
 use super::frames::{code, Frame, FROM_WORKER};
 use super::intake::{Intake, CHUNK};
 use super::socket::Socket;
-use crate::core::{lock, now_ms, until, AttemptError, Call, Cause, Ending, Exchange, Verdict, Word, Workers};
+use crate::core::{
+    lock, now_ms, until, AttemptError, Call, CancelNotice, Cause, Ending, Exchange, Verdict, Workers,
+};
 use crate::life::spawn;
 use crate::memory::counters::Dials;
 use crate::memory::link::{Link, Stage};
@@ -58,7 +60,7 @@
     /// New work: to those that take some.
     Work,
     /// A question or an unloading: to all that are not held out by the operators.
-    Word,
+    CancelNotice,
     /// The giving up of what is out: to all.
     GiveUp,
 }
@@ -67,7 +69,7 @@
     fn barred(self, host: &Host) -> bool {
         match self {
             Goes::Work => host.barred() || host.suspended(),
-            Goes::Word => host.suspended(),
+            Goes::CancelNotice => host.suspended(),
             Goes::GiveUp => false,
         }
     }
@@ -82,7 +84,7 @@
     /// It goes out by then or not at all.
     by: Ms,
     /// What else it carries, until it is written or lost.
-    word: Option<Word>,
+    notice: Option<CancelNotice>,
 }
 
 enum Out {
@@ -115,7 +117,7 @@
 struct FrameExchange {
     connection: Option<Arc<Connection>>,
     id: u64,
-    word: Word,
+    notice: CancelNotice,
 }
 
 impl FrameWorkers {
@@ -180,7 +182,8 @@
         drop(pools);
         match &connection {
             Some(connection) => {
-                let _ = connection.outbox.send(Out::Frame(Outgoing { frame, tracked, goes, by, word: None }));
+                let _ =
+                    connection.outbox.send(Out::Frame(Outgoing { frame, tracked, goes, by, notice: None }));
             }
             None => barred(waiter),
         }
@@ -340,7 +343,7 @@
             if out.tracked {
                 lock(&self.link).whole(id);
             }
-            drop(out.word);
+            drop(out.notice);
         }
     }
 
@@ -405,14 +408,14 @@
                 tracked: false,
                 goes: Goes::GiveUp,
                 by: Ms::INFINITY,
-                word: Some(self.word.clone()),
+                notice: Some(self.notice.clone()),
             }));
         }
         Some(broken(stage, cause))
     }
 
-    fn word(&self) -> &Word {
-        &self.word
+    fn cancel_notice(&self) -> &CancelNotice {
+        &self.notice
     }
 }
 
@@ -440,7 +443,7 @@
             end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
         });
         let connection = self.open(host, frame, Goes::Work, by, Some(waiter));
-        Box::new(FrameExchange { connection, id: call.request.id.0, word: Word::default() })
+        Box::new(FrameExchange { connection, id: call.request.id.0, notice: CancelNotice::default() })
     }
 
     fn load(
@@ -453,7 +456,7 @@
     ) -> (Result<(), AttemptError>, u32) {
         let fields = format!("obj={:016x},replicas={copies}", model.0);
         let frame = Frame::command(code::LOAD, self.order_id(), fields, Vec::new());
-        match self.ask(host, frame, if copies > 0 { Goes::Work } else { Goes::Word }, by, within) {
+        match self.ask(host, frame, if copies > 0 { Goes::Work } else { Goes::CancelNotice }, by, within) {
             // An order that fails tells as well how many copies stand.
             Ok(frame) => {
                 let standing = frame.field("replicas").and_then(|count| count.parse().ok());
@@ -466,7 +469,7 @@
 
     fn evict(&self, host: &Arc<Host>, model: ModelId) {
         let frame = Frame::command(code::EVICT, model.0, String::new(), Vec::new());
-        self.open(host, frame, Goes::Word, Ms::INFINITY, None);
+        self.open(host, frame, Goes::CancelNotice, Ms::INFINITY, None);
     }
 
     fn dials(&self) -> Arc<Dials> {
@@ -475,7 +478,7 @@
 
     fn probe(&self, host: &Arc<Host>, within: Duration) -> Result<(), AttemptError> {
         let frame = Frame::command(code::PROBE, self.order_id(), String::new(), Vec::new());
-        self.ask(host, frame, Goes::Word, Ms::INFINITY, within)
+        self.ask(host, frame, Goes::CancelNotice, Ms::INFINITY, within)
             .and_then(|frame| verdict(frame, code::ALIVE))
             .map(|_| ())
     }
--- a/crates/node/src/wire/workers/tests.rs
+++ b/crates/node/src/wire/workers/tests.rs
@@ -22,10 +22,10 @@
         workers.send(&host, &call(2, 32 << 20), now_ms() + 30_000.0, f64::INFINITY, Box::new(|_| ()));
     assert_eq!(first.give_up(Cause::GivenUp), Some(AttemptError::Unanswered(Cause::GivenUp)));
     std::thread::sleep(Duration::from_millis(100));
-    assert!(!first.word().is_out(), "it waits behind the second call");
+    assert!(!first.cancel_notice().is_sent(), "it waits behind the second call");
     std::thread::spawn(move || std::io::copy(&mut socket, &mut std::io::sink()));
     let end = now_ms() + 20_000.0;
-    while !first.word().is_out() {
+    while !first.cancel_notice().is_sent() {
         assert!(now_ms() < end, "it is written at last");
         std::thread::sleep(Duration::from_millis(5));
     }
