Where the settings do not allow that attempts are called off, no notice is sent

Found by reading for other customers' settings: the decisions heed ceilings.cancel, but FrameExchange::give_up wrote a frame of code 33 at each request's end whatever it said (wire/workers.rs). Limits now carries it; the test fails without.

--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -345,5 +345,6 @@
         idle: Duration::from_secs_f64(ceiling("connIdleMs", 15_000.0) * 0.7 / 1000.0),
         connections,
         answer,
+        cancels: settings["ceilings"]["cancel"].as_bool().unwrap_or(false),
     }
 }
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -52,6 +52,8 @@
     pub connections: usize,
     /// Largest body of an answer, in bytes.
     pub answer: usize,
+    /// Whether workers may be told that an attempt is given up.
+    pub cancels: bool,
 }
 
 /// Which workers a frame may still be written to.
@@ -117,6 +119,7 @@
 struct FrameExchange {
     connection: Option<Arc<Connection>>,
     id: u64,
+    cancels: bool,
     notice: CancelNotice,
 }
 
@@ -401,7 +404,7 @@
     fn give_up(&mut self, cause: Cause) -> Option<AttemptError> {
         let connection = self.connection.take()?;
         let (stage, _) = lock(&connection.link).give_up(self.id)?;
-        if stage != Stage::Queued {
+        if stage != Stage::Queued && self.cancels {
             let frame = Frame::command(code::GIVE_UP, self.id, String::new(), Vec::new());
             let _ = connection.outbox.send(Out::Frame(Outgoing {
                 frame,
@@ -443,7 +446,8 @@
             end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
         });
         let connection = self.open(host, frame, Goes::Work, by, Some(waiter));
-        Box::new(FrameExchange { connection, id: call.request.id.0, notice: CancelNotice::default() })
+        let (id, cancels) = (call.request.id.0, self.limits.cancels);
+        Box::new(FrameExchange { connection, id, cancels, notice: CancelNotice::default() })
     }
 
     fn load(
--- a/crates/node/src/wire/workers/tests.rs
+++ b/crates/node/src/wire/workers/tests.rs
@@ -7,7 +7,14 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let host = Host::new(WorkerId(1), "w", listener.local_addr().expect("bound"));
     let second = Duration::from_secs(1);
-    let limits = Limits { streams: 8, connect: second, idle: 30 * second, connections: 8, answer: 1024 };
+    let limits = Limits {
+        streams: 8,
+        connect: second,
+        idle: 30 * second,
+        connections: 8,
+        answer: 1024,
+        cancels: true,
+    };
     let workers = FrameWorkers::new(limits, crate::memory::roomy().account(Purpose::Workers).clone());
     let call = |id, size| {
         let request = corkbay::Request { id: corkbay::RequestId(id), ..Default::default() };
--- a/crates/node/tests/frames.rs
+++ b/crates/node/tests/frames.rs
@@ -33,11 +33,15 @@
     }
 
     fn with_room(bytes: usize) -> Self {
+        Self::where_calls_off(bytes, true)
+    }
+
+    fn where_calls_off(bytes: usize, cancels: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let host = Host::new(WorkerId(0), "h", listener.local_addr().expect("bound"));
         let (connect, idle) = (Duration::from_secs(5), Duration::from_secs(60));
         let workers = FrameWorkers::new(
-            Limits { streams: 32, connect, idle, connections: 4, answer: 64 << 10 },
+            Limits { streams: 32, connect, idle, connections: 4, answer: 64 << 10, cancels },
             corkbay_ledger::Account::root("workers", bytes),
         );
         Bench { workers, host, listener }
@@ -166,6 +170,26 @@
     assert!(end.try_recv().is_err(), "nothing more is told of the first");
 }
 
+/// Guards a deployment whose settings do not allow that attempts are called off: nothing is written for it, and a late
+/// answer reaches nobody all the same.
+#[test]
+fn where_nothing_may_be_called_off_nothing_is() {
+    let bench = Bench::where_calls_off(1 << 20, false);
+    let (mut exchange, end) = bench.send(1);
+    let mut peer = bench.peer();
+    assert_eq!(peer.next().id, 1);
+    let (_second, second_end) = bench.send(2);
+    assert_eq!(peer.next().id, 2);
+    assert_eq!(exchange.give_up(Cause::GivenUp), Some(AttemptError::Unanswered(Cause::GivenUp)));
+    assert!(exchange.cancel_notice().is_sent(), "there is none");
+    let (_third, _) = bench.send(3);
+    assert_eq!(peer.next().id, 3, "a notice would have come before it");
+    peer.answer(code::OK, 1, "", b"x");
+    peer.answer(code::OK, 2, "", b"y");
+    assert_eq!(second_end.recv_timeout(PATIENCE).expect("told"), Ok(b"y".to_vec()));
+    assert!(end.try_recv().is_err(), "nothing more is told of the first");
+}
+
 /// Guards the rule on drains at its last point: nothing is written to a worker that is barred.
 #[test]
 fn a_barred_worker_is_written_no_work() {
