--- a/crates/node/tests/moments.rs
+++ b/crates/node/tests/moments.rs
@@ -470,6 +470,41 @@
     assert!(start.elapsed() < Duration::from_secs(10 * 2), "{:?}", start.elapsed());
 }
 
+/// New versions of what is loaded come while nothing else is amiss: no call is lost, and nearly all are served.
+#[test]
+fn new_versions_on_a_quiet_day_lose_no_call() {
+    let bench = Bench::changed(&[Act::Serve], 3, 1024, 192, |settings| {
+        settings["specifics"]["notLoaded"] = json!("miss");
+        settings["specifics"]["placementCalls"] = json!(true);
+    });
+    bench.fleet.lack_all();
+    // A client for each model, which opens fewer than a connection may.
+    let mut clients: Vec<Client> = (0..6).map(|_| bench.client()).collect();
+    let mut replies = Vec::new();
+    for version in 1..=3 {
+        for call in 1..=10 {
+            for (number, client) in clients.iter_mut().enumerate() {
+                let id = format!("{:016x}", 0x10000 * version + 0x100 * call + number as i32);
+                let model = format!("{:016x}", 0x100 * version + number as i32);
+                let mut fields = fields("check", &id, "4000");
+                fields.iter_mut().filter(|field| field.0 == "lookup").for_each(|field| field.1 = &model);
+                client.send(&dispatch(10 * version + call, &fields, b"x"));
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        for client in &mut clients {
+            let mut open: Vec<i32> = (1..=10).map(|call| 10 * version + call).collect();
+            while !open.is_empty() {
+                let (answered, reply) = client.receive().expect("an answer");
+                open.remove(open.iter().position(|open| *open == answered).expect("one answer for each"));
+                replies.push(reply);
+            }
+        }
+    }
+    let served = replies.iter().filter(|reply| matches!(reply, Reply::Answer(_))).count();
+    assert!(served * 10 >= replies.len() * 9, "{served} of {}: {replies:?}", replies.len());
+}
+
 /// Where nobody listens any more the caller is refused, and not left without an answer.
 #[test]
 fn a_listener_that_has_ended_refuses() {
--- a/crates/node/tests/support/workers.rs
+++ b/crates/node/tests/support/workers.rs
@@ -1,7 +1,7 @@
 //! Stand-in workers: each send takes the next act of a script that all workers of a test share.
 use super::head;
 use corkbay_node::wire::frames::{code, Frame, FROM_INVOKER, FROM_WORKER};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -93,6 +93,8 @@
     ordered: Vec<Instant>,
     /// Connections are read late, and break after some frames.
     rough: bool,
+    /// Workers have only what they were ordered to load: what each holds, where that is kept.
+    stands: Option<HashSet<(String, String)>>,
     /// Orders to load are answered once the test lets go of what is held.
     holds_loads: bool,
     /// Answers by key: a rack drops repeats.
@@ -130,6 +132,32 @@
         self.shared.0.lock().expect("whole").rough = true;
     }
 
+    /// From now on a worker lacks what it was not ordered to load; a load takes a little.
+    pub fn lack_all(&self) {
+        self.shared.0.lock().expect("whole").stands = Some(HashSet::new());
+    }
+
+    /// Whether that worker has that model.
+    fn has(&self, worker: &str, frame: &Frame) -> bool {
+        let key = (worker.to_string(), frame.field("obj").unwrap_or_default().to_string());
+        self.shared.0.lock().expect("whole").stands.as_ref().is_none_or(|stands| stands.contains(&key))
+    }
+
+    fn loaded(&self, worker: &str, frame: &Frame) {
+        let keeps = self.shared.0.lock().expect("whole").stands.is_some();
+        if keeps {
+            std::thread::sleep(LATER);
+        }
+        let key = (worker.to_string(), frame.field("obj").unwrap_or_default().to_string());
+        self.shared
+            .0
+            .lock()
+            .expect("whole")
+            .stands
+            .iter_mut()
+            .for_each(|stands| _ = stands.insert(key.clone()));
+    }
+
     /// From now on orders to load are answered once held calls are released.
     pub fn hold_loads(&self) {
         self.shared.0.lock().expect("whole").holds_loads = true;
@@ -320,9 +348,11 @@
                         if holds {
                             self.hold();
                         }
+                        self.loaded(worker, &frame);
                     }
-                    answer(code::OK, Vec::new());
+                    answer(if self.has(worker, &frame) { code::OK } else { code::FULL }, Vec::new());
                 }
+                code::REQUEST if !self.has(worker, &frame) => answer(code::MISS, Vec::new()),
                 code::REQUEST => {
                     let key = frame.field("token").map(str::to_string);
                     let act = self.take(worker, key.clone(), &frame.body);
