Names: the operators' overrides, the succession of two processes

No behaviour changes; files on disk and their record keep their names, since two versions live side by side. Company is Succession, Word is Overrides, BadWord is BadRecord; their tests stand in files of their own.

--- a/crates/duty/src/company.rs
+++ b/crates/duty/src/succession.rs
@@ -27,18 +27,18 @@
 
 /// Whether this process is alone, followed from look to look.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Company {
+pub struct Succession {
     other: Option<Other>,
     /// The look before this one said that the successor is ready: a seat may still show its last holder's word in
     /// the moment in which it is taken.
     said_ready: bool,
 }
 
-impl Company {
+impl Succession {
     /// At the start: whoever lives already is the predecessor.
     pub fn new(seen: Seen) -> Self {
         let other = matches!(seen, Seen::Taken { .. }).then_some(Other::Predecessor);
-        Company { other, said_ready: false }
+        Succession { other, said_ready: false }
     }
 
     /// Takes a look in; true if this process is no longer alone, or alone again.
@@ -80,49 +80,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const READY: Seen = Seen::Taken { ready: true };
-    const STARTING: Seen = Seen::Taken { ready: false };
-
-    #[test]
-    fn a_successor_is_followed_from_its_start_to_its_readiness() {
-        let mut company = Company::new(Seen::Empty);
-        assert_eq!((company.other(), company.parts()), (None, 1));
-        assert!(!company.look(Seen::Empty));
-        assert!(company.look(STARTING));
-        assert_eq!((company.is_succeeded(), company.parts()), (false, 2));
-        assert!(!company.look(READY));
-        assert!(!company.is_succeeded(), "one look may show the last holder's word");
-        company.look(READY);
-        assert!(company.is_succeeded());
-    }
-
-    /// Guards the old process where the new one fails to start, or dies later: it goes on as if nothing had been.
-    #[test]
-    fn a_successor_that_dies_leaves_its_predecessor_alone() {
-        let alone = Terms { let_go: 700.0, refuse: 700.0, gone: None };
-        let mut company = Company::new(Seen::Empty);
-        for seen in [STARTING, READY, READY] {
-            company.look(seen);
-        }
-        assert_eq!(company.ending(alone, 2000.0).let_go, 0.0);
-        assert!(company.look(Seen::Empty));
-        assert_eq!((company.parts(), company.ending(alone, 2000.0)), (1, alone));
-        company.look(READY);
-        assert!(!company.is_succeeded(), "the next one is judged afresh");
-    }
-
-    #[test]
-    fn whoever_was_there_first_is_the_predecessor_until_it_ends() {
-        let mut company = Company::new(READY);
-        for _ in 0..3 {
-            company.look(READY);
-            assert_eq!((company.other(), company.is_succeeded()), (Some(Other::Predecessor), false));
-        }
-        assert!(company.look(Seen::Empty));
-        company.look(STARTING);
-        assert_eq!(company.other(), Some(Other::Successor { ready: false }));
-    }
-}
+mod tests;
--- a/crates/node/src/life/handover.rs
+++ b/crates/node/src/life/handover.rs
@@ -5,7 +5,7 @@
 //! must not wait for a disk.
 use crate::core::Invoker;
 use crate::memory::roster::NotHeeded;
-use corkbay_duty::{look, BadWord, Company, Leave, Look, Seen, Terms, Word, MOST};
+use corkbay_duty::{look, BadRecord, Leave, Look, Overrides, Seen, Succession, Terms, MOST};
 use may::sync::{mpsc as answers, Mutex};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, Write};
@@ -47,12 +47,12 @@
         matches!(self, Ask::Suspend(_) | Ask::Drain)
     }
 
-    fn apply(&self, word: &mut Word, now: f64) {
+    fn apply(&self, overrides: &mut Overrides, now: f64) {
         match self {
-            Ask::Suspend(name) => _ = word.bans.suspend(name, now),
-            Ask::Resume(name) => _ = word.bans.resume(name, now),
-            Ask::Drain => word.drained = true,
-            Ask::Activate => word.drained = false,
+            Ask::Suspend(name) => _ = overrides.bans.suspend(name, now),
+            Ask::Resume(name) => _ = overrides.bans.resume(name, now),
+            Ask::Drain => overrides.drained = true,
+            Ask::Activate => overrides.drained = false,
         }
     }
 }
@@ -85,9 +85,9 @@
 const DRAIN: Terms = Terms { let_go: 700.0, refuse: 1600.0, gone: Some((4000.0, 2000.0)) };
 
 /// Makes a word hold in this process.
-fn obey(invoker: &Arc<Invoker>, word: &Word) {
-    invoker.adopt(word.bans.clone());
-    match (word.drained, invoker.duty().leaving()) {
+fn obey(invoker: &Arc<Invoker>, overrides: &Overrides) {
+    invoker.adopt(overrides.bans.clone());
+    match (overrides.drained, invoker.duty().leaving()) {
         (true, None) => invoker.leave(Leave::Drained, DRAIN),
         (false, Some(Leave::Drained)) => _ = invoker.come_back(),
         _ => {}
@@ -102,7 +102,7 @@
 
 /// What the thread that keeps the files tells all others.
 struct Told {
-    company: Mutex<Company>,
+    succession: Mutex<Succession>,
     /// The word that stands is known here.
     knows: AtomicBool,
 }
@@ -125,19 +125,19 @@
     pub fn beside(
         invoker: &Arc<Invoker>,
         files: Files,
-        on_company: impl Fn(usize) + Send + 'static,
+        on_succession: impl Fn(usize) + Send + 'static,
     ) -> io::Result<Self> {
         let (orders, queue) = channel();
         let clerk = Clerk::new(invoker, files);
         let told = clerk.told.clone();
         let thread = std::thread::Builder::new().name("handover".into()).stack_size(STACK);
-        thread.spawn(move || clerk.run(&queue, on_company))?;
+        thread.spawn(move || clerk.run(&queue, on_succession))?;
         Ok(Keeper { invoker: invoker.clone(), files: Some((orders, told)) })
     }
 
     /// The processes that serve.
-    pub fn company(&self) -> Company {
-        self.files.as_ref().map_or_else(Company::default, |(_, told)| *crate::core::lock(&told.company))
+    pub fn succession(&self) -> Succession {
+        self.files.as_ref().map_or_else(Succession::default, |(_, told)| *crate::core::lock(&told.succession))
     }
 
     /// Tells the other process that this one serves.
@@ -163,9 +163,9 @@
         }
         let Some((orders, _)) = &self.files else {
             let drained = invoker.duty().leaving() == Some(Leave::Drained);
-            let mut word = Word { version: 0, drained, bans: invoker.bans() };
-            ask.apply(&mut word, crate::core::now_ms());
-            obey(invoker, &word);
+            let mut overrides = Overrides { version: 0, drained, bans: invoker.bans() };
+            ask.apply(&mut overrides, crate::core::now_ms());
+            obey(invoker, &overrides);
             return Ok(());
         };
         let (sender, answer) = answers::channel();
@@ -180,7 +180,7 @@
     number: usize,
     seat: File,
     other: File,
-    company: Company,
+    succession: Succession,
 }
 
 /// Where two processes of one invoker meet.
@@ -212,9 +212,9 @@
         let [first, second] = seats;
         let (mut seat, other) = if number == 0 { (first, second) } else { (second, first) };
         say(&mut seat, b"")?;
-        let (folder, company) = (folder.to_path_buf(), Company::default());
-        let mut files = Files { folder, number, seat, other, company };
-        files.company = Company::new(files.look_at_other());
+        let (folder, succession) = (folder.to_path_buf(), Succession::default());
+        let mut files = Files { folder, number, seat, other, succession };
+        files.succession = Succession::new(files.look_at_other());
         Ok(files)
     }
 
@@ -225,7 +225,7 @@
 
     /// Into how many parts the invoker's limits go.
     pub fn parts(&self) -> usize {
-        self.company.parts()
+        self.succession.parts()
     }
 
     fn look_at_other(&mut self) -> Seen {
@@ -243,16 +243,16 @@
         }
     }
 
-    fn read(&self) -> Option<Result<Word, BadWord>> {
+    fn read(&self) -> Option<Result<Overrides, BadRecord>> {
         let file = match File::open(self.folder.join("word")) {
             Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
-            Err(_) => return Some(Err(BadWord::Form)),
+            Err(_) => return Some(Err(BadRecord::Form)),
             Ok(file) => file,
         };
         let mut bytes = Vec::new();
         match file.take(MOST as u64).read_to_end(&mut bytes) {
-            Ok(_) => Some(Word::decode(&bytes)),
-            Err(_) => Some(Err(BadWord::Form)),
+            Ok(_) => Some(Overrides::decode(&bytes)),
+            Err(_) => Some(Err(BadRecord::Form)),
         }
     }
 
@@ -270,10 +270,10 @@
         task()
     }
 
-    fn write(&self, word: &Word) -> io::Result<()> {
+    fn write(&self, overrides: &Overrides) -> io::Result<()> {
         let fresh = self.folder.join(format!("word.{}", self.number));
         let mut file = File::create(&fresh)?;
-        file.write_all(&word.encode())?;
+        file.write_all(&overrides.encode())?;
         file.sync_data()?;
         std::fs::rename(&fresh, self.folder.join("word"))
     }
@@ -308,7 +308,7 @@
     invoker: Arc<Invoker>,
     files: Files,
     /// The word that holds here; none before the one that stands was read.
-    known: Option<Word>,
+    known: Option<Overrides>,
     /// The record that was read last.
     seen: Option<Option<(u64, i64, i64, u64)>>,
     told: Arc<Told>,
@@ -318,15 +318,15 @@
 
 impl Clerk {
     fn new(invoker: &Arc<Invoker>, files: Files) -> Self {
-        let told = Told { company: Mutex::new(files.company), knows: AtomicBool::new(false) };
+        let told = Told { succession: Mutex::new(files.succession), knows: AtomicBool::new(false) };
         let (invoker, told) = (invoker.clone(), Arc::new(told));
         Clerk { invoker, files, known: None, seen: None, told, failing: false }
     }
 
-    fn run(mut self, queue: &Receiver<Order>, on_company: impl Fn(usize)) {
+    fn run(mut self, queue: &Receiver<Order>, on_succession: impl Fn(usize)) {
         loop {
-            self.look_at_company(&on_company);
-            if let Err(error) = self.look_at_word() {
+            self.look_at_other_process(&on_succession);
+            if let Err(error) = self.look_at_overrides() {
                 if !std::mem::replace(&mut self.failing, true) {
                     tracing::error!(%error, "handover: the operators' word can't be kept in a file");
                 }
@@ -350,31 +350,31 @@
         }
     }
 
-    fn look_at_company(&mut self, on_company: &impl Fn(usize)) {
+    fn look_at_other_process(&mut self, on_succession: &impl Fn(usize)) {
         let seen = self.files.look_at_other();
         let (changed, parts) = {
-            let mut company = crate::core::lock(&self.told.company);
-            (company.look(seen), company.parts())
+            let mut succession = crate::core::lock(&self.told.succession);
+            (succession.look(seen), succession.parts())
         };
         if changed {
             tracing::info!(processes = parts, "handover");
-            on_company(parts);
+            on_succession(parts);
         }
     }
 
-    fn look_at_word(&mut self) -> io::Result<()> {
+    fn look_at_overrides(&mut self) -> io::Result<()> {
         let mark = self.files.mark();
         if self.seen == Some(mark) && self.known.is_some() {
             return Ok(());
         }
         match look(self.files.read(), self.known.as_ref()) {
             Look::Same => {}
-            Look::Newer(word) => self.know(word),
+            Look::Newer(overrides) => self.know(overrides),
             Look::Restore => self.restore()?,
-            Look::Wait if crate::core::lock(&self.told.company).other().is_some() => return Ok(()),
+            Look::Wait if crate::core::lock(&self.told.succession).other().is_some() => return Ok(()),
             Look::Wait => {
                 tracing::error!("handover: the operators' word is damaged and nobody knows what it said");
-                self.know(Word::default());
+                self.know(Overrides::default());
                 std::fs::rename(self.files.folder.join("word"), self.files.folder.join("word.damaged"))?;
             }
         }
@@ -382,9 +382,9 @@
         Ok(())
     }
 
-    fn know(&mut self, word: Word) {
-        obey(&self.invoker, &word);
-        self.known = Some(word);
+    fn know(&mut self, overrides: Overrides) {
+        obey(&self.invoker, &overrides);
+        self.known = Some(overrides);
         self.told.knows.store(true, Ordering::Release);
     }
 
@@ -392,12 +392,12 @@
     fn restore(&mut self) -> io::Result<()> {
         let Some(known) = self.known.clone() else { return Ok(()) };
         let newer = self.files.alone(|| match look(self.files.read(), Some(&known)) {
-            Look::Newer(word) => Ok(Some(word)),
+            Look::Newer(overrides) => Ok(Some(overrides)),
             Look::Restore => self.files.write(&known).map(|()| None),
             Look::Same | Look::Wait => Ok(None),
         })?;
-        if let Some(word) = newer {
-            self.know(word);
+        if let Some(overrides) = newer {
+            self.know(overrides);
         }
         Ok(())
     }
@@ -405,25 +405,25 @@
     fn heed(&mut self, ask: &Ask) -> Result<(), Unheeded> {
         let before = self.known.clone().unwrap_or_default();
         let now = crate::core::now_ms();
-        let next = |mut word: Word| {
-            ask.apply(&mut word, now);
-            word.version += 1;
-            word
+        let next = |mut overrides: Overrides| {
+            ask.apply(&mut overrides, now);
+            overrides.version += 1;
+            overrides
         };
         if ask.holds() {
             // At once, whatever becomes of the file.
             obey(&self.invoker, &next(before.clone()));
         }
         let written = self.files.alone(|| {
-            let word = next(match look(self.files.read(), Some(&before)) {
-                Look::Newer(word) => word,
+            let overrides = next(match look(self.files.read(), Some(&before)) {
+                Look::Newer(overrides) => overrides,
                 Look::Same | Look::Restore | Look::Wait => before.clone(),
             });
-            self.files.write(&word).map(|()| word)
+            self.files.write(&overrides).map(|()| overrides)
         });
         match written {
-            Ok(word) => {
-                self.know(word);
+            Ok(overrides) => {
+                self.know(overrides);
                 Ok(())
             }
             Err(error) => {
--- a/crates/node/src/life/handover/tests.rs
+++ b/crates/node/src/life/handover/tests.rs
@@ -33,27 +33,27 @@
 fn a_word_passes_both_ways_and_outlives_its_writer() {
     let folder = folder("both");
     let mut old = clerk(&folder);
-    old.look_at_word().expect("nothing stands");
+    old.look_at_overrides().expect("nothing stands");
     assert_eq!(old.heed(&suspend("a")), Ok(()));
     let mut new = clerk(&folder);
-    assert_eq!(new.told.company.lock().expect("whole").other(), Some(Other::Predecessor));
-    new.look_at_word().expect("read");
+    assert_eq!(new.told.succession.lock().expect("whole").other(), Some(Other::Predecessor));
+    new.look_at_overrides().expect("read");
     assert!(new.invoker.bans().is_out("a"));
     assert_eq!(new.heed(&suspend("b")), Ok(()));
     assert_eq!(new.heed(&Ask::Drain), Ok(()));
-    old.look_at_word().expect("read");
+    old.look_at_overrides().expect("read");
     assert!(old.invoker.bans().is_out("b"));
     assert_eq!(old.invoker.duty().leaving(), Some(Leave::Drained));
     assert_eq!(old.heed(&Ask::Resume("a".into())), Ok(()));
     assert_eq!(old.heed(&Ask::Activate), Ok(()));
-    new.look_at_word().expect("read");
+    new.look_at_overrides().expect("read");
     assert!(!new.invoker.bans().is_out("a") && new.invoker.bans().is_out("b"));
     assert!(new.invoker.bans().back_at("a").is_some(), "it is cold for the other one, too");
     assert_eq!(new.invoker.duty().leaving(), None);
     drop((old, new));
     let mut later = clerk(&folder);
-    assert_eq!(later.told.company.lock().expect("whole").other(), None, "seats end with their processes");
-    later.look_at_word().expect("read");
+    assert_eq!(later.told.succession.lock().expect("whole").other(), None, "seats end with their processes");
+    later.look_at_overrides().expect("read");
     assert!(later.invoker.bans().is_out("b"));
     let _ = std::fs::remove_dir_all(&folder);
 }
@@ -64,27 +64,27 @@
 fn a_damaged_record_lifts_nothing_and_is_written_again() {
     let folder = folder("torn");
     let mut old = clerk(&folder);
-    old.look_at_word().expect("nothing stands");
+    old.look_at_overrides().expect("nothing stands");
     old.heed(&suspend("a")).expect("written");
     let whole = std::fs::read(folder.join("word")).expect("stands");
     for damage in [&whole[..whole.len() / 2], b"", b"nonsense"] {
         std::fs::write(folder.join("word"), damage).expect("torn");
         let mut new = clerk(&folder);
-        new.look_at_word().expect("looked at");
+        new.look_at_overrides().expect("looked at");
         assert!(!new.told.knows.load(Ordering::Acquire), "it waits for its predecessor");
-        old.look_at_word().expect("restored");
+        old.look_at_overrides().expect("restored");
         assert!(old.invoker.bans().is_out("a"));
-        new.look_at_word().expect("read");
+        new.look_at_overrides().expect("read");
         assert!(new.told.knows.load(Ordering::Acquire) && new.invoker.bans().is_out("a"));
     }
     std::fs::remove_file(folder.join("word")).expect("gone");
-    old.look_at_word().expect("restored");
+    old.look_at_overrides().expect("restored");
     assert_eq!(std::fs::read(folder.join("word")).expect("stands"), whole);
     drop(old);
     // Without anybody who knows, the record is set aside and the process goes on.
     std::fs::write(folder.join("word"), b"nonsense").expect("torn");
     let mut later = clerk(&folder);
-    later.look_at_word().expect("set aside");
+    later.look_at_overrides().expect("set aside");
     assert!(later.told.knows.load(Ordering::Acquire) && folder.join("word.damaged").exists());
     let _ = std::fs::remove_dir_all(&folder);
 }
@@ -95,20 +95,20 @@
 fn what_cannot_be_written_is_held_and_not_lifted() {
     let folder = folder("full");
     let mut clerk = clerk(&folder);
-    clerk.look_at_word().expect("nothing stands");
+    clerk.look_at_overrides().expect("nothing stands");
     clerk.heed(&suspend("a")).expect("written");
     // A folder in the place of the file that is to be renamed stands for any failure to write.
     let blocked = folder.join(format!("word.{}", clerk.files.number));
     std::fs::create_dir(&blocked).expect("in the way");
     assert_eq!(clerk.heed(&Ask::Resume("a".into())), Err(Unheeded::Unwritten));
     assert_eq!(clerk.heed(&suspend("b")), Err(Unheeded::Unwritten));
-    assert!(clerk.look_at_word().is_err(), "it goes on trying");
+    assert!(clerk.look_at_overrides().is_err(), "it goes on trying");
     let bans = clerk.invoker.bans();
     assert!(bans.is_out("a") && bans.is_out("b"));
     std::fs::remove_dir(&blocked).expect("out of the way");
-    clerk.look_at_word().expect("written");
-    let word = clerk.files.read().expect("stands").expect("whole");
-    assert!(word.bans.is_out("a") && word.bans.is_out("b"));
+    clerk.look_at_overrides().expect("written");
+    let overrides = clerk.files.read().expect("stands").expect("whole");
+    assert!(overrides.bans.is_out("a") && overrides.bans.is_out("b"));
     let _ = std::fs::remove_dir_all(&folder);
 }
 
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -183,7 +183,7 @@
     let door = Door::open(config.listen, house).map_err(|error| ConfigError::new("listen", error))?;
     // Whoever lived beside this process may have gone since.
     if limits.door.set(door.clone()).is_ok() {
-        limits.share(keeper.company().parts());
+        limits.share(keeper.succession().parts());
     }
     let passage = Arc::<Passage>::default();
     let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
@@ -200,7 +200,7 @@
         }
     }
     keeper.serving();
-    if keeper.company().other().is_some() {
+    if keeper.succession().other().is_some() {
         // Whoever is told yes may end the other process at once, which has to know by then.
         std::thread::sleep(SEEN_BY_OTHER);
     }
@@ -208,8 +208,8 @@
     let longest = longest_deadline(&config.settings).min(LONGEST_COUNTED);
     let end = End {
         terms: || {
-            let company = keeper.company();
-            if company.is_succeeded() {
+            let succession = keeper.succession();
+            if succession.is_succeeded() {
                 // What stands in the queue is taken; whoever comes later comes to the successor.
                 door.close();
                 let opened = meeting.as_ref().map(|meeting| passage.open(&meeting.folder, meeting.other()));
@@ -217,9 +217,9 @@
                     tracing::warn!(%error, "handover: no connections can be passed on");
                 }
             }
-            company.ending(ENDING, SUCCEEDED_TAKES.as_millis() as f64)
+            succession.ending(ENDING, SUCCEEDED_TAKES.as_millis() as f64)
         },
-        is_over: || keeper.company().is_succeeded() && door.held() == 0,
+        is_over: || keeper.succession().is_succeeded() && door.held() == 0,
         door: &door,
         within: STILL_TAKING + longest.saturating_sub(LAST_ANSWERS),
     };
@@ -232,7 +232,7 @@
 /// has to tell. Alone there is nobody who could serve meanwhile.
 fn wait_for_news(keeper: &Keeper, channel: &Line) {
     let start = Instant::now();
-    let accompanied = || keeper.company().other().is_some();
+    let accompanied = || keeper.succession().other().is_some();
     let deaf = || !channel.is_heard() && start.elapsed() < CHANNEL_WAIT;
     while accompanied() && (!keeper.knows() || deaf()) {
         std::thread::sleep(NEWS_LOOK);
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -45,7 +45,7 @@
 }
 
 /// What a call comes to; its status code, and what is told of it.
-struct Word(u16, serde_json::Value);
+struct Overrides(u16, serde_json::Value);
 
 /// The life of one connection.
 pub fn serve(invoker: &Arc<Invoker>, keeper: &Keeper, guest: &Arc<Guest>) {
@@ -83,7 +83,7 @@
     }
     Some(match route(&head.method, &head.path) {
         Ok(call) => {
-            let Word(status, told) = match &call {
+            let Overrides(status, told) = match &call {
                 Call::Ready => ready(invoker),
                 Call::Ask(ask) => {
                     let end = keeper.ask(ask.clone());
@@ -132,18 +132,20 @@
 
 /// Whether this process could serve. That the operators want no clients is told at the clients' address: else a
 /// successor of a drained process would never count as ready.
-fn ready(invoker: &Invoker) -> Word {
+fn ready(invoker: &Invoker) -> Overrides {
     match invoker.duty().leaving() {
         _ if !invoker.is_serving() => {
-            Word(503, json!({"ready": false, "detail": "this process is starting"}))
+            Overrides(503, json!({"ready": false, "detail": "this process is starting"}))
         }
-        Some(Leave::Ending) => Word(503, json!({"ready": false, "detail": "this process is about to end"})),
-        leaving => Word(200, json!({"ready": true, "drained": leaving.is_some()})),
+        Some(Leave::Ending) => {
+            Overrides(503, json!({"ready": false, "detail": "this process is about to end"}))
+        }
+        leaving => Overrides(200, json!({"ready": true, "drained": leaving.is_some()})),
     }
 }
 
 /// What is told of a call that operators made.
-fn heeded(ask: &Ask, end: Result<(), Unheeded>) -> Word {
+fn heeded(ask: &Ask, end: Result<(), Unheeded>) -> Overrides {
     let (host, state) = match ask {
         Ask::Suspend(host) => (Some(host), "suspended"),
         Ask::Resume(host) => (Some(host), "resumed"),
@@ -151,13 +153,13 @@
         Ask::Activate => (None, "active"),
     };
     let (status, detail) = match end {
-        Ok(()) => return Word(200, json!({"host": host, "state": state})),
+        Ok(()) => return Overrides(200, json!({"host": host, "state": state})),
         Err(Unheeded::Unknown) => (404, "no list ever named this host"),
         Err(Unheeded::NoRoom) => (507, "too many hosts are suspended"),
         Err(Unheeded::Ending) => (409, "this process is about to end"),
         Err(Unheeded::Unwritten) => (503, "not written: what is held back holds here, nothing was lifted"),
     };
-    Word(status, json!({"host": host, "status": status, "detail": detail}))
+    Overrides(status, json!({"host": host, "status": status, "detail": detail}))
 }
 
 #[cfg(test)]
