An HTTP attempt whose task ends while it writes may have run

Found by reading: EndGuard in wire/http_workers.rs told an attempt that broke off by a panic between its first byte and the note that it is whole as one that never ran; its last byte may be out. Both ways to workers now judge by one function.

--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -4,12 +4,12 @@
 use super::intake::{Intake, CHUNK};
 use super::invoke::{DEADLINE_HEADER, MAY_HAVE_RUN_HEADER};
 use super::socket::Socket;
-use super::workers::PARTIAL;
+use super::workers::{broken, PARTIAL};
 use crate::core::{
     lock, now_ms, until, AttemptError, Call, CancelNotice, Cause, Ending, Exchange, Verdict, Workers,
 };
 use crate::life::spawn;
-use crate::memory::link::{Link, Stage};
+use crate::memory::link::Link;
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms};
 use corkbay_ledger::{Account, Purpose};
@@ -164,18 +164,11 @@
         self.1.fetch_sub(1, Ordering::Relaxed);
         let open = lock(&self.0.link).close();
         for (stage, end) in open {
-            end(Err(after(stage, Cause::Broken)));
+            end(Err(broken(stage, Cause::Broken)));
         }
     }
 }
 
-fn after(stage: Stage, cause: Cause) -> AttemptError {
-    match stage {
-        Stage::Queued | Stage::Writing => AttemptError::Unfinished(cause),
-        Stage::Whole => AttemptError::Unanswered(cause),
-    }
-}
-
 impl Attempt {
     /// Tells the end, unless the attempt was given up before.
     fn settle(&self, end: Result<Vec<u8>, AttemptError>) {
@@ -273,8 +266,7 @@
                 drop((held, notice));
             });
         }
-        // What is being written may still come whole.
-        Some(if stage == Stage::Writing { AttemptError::Unanswered(cause) } else { after(stage, cause) })
+        Some(broken(stage, cause))
     }
 
     fn cancel_notice(&self) -> &CancelNotice {
@@ -354,3 +346,6 @@
         _ => Err(AttemptError::Answered(Verdict::Failed)),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -252,7 +252,8 @@
     }
 }
 
-fn broken(stage: Stage, cause: Cause) -> AttemptError {
+/// What is known of an attempt that ended without an answer at that stage.
+pub(super) fn broken(stage: Stage, cause: Cause) -> AttemptError {
     match stage {
         Stage::Queued => AttemptError::Unfinished(cause),
         // Whoever reads can't tell whether the last byte was out: only the writer knows that it was not.
