HTTP connections end: idle after an answer, half-read, trickling on, or without a reset

Found by reading wire/invoke.rs again; each test fails without its fix. - converse took a call that had its answer for a held one until the next request was whole: neither an idle connection nor half a request behind it ever timed out. What is owed is asked of the client table now. - With `Connection: close` the task of a held call shut both directions behind its answer: what crossed it was met with a reset. It shuts the writing side, and the reader lingers. - Guest::linger read for as long as a byte came within each second, up to 4 MiB. It ends after four waits in all.

--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -27,8 +27,9 @@
 /// How often connections are looked at while their process ends.
 const WIND_UP_LOOK: Duration = Duration::from_millis(2);
 
-/// Most bytes that are read and thrown away after the last answer.
+/// Most bytes that are read and thrown away after the last answer, and how many of the longest waits for one that may take.
 const LINGER_BYTES: usize = 4 << 20;
+const LINGER_WAITS: u32 = 4;
 
 type Table = Arc<Mutex<ClientTable<Weak<Guest>>>>;
 
@@ -318,13 +319,14 @@
     }
 
     /// Lets the client read the last answer: a connection closed over bytes that were not read is reset, and
-    /// the answer may be lost with it. `within` is for each wait.
+    /// the answer may be lost with it. `within` is for each wait, and [`LINGER_WAITS`] times that for all.
     pub fn linger(&self, within: Duration) {
         self.shut(Shutdown::Write);
+        let end = now_ms() + (within * LINGER_WAITS).as_secs_f64() * 1000.0;
         let (mut chunk, mut left) = ([0; 1024], LINGER_BYTES);
         while let Ok(size @ 1..) = self.read(&mut chunk, within) {
             left = left.saturating_sub(size);
-            if left == 0 {
+            if left == 0 || now_ms() > end {
                 return;
             }
         }
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -8,6 +8,7 @@
 use crate::core::{now_ms, Answer, Call, Failure, Invoker, NotTaken, Taken};
 use crate::life::spawn;
 use crate::memory::catalog::{Catalog, CatalogError, Function, Object, Worker};
+use crate::memory::clients::ClientState;
 use crate::memory::invocations::{Deferred, Invocations, Key, Promise, Repeat};
 use crate::memory::room::{grow, NO_ROOM};
 use crate::memory::store::StoreError;
@@ -98,12 +99,18 @@
 fn converse(desk: &Arc<Desk>, guest: &Arc<Guest>, current: &mut Option<Current>) -> io::Result<()> {
     let (mut raw, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
     let chunk = chunk.as_mut_slice();
-    let fill = |raw: &mut Intake, chunk: &mut [u8], busy: bool| loop {
-        match raw.fill(guest, chunk, if raw.is_empty() { IDLE } else { MESSAGE }) {
+    let fill = |raw: &mut Intake, chunk: &mut [u8]| loop {
+        let within = if raw.is_empty() { IDLE } else { MESSAGE };
+        match raw.fill(guest, chunk, within) {
             Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
             Ok(_) => return Ok(()),
-            // While a call is held, the client has nothing to say.
-            Err(error) if busy && error.kind() == ErrorKind::TimedOut => {}
+            Err(error) if error.kind() == ErrorKind::TimedOut => {
+                // While a call is held the client has nothing to say, and it may have been answered while this waited.
+                let (state, since) = guest.state();
+                if state != ClientState::Busy && now_ms() - since >= within.as_secs_f64() * 1000.0 {
+                    return Err(error);
+                }
+            }
             Err(error) => return Err(error),
         }
     };
@@ -111,7 +118,7 @@
         let mut head = loop {
             match RequestHead::decode(raw.bytes()) {
                 Ok(Some(head)) => break head,
-                Ok(None) => match fill(&mut raw, chunk, current.is_some()) {
+                Ok(None) => match fill(&mut raw, chunk) {
                     Err(error) if error.kind() == NO_ROOM => {
                         return refuse_to_read(guest, &mut raw, chunk, current, no_room())
                     }
@@ -129,7 +136,7 @@
                 Ok(true) => break,
                 Ok(false) => {
                     let room = raw.beside(body.capacity());
-                    match room.and_then(|()| fill(&mut raw, chunk, current.is_some())) {
+                    match room.and_then(|()| fill(&mut raw, chunk)) {
                         Err(error) if error.kind() == NO_ROOM => {
                             return refuse_to_read(guest, &mut raw, chunk, current, no_room());
                         }
@@ -154,10 +161,14 @@
             Next::Held(held) => *current = Some(held),
         }
         if !head.keep_alive {
-            // A held call's task ends the connection after its answer; until then the client may leave.
-            while current.is_some() {
+            // Until a held call has its answer, and no more is written, the client may leave.
+            while current.is_some() && guest.state().0 == ClientState::Busy {
                 raw.bytes().clear();
-                fill(&mut raw, chunk, true)?;
+                match raw.fill(guest, chunk, LINGER) {
+                    Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                    Err(error) if error.kind() != ErrorKind::TimedOut => return Err(error),
+                    _ => {}
+                }
             }
             return Ok(());
         }
@@ -389,7 +400,8 @@
             let written = gone || guest.answer(&respond(&answer).encode(keep_alive)).is_ok();
             guest.closed();
             if !keep_alive {
-                guest.shut(Shutdown::Both);
+                // What the client still sends is read for a while: a close now would be a reset.
+                guest.shut(Shutdown::Write);
             }
             written
         });
--- a/crates/node/tests/invoke.rs
+++ b/crates/node/tests/invoke.rs
@@ -2,8 +2,9 @@
 mod support;
 
 use serde_json::json;
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::process::Command;
+use std::time::Duration;
 use support::workers::{Act, Fleet};
 use support::{ask, free_address, receive, start, until, Daemon, Folder, CLASSES};
 
@@ -97,6 +98,51 @@
     until("it is called off", || fleet.called_off() == 1);
 }
 
+/// Guards connections that have had an answer: half a request behind it used to be waited for without end.
+#[test]
+fn half_a_request_behind_an_answer_is_not_waited_for_without_end() {
+    let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), "")));
+    let mut reader = BufReader::new(start(daemon.address, "POST", CHECK, &[], b"one"));
+    assert_eq!(receive(&mut reader).status, 200);
+    reader.get_mut().write_all(b"POST /v1/functions/check/invo").expect("written");
+    // Its time is 10 s; a read that nothing ends would take longer and fail.
+    assert_eq!(reader.fill_buf().map(<[u8]>::len).expect("an end"), 0);
+}
+
+/// Guards places against a client that goes on sending a byte at a time after its last answer.
+#[test]
+fn who_trickles_on_after_a_last_answer_is_closed() {
+    let folder = Folder::new();
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", None, "")));
+    let mut socket = start(daemon.address, "GET", "/v1/workers", &[("Connection", "close")], b"");
+    assert_eq!(receive(&mut BufReader::new(socket.try_clone().expect("cloned"))).status, 200);
+    let ended = (0..200).any(|_| {
+        std::thread::sleep(Duration::from_millis(100));
+        socket.write_all(b"x").is_err()
+    });
+    assert!(ended, "still taken after 20 s");
+}
+
+/// Guards the last answer of a held call against a client that is still sending: a close at once would be a reset.
+#[test]
+fn what_crosses_a_last_answer_does_not_reset_it() {
+    let (fleet, folder) = (Fleet::new(&[Act::Hold]), Folder::new());
+    let daemon = Daemon::serve(&folder.write("d.toml", &deploy("n", Some(fleet.http("w1")), "")));
+    let mut socket = start(daemon.address, "POST", CHECK, &[("Connection", "close")], b"x");
+    until("it is out", || fleet.sent().len() == 1);
+    fleet.release();
+    let status = || ask(daemon.address, "GET", "/v1/status", &[], b"").json();
+    until("it is answered", || status()["counters"]["served"] == 1);
+    for _ in 0..3 {
+        std::thread::sleep(Duration::from_millis(50));
+        socket.write_all(b"x").expect("not reset");
+    }
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).expect("not reset");
+    assert!(answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("done: x"), "{answer}");
+}
+
 #[test]
 fn a_repeat_of_a_key_that_is_open_is_told_so() {
     let (fleet, folder) = (Fleet::new(&[Act::Hold]), Folder::new());
