--- a/crates/node/tests/moments.rs
+++ b/crates/node/tests/moments.rs
@@ -2,9 +2,10 @@
 //! brought about by the other side, or by stopping the program while the bytes are written.
 mod support;
 
+use corkbay_node::wire::frames::{code, Frame, FROM_INVOKER, FROM_WORKER};
 use serde_json::json;
-use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use support::late::{requests, LateListener};
 use support::platform::{cancel, dispatch, fields, Bench, Channel, Client, Reply};
@@ -505,6 +506,64 @@
     assert!(served * 10 >= replies.len() * 9, "{served} of {}: {replies:?}", replies.len());
 }
 
+/// The worker closes an idle connection in the instant in which the next request goes out on it: the program finds both
+/// when it goes on. What may be repeated is served on a new connection; what may not is not sent twice.
+#[test]
+fn a_request_at_the_end_of_a_workers_idle_connection_goes_out_as_its_class_allows() {
+    for (effect, repeats) in [("pure", true), ("side_effect", false)] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let bench = Bench::changed(&[Act::Serve], 0, 1024, 192, |settings| {
+            settings["classes"][0]["idempotency"] = json!(effect);
+        });
+        bench.channel.tell(2, "h0", listener.local_addr().expect("bound"), "up");
+        let mut client = bench.client();
+        client.send(&check(1, 0xa1));
+        let (mut idle, _) = listener.accept().expect("the first connection");
+        serve_one(&mut idle);
+        assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
+        bench.daemon.signal("STOP");
+        drop(idle);
+        client.send(&check(2, 0xa2));
+        bench.daemon.signal("CONT");
+        let served = std::thread::spawn(move || {
+            listener.set_nonblocking(true).expect("set");
+            let start = Instant::now();
+            let mut served = 0;
+            while start.elapsed() < 2 * LONG_ENOUGH {
+                if let Ok((mut socket, _)) = listener.accept() {
+                    socket.set_nonblocking(false).expect("set");
+                    socket.set_read_timeout(Some(LONG_ENOUGH)).expect("set");
+                    served += u32::from(serve_one(&mut socket));
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            served
+        });
+        let reply = client.receive();
+        let served = served.join().expect("no panic");
+        match &reply {
+            Some((2, Reply::Answer(_))) => assert_eq!(served, 1, "{effect}"),
+            Some((2, Reply::Crashed)) if !repeats => assert_eq!(served, 0, "it may have run"),
+            _ => panic!("{effect}: {reply:?}"),
+        }
+    }
+}
+
+/// Answers the next request that comes on a connection; whether one came.
+fn serve_one(socket: &mut TcpStream) -> bool {
+    let (mut buffer, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        if let Some(Frame { id, .. }) = Frame::decode(&mut buffer, FROM_INVOKER).expect("a good frame") {
+            let (mark, code, fields, body) = (FROM_WORKER, code::OK, String::new(), b"y".to_vec());
+            return socket.write_all(&Frame { mark, code, id, fields, body }.encode()).is_ok();
+        }
+        match socket.read(&mut chunk) {
+            Ok(size @ 1..) => buffer.extend(&chunk[..size]),
+            _ => return false,
+        }
+    }
+}
+
 /// Where nobody listens any more the caller is refused, and not left without an answer.
 #[test]
 fn a_listener_that_has_ended_refuses() {
