A request that came on a connection whose place is given away is answered

Door::give_way (wire/accept.rs) shut both directions of the connection that gives way; what had come on it by then was still read and taken, and its answer could not be written. It shuts the reading side alone now; what has come is answered, and half a message is not waited for. The HTTP front took the end of what is read for the client's leaving, also where the end was ours (fill in wire/invoke.rs).

--- a/crates/node/src/memory/clients.rs
+++ b/crates/node/src/memory/clients.rs
@@ -125,12 +125,17 @@
         self.entries.get(&number).is_some_and(|entry| entry.shut)
     }
 
+    /// Whether its place is given to another.
+    pub fn is_evicted(&self, number: u64) -> bool {
+        self.entries.get(&number).is_some_and(|entry| entry.evicted)
+    }
+
     /// Whose place is given to another: of those with nothing open one that never had an answer, else
-    /// the one idle longest. Each is named once.
+    /// the one idle longest. Each is named once, and its reading side is to be shut: what has come by then is owed.
     pub fn evict_idle(&mut self) -> Option<H> {
         let idle = self.entries.values_mut().filter(|entry| entry.open == 0 && !entry.evicted);
         let entry = idle.min_by(|a, b| a.answered.cmp(&b.answered).then(a.since.total_cmp(&b.since)))?;
-        entry.evicted = true;
+        (entry.evicted, entry.draining, entry.shut) = (true, true, true);
         Some(entry.handle.clone())
     }
 }
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -207,7 +207,7 @@
     fn give_way(&self) {
         let leaver = lock(&self.clients).evict_idle().and_then(|leaver| leaver.upgrade());
         if let Some(leaver) = leaver {
-            leaver.socket.shut(Shutdown::Both);
+            leaver.socket.shut(Shutdown::Read);
         }
     }
 
@@ -318,6 +318,11 @@
         lock(&self.clients).is_shut(self.number)
     }
 
+    /// Whether another waits for its place, so that what has not come whole is not waited for.
+    pub fn is_evicted(&self) -> bool {
+        lock(&self.clients).is_evicted(self.number)
+    }
+
     /// Lets the client read the last answer: a connection closed over bytes that were not read is reset, and
     /// the answer may be lost with it. `within` is for each wait, and [`LINGER_WAITS`] times that for all.
     pub fn linger(&self, within: Duration) {
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -192,7 +192,7 @@
                 Ok(0) if guest.is_shut() => {
                     // An answer that is being written is owed as well.
                     let owes = guest.state().0 == ClientState::Busy;
-                    if !owes && (intake.is_empty() || now_ms() > end) {
+                    if !owes && (intake.is_empty() || now_ms() > end || guest.is_evicted()) {
                         return Ok(End::Closed);
                     }
                     guest.wait_for_an_end(DRAIN_LOOK);
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -102,6 +102,10 @@
     let fill = |raw: &mut Intake, chunk: &mut [u8]| loop {
         let within = if raw.is_empty() { IDLE } else { MESSAGE };
         match raw.fill(guest, chunk, within) {
+            // Its reading side was shut here, and what had come by then is owed.
+            Ok(0) if guest.is_shut() && guest.state().0 == ClientState::Busy => {
+                guest.wait_for_an_end(ANSWER_LOOK);
+            }
             Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
             Ok(_) => return Ok(()),
             Err(error) if error.kind() == ErrorKind::TimedOut => {
