HTTP: calls that crossed their connection's giving way are answered in every form

Read again: with `Connection: close`, or with a second call behind the first, the end of what is read was still taken for the client's leaving where the reading side was shut here (the last loop of converse, and answered, in wire/invoke.rs). One function judges it in all three places. The test plays the three forms and fails without it.

--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -102,11 +102,7 @@
     let fill = |raw: &mut Intake, chunk: &mut [u8]| loop {
         let within = if raw.is_empty() { IDLE } else { MESSAGE };
         match raw.fill(guest, chunk, within) {
-            // Its reading side was shut here, and what had come by then is owed.
-            Ok(0) if guest.is_shut() && guest.state().0 == ClientState::Busy => {
-                guest.wait_for_an_end(ANSWER_LOOK);
-            }
-            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(0) => read_to_its_end(guest)?,
             Ok(_) => return Ok(()),
             Err(error) if error.kind() == ErrorKind::TimedOut => {
                 // While a call is held the client has nothing to say, and it may have been answered while this waited.
@@ -169,7 +165,7 @@
             while current.is_some() && guest.state().0 == ClientState::Busy {
                 raw.bytes().clear();
                 match raw.fill(guest, chunk, LINGER) {
-                    Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                    Ok(0) => read_to_its_end(guest)?,
                     Err(error) if error.kind() != ErrorKind::TimedOut => return Err(error),
                     _ => {}
                 }
@@ -179,6 +175,16 @@
     }
 }
 
+/// Nothing more will be read: the client has left, unless the reading side was shut here. Then what had come by that time
+/// is owed, and waited for a little.
+fn read_to_its_end(guest: &Guest) -> io::Result<()> {
+    if !guest.is_shut() || guest.state().0 != ClientState::Busy {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
+    guest.wait_for_an_end(ANSWER_LOOK);
+    Ok(())
+}
+
 /// Waits until the held call, if there is one, has its answer; whether that could be written. What the client sends
 /// ahead is read meanwhile, as far as it fits the chunk that is paid for, since its leaving comes behind that; it is kept
 /// or thrown away.
@@ -199,7 +205,7 @@
             continue;
         }
         match ahead.fill(guest, &mut chunk[..room], ANSWER_LOOK) {
-            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(0) => read_to_its_end(guest)?,
             Err(error) if error.kind() != ErrorKind::TimedOut => return Err(error),
             _ => {}
         }
--- a/crates/node/tests/invoke.rs
+++ b/crates/node/tests/invoke.rs
@@ -148,24 +148,33 @@
 /// written.
 #[test]
 fn a_call_that_came_before_its_connection_gave_way_is_answered() {
-    let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
-    let file = format!("sockets = 64\n{}", deploy("n", Some(fleet.http("w1")), ""));
-    let daemon = Daemon::serve(&folder.write("d.toml", &file));
-    let mut socket = start(daemon.address, "POST", CHECK, &[], b"one");
-    let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
-    assert_eq!(receive(&mut reader).body, b"done: one");
-    // Twelve places in all.
-    let mut later: Vec<_> =
-        (0..11).map(|_| BufReader::new(start(daemon.address, "GET", "/v1/workers", &[], b""))).collect();
-    later.iter_mut().for_each(|later| assert_eq!(receive(later).status, 200));
-    daemon.signal("STOP");
-    let newcomer = start(daemon.address, "POST", CHECK, &[], b"newcomer");
-    let second = format!("POST {CHECK} HTTP/1.1\r\nContent-Length: 3\r\n\r\ntwo");
-    socket.write_all(second.as_bytes()).expect("written");
-    daemon.signal("CONT");
-    assert_eq!(receive(&mut reader).body, b"done: two");
-    assert_eq!(receive(&mut BufReader::new(newcomer)).body, b"done: newcomer");
-    assert!(reader.fill_buf().is_ok_and(<[u8]>::is_empty), "it has given way");
+    let call = |more: &str, body: &str| {
+        format!("POST {CHECK} HTTP/1.1\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let crossing =
+        [call("", "two"), call("Connection: close\r\n", "two"), call("", "two") + &call("", "three")];
+    for crossing in crossing {
+        let (fleet, folder) = (Fleet::new(&[Act::Serve]), Folder::new());
+        let file = format!("sockets = 64\n{}", deploy("n", Some(fleet.http("w1")), ""));
+        let daemon = Daemon::serve(&folder.write("d.toml", &file));
+        let mut socket = start(daemon.address, "POST", CHECK, &[], b"one");
+        let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
+        assert_eq!(receive(&mut reader).body, b"done: one");
+        // Twelve places in all.
+        let mut later: Vec<_> =
+            (0..11).map(|_| BufReader::new(start(daemon.address, "GET", "/v1/workers", &[], b""))).collect();
+        later.iter_mut().for_each(|later| assert_eq!(receive(later).status, 200));
+        daemon.signal("STOP");
+        let newcomer = start(daemon.address, "POST", CHECK, &[], b"newcomer");
+        socket.write_all(crossing.as_bytes()).expect("written");
+        daemon.signal("CONT");
+        assert_eq!(receive(&mut reader).body, b"done: two", "{crossing}");
+        if crossing.contains("three") {
+            assert_eq!(receive(&mut reader).body, b"done: three");
+        }
+        assert_eq!(receive(&mut BufReader::new(newcomer)).body, b"done: newcomer");
+        assert!(reader.fill_buf().is_ok_and(<[u8]>::is_empty), "it has given way");
+    }
 }
 
 #[test]
