A client that has sent much ahead and then leaves is seen to leave

The hang-up is asked of the kernel apart from what is read (Socket::is_hung_up, rustix poll, HTTP front alone). The test has a fourth form, which fails without it.

--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -186,8 +186,8 @@
 }
 
 /// Waits until the held call, if there is one, has its answer; whether that could be written. What the client sends
-/// ahead is read meanwhile, as far as it fits the chunk that is paid for, since its leaving comes behind that; it is kept
-/// or thrown away.
+/// ahead is read meanwhile, as far as it fits the chunk that is paid for; it is kept or thrown away. Its leaving is seen also
+/// behind what does not fit.
 fn answered(
     guest: &Guest,
     ahead: &mut Intake,
@@ -201,6 +201,9 @@
         }
         let room = CHUNK.saturating_sub(ahead.bytes().len());
         if room == 0 {
+            if guest.is_hung_up() {
+                read_to_its_end(guest)?;
+            }
             may::coroutine::sleep(ANSWER_LOOK);
             continue;
         }
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -7,6 +7,7 @@
 use may::io::CoIo;
 use may::net::TcpStream;
 use may::sync::Mutex;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{self, Shutdown, SocketAddr};
 use std::os::fd::OwnedFd;
@@ -88,6 +89,13 @@
         Ok(Socket { stream: Stream::Adopted(Adopted::new(stream)?), writing: Mutex::new(()), stall })
     }
 
+    /// Whether the other side writes no more, also where what it wrote before was not read yet.
+    pub fn is_hung_up(&self) -> bool {
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let mut looked_at = [PollFd::new(self.stream.inner(), PollFlags::RDHUP)];
+        poll(&mut looked_at, Some(&at_once)).is_ok_and(|ready| ready > 0)
+    }
+
     /// A second descriptor of the same connection.
     pub fn duplicate(&self) -> io::Result<OwnedFd> {
         self.stream.inner().try_clone().map(Into::into)
--- a/crates/node/tests/styles.rs
+++ b/crates/node/tests/styles.rs
@@ -501,7 +501,16 @@
 #[test]
 fn who_left_behind_a_second_request_is_not_sent_on() {
     let next = "POST /v1/functions/check/invocations HTTP/1.1\r\nHost: test\r\nContent-Length: 1\r\n\r\nx";
-    for (server, second) in [(Server::Held, next), (Server::Deferred, next), (Server::Frames, "\0\r\n\r\n")] {
+    // More than is read ahead.
+    let many = next.replace("1\r\n\r\nx", "12000\r\n\r\n") + &"x".repeat(12_000);
+    let many = next.to_string() + &many;
+    let ways = [
+        (Server::Held, next),
+        (Server::Deferred, next),
+        (Server::Frames, "\0\r\n\r\n"),
+        (Server::Frames, many.as_str()),
+    ];
+    for (server, second) in ways {
         let bench = Bench::new((Client::Synchronous, server), &[Act::Serve], [0, 0]);
         bench.set_both("draining");
         let mut client = bench.start("check");
