Who stands in the queue is let in before the listener is closed, whatever turn the acceptor had

Seen: what_came_by_the_end_of_the_process_is_answered failed in one of twelve runs of the suite beside others: one of twenty newcomers had its connection reset. Door::close (wire/accept.rs) took the acceptor's word that it waits for an empty queue; when the acceptor had had no turn for 1 ms, as after SIGCONT on a busy machine, that word was an old one, and the kernel reset who stood there. The queue is emptied by whoever closes the listener now; a place is waited for until the same end. The test keeps all turns from the acceptor and fails without the fix. Seen besides, cause not known: in 20 plays of tests/operators.rs beside others, one connect to the operators' address was refused at the start and one first call was not served; in 26 plays alone neither. The test names the caller and the log now.

--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -10,10 +10,11 @@
 use may::net::TcpListener;
 use may::sync::{Condvar, Mutex, Semphore};
 use socket2::SockRef;
+use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::ops::Deref;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
 
 /// Pause after an accept that failed, for want of descriptors above all.
@@ -21,7 +22,7 @@
 /// How long a newcomer waits for a place before another connection is asked to give way.
 const GIVE_WAY: Duration = Duration::from_millis(100);
 
-/// Longest wait for the acceptor to have taken up what stands in its queue, before the listener is closed.
+/// Longest time for taking up what stands in the queue, before the listener is closed.
 const EMPTIED: Duration = Duration::from_millis(100);
 
 /// How often connections are looked at while their process ends.
@@ -95,11 +96,13 @@
     house: House,
     clients: Table,
     places: Arc<Places>,
-    /// The acceptor waits for the next connection: its queue is empty.
-    waits: AtomicBool,
     closed: AtomicBool,
+    /// What becomes of a client.
+    serve: OnceLock<Serve>,
 }
 
+type Serve = Arc<dyn Fn(Arc<Guest>) + Send + Sync>;
+
 impl Door {
     /// Listens at an address; others of the same user may listen there, too.
     pub fn open(address: SocketAddr, house: House) -> std::io::Result<Arc<Self>> {
@@ -110,8 +113,8 @@
             house,
             clients: Table::default(),
             places: Arc::new(Places { taken, most, freed }),
-            waits: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            serve: OnceLock::new(),
         }))
     }
 
@@ -123,17 +126,12 @@
     /// Accepts clients until it is closed. When all places or the room for them are taken, a newcomer gets that of a
     /// client that is owed nothing: the silent go first.
     pub fn accept(&self, serve: impl Fn(Arc<Guest>) + Send + Sync + 'static) {
-        let serve = Arc::new(serve);
+        let serve = self.serve.get_or_init(|| Arc::new(serve));
         while !self.closed.load(Ordering::Acquire) {
-            self.waits.store(true, Ordering::Release);
-            let accepted = self.listener.accept();
-            self.waits.store(false, Ordering::Release);
-            match accepted.and_then(|(stream, _)| Socket::new(stream, self.house.stall)) {
-                Ok(socket) => {
-                    let guest = Guest::new(socket, &self.clients, self.make_way());
-                    let serve = serve.clone();
-                    spawn(move || serve(guest));
-                }
+            let accepted =
+                self.listener.accept().and_then(|(stream, _)| Socket::new(stream, self.house.stall));
+            match accepted.and_then(|socket| self.let_in(socket, serve, Ms::INFINITY)) {
+                Ok(()) => {}
                 Err(_) if self.closed.load(Ordering::Acquire) => return,
                 Err(error) => {
                     tracing::warn!(%error, "accept");
@@ -143,20 +141,28 @@
         }
     }
 
-    /// Takes up what stands in the queue and listens no more; another process may listen at the address.
+    /// Serves a client, once there is a place for it until then.
+    fn let_in(&self, socket: Socket, serve: &Serve, until: Ms) -> std::io::Result<()> {
+        let place = self.make_way(until).ok_or(ErrorKind::TimedOut)?;
+        let (guest, serve) = (Guest::new(socket, &self.clients, place), serve.clone());
+        spawn(move || serve(guest));
+        Ok(())
+    }
+
+    /// Takes up what stands in the queue and listens no more; another process may listen at the address. The queue is
+    /// emptied here: whether the acceptor has had its turn can't be known.
     pub fn close(&self) {
-        if self.closed.load(Ordering::Acquire) {
+        if self.closed.swap(true, Ordering::AcqRel) {
             return;
         }
         let end = now_ms() + EMPTIED.as_secs_f64() * 1000.0;
-        loop {
-            // At least once: the acceptor goes first.
-            may::coroutine::sleep(Duration::from_millis(1));
-            if self.waits.load(Ordering::Acquire) || now_ms() > end {
-                break;
+        while let (Some(serve), true) = (self.serve.get(), now_ms() < end) {
+            let Ok((stream, _)) = self.listener.inner().accept() else { break };
+            let socket = stream.set_nodelay(true).and_then(|()| Socket::adopt(stream, self.house.stall));
+            if let Err(error) = socket.and_then(|socket| self.let_in(socket, serve, end)) {
+                tracing::warn!(%error, "close");
             }
         }
-        self.closed.store(true, Ordering::Release);
         if let Err(error) = SockRef::from(self.listener.inner()).shutdown(Shutdown::Both) {
             tracing::warn!(%error, "close");
         }
@@ -211,23 +217,25 @@
         }
     }
 
-    /// A place for a newcomer, taken from another where none is free.
-    fn make_way(&self) -> Place {
+    /// A place for a newcomer, taken from another where none is free; none where that time has come before.
+    fn make_way(&self, until: Ms) -> Option<Place> {
         while !self.places.take() {
+            if now_ms() >= until {
+                return None;
+            }
             self.give_way();
             self.places.wait(GIVE_WAY);
         }
-        let account = &self.house.account;
-        let held = loop {
-            match account.reserve(GUEST) {
-                Ok(held) => break held,
-                Err(full) => {
-                    self.give_way();
-                    wait(&full.account, GUEST, GIVE_WAY.as_secs_f64() * 1000.0);
-                }
+        // Given back with it, should there be no room.
+        let mut place = Place { places: self.places.clone(), held: self.house.account.nothing() };
+        while let Err(full) = place.held.resize(GUEST) {
+            if now_ms() >= until {
+                return None;
             }
-        };
-        Place { places: self.places.clone(), held }
+            self.give_way();
+            wait(&full.account, GUEST, GIVE_WAY.as_secs_f64() * 1000.0);
+        }
+        Some(place)
     }
 }
 
@@ -369,3 +377,6 @@
         self.places.freed.notify_all();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -180,7 +180,8 @@
     let bench = Bench::limited(&[Act::Silence], 1, 256, 32);
     let mut stalled: Vec<TcpStream> = Vec::new();
     for number in 0..40 {
-        let mut caller = TcpStream::connect(bench.admin).expect("connects");
+        let mut caller = TcpStream::connect(bench.admin)
+            .unwrap_or_else(|error| panic!("caller {number}: {error}; log:\n{}", bench.daemon.errors()));
         if number % 2 == 0 {
             caller.write_all(b"PUT /v1/invoker/dra").expect("written");
         }
