Read once more: no flag is read twice negated; one set-up for the two tests of a moved channel

Behaviour is as it was, no assertion has changed. Out::ended asks for second copies as the settings say it, and the pause behind a notice is named after it. Checked with fmt, clippy and the tests of the files touched, not with the whole suite.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -24,7 +24,7 @@
 
 /// Where a request may have one attempt out at a time, the next one follows so long after the notice that ends one
 /// which may be running. Nothing orders what goes out on two connections: without a pause the next overtakes it.
-const WORD_ARRIVES_MS: Ms = 5.0;
+const NOTICE_ARRIVES_MS: Ms = 5.0;
 
 /// What a call takes beside its texts and body: the stack of its task as far as it is touched, its mailbox,
 /// its places in tables. Measured.
@@ -153,11 +153,11 @@
 
     /// Tells of an attempt that brought nothing, now or once its worker has had time to hear.
     fn ended(&mut self, mut flight: Flight, error: AttemptError) {
-        let one_at_a_time = !self.taken.invoker.settings.second_copies;
-        if !one_at_a_time || !matches!(error, AttemptError::Unanswered(_)) {
+        let second_copies = self.taken.invoker.settings.second_copies;
+        if second_copies || !matches!(error, AttemptError::Unanswered(_)) {
             return self.lost(&flight, error, false);
         }
-        (flight.over, flight.until) = (Some(error), now_ms() + WORD_ARRIVES_MS);
+        (flight.over, flight.until) = (Some(error), now_ms() + NOTICE_ARRIVES_MS);
         self.flights.push(flight);
     }
 
@@ -169,7 +169,7 @@
             Some(error) if flight.exchange.cancel_notice().is_sent() => {
                 return self.lost(&flight, error, false)
             }
-            Some(_) => flight.until = now + WORD_ARRIVES_MS,
+            Some(_) => flight.until = now + NOTICE_ARRIVES_MS,
             None => match flight.exchange.give_up(Cause::Silent) {
                 Some(error) => return self.ended(flight, error),
                 // An end that is on its way already comes as the next note.
--- a/crates/node/tests/moments.rs
+++ b/crates/node/tests/moments.rs
@@ -212,6 +212,18 @@
     assert!(matches!(client.receive(), Some((2, Reply::Answer(_)))));
 }
 
+/// A request waits, since no worker takes work; one that would, its client, and the channel that the file names now.
+fn one_waits_and_the_channel_moves() -> (Bench, SocketAddr, Client, Channel) {
+    let bench = Bench::new(&[Act::Serve], 0);
+    let worker = bench.fleet.frames("h0");
+    let mut client = bench.client();
+    client.send(&check(1, 0xa1));
+    until_taken(&bench, 1);
+    let next = Channel::new();
+    reload_to(&bench, &next);
+    (bench, worker, client, next)
+}
+
 fn reload_to(bench: &Bench, channel: &Channel) {
     let mut config = bench.config.clone();
     config["channel"] = json!(channel.address.to_string());
@@ -222,13 +234,7 @@
 /// the old channel may be no more.
 #[test]
 fn a_reload_is_heeded_while_the_process_ends() {
-    let mut bench = Bench::new(&[Act::Serve], 0);
-    let worker = bench.fleet.frames("h0");
-    let mut client = bench.client();
-    client.send(&check(1, 0xa1));
-    until_taken(&bench, 1);
-    let next = Channel::new();
-    reload_to(&bench, &next);
+    let (mut bench, worker, mut client, next) = one_waits_and_the_channel_moves();
     bench.daemon.signal("TERM");
     std::thread::sleep(Duration::from_millis(100));
     bench.daemon.signal("HUP");
@@ -241,13 +247,7 @@
 #[test]
 fn sighup_and_sigterm_at_once_are_both_heeded() {
     for [first, second] in [["HUP", "TERM"], ["TERM", "HUP"]] {
-        let mut bench = Bench::new(&[Act::Serve], 0);
-        let worker = bench.fleet.frames("h0");
-        let mut client = bench.client();
-        client.send(&check(1, 0xa1));
-        until_taken(&bench, 1);
-        let next = Channel::new();
-        reload_to(&bench, &next);
+        let (mut bench, worker, mut client, next) = one_waits_and_the_channel_moves();
         bench.daemon.signal("STOP");
         bench.daemon.signal(first);
         bench.daemon.signal(second);
