--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -3,7 +3,7 @@
 use super::handover::{self, Files, Keeper};
 use super::{accounts, spawn};
 use crate::core::{now_ms, Invoker};
-use crate::wire::accept::{Door, House};
+use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::channel::{self, Line};
 use crate::wire::frames::MAX_BODY;
 use crate::wire::passage::{self, Passage};
@@ -68,7 +68,7 @@
     parts: AtomicUsize,
     ledger: Arc<Ledger>,
     workers: Arc<FrameWorkers>,
-    door: OnceLock<Arc<Door>>,
+    acceptor: OnceLock<Arc<Acceptor>>,
 }
 
 impl Limits {
@@ -78,7 +78,7 @@
         self.ledger.adopt(&budget(memory, self.base, parts)?);
         let (clients, to_workers) = connections(self.sockets / parts);
         self.workers.set_most(to_workers);
-        self.door.get().into_iter().for_each(|door| door.set_most(clients));
+        self.acceptor.get().into_iter().for_each(|acceptor| acceptor.set_most(clients));
         Ok(())
     }
 
@@ -135,7 +135,7 @@
         parts: AtomicUsize::new(parts),
         ledger: ledger.clone(),
         workers,
-        door: OnceLock::new(),
+        acceptor: OnceLock::new(),
     });
     let keeper = match files {
         Some(files) => {
@@ -147,10 +147,12 @@
     };
     if let Some(admin) = config.admin {
         let account = ledger.account(Purpose::Operators).clone();
-        let house = House { most: operators::SEATS, stall: operators::WRITE_STALL, account };
-        let door = Door::open(admin, house).map_err(|error| ConfigError::new("admin", error))?;
+        let client_limits =
+            ConnectionLimits { most: operators::SEATS, stall: operators::WRITE_STALL, account };
+        let acceptor =
+            Acceptor::open(admin, client_limits).map_err(|error| ConfigError::new("admin", error))?;
         let (ours, keeper) = (invoker.clone(), keeper.clone());
-        spawn(move || door.accept(move |guest| operators::serve(&ours, &keeper, &guest)));
+        spawn(move || acceptor.accept(move |connection| operators::serve(&ours, &keeper, &connection)));
     }
     let (ours, line, cursor) = (invoker.clone(), Line::new(config.channel), config.cursor);
     let reload = {
@@ -179,21 +181,22 @@
     spawn(move || channel::follow(&ours, &line, cursor));
     wait_for_news(&keeper, &heard);
     let account = ledger.account(Purpose::Clients).clone();
-    let house = House { most: clients, stall: front::WRITE_STALL, account };
-    let door = Door::open(config.listen, house).map_err(|error| ConfigError::new("listen", error))?;
+    let client_limits = ConnectionLimits { most: clients, stall: front::WRITE_STALL, account };
+    let acceptor =
+        Acceptor::open(config.listen, client_limits).map_err(|error| ConfigError::new("listen", error))?;
     // Whoever lived beside this process may have gone since.
-    if limits.door.set(door.clone()).is_ok() {
+    if limits.acceptor.set(acceptor.clone()).is_ok() {
         limits.share(keeper.succession().parts());
     }
     let passage = Arc::<Passage>::default();
-    let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
-    spawn(move || theirs.accept(move |guest| front::serve(&ours, &onward, guest)));
-    let (ours, theirs) = (invoker.clone(), door.clone());
+    let (ours, theirs, onward) = (invoker.clone(), acceptor.clone(), passage.clone());
+    spawn(move || theirs.accept(move |connection| front::serve(&ours, &onward, connection)));
+    let (ours, theirs) = (invoker.clone(), acceptor.clone());
     spawn(move || drain(&ours, &theirs));
     if let Some(meeting) = &meeting {
-        let (ours, theirs, onward) = (invoker.clone(), door.clone(), passage.clone());
+        let (ours, theirs, onward) = (invoker.clone(), acceptor.clone(), passage.clone());
         let arrive = move |stream, owed: &[i32]| {
-            theirs.take_over(stream).map(|guest| front::resume(&ours, &onward, guest, owed))
+            theirs.take_over(stream).map(|connection| front::resume(&ours, &onward, connection, owed))
         };
         if let Err(error) = passage::listen(&meeting.folder, meeting.seat, arrive) {
             tracing::warn!(%error, "handover: no connections can be taken over");
@@ -211,7 +214,7 @@
             let succession = keeper.succession();
             if succession.is_succeeded() {
                 // What stands in the queue is taken; whoever comes later comes to the successor.
-                door.close();
+                acceptor.close();
                 let opened = meeting.as_ref().map(|meeting| passage.open(&meeting.folder, meeting.other()));
                 if let Some(Err(error)) = opened {
                     tracing::warn!(%error, "handover: no connections can be passed on");
@@ -219,8 +222,8 @@
             }
             succession.ending(ENDING, SUCCEEDED_TAKES.as_millis() as f64)
         },
-        is_over: || keeper.succession().is_succeeded() && door.held() == 0,
-        door: &door,
+        is_over: || keeper.succession().is_succeeded() && acceptor.held() == 0,
+        acceptor: &acceptor,
         within: STILL_TAKING + longest.saturating_sub(LAST_ANSWERS),
     };
     let settled = serve_until_signalled(&invoker, &mut signals, reload, end);
@@ -244,11 +247,11 @@
 }
 
 /// Lets the connections of clients go whenever they are left, for as long as the process lives.
-fn drain(invoker: &Invoker, door: &Door) {
+fn drain(invoker: &Invoker, acceptor: &Acceptor) {
     loop {
         invoker.wait_for_leave();
         if invoker.duty().lets_go(now_ms()) {
-            door.drain();
+            acceptor.drain();
         }
         may::coroutine::sleep(DRAIN_LOOK);
     }
@@ -266,7 +269,7 @@
     /// Whether no client can come any more, so that the end need not be waited for once nothing is owed.
     pub is_over: O,
     /// Where clients come; it ends last.
-    pub door: &'a Door,
+    pub acceptor: &'a Acceptor,
     /// From its beginning until what is still owed is ended.
     pub within: Duration,
 }
@@ -317,7 +320,7 @@
         invoker.end_all();
         invoker.settle(LAST_ANSWERS / 2)
     };
-    end.door.wind_up(WIND_UP.min(left(end.within + 3 * LAST_ANSWERS / 4)));
+    end.acceptor.wind_up(WIND_UP.min(left(end.within + 3 * LAST_ANSWERS / 4)));
     tracing::info!("{}", invoker.counters);
     settled
 }
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -9,7 +9,7 @@
 use crate::memory::catalog::{Catalog, Worker};
 use crate::memory::invocations::Invocations;
 use crate::memory::store::Store;
-use crate::wire::accept::{Door, House};
+use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, Desk};
 use crate::wire::replicate;
@@ -52,15 +52,16 @@
     catalog.announce(&invoker);
     let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog });
     let account = ledger.account(Purpose::Clients).clone();
-    let house = House { most: clients, stall: invoke::WRITE_STALL, account };
-    let door = Door::open(deploy.listen, house).map_err(|e| at("listen")(&e))?;
-    let bound = door.address().map_err(|e| at("listen")(&e))?;
+    let client_limits = ConnectionLimits { most: clients, stall: invoke::WRITE_STALL, account };
+    let acceptor = Acceptor::open(deploy.listen, client_limits).map_err(|e| at("listen")(&e))?;
+    let bound = acceptor.address().map_err(|e| at("listen")(&e))?;
     if let Some(replication) = &deploy.replication {
-        let door = replicate::open(replication.listen, &store).map_err(|e| at("replication.listen")(&e))?;
-        let bound = door.address().map_err(|e| at("replication.listen")(&e))?;
+        let acceptor =
+            replicate::open(replication.listen, &store).map_err(|e| at("replication.listen")(&e))?;
+        let bound = acceptor.address().map_err(|e| at("replication.listen")(&e))?;
         println!("replication on {bound}");
         let interval = Duration::from_millis(replication.interval_ms);
-        replicate(&desk, &store, door, &replication.peers, interval);
+        replicate(&desk, &store, acceptor, &replication.peers, interval);
     }
     spawn(move || loop {
         may::coroutine::sleep(SWEEP);
@@ -68,8 +69,8 @@
             tracing::error!(%error, "store");
         }
     });
-    let (ours, theirs) = (desk.clone(), door.clone());
-    spawn(move || theirs.accept(move |guest| invoke::serve(&ours, &guest)));
+    let (ours, theirs) = (desk.clone(), acceptor.clone());
+    spawn(move || theirs.accept(move |connection| invoke::serve(&ours, &connection)));
     println!("invoke API on {bound}");
     // Functions, workers and caps of memory are taken up; what the file says besides holds from the next start on.
     let reload = || {
@@ -80,14 +81,14 @@
         Ok(())
     };
     let within = STILL_TAKING + longest_deadline(&settings) + LAST_ANSWERS;
-    let end = End { terms: || ENDING, is_over: || false, door: &door, within };
+    let end = End { terms: || ENDING, is_over: || false, acceptor: &acceptor, within };
     Ok(serve_until_signalled(&invoker, &mut signals, reload, end))
 }
 
 fn replicate(
     desk: &Arc<Desk>,
     store: &Arc<Store>,
-    door: Arc<Door>,
+    acceptor: Arc<Acceptor>,
     peers: &[SocketAddr],
     interval: Duration,
 ) {
@@ -96,7 +97,7 @@
         ours.catalog.announce(&ours.invoker);
         ours.invocations.wake();
     });
-    replicate::listen(store.clone(), door, on_news.clone());
+    replicate::listen(store.clone(), acceptor, on_news.clone());
     let listeners =
         peers.iter().map(|peer| replicate::follow(store.clone(), *peer, interval, on_news.clone()));
     store.on_write(listeners.collect());
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -32,10 +32,10 @@
 const LINGER_BYTES: usize = 4 << 20;
 const LINGER_WAITS: u32 = 4;
 
-type Table = Arc<Mutex<ClientTable<Weak<Guest>>>>;
+type Table = Arc<Mutex<ClientTable<Weak<Connection>>>>;
 
 /// A client's connection with its entry in the table, which it keeps until the descriptor is closed.
-pub struct Guest {
+pub struct Connection {
     socket: Socket,
     number: u64,
     clients: Table,
@@ -49,10 +49,10 @@
 }
 
 /// What a connection takes: the stack of its task as far as it is touched, a chunk, its entry. Measured.
-const GUEST: usize = 14 << 10;
+const CONNECTION_BYTES: usize = 14 << 10;
 
 /// What a front gives its clients.
-pub struct House {
+pub struct ConnectionLimits {
     /// Most connections at a time.
     pub most: usize,
     /// How long a client may let an answer stand unread.
@@ -91,9 +91,9 @@
 }
 
 /// One address with the connections that came there.
-pub struct Door {
+pub struct Acceptor {
     listener: TcpListener,
-    house: House,
+    limits: ConnectionLimits,
     clients: Table,
     places: Arc<Places>,
     closed: AtomicBool,
@@ -101,16 +101,16 @@
     serve: OnceLock<Serve>,
 }
 
-type Serve = Arc<dyn Fn(Arc<Guest>) + Send + Sync>;
+type Serve = Arc<dyn Fn(Arc<Connection>) + Send + Sync>;
 
-impl Door {
+impl Acceptor {
     /// Listens at an address; others of the same user may listen there, too.
-    pub fn open(address: SocketAddr, house: House) -> std::io::Result<Arc<Self>> {
+    pub fn open(address: SocketAddr, limits: ConnectionLimits) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
-        let (taken, most, freed) = (Mutex::new(0), AtomicUsize::new(house.most.max(1)), Condvar::new());
-        Ok(Arc::new(Door {
+        let (taken, most, freed) = (Mutex::new(0), AtomicUsize::new(limits.most.max(1)), Condvar::new());
+        Ok(Arc::new(Acceptor {
             listener,
-            house,
+            limits,
             clients: Table::default(),
             places: Arc::new(Places { taken, most, freed }),
             closed: AtomicBool::new(false),
@@ -125,11 +125,11 @@
 
     /// Accepts clients until it is closed. When all places or the room for them are taken, a newcomer gets that of a
     /// client that is owed nothing: the silent go first.
-    pub fn accept(&self, serve: impl Fn(Arc<Guest>) + Send + Sync + 'static) {
+    pub fn accept(&self, serve: impl Fn(Arc<Connection>) + Send + Sync + 'static) {
         let serve = self.serve.get_or_init(|| Arc::new(serve));
         while !self.closed.load(Ordering::Acquire) {
             let accepted =
-                self.listener.accept().and_then(|(stream, _)| Socket::new(stream, self.house.stall));
+                self.listener.accept().and_then(|(stream, _)| Socket::new(stream, self.limits.stall));
             match accepted.and_then(|socket| self.let_in(socket, serve, Ms::INFINITY)) {
                 Ok(()) => {}
                 Err(_) if self.closed.load(Ordering::Acquire) => return,
@@ -144,8 +144,8 @@
     /// Serves a client, once there is a place for it until then.
     fn let_in(&self, socket: Socket, serve: &Serve, until: Ms) -> std::io::Result<()> {
         let place = self.make_way(until).ok_or(ErrorKind::TimedOut)?;
-        let (guest, serve) = (Guest::new(socket, &self.clients, place), serve.clone());
-        spawn(move || serve(guest));
+        let (connection, serve) = (Connection::new(socket, &self.clients, place), serve.clone());
+        spawn(move || serve(connection));
         Ok(())
     }
 
@@ -158,7 +158,7 @@
         let end = now_ms() + EMPTIED.as_secs_f64() * 1000.0;
         while let (Some(serve), true) = (self.serve.get(), now_ms() < end) {
             let Ok((stream, _)) = self.listener.inner().accept() else { break };
-            let socket = stream.set_nodelay(true).and_then(|()| Socket::adopt(stream, self.house.stall));
+            let socket = stream.set_nodelay(true).and_then(|()| Socket::adopt(stream, self.limits.stall));
             if let Err(error) = socket.and_then(|socket| self.let_in(socket, serve, end)) {
                 tracing::warn!(%error, "close");
             }
@@ -173,7 +173,7 @@
     /// on its connection, for where it is shut a client can't be seen to leave.
     pub fn drain(&self) {
         let idle: Vec<_> = lock(&self.clients).drain();
-        idle.iter().filter_map(Weak::upgrade).for_each(|guest| guest.socket.shut(Shutdown::Read));
+        idle.iter().filter_map(Weak::upgrade).for_each(|connection| connection.socket.shut(Shutdown::Read));
     }
 
     /// Ends it with its process: what came by now is taken up, read and answered, and connections end once nothing is owed
@@ -190,13 +190,13 @@
 
     /// Takes over a connection that was accepted elsewhere, whether there is a place for it or not: its client was let
     /// in.
-    pub fn take_over(&self, stream: TcpStream) -> std::io::Result<Arc<Guest>> {
-        let socket = Socket::adopt(stream, self.house.stall)?;
+    pub fn take_over(&self, stream: TcpStream) -> std::io::Result<Arc<Connection>> {
+        let socket = Socket::adopt(stream, self.limits.stall)?;
         *lock(&self.places.taken) += 1;
-        let place = Place { places: self.places.clone(), held: self.house.account.owe(GUEST) };
-        let guest = Guest::new(socket, &self.clients, place);
-        lock(&self.clients).answered(guest.number, now_ms());
-        Ok(guest)
+        let place = Place { places: self.places.clone(), held: self.limits.account.owe(CONNECTION_BYTES) };
+        let connection = Connection::new(socket, &self.clients, place);
+        lock(&self.clients).answered(connection.number, now_ms());
+        Ok(connection)
     }
 
     /// Connections that are held.
@@ -227,29 +227,29 @@
             self.places.wait(GIVE_WAY);
         }
         // Given back with it, should there be no room.
-        let mut place = Place { places: self.places.clone(), held: self.house.account.nothing() };
-        while let Err(full) = place.held.resize(GUEST) {
+        let mut place = Place { places: self.places.clone(), held: self.limits.account.nothing() };
+        while let Err(full) = place.held.resize(CONNECTION_BYTES) {
             if now_ms() >= until {
                 return None;
             }
             self.give_way();
-            wait(&full.account, GUEST, GIVE_WAY.as_secs_f64() * 1000.0);
+            wait(&full.account, CONNECTION_BYTES, GIVE_WAY.as_secs_f64() * 1000.0);
         }
         Some(place)
     }
 }
 
-impl Guest {
+impl Connection {
     fn new(socket: Socket, clients: &Table, place: Place) -> Arc<Self> {
-        Arc::new_cyclic(|guest| {
-            let number = lock(clients).insert(guest.clone(), now_ms());
+        Arc::new_cyclic(|connection| {
+            let number = lock(clients).insert(connection.clone(), now_ms());
             let (account, place) = (place.held.account().clone(), Mutex::new(Some(place)));
             let (ended, passed) = (Semphore::new(0), Mutex::new(None));
-            Guest { socket, number, clients: clients.clone(), ended, passed, account, place }
+            Connection { socket, number, clients: clients.clone(), ended, passed, account, place }
         })
     }
 
-    /// A request was taken on the connection: it keeps its place until [`Guest::closed`].
+    /// A request was taken on the connection: it keeps its place until [`Connection::closed`].
     pub fn opened(&self) {
         lock(&self.clients).opened(self.number);
     }
@@ -351,7 +351,7 @@
     }
 }
 
-impl Deref for Guest {
+impl Deref for Connection {
     type Target = Socket;
 
     fn deref(&self) -> &Socket {
@@ -359,7 +359,7 @@
     }
 }
 
-impl Drop for Guest {
+impl Drop for Connection {
     fn drop(&mut self) {
         lock(&self.clients).remove(self.number);
     }
--- a/crates/node/src/wire/accept/tests.rs
+++ b/crates/node/src/wire/accept/tests.rs
@@ -6,18 +6,18 @@
 #[test]
 fn who_stands_in_the_queue_is_let_in_before_the_listener_is_closed() {
     let account = Account::root("clients", 1 << 20);
-    let house = House { most: 4, stall: Duration::from_secs(1), account };
-    let door = Door::open("127.0.0.1:0".parse().expect("address"), house).expect("a port");
-    let ours = door.clone();
-    spawn(move || ours.accept(|guest| _ = guest.answer(b"served")));
+    let limits = ConnectionLimits { most: 4, stall: Duration::from_secs(1), account };
+    let acceptor = Acceptor::open("127.0.0.1:0".parse().expect("address"), limits).expect("a port");
+    let ours = acceptor.clone();
+    spawn(move || ours.accept(|connection| _ = connection.answer(b"served")));
     // The acceptor waits, and then nothing has a turn.
     std::thread::sleep(Duration::from_millis(50));
     for _ in 0..may::config().get_workers() {
         spawn(|| std::thread::sleep(Duration::from_millis(200)));
     }
     std::thread::sleep(Duration::from_millis(20));
-    let mut client = TcpStream::connect(door.address().expect("bound")).expect("connects");
-    door.close();
+    let mut client = TcpStream::connect(acceptor.address().expect("bound")).expect("connects");
+    acceptor.close();
     let mut text = String::new();
     client.read_to_string(&mut text).expect("not reset");
     assert_eq!(text, "served");
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -1,5 +1,5 @@
 //! The platform's front: Thrift in, calls to the core, answers out.
-use super::accept::Guest;
+use super::accept::Connection;
 use super::intake::{Intake, CHUNK};
 use super::passage::{Arrival, Passage};
 use super::thrift::{self, Fields, Malformed, Message, Reply};
@@ -68,8 +68,8 @@
 }
 
 /// The life of one client connection. Once this process leaves, it may pass on to the next one.
-pub fn serve(invoker: &Arc<Invoker>, passage: &Passage, guest: Arc<Guest>) {
-    keep(invoker, passage, &guest, Open::default());
+pub fn serve(invoker: &Arc<Invoker>, passage: &Passage, connection: Arc<Connection>) {
+    keep(invoker, passage, &connection, Open::default());
 }
 
 /// Takes over a connection on which another process still owes those requests; what it tells of them goes to what is
@@ -77,21 +77,21 @@
 pub fn resume(
     invoker: &Arc<Invoker>,
     passage: &Arc<Passage>,
-    guest: Arc<Guest>,
+    connection: Arc<Connection>,
     owed: &[i32],
 ) -> impl Arrival {
     let open: Open = Arc::new(Mutex::new(owed.iter().map(|seqid| (*seqid, Owed::Before)).collect()));
-    owed.iter().for_each(|_| guest.opened());
+    owed.iter().for_each(|_| connection.opened());
     invoker.counters.taken_over.add();
-    let arrived = Arrived { guest: Arc::downgrade(&guest), open: open.clone() };
+    let arrived = Arrived { connection: Arc::downgrade(&connection), open: open.clone() };
     let (invoker, passage) = (invoker.clone(), passage.clone());
-    spawn(move || keep(&invoker, &passage, &guest, open));
+    spawn(move || keep(&invoker, &passage, &connection, open));
     arrived
 }
 
-fn keep(invoker: &Arc<Invoker>, passage: &Passage, guest: &Arc<Guest>, open: Open) {
+fn keep(invoker: &Arc<Invoker>, passage: &Passage, connection: &Arc<Connection>, open: Open) {
     let mut left = Leave { invoker: invoker.clone(), open: open.clone(), passed: false };
-    match receive(invoker, passage, guest, &open) {
+    match receive(invoker, passage, connection, &open) {
         Ok(End::Passed) => {
             invoker.counters.passed_on.add();
             left.passed = true;
@@ -103,24 +103,24 @@
             tracing::info!(%malformed, "client connection closed");
         }
     }
-    guest.shut(Shutdown::Both);
+    connection.shut(Shutdown::Both);
 }
 
 /// A connection that was taken over, as the process that passed it on sees it.
 struct Arrived {
-    guest: Weak<Guest>,
+    connection: Weak<Connection>,
     open: Open,
 }
 
 impl Arrival for Arrived {
     fn end(&self, seqid: i32, bytes: Vec<u8>) {
-        let (guest, open) = (self.guest.clone(), self.open.clone());
+        let (connection, open) = (self.connection.clone(), self.open.clone());
         // The connection may end here, which only a coroutine may do.
         spawn(move || {
             // It may have ended before, or its client may have taken the request back.
-            let Some(guest) = guest.upgrade() else { return };
-            let held = guest.account().owe(bytes.len());
-            guest.end(seqid, bytes, || lock(&open).remove(&seqid).is_some(), held);
+            let Some(connection) = connection.upgrade() else { return };
+            let held = connection.account().owe(bytes.len());
+            connection.end(seqid, bytes, || lock(&open).remove(&seqid).is_some(), held);
         });
     }
 
@@ -162,40 +162,40 @@
 fn receive(
     invoker: &Arc<Invoker>,
     passage: &Passage,
-    guest: &Arc<Guest>,
+    connection: &Arc<Connection>,
     open: &Open,
 ) -> Result<End, Malformed> {
-    let (mut intake, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
+    let (mut intake, mut chunk) = (Intake::new(connection.account(), Purpose::Clients), vec![0; CHUNK]);
     let (mut begun, mut strikes, mut last_request, mut full_chunks) = (0.0, 0, 0.0, 0);
     loop {
         let Some(message) = thrift::unframe(intake.bytes())? else {
             if intake.is_empty()
-                && guest.is_draining()
-                && guest.pass(passage, || lock(open).keys().copied().collect())
+                && connection.is_draining()
+                && connection.pass(passage, || lock(open).keys().copied().collect())
             {
                 return Ok(End::Passed);
             }
-            let (state, since) = guest.state();
+            let (state, since) = connection.state();
             let end = match state {
-                ClientState::Busy if guest.is_draining() => now_ms() + DRAIN_LOOK.as_millis() as Ms,
+                ClientState::Busy if connection.is_draining() => now_ms() + DRAIN_LOOK.as_millis() as Ms,
                 ClientState::Busy => now_ms() + SILENT_MS,
                 _ if !intake.is_empty() => begun + MESSAGE_MS,
                 ClientState::Idle => since + IDLE_MS,
                 ClientState::Silent => since + SILENT_MS,
             };
-            if guest.is_draining() && invoker.duty().ends(now_ms(), last_request) {
+            if connection.is_draining() && invoker.duty().ends(now_ms(), last_request) {
                 owed_here(open).into_iter().for_each(|id| invoker.end(id));
             }
             let fresh = intake.is_empty();
-            match intake.fill(guest, &mut chunk, until(end)) {
+            match intake.fill(connection, &mut chunk, until(end)) {
                 // Its reading side is shut: what crosses is read on, and the connection is closed once nothing is owed on it.
-                Ok(0) if guest.is_shut() => {
+                Ok(0) if connection.is_shut() => {
                     // An answer that is being written is owed as well.
-                    let owes = guest.state().0 == ClientState::Busy;
-                    if !owes && (intake.is_empty() || now_ms() > end || guest.is_evicted()) {
+                    let owes = connection.state().0 == ClientState::Busy;
+                    if !owes && (intake.is_empty() || now_ms() > end || connection.is_evicted()) {
                         return Ok(End::Closed);
                     }
-                    guest.wait_for_an_end(DRAIN_LOOK);
+                    connection.wait_for_an_end(DRAIN_LOOK);
                 }
                 Ok(0) => return Ok(End::Closed),
                 Ok(size) => {
@@ -211,7 +211,7 @@
                 Err(error) if error.kind() == ErrorKind::TimedOut => {
                     // An answer may have gone out, or a request may have ended, while this waited. What is owed outlasts
                     // half a message behind it.
-                    let over = !intake.is_empty() || guest.state() == (state, since);
+                    let over = !intake.is_empty() || connection.state() == (state, since);
                     if over && state != ClientState::Busy {
                         return Ok(End::Closed);
                     }
@@ -229,7 +229,7 @@
                     let what = "the sequence number is open already";
                     return Err(Malformed { call: None, what, unknown_method: false });
                 }
-                dispatch(invoker, open, guest, seqid, &fields, body)
+                dispatch(invoker, open, connection, seqid, &fields, body)
             }
             Ok(Message::Cancel { seqid }) => {
                 let owed = lock(open).get(&seqid).copied();
@@ -238,7 +238,7 @@
                     // It runs to its end there, and nobody is told.
                     Some(Owed::Before) => {
                         lock(open).remove(&seqid);
-                        guest.closed();
+                        connection.closed();
                     }
                     None => {}
                 }
@@ -246,13 +246,13 @@
             }
             Ok(Message::Alive { seqid }) => {
                 let good = invoker.duty().leaving().is_none();
-                write(guest, &thrift::reply("alive", seqid, Reply::Answer { body: Vec::new(), good }));
+                write(connection, &thrift::reply("alive", seqid, Reply::Answer { body: Vec::new(), good }));
                 Ok(())
             }
             Err(malformed) => match &malformed.call {
                 Some((seqid, method)) => {
                     let (unknown, what) = (malformed.unknown_method, malformed.what);
-                    write(guest, &thrift::exception(method, *seqid, unknown, what));
+                    write(connection, &thrift::exception(method, *seqid, unknown, what));
                     Err(what)
                 }
                 None => return Err(malformed),
@@ -279,12 +279,12 @@
 fn dispatch(
     invoker: &Arc<Invoker>,
     open: &Open,
-    guest: &Arc<Guest>,
+    connection: &Arc<Connection>,
     seqid: i32,
     fields: &Fields,
     body: Vec<u8>,
 ) -> Result<(), &'static str> {
-    let answer_now = |reply| write(guest, &thrift::reply("dispatch", seqid, reply));
+    let answer_now = |reply| write(connection, &thrift::reply("dispatch", seqid, reply));
     if lock(open).len() >= OPEN {
         answer_now(rejected(CROWDED_MS));
         return Ok(());
@@ -302,8 +302,8 @@
         Ok(Err(NotTaken::Crowded(span))) => answer_now(rejected(span.max(CROWDED_MS))),
         Ok(Err(NotTaken::Open)) => answer_now(crashed("the request is open already")),
         Ok(Ok(taken)) => {
-            guest.opened();
-            let (invoker, open, guest) = (invoker.clone(), open.clone(), guest.clone());
+            connection.opened();
+            let (invoker, open, connection) = (invoker.clone(), open.clone(), connection.clone());
             spawn(move || {
                 let answer = catch_unwind(AssertUnwindSafe(|| taken.serve()))
                     .unwrap_or(Answer::Failed(Failure { may_have_run: true, late: false }));
@@ -316,7 +316,7 @@
                 };
                 let bytes = reply.map(|reply| thrift::reply("dispatch", seqid, reply)).unwrap_or_default();
                 // What is owed is owed until the answer is written.
-                guest.end(seqid, bytes, || lock(&open).remove(&seqid).is_some(), taken);
+                connection.end(seqid, bytes, || lock(&open).remove(&seqid).is_some(), taken);
             });
         }
         Err(what) => {
@@ -339,9 +339,9 @@
     Reply::Crashed(Fields::from([("reason".to_string(), what.to_string())]))
 }
 
-fn write(guest: &Guest, bytes: &[u8]) {
+fn write(connection: &Connection, bytes: &[u8]) {
     // A client that can't be written to is seen by the reading side of its connection.
-    let _ = guest.answer(bytes);
+    let _ = connection.answer(bytes);
 }
 
 /// Makes a call of a request's fields. All of it is checked here: what a worker could not use, or would
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -1,7 +1,7 @@
 //! The invoke API: HTTP/1.1, synchronous and deferred calls, with the functions and workers beside them.
 //!
 //! Both styles go through [`Desk::run`]; they differ only in how the answer travels.
-use super::accept::Guest;
+use super::accept::Connection;
 use super::http::{BadHttp, RequestHead, Response};
 use super::intake::{Intake, CHUNK};
 use super::metrics;
@@ -81,32 +81,32 @@
 }
 
 /// The life of one client connection.
-pub fn serve(desk: &Arc<Desk>, guest: &Arc<Guest>) {
+pub fn serve(desk: &Arc<Desk>, connection: &Arc<Connection>) {
     let mut current = None;
     // The end of the connection, however it comes, leaves nobody to wait for a held call.
-    let end = converse(desk, guest, &mut current);
+    let end = converse(desk, connection, &mut current);
     if let Some(Current { id, task }) = current {
         desk.invoker.withdraw(id);
         let _ = task.join();
     }
     if end.is_ok() {
-        guest.linger(LINGER);
+        connection.linger(LINGER);
     }
-    guest.shut(Shutdown::Both);
+    connection.shut(Shutdown::Both);
 }
 
 /// Answers requests in the order they come; `Ok` once the last is answered.
-fn converse(desk: &Arc<Desk>, guest: &Arc<Guest>, current: &mut Option<Current>) -> io::Result<()> {
-    let (mut raw, mut chunk) = (Intake::new(guest.account(), Purpose::Clients), vec![0; CHUNK]);
+fn converse(desk: &Arc<Desk>, connection: &Arc<Connection>, current: &mut Option<Current>) -> io::Result<()> {
+    let (mut raw, mut chunk) = (Intake::new(connection.account(), Purpose::Clients), vec![0; CHUNK]);
     let chunk = chunk.as_mut_slice();
     let fill = |raw: &mut Intake, chunk: &mut [u8]| loop {
         let within = if raw.is_empty() { IDLE } else { MESSAGE };
-        match raw.fill(guest, chunk, within) {
-            Ok(0) => read_to_its_end(guest)?,
+        match raw.fill(connection, chunk, within) {
+            Ok(0) => read_to_its_end(connection)?,
             Ok(_) => return Ok(()),
             Err(error) if error.kind() == ErrorKind::TimedOut => {
                 // While a call is held the client has nothing to say, and it may have been answered while this waited.
-                let (state, since) = guest.state();
+                let (state, since) = connection.state();
                 if state != ClientState::Busy && now_ms() - since >= within.as_secs_f64() * 1000.0 {
                     return Err(error);
                 }
@@ -120,15 +120,17 @@
                 Ok(Some(head)) => break head,
                 Ok(None) => match fill(&mut raw, chunk) {
                     Err(error) if error.kind() == NO_ROOM => {
-                        return refuse_to_read(guest, &mut raw, chunk, current, no_room())
+                        return refuse_to_read(connection, &mut raw, chunk, current, no_room())
                     }
                     end => end?,
                 },
-                Err(error) => return refuse_to_read(guest, &mut raw, chunk, current, unreadable(&error)),
+                Err(error) => {
+                    return refuse_to_read(connection, &mut raw, chunk, current, unreadable(&error))
+                }
             }
         };
         if head.headers.get("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
-            guest.write(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+            connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")?;
         }
         let mut body = Vec::new();
         loop {
@@ -138,34 +140,36 @@
                     let room = raw.beside(body.capacity());
                     match room.and_then(|()| fill(&mut raw, chunk)) {
                         Err(error) if error.kind() == NO_ROOM => {
-                            return refuse_to_read(guest, &mut raw, chunk, current, no_room());
+                            return refuse_to_read(connection, &mut raw, chunk, current, no_room());
                         }
                         end => end?,
                     }
                 }
-                Err(error) => return refuse_to_read(guest, &mut raw, chunk, current, unreadable(&error)),
+                Err(error) => {
+                    return refuse_to_read(connection, &mut raw, chunk, current, unreadable(&error))
+                }
             }
         }
         // From here on the body counts with the call.
         raw.beside(0)?;
         // One answer after the other, in the order of the requests.
-        if !answered(guest, &mut raw, chunk, current, true)? {
+        if !answered(connection, &mut raw, chunk, current, true)? {
             return Err(ErrorKind::BrokenPipe.into());
         }
-        match route(desk, &head, body, guest) {
-            Next::Respond(response) => guest.answer(&response.encode(head.keep_alive))?,
+        match route(desk, &head, body, connection) {
+            Next::Respond(response) => connection.answer(&response.encode(head.keep_alive))?,
             Next::Counted(response, held) => {
-                guest.answer(&response.encode(head.keep_alive))?;
+                connection.answer(&response.encode(head.keep_alive))?;
                 drop(held);
             }
             Next::Held(held) => *current = Some(held),
         }
         if !head.keep_alive {
             // Until a held call has its answer, and no more is written, the client may leave.
-            while current.is_some() && guest.state().0 == ClientState::Busy {
+            while current.is_some() && connection.state().0 == ClientState::Busy {
                 raw.bytes().clear();
-                match raw.fill(guest, chunk, LINGER) {
-                    Ok(0) => read_to_its_end(guest)?,
+                match raw.fill(connection, chunk, LINGER) {
+                    Ok(0) => read_to_its_end(connection)?,
                     Err(error) if error.kind() != ErrorKind::TimedOut => return Err(error),
                     _ => {}
                 }
@@ -177,11 +181,11 @@
 
 /// Nothing more will be read: the client has left, unless the reading side was shut here. Then what had come by that time
 /// is owed, and waited for a little.
-fn read_to_its_end(guest: &Guest) -> io::Result<()> {
-    if !guest.is_shut() || guest.state().0 != ClientState::Busy {
+fn read_to_its_end(connection: &Connection) -> io::Result<()> {
+    if !connection.is_shut() || connection.state().0 != ClientState::Busy {
         return Err(ErrorKind::UnexpectedEof.into());
     }
-    guest.wait_for_an_end(ANSWER_LOOK);
+    connection.wait_for_an_end(ANSWER_LOOK);
     Ok(())
 }
 
@@ -189,7 +193,7 @@
 /// ahead is read meanwhile, as far as it fits the chunk that is paid for; it is kept or thrown away. Its leaving is seen also
 /// behind what does not fit.
 fn answered(
-    guest: &Guest,
+    connection: &Connection,
     ahead: &mut Intake,
     chunk: &mut [u8],
     current: &mut Option<Current>,
@@ -201,14 +205,14 @@
         }
         let room = CHUNK.saturating_sub(ahead.bytes().len());
         if room == 0 {
-            if guest.is_hung_up() {
-                read_to_its_end(guest)?;
+            if connection.is_hung_up() {
+                read_to_its_end(connection)?;
             }
             may::coroutine::sleep(ANSWER_LOOK);
             continue;
         }
-        match ahead.fill(guest, &mut chunk[..room], ANSWER_LOOK) {
-            Ok(0) => read_to_its_end(guest)?,
+        match ahead.fill(connection, &mut chunk[..room], ANSWER_LOOK) {
+            Ok(0) => read_to_its_end(connection)?,
             Err(error) if error.kind() != ErrorKind::TimedOut => return Err(error),
             _ => {}
         }
@@ -218,14 +222,14 @@
 
 /// Answers what can't be read any further, after what came before it.
 fn refuse_to_read(
-    guest: &Guest,
+    connection: &Connection,
     raw: &mut Intake,
     chunk: &mut [u8],
     current: &mut Option<Current>,
     answer: Response,
 ) -> io::Result<()> {
-    answered(guest, raw, chunk, current, false)?;
-    guest.answer(&answer.encode(false))
+    answered(connection, raw, chunk, current, false)?;
+    connection.answer(&answer.encode(false))
 }
 
 fn unreadable(error: &BadHttp) -> Response {
@@ -237,12 +241,12 @@
     refused("there is no room to read the request", Some(ENDING_MS))
 }
 
-fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, guest: &Arc<Guest>) -> Next {
+fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, connection: &Arc<Connection>) -> Next {
     let parts: Vec<&str> = head.path.trim_matches('/').split('/').collect();
     Next::Respond(match (head.method.as_str(), parts.as_slice()) {
         ("POST", ["v1", "functions", function, "invocations"]) => {
             return match desk.admit(function, head, body) {
-                Ok(Admitted::Run(job)) => desk.start(job, head.keep_alive, guest),
+                Ok(Admitted::Run(job)) => desk.start(job, head.keep_alive, connection),
                 Ok(Admitted::Respond(response)) | Err(response) => Next::Respond(response),
             };
         }
@@ -254,8 +258,8 @@
             Some(id) => desk.withdraw(id),
             None => problem(404, "unknown-invocation", "no such invocation", None),
         },
-        ("GET", ["v1", "functions"]) => return listed(desk.catalog.functions(), guest),
-        ("GET", ["v1", "workers"]) => return listed(desk.catalog.listed_workers(), guest),
+        ("GET", ["v1", "functions"]) => return listed(desk.catalog.functions(), connection),
+        ("GET", ["v1", "workers"]) => return listed(desk.catalog.listed_workers(), connection),
         ("GET", ["v1", "status"]) => json_response(200, &metrics::status(&desk.invoker)),
         ("GET", ["metrics"]) => Response::new(200, metrics::CONTENT_TYPE, metrics::text(&desk.invoker)),
         ("PUT", ["v1", "functions", name]) => put(&body, |function: Function| {
@@ -397,11 +401,11 @@
     }
 
     /// Starts the task of a call. A deferred one is accepted; it runs on without its client.
-    fn start(self: &Arc<Self>, job: Box<Job>, keep_alive: bool, guest: &Arc<Guest>) -> Next {
-        let (desk, guest) = (self.clone(), guest.clone());
+    fn start(self: &Arc<Self>, job: Box<Job>, keep_alive: bool, connection: &Arc<Connection>) -> Next {
+        let (desk, connection) = (self.clone(), connection.clone());
         let (id, is_deferred) = (job.taken.call().request.id, job.promise.is_some());
         if !is_deferred {
-            guest.opened();
+            connection.opened();
         }
         let task = spawn(move || {
             let Job { taken, key, promise } = *job;
@@ -410,11 +414,11 @@
                 return true;
             }
             let gone = answer == Answer::Withdrawn;
-            let written = gone || guest.answer(&respond(&answer).encode(keep_alive)).is_ok();
-            guest.closed();
+            let written = gone || connection.answer(&respond(&answer).encode(keep_alive)).is_ok();
+            connection.closed();
             if !keep_alive {
                 // What the client still sends is read for a while: a close now would be a reset.
-                guest.shut(Shutdown::Write);
+                connection.shut(Shutdown::Write);
             }
             written
         });
@@ -493,8 +497,8 @@
 }
 
 /// Entries of the configuration, as far as there is room to write them out.
-fn listed(entries: Object, guest: &Guest) -> Next {
-    let mut held = guest.account().nothing();
+fn listed(entries: Object, connection: &Connection) -> Next {
+    let mut held = connection.account().nothing();
     // The text stands once by itself and once behind the head of the response.
     match grow(&mut held, Purpose::Clients, 2 * entries.size()) {
         Ok(()) => Next::Counted(Response::new(200, "application/json", entries.into_text()), held),
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -1,5 +1,5 @@
 //! The operators' address: HTTP/1.1, one call a connection. Each call is answered at once or not at all.
-use super::accept::Guest;
+use super::accept::Connection;
 use super::http::{BadHttp, RequestHead, Response};
 use super::intake::{Intake, CHUNK};
 use crate::core::{now_ms, until, Invoker};
@@ -48,21 +48,21 @@
 struct Reply(u16, serde_json::Value);
 
 /// The life of one connection.
-pub fn serve(invoker: &Arc<Invoker>, keeper: &Keeper, guest: &Arc<Guest>) {
-    let Some(response) = converse(invoker, keeper, guest) else { return };
+pub fn serve(invoker: &Arc<Invoker>, keeper: &Keeper, connection: &Arc<Connection>) {
+    let Some(response) = converse(invoker, keeper, connection) else { return };
     let counters = &invoker.counters;
     if response.status < 300 { &counters.operators_yes } else { &counters.operators_no }.add();
-    if guest.answer(&response.encode(false)).is_ok() {
-        guest.linger(LINGER);
+    if connection.answer(&response.encode(false)).is_ok() {
+        connection.linger(LINGER);
     }
-    guest.shut(Shutdown::Both);
+    connection.shut(Shutdown::Both);
 }
 
 /// Reads the call and answers it; `None` where the caller left or took too long.
-fn converse(invoker: &Invoker, keeper: &Keeper, guest: &Arc<Guest>) -> Option<Response> {
-    let (mut raw, mut chunk) = (Intake::new(guest.account(), Purpose::Operators), vec![0; CHUNK]);
+fn converse(invoker: &Invoker, keeper: &Keeper, connection: &Arc<Connection>) -> Option<Response> {
+    let (mut raw, mut chunk) = (Intake::new(connection.account(), Purpose::Operators), vec![0; CHUNK]);
     let end = now_ms() + CALL_MS;
-    let mut fill = |raw: &mut Intake| match raw.fill(guest, &mut chunk, until(end)) {
+    let mut fill = |raw: &mut Intake| match raw.fill(connection, &mut chunk, until(end)) {
         Ok(1..) if now_ms() < end => Some(()),
         _ => None,
     };
--- a/crates/node/src/wire/replicate.rs
+++ b/crates/node/src/wire/replicate.rs
@@ -1,5 +1,5 @@
 //! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
-use super::accept::{Door, House};
+use super::accept::{Acceptor, ConnectionLimits};
 use super::socket::Patient;
 use crate::core::{now_ms, until};
 use crate::life::spawn;
@@ -53,18 +53,18 @@
 pub type OnNews = Arc<dyn Fn() + Send + Sync>;
 
 /// Listens for other nodes.
-pub fn open(address: SocketAddr, store: &Store) -> io::Result<Arc<Door>> {
+pub fn open(address: SocketAddr, store: &Store) -> io::Result<Arc<Acceptor>> {
     let account = store.ledger().account(Purpose::Replication).clone();
-    Door::open(address, House { most: CALLERS, stall: STALL, account })
+    Acceptor::open(address, ConnectionLimits { most: CALLERS, stall: STALL, account })
 }
 
 /// Answers other nodes for as long as the process lives.
-pub fn listen(store: Arc<Store>, door: Arc<Door>, on_news: OnNews) {
+pub fn listen(store: Arc<Store>, acceptor: Arc<Acceptor>, on_news: OnNews) {
     spawn(move || {
-        door.accept(move |guest| {
+        acceptor.accept(move |connection| {
             // A swap under way keeps its place.
-            guest.opened();
-            if let Err(error) = answer(&store, &mut guest.patient(STALL), &on_news) {
+            connection.opened();
+            if let Err(error) = answer(&store, &mut connection.patient(STALL), &on_news) {
                 tracing::warn!(%error, "replication: a caller");
             }
         });
