Settings of the change feed's roles; framing of replication in a module of its own

Configuration is to reach many invokers from a few control nodes. Their deploy files name the role: [feed] with its listener and bounds, [follow] with the control nodes, checked at load: a bad setting is named by its key, and a follower's file that names functions, workers, peers or a feed is refused. A follower's file says how many invokers share the workers, as [replication] peers do elsewhere.

The 8-byte head (length, CRC32) and the accounted JSON text move from wire/replicate.rs to wire/framing.rs, with errors by type.

--- a/crates/node/src/life/deploy.rs
+++ b/crates/node/src/life/deploy.rs
@@ -1,8 +1,9 @@
 //! The daemon's own deploy file: where the invoke API listens, what it serves and who the workers are.
 use super::accounts::{deploy_budget, USUAL_BASE};
 use super::config::ConfigError;
+use super::roles::{FeedSettings, FollowSettings};
 use crate::memory::catalog::{check_name, Function, State};
-use corkbay_ledger::KIB;
+use corkbay_ledger::{Purpose, KIB};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -48,6 +49,10 @@
     pub limits: Limits,
     /// Other nodes.
     pub replication: Option<Replication>,
+    /// The feed that the node serves to followers, if it is a control node.
+    pub feed: Option<FeedSettings>,
+    /// The control nodes that it follows, if it is a follower.
+    pub follow: Option<FollowSettings>,
     /// Classes of calls.
     #[serde(rename = "class")]
     pub classes: Vec<Class>,
@@ -356,7 +361,8 @@
         Ok(deploy)
     }
 
-    fn check(&self) -> Result<(), ConfigError> {
+    /// Checks what the types of the settings leave open.
+    pub(super) fn check(&self) -> Result<(), ConfigError> {
         let positive = |key: &str, value: f64| {
             let fine = value.is_finite() && value > 0.0;
             fine.then_some(()).ok_or_else(|| ConfigError::new(key, "not above 0"))
@@ -390,7 +396,13 @@
         if !(0.0..=90.0).contains(&self.memory.reserve_percent) {
             return Err(ConfigError::new("memory.reserve_percent", "not from 0 to 90"));
         }
-        deploy_budget(self, USUAL_BASE)?;
+        let budget = deploy_budget(self, USUAL_BASE)?;
+        if let Some(follow) = &self.follow {
+            follow.check(self)?;
+        }
+        if let Some(feed) = &self.feed {
+            feed.check(self.sockets, budget.cap(Purpose::Replication))?;
+        }
         if self.classes.is_empty() {
             return Err(ConfigError::new("class", "no class"));
         }
@@ -436,6 +448,15 @@
         self.limits.answer_kb * KIB
     }
 
+    /// Invokers that share the workers, as far as the file tells.
+    fn invokers(&self) -> usize {
+        match (&self.follow, &self.replication) {
+            (Some(follow), _) => follow.invokers,
+            (None, Some(replication)) => 1 + replication.peers.len(),
+            (None, None) => 1,
+        }
+    }
+
     /// The settings object that the decisions read.
     pub fn settings(&self) -> Value {
         let mut zones: Vec<&str> = vec![&self.zone];
@@ -452,7 +473,7 @@
         let tenant = |tenant: &Tenant| json!({"name": tenant.name, "quotaPerS": tenant.quota_per_s});
         let limits = &self.limits;
         json!({
-            "balancers": 1 + self.replication.as_ref().map_or(0, |replication| replication.peers.len()),
+            "balancers": self.invokers(),
             "classes": self.classes.iter().map(class).collect::<Vec<_>>(),
             "customers": self.tenants.iter().map(tenant).collect::<Vec<_>>(),
             "zones": zones, "myZone": self.zone, "periodMs": 4.0,
--- a/crates/node/src/life/mod.rs
+++ b/crates/node/src/life/mod.rs
@@ -6,6 +6,7 @@
 pub mod import;
 pub mod logs;
 pub mod platform;
+pub mod roles;
 pub mod service;
 
 use may::coroutine::JoinHandle;
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -49,7 +49,7 @@
 }
 
 /// What a connection takes: the stack of its task as far as it is touched, a chunk, its entry. Measured.
-const CONNECTION_BYTES: usize = 14 << 10;
+pub const CONNECTION_BYTES: usize = 14 << 10;
 
 /// What a front gives its clients.
 pub struct ConnectionLimits {
--- /dev/null
+++ b/crates/node/src/wire/framing/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+use crate::memory::roomy;
+use corkbay_ledger::Purpose;
+
+fn account() -> Account {
+    roomy().account(Purpose::Replication).clone()
+}
+
+fn frame(account: &Account, message: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let sent = send(account, &mut bytes, message).expect("room");
+    assert_eq!(sent, bytes.len());
+    bytes
+}
+
+#[test]
+fn messages_come_as_they_were_sent_and_leave_no_room_taken() {
+    let account = account();
+    let words = vec!["one".to_string(), "two".to_string()];
+    let bytes = frame(&account, &words);
+    let received = receive::<Vec<String>>(&account, &mut bytes.as_slice()).expect("whole");
+    assert_eq!((received.message, received.bytes), (words, bytes.len()));
+    assert!(account.used() > 0);
+    drop(received.held);
+    assert_eq!(account.used(), 0);
+}
+
+/// Guards a node against frames that are damaged, cut short, too long or of another protocol: each is an error by name.
+#[test]
+fn bad_frames_are_told_apart() {
+    let account = account();
+    let whole = frame(&account, &"word");
+    let read = |bytes: &[u8]| receive::<String>(&account, &mut &*bytes).expect_err("bad");
+    let mut damaged = whole.clone();
+    damaged[HEAD + 1] ^= 1;
+    assert!(matches!(read(&damaged), FramingError::Checksum));
+    assert!(read(&whole[..whole.len() - 1]).is_closed());
+    assert!(matches!(read(&[0xff; HEAD]), FramingError::TooLong(_)));
+    assert!(matches!(read(&frame(&account, &7)), FramingError::Malformed(_)));
+    assert_eq!(account.used(), 0);
+}
+
+/// Guards memory: a message that the account has no room for is neither written nor read to its end.
+#[test]
+fn a_full_account_refuses_a_message() {
+    let account = account();
+    let long = frame(&account, &"x".repeat(1 << 20));
+    let _taken = account.reserve(account.cap() - (64 << 10)).expect("room");
+    let sent = send(&account, &mut Vec::new(), &"x".repeat(1 << 20));
+    assert!(matches!(sent, Err(FramingError::Full(_))), "{sent:?}");
+    let received = receive::<String>(&account, &mut long.as_slice());
+    assert!(matches!(received, Err(FramingError::Full(_))), "{received:?}");
+}
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -2,6 +2,7 @@
 pub mod accept;
 pub mod channel;
 pub mod frames;
+pub mod framing;
 pub mod front;
 pub mod http;
 pub mod http_workers;
--- a/crates/node/src/wire/replicate.rs
+++ b/crates/node/src/wire/replicate.rs
@@ -1,16 +1,17 @@
 //! Anti-entropy between the stores of nodes, over TCP: two nodes swap digests, then what each lacks.
 use super::accept::{Acceptor, ConnectionLimits};
+use super::framing::{receive, send, FramingError, Received};
 use super::socket::Patient;
 use crate::core::{now_ms, until};
 use crate::life::spawn;
 use crate::memory::record::{Record, Stamp};
 use crate::memory::store::Store;
-use corkbay_ledger::{Purpose, Reservation};
+use corkbay_ledger::{Account, Purpose};
 use may::net::TcpStream;
 use may::sync::mpsc;
-use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
@@ -18,9 +19,6 @@
 
 const CONNECT: Duration = Duration::from_millis(500);
 const STALL: Duration = Duration::from_secs(5);
-/// Largest message.
-const MAX_MESSAGE: usize = 32 << 20;
-const HEAD: usize = 8;
 /// The part of the account that one message's records may take.
 const BATCH_PART: usize = 8;
 /// Nodes that may call at a time.
@@ -109,42 +107,43 @@
     writes
 }
 
-fn push(store: &Store, peer: SocketAddr, records: Vec<Record>) -> io::Result<()> {
+fn push(store: &Store, peer: SocketAddr, records: Vec<Record>) -> Result<(), FramingError> {
     let mut socket = TcpStream::connect_timeout(&peer, CONNECT)?;
     timeouts(&socket)?;
-    send(store, &mut socket, &Hello::Push(records))
+    send(account(store), &mut socket, &Hello::Push(records))?;
+    Ok(())
 }
 
-fn call(store: &Store, peer: SocketAddr, on_news: &OnNews) -> io::Result<()> {
+fn call(store: &Store, peer: SocketAddr, on_news: &OnNews) -> Result<(), FramingError> {
     let mut socket = TcpStream::connect_timeout(&peer, CONNECT)?;
     timeouts(&socket)?;
-    send(store, &mut socket, &Hello::Digest(Digest { stamps: store.digest() }))?;
-    let (theirs, held) = receive::<Records>(store, &mut socket)?;
+    send(account(store), &mut socket, &Hello::Digest(Digest { stamps: store.digest() }))?;
+    let Received { message: theirs, held, .. } = receive::<Records>(account(store), &mut socket)?;
     take(store, theirs.records, on_news)?;
     if let Some(digest) = theirs.digest {
         let records = store.lacking(&digest.stamps, batch(store));
         drop((digest, held));
-        send(store, &mut socket, &Records { records, digest: None })?;
+        send(account(store), &mut socket, &Records { records, digest: None })?;
         // The peer closes once it has kept them.
         socket.read_to_end(&mut Vec::new())?;
     }
     Ok(())
 }
 
-fn answer(store: &Store, socket: &mut Patient, on_news: &OnNews) -> io::Result<()> {
-    let (hello, held) = receive(store, socket)?;
+fn answer(store: &Store, socket: &mut Patient, on_news: &OnNews) -> Result<(), FramingError> {
+    let Received { message: hello, held, .. } = receive(account(store), socket)?;
     let theirs = match hello {
         Hello::Digest(digest) => digest,
         Hello::Push(records) => return take(store, records, on_news),
     };
     let records = store.lacking(&theirs.stamps, batch(store));
     drop((theirs, held));
-    send(store, socket, &Records { records, digest: Some(Digest { stamps: store.digest() }) })?;
-    let (rest, _held) = receive::<Records>(store, socket)?;
-    take(store, rest.records, on_news)
+    send(account(store), socket, &Records { records, digest: Some(Digest { stamps: store.digest() }) })?;
+    let rest = receive::<Records>(account(store), socket)?;
+    take(store, rest.message.records, on_news)
 }
 
-fn take(store: &Store, records: Vec<Record>, on_news: &OnNews) -> io::Result<()> {
+fn take(store: &Store, records: Vec<Record>, on_news: &OnNews) -> Result<(), FramingError> {
     if store.merge(records).map_err(io::Error::other)? > 0 {
         on_news();
     }
@@ -160,64 +159,9 @@
 /// Bytes of records that go into one message, so that a digest fits beside them; the rest comes with the
 /// next one.
 fn batch(store: &Store) -> usize {
-    store.ledger().account(Purpose::Replication).cap() / BATCH_PART
-}
-
-fn send(store: &Store, socket: &mut impl Write, message: &impl Serialize) -> io::Result<()> {
-    let mut bytes = Counted { bytes: vec![0; HEAD], held: nothing(store) };
-    serde_json::to_writer(&mut bytes, message)?;
-    let Counted { mut bytes, held } = bytes;
-    let text = &bytes[HEAD..];
-    let (size, check) = ((text.len() as u32).to_be_bytes(), crc32fast::hash(text).to_be_bytes());
-    bytes[..4].copy_from_slice(&size);
-    bytes[4..HEAD].copy_from_slice(&check);
-    socket.write_all(&bytes)?;
-    drop(held);
-    Ok(())
-}
-
-/// A message with what is held for its text, which is also what its parts take, about.
-fn receive<T: DeserializeOwned>(store: &Store, socket: &mut impl Read) -> io::Result<(T, Reservation)> {
-    let mut head = [0; HEAD];
-    socket.read_exact(&mut head)?;
-    let size = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-    let check = u32::from_be_bytes([head[4], head[5], head[6], head[7]]);
-    if size > MAX_MESSAGE {
-        return Err(io::Error::other("message too long"));
-    }
-    // Memory follows what has come, not what was promised.
-    let mut text = Counted { bytes: Vec::new(), held: nothing(store) };
-    io::copy(&mut socket.take(size as u64), &mut text)?;
-    let Counted { bytes, held } = text;
-    if bytes.len() < size || crc32fast::hash(&bytes) != check {
-        return Err(io::Error::other("damaged message"));
-    }
-    Ok((serde_json::from_slice(&bytes)?, held))
+    account(store).cap() / BATCH_PART
 }
 
-fn nothing(store: &Store) -> Reservation {
-    store.ledger().account(Purpose::Replication).nothing()
-}
-
-/// Bytes that are counted before they are held.
-struct Counted {
-    bytes: Vec<u8>,
-    held: Reservation,
-}
-
-impl Write for Counted {
-    fn write(&mut self, more: &[u8]) -> io::Result<usize> {
-        let needed = self.bytes.len() + more.len();
-        if needed > self.bytes.capacity() {
-            let capacity = needed.next_power_of_two();
-            self.held.resize(capacity).map_err(io::Error::other)?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(more);
-        Ok(more.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+fn account(store: &Store) -> &Account {
+    store.ledger().account(Purpose::Replication)
 }
