The store is split by jobs; hooks and pages for those who follow its changes

It is now a folder: batch (own writes), merge (records of other nodes), configuration, listeners, expiry, draft, error, and tests in files of their own; the tests of log and record move out as well. Key prefixes stand in keys.rs.

New, for the change feed and the mesh: - on_change tells a listener of every record that newly stands, under the writing lock. - put_many writes up to 256 drafts with one append, all or none; put is a batch of one. - merge_with_note takes records and a node-local note, last in the log; all or none. - configuration / configuration_after page through functions and workers with their tombstones.

Fault mended: seed/ records of each node went to all others. seed/ and local/ records are in no digest, are not sent, not taken in and not told to on_write; seeds of other nodes in an old log are left out when it is opened.

--- a/crates/node/src/memory/catalog.rs
+++ b/crates/node/src/memory/catalog.rs
@@ -1,4 +1,5 @@
 //! The functions and workers that the store holds as configuration.
+use super::keys::{FUNCTION, WORKER};
 use super::record::{Record, Text};
 use super::roster::Listing;
 use super::store::{Draft, Store, StoreError};
@@ -10,10 +11,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// What the keys of functions and of workers begin with.
-const FUNCTION: &str = "function/";
-const WORKER: &str = "worker/";
-
 /// Functions have ids below this.
 const MODELS: u64 = 1 << 40;
 
--- a/crates/node/src/memory/invocations.rs
+++ b/crates/node/src/memory/invocations.rs
@@ -3,7 +3,8 @@
 //! What a call will have to keep is reserved before it is run: the largest answer that a repeat of its key
 //! may be given, and the largest final record that its client may collect. What the answer turns out not to
 //! need goes back at its end.
-use super::record::{Record, Text, INVOCATION};
+use super::keys::INVOCATION;
+use super::record::{Record, Text};
 use super::store::{refuse, Draft, Store, StoreError, Writers};
 use crate::core::{lock, now_ms, Answer, Failure};
 use corkbay::{Ms, RequestId};
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -3,6 +3,7 @@
 pub mod clients;
 pub mod counters;
 pub mod invocations;
+pub mod keys;
 pub mod link;
 pub mod log;
 pub mod record;
--- a/crates/node/src/memory/record.rs
+++ b/crates/node/src/memory/record.rs
@@ -2,6 +2,7 @@
 //!
 //! A value is held as the JSON text that it is written as, shared by all who hold the record: a tree of
 //! values takes several times the memory of its text, and the store needs the text for every comparison.
+use super::keys::INVOCATION;
 use corkbay::Ms;
 use corkbay_ledger::Purpose;
 use serde::de::DeserializeOwned;
@@ -64,9 +65,6 @@
     pub value: Option<Text>,
 }
 
-/// What the keys of deferred calls begin with.
-pub const INVOCATION: &str = "invocation/";
-
 /// What tells a record from other versions without its value.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamp {
@@ -141,18 +139,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards stores that were written before values were held as text: the lines of the log read as ever.
-    #[test]
-    fn records_read_and_write_as_plain_json() {
-        let line = r#"{"key":"a","final":true,"version":3,"node":"n","expires":1.5,"value":{"b":[1,"x"]}}"#;
-        let record: Record = serde_json::from_str(line).expect("reads");
-        assert_eq!(record.text(), r#"{"b":[1,"x"]}"#);
-        assert_eq!(serde_json::to_string(&record).expect("writes"), line);
-        let gone: Record =
-            serde_json::from_str(r#"{"key":"a","version":4,"node":"n","value":null}"#).expect("reads");
-        assert_eq!((gone.value.is_none(), gone.text()), (true, ""));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/node/src/memory/store/batch.rs
@@ -0,0 +1,118 @@
+//! Writes of this node, one at a time or in batches.
+use super::draft::{Draft, Writers};
+use super::error::StoreError;
+use super::expiry::ExpiryState;
+use super::{Store, MAX_VALUE};
+use crate::core::lock;
+use crate::memory::record::Record;
+use corkbay_ledger::Reservation;
+use std::collections::BTreeSet;
+
+/// Most writes in one batch.
+pub const MAX_BATCH: usize = 256;
+
+/// A version that is to be written, and the one that it follows.
+struct NextVersion {
+    record: Record,
+    /// What the older version takes; `None` for a new key.
+    old_size: Option<usize>,
+}
+
+/// A version with the room that was found for it.
+struct Prepared {
+    record: Record,
+    /// `None` where the draft brings its own room.
+    held: Option<Reservation>,
+}
+
+impl Store {
+    /// Writes the next version under a key and returns once it lasts.
+    pub fn put(&self, draft: &mut Draft) -> Result<Record, StoreError> {
+        let mut written = self.put_many(std::slice::from_mut(draft))?;
+        Ok(written.swap_remove(0))
+    }
+
+    /// Writes the next versions under up to [`MAX_BATCH`] different keys and returns once they last: one append to
+    /// the log, one sync.
+    ///
+    /// All of them or none: where one is refused or the append fails, nothing is written and nothing shows. They
+    /// show together, in the order of the drafts. Only a crash during the append may leave a part, of which nobody
+    /// was told: the first records of the batch, each of them whole.
+    pub fn put_many(&self, drafts: &mut [Draft]) -> Result<Vec<Record>, StoreError> {
+        check_batch(drafts)?;
+        let mut expiry = lock(&self.writing);
+        let mut prepared = Vec::with_capacity(drafts.len());
+        for draft in drafts.iter_mut() {
+            prepared.push(self.prepare(&mut expiry, draft)?);
+        }
+        let records: Vec<Record> = prepared.iter().map(|prepared| prepared.record.clone()).collect();
+        self.append(&records)?;
+        for (draft, Prepared { record, held }) in drafts.iter_mut().zip(prepared) {
+            let owed = || self.ledger.owe(record.purpose(), record.size());
+            let held = draft.held.take().or(held).unwrap_or_else(owed);
+            expiry.note_expiry(record.expires);
+            self.apply(record, held);
+        }
+        let listeners = lock(&self.listeners);
+        for record in &records {
+            listeners.tell_write(record);
+        }
+        Ok(records)
+    }
+
+    /// Checks a draft and finds room for it.
+    fn prepare(&self, expiry: &mut ExpiryState, draft: &mut Draft) -> Result<Prepared, StoreError> {
+        let NextVersion { record, old_size } = self.next_version(expiry, draft)?;
+        let (purpose, size) = (record.purpose(), record.size());
+        if let Some(held) = &mut draft.held {
+            self.reserve_or_expire(expiry, purpose, || held.resize(size))?;
+            return Ok(Prepared { record, held: None });
+        }
+        // A change that wants no more than what stands there is taken whatever is full.
+        let is_owed = old_size.is_some_and(|old_size| draft.owed || size <= old_size);
+        let held = if is_owed {
+            self.ledger.owe(purpose, size)
+        } else {
+            self.reserve_or_expire(expiry, purpose, || self.ledger.reserve(purpose, None, size))?
+        };
+        Ok(Prepared { record, held: Some(held) })
+    }
+
+    fn next_version(&self, expiry: &ExpiryState, draft: &Draft) -> Result<NextVersion, StoreError> {
+        let old = self.stored(draft.key);
+        if let Some(old) = &old {
+            if old.is_final {
+                return Err(StoreError::Final);
+            }
+            if draft.writers == Writers::First && old.node != self.node {
+                return Err(StoreError::Foreign(old.node.clone()));
+            }
+        }
+        let old_version = old.as_ref().map_or(expiry.dropped_version, |old| old.version);
+        let record = Record {
+            key: old.as_ref().map_or_else(|| draft.key.into(), |old| old.key.clone()),
+            is_final: draft.is_final,
+            version: old_version + 1,
+            node: self.node.clone(),
+            expires: draft.expires,
+            value: draft.value.clone(),
+        };
+        if record.text().len() > MAX_VALUE {
+            return Err(StoreError::Large);
+        }
+        Ok(NextVersion { record, old_size: old.map(|old| old.size()) })
+    }
+}
+
+fn check_batch(drafts: &[Draft]) -> Result<(), StoreError> {
+    if drafts.len() > MAX_BATCH {
+        return Err(StoreError::LargeBatch { writes: drafts.len(), most: MAX_BATCH });
+    }
+    let mut keys = BTreeSet::new();
+    for draft in drafts {
+        if !keys.insert(draft.key) {
+            return Err(StoreError::RepeatedKey(draft.key.into()));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/memory/store/configuration.rs
@@ -0,0 +1,49 @@
+//! The configuration records, page by page.
+use super::Store;
+use crate::core::{lock, now_ms};
+use crate::memory::keys::CONFIGURATION;
+use crate::memory::record::Record;
+use std::ops::Bound;
+use std::sync::Arc;
+
+impl Store {
+    /// Up to `most` configuration records behind a key, tombstones included, in the order of their keys; from the
+    /// first on without a key.
+    pub fn configuration_after(&self, key: Option<&str>, most: usize) -> Vec<Record> {
+        let now = now_ms();
+        let records = lock(&self.records);
+        let start = key.unwrap_or_default();
+        let mut page = Vec::new();
+        for prefix in CONFIGURATION {
+            let from = if start < prefix { Bound::Included(prefix) } else { Bound::Excluded(start) };
+            let range = records.range::<str, _>((from, Bound::Unbounded));
+            let with_prefix = range.take_while(|(key, _)| key.starts_with(prefix));
+            let live = with_prefix.map(|(_, entry)| &entry.record).filter(|record| !record.expired(now));
+            page.extend(live.take(most - page.len()).cloned());
+        }
+        page
+    }
+
+    /// All configuration records in pages of up to `page_size`, tombstones included. No lock is held between two
+    /// pages: a record that is written meanwhile may or may not be among them.
+    pub fn configuration(&self, page_size: usize) -> ConfigurationPages<'_> {
+        ConfigurationPages { store: self, page_size, last_key: None }
+    }
+}
+
+/// Iterates over the configuration records of a store.
+pub struct ConfigurationPages<'a> {
+    store: &'a Store,
+    page_size: usize,
+    last_key: Option<Arc<str>>,
+}
+
+impl Iterator for ConfigurationPages<'_> {
+    type Item = Vec<Record>;
+
+    fn next(&mut self) -> Option<Vec<Record>> {
+        let page = self.store.configuration_after(self.last_key.as_deref(), self.page_size);
+        self.last_key = Some(page.last()?.key.clone());
+        Some(page)
+    }
+}
--- /dev/null
+++ b/crates/node/src/memory/store/tests.rs
@@ -0,0 +1,168 @@
+use super::*;
+use crate::memory::record::Text;
+use crate::memory::roomy;
+use corkbay_ledger::{Budget, Shares, KIB, MIB};
+use proptest::prelude::*;
+
+mod batches;
+mod sharing;
+
+const ALL: usize = usize::MAX;
+
+fn text(value: impl serde::Serialize) -> Option<Text> {
+    Text::of(&value).ok()
+}
+
+fn call(key: &str, value: u32, is_final: bool) -> Draft<'_> {
+    Draft { is_final, writers: Writers::First, ..Draft::new(key, text(value)) }
+}
+
+fn record() -> impl Strategy<Value = Record> {
+    (any::<bool>(), 0u64..4, "[ab]", 0u8..3, 0u8..3).prop_map(|(is_final, version, node, value, expires)| {
+        let value = (value > 0).then(|| Text::of(&value).expect("text"));
+        Record { key: "k".into(), is_final, version, node: node.into(), expires: f64::from(expires), value }
+    })
+}
+
+proptest! {
+    /// Guards against replicas that differ for having heard the same in another order or twice.
+    #[test]
+    fn merge_is_commutative_associative_and_idempotent(a in record(), b in record(), c in record()) {
+        let merge = |x: &Record, y: &Record| x.clone().merge(y.clone());
+        prop_assert_eq!(merge(&a, &b), merge(&b, &a));
+        prop_assert_eq!(merge(&merge(&a, &b), &c), merge(&a, &merge(&b, &c)));
+        prop_assert_eq!(merge(&a, &a), a.clone());
+    }
+
+    /// Guards the one final answer: whatever arrives later, a final record gives way to no other
+    /// that is not.
+    #[test]
+    fn final_is_final(records in proptest::collection::vec(record(), 1..8)) {
+        let whole = records.iter().cloned().reduce(Record::merge).expect("some");
+        prop_assert_eq!(whole.is_final, records.iter().any(|record| record.is_final));
+    }
+
+    #[test]
+    fn nodes_that_swap_what_each_lacks_agree(left in proptest::collection::vec(record(), 0..6),
+                                             right in proptest::collection::vec(record(), 0..6)) {
+        let (one, two) = (Store::in_memory("one", roomy()), Store::in_memory("two", roomy()));
+        let lasting = |mut records: Vec<Record>| {
+            records.iter_mut().for_each(|record| record.expires = 0.0);
+            records
+        };
+        one.merge(lasting(left)).expect("in memory");
+        two.merge(lasting(right)).expect("in memory");
+        two.merge(one.lacking(&two.digest(), ALL)).expect("in memory");
+        one.merge(two.lacking(&one.digest(), ALL)).expect("in memory");
+        prop_assert_eq!(one.digest(), two.digest());
+    }
+}
+
+#[test]
+fn a_record_with_one_writer_is_closed_to_others_and_once_final_to_all() {
+    let (one, two) = (Store::in_memory("one", roomy()), Store::in_memory("two", roomy()));
+    one.put(&mut call("call/1", 1, false)).expect("first");
+    two.merge(one.lacking(&two.digest(), ALL)).expect("in memory");
+    let foreign = two.put(&mut call("call/1", 2, true));
+    assert!(matches!(foreign, Err(StoreError::Foreign(node)) if &*node == "one"));
+    one.put(&mut call("call/1", 3, true)).expect("its writer");
+    let late = one.put(&mut call("call/1", 4, true));
+    assert!(matches!(late, Err(StoreError::Final)));
+}
+
+fn small() -> (Store, Arc<Ledger>) {
+    let budget = Budget::plan(32 * MIB, 0, 0.0, &Shares::daemon(), ("memory_mb", "memory.shares"));
+    let ledger = Arc::new(Ledger::new(&budget.expect("fits"), &[]));
+    (Store::in_memory("one", ledger.clone()), ledger)
+}
+
+/// Guards memory against ever new names, and the rule on drains against a store that is full: nothing
+/// new is taken, with advice, but a worker can still be drained and taken away.
+#[test]
+fn a_full_catalog_takes_nothing_new_and_still_drains() {
+    let (store, ledger) = small();
+    store.put(&mut Draft::new("worker/w", text("up"))).expect("room");
+    let filler = "x".repeat(10 * KIB);
+    let mut names = 0;
+    let end = loop {
+        match store.put(&mut Draft::new(&format!("function/{names}"), text(&filler))) {
+            Ok(_) => names += 1,
+            Err(error) => break error,
+        }
+    };
+    assert!(names > 100 && matches!(end, StoreError::Full { retry_after: Some(span), .. } if span > 1000.0));
+    store
+        .put(&mut Draft { owed: true, ..Draft::new("worker/w", text("draining".repeat(2000))) })
+        .expect("drained");
+    assert_eq!(store.get("worker/w").map(|record| record.version), Some(2));
+    store.put(&mut Draft::new("worker/w", None)).expect("taken away");
+    store.put(&mut Draft::new("function/0", None)).expect("taken away");
+    store.put(&mut Draft::new("function/new", text("x".repeat(9 * KIB)))).expect("room again");
+    let account = ledger.account(Purpose::Catalog);
+    assert!(account.used() <= account.cap());
+    drop(store);
+    assert_eq!(ledger.held(), 0);
+}
+
+/// Guards against tombstones that pile up for ever, and a name that comes back against what the log still
+/// holds of it.
+#[test]
+fn tombstones_of_a_node_alone_go_and_leave_their_versions() {
+    let (store, ledger) = small();
+    for name in 0..100 {
+        store.put(&mut Draft::new(&format!("function/{name}"), text(name))).expect("room");
+        store.put(&mut Draft::new(&format!("function/{name}"), None)).expect("taken away");
+    }
+    store.sweep().expect("in memory");
+    assert_eq!(ledger.held(), 0);
+    assert_eq!(store.put(&mut Draft::new("function/7", text(7))).expect("room").version, 3);
+}
+
+#[test]
+fn what_has_expired_is_neither_told_nor_taken_back() {
+    let (one, two) = (Store::in_memory("one", roomy()), Store::in_memory("two", roomy()));
+    let mut draft = Draft { expires: now_ms() - 1.0, ..Draft::new("a", text(1)) };
+    let old = one.put(&mut draft).expect("in memory");
+    assert!(one.get("a").is_none() && one.digest().is_empty());
+    assert_eq!(two.merge(vec![old]).expect("in memory"), 0);
+}
+
+/// Guards replicas against messages without a bound: what does not go into one comes with the next.
+#[test]
+fn nodes_agree_by_pieces() {
+    let (one, two) = (Store::in_memory("one", roomy()), Store::in_memory("two", roomy()));
+    for name in 0..100 {
+        one.put(&mut Draft::new(&format!("function/{name}"), text("x".repeat(100)))).expect("room");
+    }
+    let swaps =
+        (0..100).take_while(|_| two.merge(one.lacking(&two.digest(), 8 * KIB)).expect("in memory") > 0);
+    assert!((5..50).contains(&swaps.count()));
+    assert_eq!(one.digest(), two.digest());
+}
+
+/// Guards memory while the log's disk stands still: what waits for it is counted, nothing shows before it
+/// lasts, other purposes have their room, and in the end all is there and nothing is held on its way.
+#[test]
+fn writes_that_wait_for_the_disk_are_counted_and_show_once_they_last() {
+    let ledger = roomy();
+    let (log, go_on) = Log::held_up(ledger.account(Purpose::Log).clone());
+    let store = Arc::new(Store { log: Some(log), ..Store::in_memory("one", ledger.clone()) });
+    let write = |key: &'static str| {
+        let store = store.clone();
+        crate::life::spawn(move || store.put(&mut Draft::new(key, text("x".repeat(1000)))).is_ok())
+    };
+    let writes: Vec<_> = ["function/a", "function/b"].into_iter().map(write).collect();
+    let began = std::time::Instant::now();
+    while ledger.account(Purpose::Log).used() == 0 {
+        assert!(began.elapsed().as_secs() < 20, "nothing is on its way");
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
+    assert!(ledger.account(Purpose::Catalog).used() > 1000 && store.get("function/a").is_none());
+    assert!(ledger.reserve(Purpose::Calls, None, KIB).is_ok());
+    go_on();
+    assert!(writes.into_iter().all(|write| write.join().expect("no panic")));
+    assert_eq!(store.under("function/").len(), 2);
+    assert_eq!(ledger.account(Purpose::Log).used(), 0);
+    drop(store);
+    assert_eq!(ledger.held(), 0);
+}
--- /dev/null
+++ b/crates/node/src/memory/store/tests/sharing.rs
@@ -0,0 +1,138 @@
+use super::*;
+use crate::memory::log::LogError;
+use may::sync::mpsc;
+use std::path::{Path, PathBuf};
+
+const POSITION: &str = "local/feed-position";
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("corkbay-store-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("folder");
+        Folder(path)
+    }
+
+    fn log(&self) -> PathBuf {
+        self.0.join("records.log")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn open(folder: &Path) -> Result<Store, LogError> {
+    Store::open("one", folder, roomy())
+}
+
+fn of_peer(key: &str, version: u64) -> Record {
+    Record {
+        key: key.into(),
+        is_final: false,
+        version,
+        node: "peer".into(),
+        expires: 0.0,
+        value: text(version),
+    }
+}
+
+/// Guards followers: a change that is missed, told twice or told in another order makes them differ.
+#[test]
+fn each_change_is_told_once_in_the_order_in_which_it_took_effect() {
+    let store = Arc::new(Store::in_memory("one", roomy()));
+    store.put(&mut Draft::new("function/before", text(0))).expect("room");
+    let (changes, told) = mpsc::channel();
+    store.on_change(changes);
+    let writers: Vec<_> = (0..4u64)
+        .map(|writer| {
+            let store = store.clone();
+            std::thread::spawn(move || {
+                for round in 1..=100 {
+                    store.put(&mut Draft::new("function/shared", text(writer))).expect("room");
+                    store.merge(vec![of_peer("function/merged", round)]).expect("in memory");
+                }
+            })
+        })
+        .collect();
+    writers.into_iter().for_each(|writer| writer.join().expect("no panic"));
+    let versions = |key: &str, told: &[Record]| -> Vec<u64> {
+        told.iter().filter(|record| &*record.key == key).map(|record| record.version).collect()
+    };
+    let told: Vec<Record> = told.try_iter().collect();
+    assert_eq!(versions("function/shared", &told), (1..=400).collect::<Vec<_>>());
+    // A later version may arrive before an older one, which then is no news.
+    let merged = versions("function/merged", &told);
+    assert!(merged.is_sorted_by(|one, next| one < next) && merged.last() == Some(&100));
+    assert!(versions("function/before", &told).is_empty());
+}
+
+#[test]
+fn node_local_records_neither_leave_nor_come_in() {
+    let (one, two) = (Store::in_memory("one", roomy()), Store::in_memory("two", roomy()));
+    let (writes, told) = mpsc::channel();
+    one.on_write(vec![writes]);
+    for key in [POSITION, "seed/one/function/a", "function/a"] {
+        one.put(&mut Draft::new(key, text(1))).expect("room");
+    }
+    let keys = |records: Vec<Record>| records.iter().map(|record| record.key.to_string()).collect::<Vec<_>>();
+    assert_eq!(keys(told.try_iter().collect()), ["function/a"]);
+    assert_eq!(one.digest().keys().map(|key| &**key).collect::<Vec<_>>(), ["function/a"]);
+    assert_eq!(keys(one.lacking(&two.digest(), ALL)), ["function/a"]);
+    let sent =
+        vec![of_peer(POSITION, 9), of_peer("seed/one/function/a", 9), of_peer("seed/peer/function/a", 9)];
+    assert_eq!(two.merge(sent).expect("in memory"), 0);
+    assert!(two.get(POSITION).is_none() && two.under("seed/").is_empty());
+}
+
+#[test]
+fn seeds_of_other_nodes_in_an_old_log_are_left_out() {
+    let folder = Folder::new("seeds");
+    let log = Log::open(&folder.0, roomy().account(Purpose::Log).clone(), |_| {}).expect("opens");
+    let records = ["seed/one/function/a", "seed/peer/function/a", "seed/onerous/function/a", "function/a"];
+    log.append(&records.map(|key| of_peer(key, 1))).expect("appends");
+    let store = open(&folder.0).expect("opens");
+    assert_eq!(store.under("seed/").len(), 1);
+    assert!(store.get("seed/one/function/a").is_some() && store.get("function/a").is_some());
+}
+
+/// Guards a follower's position against a crash: one that runs ahead of the records would leave a gap for ever.
+#[test]
+fn a_note_that_is_found_stands_behind_all_records_that_it_tells_of() {
+    let folder = Folder::new("note");
+    let store = open(&folder.0).expect("opens");
+    store.merge_with_note(vec![of_peer("function/a", 1)], POSITION, text(1).expect("text")).expect("kept");
+    let before = std::fs::read(folder.log()).expect("read").len();
+    let records = (0..3).map(|name| of_peer(&format!("function/{name}"), 1)).collect();
+    assert_eq!(store.merge_with_note(records, POSITION, text(2).expect("text")).expect("kept"), 3);
+    drop(store);
+    let whole = std::fs::read(folder.log()).expect("read");
+    for end in before..=whole.len() {
+        std::fs::write(folder.log(), &whole[..end]).expect("written");
+        let store = open(&folder.0).expect("opens");
+        let position = store.get(POSITION).expect("there").text().to_string();
+        let records = store.under("function/").len();
+        assert_eq!(position == "2", end == whole.len(), "torn at {end}");
+        assert!(position == "1" || records == 4, "torn at {end}: {records} records");
+    }
+}
+
+#[test]
+fn where_a_record_has_no_room_nothing_is_taken_in_and_the_older_note_stays() {
+    let (store, ledger) = small();
+    let note = |value: u32| text(value).expect("text");
+    store.merge_with_note(vec![of_peer("function/a", 1)], POSITION, note(1)).expect("room");
+    let held = ledger.held();
+    let large =
+        |name: u32| Record { value: text("x".repeat(100 * KIB)), ..of_peer(&format!("function/{name}"), 1) };
+    let refused = store.merge_with_note((0..50).map(large).collect(), POSITION, note(2));
+    assert!(matches!(refused, Err(StoreError::Full { .. })));
+    let refused = store.merge_with_note(vec![of_peer("function/b", 1)], "function/note", note(2));
+    assert!(matches!(refused, Err(StoreError::NotLocal(_))));
+    assert_eq!(store.get(POSITION).expect("there").text(), "1");
+    assert_eq!((store.under("function/").len(), ledger.held()), (1, held));
+}
