The change feed over TCP; peers compare one hash in place of all stamps

Nodes that name each other as peers sent the stamps of all records to each peer at each interval, over a new connection: 16 nodes with 1,000 functions idle at 11.6 MB/s. Now a connection stays; at an interval one hash over all records goes to a peer, and nodes that hold the same pause for ten seconds, one exchange serving both directions. Where the hashes differ, those of 256 buckets are compared, then the versions in buckets that differ, and each sends what the other lacks. Writes are pushed at once as before. A node of an earlier version is named in the log.

Control nodes serve their configuration to followers ([feed]), followers keep it on disk with their position behind it and acknowledge after the sync ([follow]). PUT and DELETE of functions and workers are refused at a follower with 409. /v1/status and /metrics tell of peers, followers, lag and the follower's control node. Workers are announced to the decisions when a record of a worker came in, no longer for each record.

--- a/crates/node/src/life/roles.rs
+++ b/crates/node/src/life/roles.rs
@@ -5,6 +5,8 @@
 use super::config::ConfigError;
 use super::deploy::Deploy;
 use crate::wire::accept::CONNECTION_BYTES;
+use crate::wire::feed::{ControlAddress, FollowOptions};
+use corkbay_feed::FeedLimits;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -57,6 +59,13 @@
     /// Its zone.
     #[serde(default)]
     pub zone: String,
+    /// Where its invoke API listens: callers that want to change the configuration are sent there.
+    pub api: Option<SocketAddr>,
+}
+
+/// A zone, where it has a name.
+fn named(zone: &str) -> Option<String> {
+    (!zone.is_empty()).then(|| zone.to_string())
 }
 
 fn one() -> usize {
@@ -80,6 +89,18 @@
 }
 
 impl FeedSettings {
+    /// The bounds of the feed.
+    pub fn limits(&self) -> FeedLimits {
+        FeedLimits {
+            followers: self.followers,
+            full_copies: self.full_copies,
+            waiting_copies: self.followers,
+            bytes_per_s: self.bytes_per_s,
+            history: self.history,
+            ..FeedLimits::default()
+        }
+    }
+
     /// Checks the bounds against the sockets and the bytes for replication that the node has.
     pub fn check(&self, sockets: usize, replication_bytes: usize) -> Result<(), ConfigError> {
         for (key, value) in [
@@ -112,6 +133,17 @@
 }
 
 impl FollowSettings {
+    /// Whom a node in `own_zone` follows.
+    pub fn options(&self, own_zone: &str) -> FollowOptions {
+        let zone = self.zone.as_deref().unwrap_or(own_zone);
+        let control = |entry: &ControlEntry| ControlAddress {
+            address: entry.address,
+            zone: named(&entry.zone),
+            api: entry.api,
+        };
+        FollowOptions { zone: named(zone), controls: self.controls.iter().map(control).collect() }
+    }
+
     /// Checks that the node takes its configuration from its control nodes alone.
     pub fn check(&self, deploy: &Deploy) -> Result<(), ConfigError> {
         if self.controls.is_empty() {
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -10,14 +10,15 @@
 use crate::memory::invocations::Invocations;
 use crate::memory::store::Store;
 use crate::wire::accept::{Acceptor, ConnectionLimits};
+use crate::wire::feed::{self, FeedRole, Role};
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, Desk};
+use crate::wire::news::OnNews;
 use crate::wire::replicate;
 use crate::wire::workers::FrameWorkers;
 use corkbay_ledger::{Account, Ledger, Purpose};
 use serde_json::Value;
 use std::fmt::Display;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,24 +46,21 @@
     let retention = Duration::from_secs_f64(deploy.retention_s);
     let invocations =
         Invocations::new(store.clone(), retention, deploy.answer_bytes()).map_err(|e| at("data_dir")(&e))?;
-    let (clients, to_workers) = connections(deploy.sockets);
+    let followers = deploy.feed.as_ref().map_or(0, |feed| feed.followers);
+    let (clients, to_workers) = connections(deploy.sockets - followers);
     let workers = workers(deploy, &settings, to_workers, ledger.account(Purpose::Workers));
     let invoker = Invoker::new(&settings, rand::random(), workers, ledger.clone());
     accounts::watch(&invoker);
     catalog.announce(&invoker);
-    let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog });
+    let parts =
+        Parts { invoker: invoker.clone(), catalog: Arc::new(catalog), invocations: Arc::new(invocations) };
+    let role = role(deploy, &store, &parts)?;
+    let Parts { catalog, invocations, .. } = parts;
+    let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog, role });
     let account = ledger.account(Purpose::Clients).clone();
     let client_limits = ConnectionLimits { most: clients, stall: invoke::WRITE_STALL, account };
     let acceptor = Acceptor::open(deploy.listen, client_limits).map_err(|e| at("listen")(&e))?;
     let bound = acceptor.address().map_err(|e| at("listen")(&e))?;
-    if let Some(replication) = &deploy.replication {
-        let acceptor =
-            replicate::open(replication.listen, &store).map_err(|e| at("replication.listen")(&e))?;
-        let bound = acceptor.address().map_err(|e| at("replication.listen")(&e))?;
-        println!("replication on {bound}");
-        let interval = Duration::from_millis(replication.interval_ms);
-        replicate(&desk, &store, acceptor, &replication.peers, interval);
-    }
     spawn(move || loop {
         may::coroutine::sleep(SWEEP);
         if let Err(error) = store.sweep() {
@@ -85,22 +83,54 @@
     Ok(serve_until_signalled(&invoker, &mut signals, reload, end))
 }
 
-fn replicate(
-    desk: &Arc<Desk>,
-    store: &Arc<Store>,
-    acceptor: Arc<Acceptor>,
-    peers: &[SocketAddr],
-    interval: Duration,
-) {
-    let ours = desk.clone();
-    let on_news: replicate::OnNews = Arc::new(move || {
-        ours.catalog.announce(&ours.invoker);
-        ours.invocations.wake();
-    });
-    replicate::listen(store.clone(), acceptor, on_news.clone());
-    let listeners =
-        peers.iter().map(|peer| replicate::follow(store.clone(), *peer, interval, on_news.clone()));
-    store.on_write(listeners.collect());
+/// What records of other nodes have an effect on.
+struct Parts {
+    invoker: Arc<Invoker>,
+    catalog: Arc<Catalog>,
+    invocations: Arc<Invocations>,
+}
+
+impl Parts {
+    /// What is done when such records came in.
+    fn on_news(&self) -> OnNews {
+        let invoker = self.invoker.clone();
+        let catalog = self.catalog.clone();
+        let invocations = self.invocations.clone();
+        Arc::new(move |news| {
+            if news.workers {
+                catalog.announce(&invoker);
+            }
+            if news.invocations {
+                invocations.wake();
+            }
+        })
+    }
+}
+
+/// Starts the node's part in the distribution of configuration.
+fn role(deploy: &Deploy, store: &Arc<Store>, parts: &Parts) -> Result<Role, ConfigError> {
+    let mut role = Role::default();
+    if let Some(replication) = &deploy.replication {
+        let at = |error| ConfigError::new("replication.listen", error);
+        let acceptor = replicate::open(replication.listen, store, replication.peers.len()).map_err(at)?;
+        println!("replication on {}", acceptor.address().map_err(at)?);
+        let interval = Duration::from_millis(replication.interval_ms);
+        let mesh = replicate::start(store, acceptor, &replication.peers, interval, parts.on_news());
+        role.mesh = Some(mesh);
+    }
+    if let Some(settings) = &deploy.feed {
+        let at = |error| ConfigError::new("feed.listen", error);
+        let acceptor = feed::open(settings.listen, store, settings.followers).map_err(at)?;
+        println!("feed on {}", acceptor.address().map_err(at)?);
+        role.feed = FeedRole::Control(feed::serve(store.clone(), settings.limits(), acceptor));
+    }
+    if let Some(settings) = &deploy.follow {
+        let options = settings.options(&deploy.zone);
+        let follower = feed::follow(store.clone(), options, parts.on_news());
+        let follower = follower.map_err(|error| ConfigError::new("follow.control", error))?;
+        role.feed = FeedRole::Follower(follower);
+    }
+    Ok(role)
 }
 
 fn seed(catalog: &Catalog, deploy: &Deploy) -> Result<(), Box<dyn std::error::Error>> {
--- /dev/null
+++ b/crates/node/src/wire/feed/records.rs
@@ -0,0 +1,44 @@
+//! The configuration records of a store as the decisions read them.
+use crate::memory::record::Record;
+use crate::memory::store::Store;
+use crate::wire::index::{RecordIndex, Scope};
+use corkbay_feed::{BucketHashes, BucketSet, Page, Records};
+
+/// Records that are read from the store at a time.
+const READ_AHEAD: usize = 64;
+
+/// A store with the index of its configuration.
+pub struct ConfigurationRecords<'a> {
+    /// The store.
+    pub store: &'a Store,
+    /// Its index.
+    pub index: &'a RecordIndex,
+}
+
+impl Records<Record> for ConfigurationRecords<'_> {
+    fn get(&self, key: &str) -> Option<Record> {
+        self.store.get(key).filter(|_| Scope::Configuration.contains(key))
+    }
+
+    fn bucket_hashes(&self) -> BucketHashes {
+        self.index.hashes()
+    }
+
+    fn page(&self, buckets: &BucketSet, after: Option<&str>, most_bytes: usize) -> Page<Record> {
+        let mut page = Page { records: Vec::new(), is_last: true };
+        let mut last_key = after.map(str::to_string);
+        loop {
+            let read = self.store.configuration_after(last_key.as_deref(), READ_AHEAD);
+            let Some(last) = read.last() else { return page };
+            last_key = Some(last.key.to_string());
+            let known = page.records.len();
+            let all = page.records.iter().chain(&read);
+            let filled = Page::fill(all, buckets, most_bytes);
+            if !filled.is_last {
+                return filled;
+            }
+            debug_assert!(filled.records.len() >= known);
+            page = filled;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/wire/feed/status.rs
@@ -0,0 +1,147 @@
+//! What operators are told of a node's role in the feed.
+use super::{FeedReport, FeedServer, FollowerHandle, FollowerReport};
+use crate::wire::replicate::Mesh;
+use corkbay_feed::{FollowerLag, FollowerStage, FollowerState};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A node's part in the distribution of configuration.
+#[derive(Default)]
+pub struct Role {
+    /// The peers that it shares its records with, where there are any.
+    pub mesh: Option<Arc<Mesh>>,
+    /// What is done besides.
+    pub feed: FeedRole,
+}
+
+/// A node's side of the feed.
+#[derive(Default)]
+pub enum FeedRole {
+    /// None.
+    #[default]
+    Off,
+    /// It serves the feed.
+    Control(Arc<FeedServer>),
+    /// It follows a control node.
+    Follower(FollowerHandle),
+}
+
+/// Configuration that can't be changed at a follower.
+pub struct ReadOnly {
+    /// Where it can, if that is known.
+    pub control_api: Option<SocketAddr>,
+}
+
+impl Role {
+    /// Whether, and why, functions and workers can't be changed here.
+    pub fn read_only(&self) -> Option<ReadOnly> {
+        match &self.feed {
+            FeedRole::Follower(follower) => Some(ReadOnly { control_api: follower.control_api() }),
+            FeedRole::Off | FeedRole::Control(_) => None,
+        }
+    }
+
+    /// The report of a control node's feed.
+    pub fn feed_report(&self) -> Option<FeedReport> {
+        match &self.feed {
+            FeedRole::Control(server) => Some(server.report()),
+            FeedRole::Off | FeedRole::Follower(_) => None,
+        }
+    }
+
+    /// The report of a follower.
+    pub fn follower_report(&self) -> Option<FollowerReport> {
+        match &self.feed {
+            FeedRole::Follower(follower) => Some(follower.report()),
+            FeedRole::Off | FeedRole::Control(_) => None,
+        }
+    }
+
+    /// Adds what there is to tell to a node's status.
+    pub fn add_status(&self, status: &mut Value) {
+        if let Some(mesh) = &self.mesh {
+            status["replication"] = json!({ "sent_bytes": mesh.sent_bytes() });
+        }
+        if let Some(report) = self.feed_report() {
+            status["feed"] = feed_status(&report);
+        }
+        let follower = self.follower_report();
+        status["ready"] = follower.as_ref().is_none_or(FollowerReport::is_ready).into();
+        if let Some(report) = follower {
+            status["follow"] = follower_status(&report);
+        }
+    }
+}
+
+fn feed_status(report: &FeedReport) -> Value {
+    let counters = report.counters;
+    json!({
+        "position": report.position,
+        "followers": report.followers,
+        "oldest": report.oldest.as_ref().map(lag_status),
+        "laggards": report.laggards,
+        "named_laggards": report.named_laggards.iter().map(lag_status).collect::<Vec<_>>(),
+        "sent_bytes": report.sent_bytes,
+        "received_bytes": report.received_bytes,
+        "copies": {
+            "running": report.copies_running,
+            "waiting": report.copies_waiting,
+            "begun": counters.copies,
+        },
+        "resumes": counters.resumes,
+        "comparisons": counters.comparisons,
+        "differences": counters.differences,
+        "difference_bytes": counters.difference_bytes,
+        "changes": counters.changes,
+        "busy": counters.busy,
+        "compacted": counters.compacted,
+    })
+}
+
+fn lag_status(lag: &FollowerLag) -> Value {
+    json!({
+        "node": lag.node,
+        "stage": stage_name(lag.stage),
+        "applied": lag.applied,
+        "behind": lag.behind,
+        "behind_ms": lag.behind_ms.round(),
+        "silent_ms": lag.silent_ms.round(),
+    })
+}
+
+fn stage_name(stage: FollowerStage) -> &'static str {
+    match stage {
+        FollowerStage::Greeting => "greeting",
+        FollowerStage::Comparing => "comparing",
+        FollowerStage::Copying => "copying",
+        FollowerStage::Following => "following",
+    }
+}
+
+fn follower_status(report: &FollowerReport) -> Value {
+    let counters = report.counters;
+    json!({
+        "control": report.control,
+        "state": state_name(report.state),
+        "position": report.position,
+        "silent_ms": report.silent_ms.map(f64::round),
+        "connections": counters.connections,
+        "comparisons": counters.comparisons,
+        "copied_records": counters.copied_records,
+        "changed_records": counters.changed_records,
+        "failed_writes": counters.failed_writes,
+        "received_bytes": counters.received_bytes,
+        "sent_bytes": counters.sent_bytes,
+    })
+}
+
+fn state_name(state: FollowerState) -> &'static str {
+    match state {
+        FollowerState::Waiting { .. } => "waiting",
+        FollowerState::Connecting { .. } => "connecting",
+        FollowerState::Greeting { .. } => "greeting",
+        FollowerState::Comparing { .. } => "comparing",
+        FollowerState::Following { .. } => "following",
+    }
+}
--- a/crates/node/src/wire/framing.rs
+++ b/crates/node/src/wire/framing.rs
@@ -11,6 +11,9 @@
 /// Length of the head.
 pub const HEAD: usize = 8;
 
+/// A head as it goes over the wire.
+pub type Head = [u8; HEAD];
+
 /// Why a message was not sent or received.
 #[derive(Debug, thiserror::Error)]
 pub enum FramingError {
@@ -18,8 +21,13 @@
     #[error("{0}")]
     Io(#[from] io::Error),
     /// The head announces more than a message may hold.
-    #[error("message of {0} bytes, {MAX_MESSAGE} at most")]
-    TooLong(usize),
+    #[error("message of {bytes} bytes, {most} at most")]
+    TooLong {
+        /// What it would take.
+        bytes: usize,
+        /// What it may take.
+        most: usize,
+    },
     /// The text does not match its checksum.
     #[error("damaged message")]
     Checksum,
@@ -66,26 +74,28 @@
     Ok(frame.bytes.len())
 }
 
-/// Receives a message.
+/// Receives a message with a text of `most` bytes at most.
 pub fn receive<T: DeserializeOwned>(
     account: &Account,
     socket: &mut impl Read,
+    most: usize,
 ) -> Result<Received<T>, FramingError> {
-    let mut head = [0; HEAD];
+    let mut head = Head::default();
     socket.read_exact(&mut head)?;
-    receive_after(account, socket, head)
+    receive_after(account, socket, head, most)
 }
 
 /// Receives the rest of a message whose head was read before.
 pub fn receive_after<T: DeserializeOwned>(
     account: &Account,
     socket: &mut impl Read,
-    head: [u8; HEAD],
+    head: Head,
+    most: usize,
 ) -> Result<Received<T>, FramingError> {
     let size = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
     let checksum = u32::from_be_bytes([head[4], head[5], head[6], head[7]]);
-    if size > MAX_MESSAGE {
-        return Err(FramingError::TooLong(size));
+    if size > most {
+        return Err(FramingError::TooLong { bytes: size, most });
     }
     // Memory follows what has come, not what was promised.
     let mut text = AccountedBytes::new(account);
@@ -112,7 +122,7 @@
     }
     let text = &frame.bytes[HEAD..];
     if text.len() > MAX_MESSAGE {
-        return Err(FramingError::TooLong(text.len()));
+        return Err(FramingError::TooLong { bytes: text.len(), most: MAX_MESSAGE });
     }
     let size = (text.len() as u32).to_be_bytes();
     let checksum = crc32fast::hash(text).to_be_bytes();
--- a/crates/node/src/wire/framing/tests.rs
+++ b/crates/node/src/wire/framing/tests.rs
@@ -18,7 +18,7 @@
     let account = account();
     let words = vec!["one".to_string(), "two".to_string()];
     let bytes = frame(&account, &words);
-    let received = receive::<Vec<String>>(&account, &mut bytes.as_slice()).expect("whole");
+    let received = receive::<Vec<String>>(&account, &mut bytes.as_slice(), MAX_MESSAGE).expect("whole");
     assert_eq!((received.message, received.bytes), (words, bytes.len()));
     assert!(account.used() > 0);
     drop(received.held);
@@ -30,12 +30,12 @@
 fn bad_frames_are_told_apart() {
     let account = account();
     let whole = frame(&account, &"word");
-    let read = |bytes: &[u8]| receive::<String>(&account, &mut &*bytes).expect_err("bad");
+    let read = |bytes: &[u8]| receive::<String>(&account, &mut &*bytes, MAX_MESSAGE).expect_err("bad");
     let mut damaged = whole.clone();
     damaged[HEAD + 1] ^= 1;
     assert!(matches!(read(&damaged), FramingError::Checksum));
     assert!(read(&whole[..whole.len() - 1]).is_closed());
-    assert!(matches!(read(&[0xff; HEAD]), FramingError::TooLong(_)));
+    assert!(matches!(read(&[0xff; HEAD]), FramingError::TooLong { .. }));
     assert!(matches!(read(&frame(&account, &7)), FramingError::Malformed(_)));
     assert_eq!(account.used(), 0);
 }
@@ -48,6 +48,6 @@
     let _taken = account.reserve(account.cap() - (64 << 10)).expect("room");
     let sent = send(&account, &mut Vec::new(), &"x".repeat(1 << 20));
     assert!(matches!(sent, Err(FramingError::Full(_))), "{sent:?}");
-    let received = receive::<String>(&account, &mut long.as_slice());
+    let received = receive::<String>(&account, &mut long.as_slice(), MAX_MESSAGE);
     assert!(matches!(received, Err(FramingError::Full(_))), "{received:?}");
 }
--- /dev/null
+++ b/crates/node/src/wire/index.rs
@@ -0,0 +1,234 @@
+//! Hashes over the records of a store, kept up to date record by record.
+//!
+//! Two nodes that have the same hashes hold the same records; where they differ, the hashes tell in which buckets.
+use crate::memory::keys::{is_node_local, CONFIGURATION};
+use crate::memory::record::Record;
+use crate::memory::store::Store;
+use corkbay::Ms;
+use corkbay_feed::{stable_hash, BucketHashes, BucketIndex, BucketNumber, FeedRecord, BUCKETS};
+use corkbay_ledger::{Ledger, Purpose, Reservation};
+use may::sync::mpsc;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// What an entry takes: itself and its place in a map, with the room that such maps leave free.
+const ENTRY_BYTES: usize = 2 * (std::mem::size_of::<Entry>() + std::mem::size_of::<Arc<str>>());
+/// About what the names of the fields and the numbers of a record take in a message.
+const MESSAGE_OVERHEAD: usize = 100;
+/// Records that are read at a time while the index is built.
+const PAGE: usize = 64;
+
+impl FeedRecord for Record {
+    fn key(&self) -> &Arc<str> {
+        &self.key
+    }
+
+    fn hash(&self) -> u64 {
+        stable_hash(&[
+            self.key.as_bytes(),
+            &[u8::from(self.is_final)],
+            &self.version.to_be_bytes(),
+            self.node.as_bytes(),
+            &self.expires.to_be_bytes(),
+            self.text().as_bytes(),
+        ])
+    }
+
+    fn size(&self) -> usize {
+        MESSAGE_OVERHEAD + self.key.len() + self.node.len() + self.text().len()
+    }
+
+    fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn order(&self, other: &Self) -> Ordering {
+        Record::order(self, other)
+    }
+}
+
+/// The records that an index covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Functions and workers.
+    Configuration,
+    /// All that peers share: configuration and deferred calls.
+    Shared,
+}
+
+impl Scope {
+    /// Whether a record of that key is covered.
+    pub fn contains(self, key: &str) -> bool {
+        match self {
+            Scope::Configuration => CONFIGURATION.iter().any(|prefix| key.starts_with(prefix)),
+            Scope::Shared => !is_node_local(key),
+        }
+    }
+}
+
+/// What the index keeps of a record.
+#[derive(Clone, Debug)]
+struct Entry {
+    key: Arc<str>,
+    hash: u64,
+    version: u64,
+    expires: Ms,
+    purpose: Purpose,
+}
+
+impl Entry {
+    fn of(record: &Record) -> Self {
+        let Record { version, expires, .. } = *record;
+        let purpose = record.purpose();
+        Entry { key: record.key.clone(), hash: FeedRecord::hash(record), version, expires, purpose }
+    }
+
+    /// Its place among those that expire; `None` for one that does not. Times are whole milliseconds, rounded up.
+    fn expiry(&self) -> Option<(u64, Arc<str>)> {
+        (self.expires > 0.0).then(|| (self.expires.ceil() as u64, self.key.clone()))
+    }
+}
+
+impl FeedRecord for Entry {
+    fn key(&self) -> &Arc<str> {
+        &self.key
+    }
+
+    fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    fn size(&self) -> usize {
+        ENTRY_BYTES
+    }
+
+    fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn order(&self, other: &Self) -> Ordering {
+        (self.version, self.hash).cmp(&(other.version, other.hash))
+    }
+}
+
+/// The hashes of a store's records, by bucket and by key.
+pub struct RecordIndex {
+    scope: Scope,
+    hashes: BucketIndex,
+    buckets: Vec<BTreeMap<Arc<str>, Entry>>,
+    expiries: BTreeSet<(u64, Arc<str>)>,
+    held: HeldByPurpose,
+}
+
+impl RecordIndex {
+    /// An index of no records, which counts with the records that it covers.
+    pub fn new(scope: Scope, ledger: Arc<Ledger>) -> Self {
+        RecordIndex {
+            scope,
+            hashes: BucketIndex::new(),
+            buckets: vec![BTreeMap::new(); BUCKETS],
+            expiries: BTreeSet::new(),
+            held: HeldByPurpose { ledger, reservations: BTreeMap::new() },
+        }
+    }
+
+    /// The index of a store, and what is to be [noted](Self::note) from now on.
+    pub fn of_store(scope: Scope, store: &Store) -> (Self, mpsc::Receiver<Record>) {
+        let (sender, changes) = mpsc::channel();
+        // Records that come in meanwhile are met both ways.
+        store.on_change(sender);
+        let mut index = RecordIndex::new(scope, store.ledger().clone());
+        match scope {
+            Scope::Configuration => {
+                let records = store.configuration(PAGE).flatten();
+                records.for_each(|record| index.note(&record));
+            }
+            Scope::Shared => {
+                let records = store.digest().into_keys().filter_map(|key| store.get(&key));
+                records.for_each(|record| index.note(&record));
+            }
+        }
+        (index, changes)
+    }
+
+    /// Takes in a record that newly stands; one that is not covered changes nothing.
+    pub fn note(&mut self, record: &Record) {
+        if !self.scope.contains(&record.key) {
+            return;
+        }
+        self.remove(&record.key);
+        let entry = Entry::of(record);
+        self.hashes.insert(&entry);
+        self.held.add(entry.purpose);
+        self.expiries.extend(entry.expiry());
+        self.bucket_mut(&record.key).insert(entry.key.clone(), entry);
+    }
+
+    /// Leaves out what has expired.
+    pub fn expire(&mut self, now: Ms) {
+        while let Some((at, _)) = self.expiries.first() {
+            if *at as Ms > now {
+                return;
+            }
+            let Some((_, key)) = self.expiries.pop_first() else { return };
+            self.remove(&key);
+        }
+    }
+
+    /// The hashes of the buckets.
+    pub fn hashes(&self) -> BucketHashes {
+        self.hashes.hashes()
+    }
+
+    /// One hash over all.
+    pub fn root(&self) -> u64 {
+        root_of(&self.hashes())
+    }
+
+    /// The hashes of the records in a bucket, by key.
+    pub fn bucket(&self, bucket: BucketNumber) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.buckets[usize::from(bucket.0)].iter().map(|(key, entry)| (key, entry.hash))
+    }
+
+    fn remove(&mut self, key: &Arc<str>) {
+        let Some(old) = self.bucket_mut(key).remove(key) else { return };
+        self.hashes.remove(&old);
+        self.held.remove(old.purpose);
+        if let Some(expiry) = old.expiry() {
+            self.expiries.remove(&expiry);
+        }
+    }
+
+    fn bucket_mut(&mut self, key: &str) -> &mut BTreeMap<Arc<str>, Entry> {
+        &mut self.buckets[usize::from(BucketNumber::of(key).0)]
+    }
+}
+
+/// One hash over the hashes of all buckets.
+pub fn root_of(hashes: &BucketHashes) -> u64 {
+    stable_hash(&[String::from(hashes.clone()).as_bytes()])
+}
+
+/// What entries take, counted in the accounts of their records.
+struct HeldByPurpose {
+    ledger: Arc<Ledger>,
+    reservations: BTreeMap<Purpose, Reservation>,
+}
+
+impl HeldByPurpose {
+    fn add(&mut self, purpose: Purpose) {
+        let ledger = &self.ledger;
+        let held = self.reservations.entry(purpose).or_insert_with(|| ledger.account(purpose).nothing());
+        held.owe(held.bytes() + ENTRY_BYTES);
+    }
+
+    fn remove(&mut self, purpose: Purpose) {
+        if let Some(held) = self.reservations.get_mut(&purpose) {
+            held.shrink_to(held.bytes().saturating_sub(ENTRY_BYTES));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -2,6 +2,7 @@
 //!
 //! Both styles go through [`Desk::run`]; they differ only in how the answer travels.
 use super::accept::Connection;
+use super::feed::{ReadOnly, Role};
 use super::http::{BadHttp, RequestHead, Response};
 use super::intake::{Intake, CHUNK};
 use super::metrics;
@@ -51,9 +52,11 @@
     /// The core.
     pub invoker: Arc<Invoker>,
     /// Keys and deferred calls.
-    pub invocations: Invocations,
+    pub invocations: Arc<Invocations>,
     /// Functions and workers.
-    pub catalog: Catalog,
+    pub catalog: Arc<Catalog>,
+    /// Where the configuration comes from and goes to.
+    pub role: Role,
 }
 
 /// A call whose answer goes out on the connection.
@@ -243,6 +246,13 @@
 
 fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, connection: &Arc<Connection>) -> Next {
     let parts: Vec<&str> = head.path.trim_matches('/').split('/').collect();
+    let is_change = matches!(
+        (head.method.as_str(), parts.as_slice()),
+        ("PUT" | "DELETE", ["v1", "functions" | "workers", _])
+    );
+    if let (true, Some(read_only)) = (is_change, desk.role.read_only()) {
+        return Next::Respond(not_here(&read_only));
+    }
     Next::Respond(match (head.method.as_str(), parts.as_slice()) {
         ("POST", ["v1", "functions", function, "invocations"]) => {
             return match desk.admit(function, head, body) {
@@ -260,8 +270,10 @@
         },
         ("GET", ["v1", "functions"]) => return listed(desk.catalog.functions(), connection),
         ("GET", ["v1", "workers"]) => return listed(desk.catalog.listed_workers(), connection),
-        ("GET", ["v1", "status"]) => json_response(200, &metrics::status(&desk.invoker)),
-        ("GET", ["metrics"]) => Response::new(200, metrics::CONTENT_TYPE, metrics::text(&desk.invoker)),
+        ("GET", ["v1", "status"]) => json_response(200, &metrics::status(&desk.invoker, &desk.role)),
+        ("GET", ["metrics"]) => {
+            Response::new(200, metrics::CONTENT_TYPE, metrics::text(&desk.invoker, &desk.role))
+        }
         ("PUT", ["v1", "functions", name]) => put(&body, |function: Function| {
             desk.check_function(&function)?;
             desk.catalog.put_function(name, &function)
@@ -550,6 +562,17 @@
     }
 }
 
+/// A follower's answer to a change of its configuration.
+fn not_here(read_only: &ReadOnly) -> Response {
+    let detail = match read_only.control_api {
+        Some(address) => {
+            format!("this node follows a control node; change the configuration at http://{address}")
+        }
+        None => "this node follows a control node; change the configuration there".to_string(),
+    };
+    problem(409, "follower", &detail, Some(false))
+}
+
 /// An error as problem+json; tells whether the call may have run, where there was one.
 fn problem(status: u16, kind: &str, detail: &str, may_have_run: Option<bool>) -> Response {
     let mut body = json!({
--- a/crates/node/src/wire/metrics.rs
+++ b/crates/node/src/wire/metrics.rs
@@ -1,4 +1,5 @@
 //! What the process counts and holds: as JSON, and in the text form that Prometheus reads (OpenMetrics).
+use super::feed::{FeedReport, FollowerReport, Role};
 use crate::core::Invoker;
 use crate::memory::resident::resident_bytes;
 use corkbay_ledger::Line;
@@ -8,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 use serde_json::{json, Map, Value};
+use std::sync::atomic::AtomicU64;
 
 /// The type of [`text`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -15,7 +17,7 @@
 type Labels = Vec<(&'static str, String)>;
 
 /// All of it as JSON.
-pub fn status(invoker: &Invoker) -> Value {
+pub fn status(invoker: &Invoker, role: &Role) -> Value {
     let (ledger, resident) = (invoker.ledger(), resident_bytes());
     let account = |line: Line| {
         json!({
@@ -23,7 +25,7 @@
             "peak_bytes": line.peak, "refused": line.refused,
         })
     };
-    json!({
+    let mut status = json!({
         "owed": invoker.owed(),
         "counters": invoker.counters.named().map(|(name, count)| (name, count.into())).collect::<Map<_, _>>(),
         "memory": {
@@ -33,11 +35,13 @@
             "unaccounted_bytes": resident.saturating_sub(ledger.held()),
             "accounts": ledger.lines().into_iter().map(account).collect::<Vec<_>>(),
         },
-    })
+    });
+    role.add_status(&mut status);
+    status
 }
 
 /// All of it as text. The registry is built for each reading: what it shows is counted elsewhere anyway.
-pub fn text(invoker: &Invoker) -> Vec<u8> {
+pub fn text(invoker: &Invoker, role: &Role) -> Vec<u8> {
     let mut registry = Registry::with_prefix("corkbay");
     for (name, count) in invoker.counters.named() {
         let counter: Counter = Counter::default();
@@ -78,6 +82,7 @@
         refusals.get_or_create(&labels(line)).inc_by(line.refused);
     }
     registry.register("account_refusals", "Reservations that met its cap", refusals);
+    add_role(&mut registry, role);
     let mut text = String::new();
     match encode(&mut text, &registry) {
         Ok(()) => text.into_bytes(),
@@ -86,6 +91,64 @@
     }
 }
 
+/// What a node tells of its peers, its followers or its control node.
+fn add_role(registry: &mut Registry, role: &Role) {
+    if let Some(mesh) = &role.mesh {
+        add_counter(registry, "replication_sent_bytes", "Bytes of messages to peers", mesh.sent_bytes());
+    }
+    if let Some(report) = role.feed_report() {
+        add_feed(registry, &report);
+    }
+    if let Some(report) = role.follower_report() {
+        add_follower(registry, &report);
+    }
+}
+
+fn add_feed(registry: &mut Registry, report: &FeedReport) {
+    let behind = report.oldest.as_ref().map_or(0, |lag| lag.behind);
+    add_gauge(registry, "feed_revision", "Changes since the start", report.position.revision);
+    add_gauge(registry, "feed_followers", "Followers that are connected", report.followers as u64);
+    add_gauge(registry, "feed_most_behind", "Changes that the last of them lacks", behind);
+    add_gauge(registry, "feed_laggards", "Followers behind for over 6 seconds", report.laggards as u64);
+    add_gauge(registry, "feed_copies_running", "Copies under way", report.copies_running as u64);
+    add_gauge(registry, "feed_copies_waiting", "Followers that wait for one", report.copies_waiting as u64);
+    add_counter(registry, "feed_sent_bytes", "Bytes sent to followers", report.sent_bytes);
+    add_counter(registry, "feed_received_bytes", "Bytes received from them", report.received_bytes);
+    let counters = report.counters;
+    add_counter(registry, "feed_resumes", "Followers that went on from their position", counters.resumes);
+    add_counter(registry, "feed_comparisons", "Followers whose records were compared", counters.comparisons);
+    add_counter(registry, "feed_difference_bytes", "Bytes of records that led to", counters.difference_bytes);
+    add_counter(registry, "feed_busy", "Followers turned away", counters.busy);
+}
+
+fn add_follower(registry: &mut Registry, report: &FollowerReport) {
+    let revision = report.position.map_or(0, |position| position.revision);
+    let silent = Gauge::<f64, AtomicU64>::default();
+    silent.set(report.silent_ms.map_or(-1.0, |span| span / 1000.0));
+    let help = "Since the last word of a control node; -1 before the first";
+    registry.register_with_unit("follow_silent", help, Unit::Seconds, silent);
+    add_gauge(registry, "follow_ready", "Whether there is a whole copy", report.is_ready().into());
+    add_gauge(registry, "follow_revision", "Revision of the control node that is on disk", revision);
+    let counters = report.counters;
+    add_counter(registry, "follow_connections", "Connections to control nodes", counters.connections);
+    add_counter(registry, "follow_comparisons", "Comparisons with them", counters.comparisons);
+    add_counter(registry, "follow_copied_records", "Records these led to", counters.copied_records);
+    add_counter(registry, "follow_changed_records", "Records changed", counters.changed_records);
+    add_counter(registry, "follow_failed_writes", "Batches not kept", counters.failed_writes);
+}
+
+fn add_gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let gauge: Gauge = Gauge::default();
+    gauge.set(value as i64);
+    registry.register(name, help, gauge);
+}
+
+fn add_counter(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let counter: Counter = Counter::default();
+    counter.inc_by(value);
+    registry.register(name, help, counter);
+}
+
 fn labels(line: &Line) -> Labels {
     vec![("purpose", line.purpose.to_string()), ("tenant", line.tenant.clone().unwrap_or_default())]
 }
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -1,14 +1,17 @@
 //! What is spoken on the wire. Codecs are pure and bounded; each has its sockets in a module beside it.
 pub mod accept;
 pub mod channel;
+pub mod feed;
 pub mod frames;
 pub mod framing;
 pub mod front;
 pub mod http;
 pub mod http_workers;
+pub mod index;
 pub mod intake;
 pub mod invoke;
 pub mod metrics;
+pub mod news;
 pub mod operators;
 pub mod passage;
 pub mod replicate;
--- /dev/null
+++ b/crates/node/tests/mesh.rs
@@ -0,0 +1,151 @@
+//! A few nodes that name each other as peers: what they send while nothing changes, and how they come together.
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+use support::nodes::{
+    classes_only, delete_function, frame, function_memory, put_function, replication, start_node, status,
+    until_ended, Relay,
+};
+use support::{free_address, until, Daemon, Folder, PATIENCE};
+
+/// Sixteen nodes, 120 pairs, may send 4 KB a second in all while nothing changes: so much for each pair.
+const IDLE_BYTES_PER_S_OF_A_PAIR: f64 = 4096.0 / 120.0;
+
+fn mesh(folder: &Folder, nodes: usize, interval_ms: u64) -> Vec<Daemon> {
+    let addresses: Vec<SocketAddr> = (0..nodes).map(|_| free_address()).collect();
+    let node = |own: usize| {
+        let peers: Vec<SocketAddr> =
+            addresses.iter().copied().filter(|peer| *peer != addresses[own]).collect();
+        let sections = format!("{}{}", replication(addresses[own], &peers, interval_ms), classes_only());
+        start_node(folder, &format!("n{own}"), &sections)
+    };
+    (0..nodes).map(node).collect()
+}
+
+fn sent_bytes(nodes: &[Daemon]) -> u64 {
+    nodes.iter().map(|node| status(node)["replication"]["sent_bytes"].as_u64().expect("a count")).sum()
+}
+
+/// Guards the wire of idle nodes: what is sent follows the number of pairs, not of records or of intervals.
+#[test]
+fn nodes_that_hold_the_same_hardly_speak() {
+    let folder = Folder::new();
+    let nodes = mesh(&folder, 5, 100);
+    for number in 0..100 {
+        put_function(&nodes[number % nodes.len()], &format!("f{number}"), 1);
+    }
+    until("all hold all", || {
+        nodes.iter().all(|node| (0..100).all(|number| function_memory(node, &format!("f{number}")).is_some()))
+    });
+    let pairs = (nodes.len() * (nodes.len() - 1) / 2) as f64;
+    let window = Duration::from_secs(5);
+    let began = Instant::now();
+    loop {
+        let (before, start) = (sent_bytes(&nodes), Instant::now());
+        std::thread::sleep(window);
+        let rate = (sent_bytes(&nodes) - before) as f64 / start.elapsed().as_secs_f64();
+        if rate <= pairs * IDLE_BYTES_PER_S_OF_A_PAIR {
+            return;
+        }
+        assert!(began.elapsed() < PATIENCE, "{rate} bytes a second between {pairs} pairs");
+    }
+}
+
+/// Guards the speed of changes: a write does not wait for the next comparison.
+#[test]
+fn a_write_is_pushed_at_once() {
+    let folder = Folder::new();
+    let nodes = mesh(&folder, 2, 60_000);
+    // The second found the first listening; the first finds the second at its next interval only.
+    until("they have met", || sent_bytes(&nodes[1..]) > 0);
+    put_function(&nodes[1], "fresh", 5);
+    until("it is known", || function_memory(&nodes[0], "fresh") == Some(5.0));
+    delete_function(&nodes[1], "fresh");
+    until("it is gone", || function_memory(&nodes[0], "fresh").is_none());
+}
+
+/// Guards convergence: what either side wrote during a cut is at both after it, and the newer version stands.
+#[test]
+fn nodes_that_were_cut_off_come_together() {
+    let folder = Folder::new();
+    let addresses = [free_address(), free_address()];
+    let relays = [Relay::to(addresses[0]), Relay::to(addresses[1])];
+    let node = |own: usize| {
+        let peers = [relays[1 - own].address];
+        let sections = format!("{}{}", replication(addresses[own], &peers, 200), classes_only());
+        start_node(&folder, &format!("n{own}"), &sections)
+    };
+    let nodes = [node(0), node(1)];
+    put_function(&nodes[0], "shared", 1);
+    until("both are in touch", || function_memory(&nodes[1], "shared") == Some(1.0));
+    relays.iter().for_each(Relay::cut);
+    put_function(&nodes[0], "left", 10);
+    put_function(&nodes[1], "right", 20);
+    put_function(&nodes[1], "shared", 2);
+    put_function(&nodes[1], "shared", 3);
+    put_function(&nodes[0], "shared", 4);
+    delete_function(&nodes[0], "left");
+    put_function(&nodes[0], "left", 11);
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(function_memory(&nodes[1], "left"), None, "the cut holds");
+    relays.iter().for_each(Relay::mend);
+    for node in &nodes {
+        until("all is at both", || {
+            function_memory(node, "left") == Some(11.0)
+                && function_memory(node, "right") == Some(20.0)
+                && function_memory(node, "shared") == Some(3.0)
+        });
+    }
+}
+
+/// Guards a fleet that is brought up to this version node by node: an older peer is an error in the log, and nothing more.
+#[test]
+fn an_earlier_version_gets_a_clear_error() {
+    let folder = Folder::new();
+    let (ours, older) = (free_address(), free_address());
+    let listener = TcpListener::bind(older).expect("free");
+    std::thread::spawn(move || {
+        // An older node reads a message that it does not know and ends the connection.
+        for mut socket in listener.incoming().map_while(Result::ok) {
+            let _ = socket.read(&mut [0; 4096]);
+        }
+    });
+    let sections = format!("{}{}", replication(ours, &[older], 200), classes_only());
+    let node = start_node(&folder, "n", &sections);
+    until("the peer is named", || {
+        let errors = node.errors();
+        errors.lines().any(|line| line.contains(&older.to_string()) && line.contains("earlier version"))
+    });
+    let mut caller = TcpStream::connect(ours).expect("listens");
+    caller.write_all(&frame(r#"{"digest":{"stamps":{}}}"#)).expect("written");
+    until_ended(caller);
+    until("the caller is named", || {
+        node.errors().contains("a caller") && node.errors().contains("brought up")
+    });
+    put_function(&node, "f", 1);
+    assert_eq!(function_memory(&node, "f"), Some(1.0));
+}
+
+/// Guards a node against frames that are damaged, too long or out of turn: each ends its own connection only.
+#[test]
+fn bad_frames_end_their_connection_only() {
+    let folder = Folder::new();
+    let addresses = [free_address(), free_address()];
+    let node = |own: usize| {
+        let sections =
+            format!("{}{}", replication(addresses[own], &[addresses[1 - own]], 200), classes_only());
+        start_node(&folder, &format!("n{own}"), &sections)
+    };
+    let nodes = [node(0), node(1)];
+    let mut damaged = frame(r#"{"hello":{"version":2,"node":"x"}}"#);
+    damaged[9] ^= 1;
+    for bytes in [damaged, vec![0xff; 64], frame(r#"{"compare":7}"#), frame("[1,2]"), frame("{")] {
+        let mut caller = TcpStream::connect(addresses[0]).expect("listens");
+        caller.write_all(&bytes).expect("written");
+        until_ended(caller);
+    }
+    put_function(&nodes[1], "fresh", 5);
+    until("the peers still talk", || function_memory(&nodes[0], "fresh") == Some(5.0));
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 pub mod late;
+pub mod nodes;
 pub mod platform;
 pub mod workers;
 
