Feed: a follower's batches in flight count as held; units, simulation and starts are tested

A simulation of 3 to 4 control nodes and 3 to 40 followers found that a record which came in a difference and again in the stream behind it was handed out twice while the first was on its way to disk. What is in flight counts as held now. While all control nodes fail, one is tried again within 2 s: with each left alone for up to 10 s a follower could be longer than 6 s behind after the fault had gone.

--- a/crates/feed/src/choice.rs
+++ b/crates/feed/src/choice.rs
@@ -6,6 +6,8 @@
 const FIRST_BACKOFF_MS: Ms = 200.0;
 /// The longest span of the back-off, in milliseconds.
 const LONGEST_BACKOFF_MS: Ms = 10_000.0;
+/// The longest wait while all control nodes fail, in milliseconds: whichever comes back first, its followers notice soon.
+const LONGEST_WAIT_MS: Ms = 2_000.0;
 /// Failures in a row that are told apart: by then the span is at its longest.
 const MOST_FAILURES: u32 = 16;
 
@@ -89,6 +91,7 @@
         let span = FIRST_BACKOFF_MS * 2f64.powi(candidate.failures as i32);
         candidate.not_before = now + rng.random_range(0.0..=span.min(LONGEST_BACKOFF_MS));
         candidate.failures = (candidate.failures + 1).min(MOST_FAILURES);
+        self.bound_wait(now, rng);
     }
 
     /// A control node asked to be left alone for a span: it is, and for up to as long again, so that not all come back at
@@ -106,6 +109,18 @@
         }
     }
 
+    /// Where all are left alone for long, moves the one that failed and comes first closer.
+    fn bound_wait(&mut self, now: Ms, rng: &mut impl Rng) {
+        let longest = now + LONGEST_WAIT_MS;
+        if self.candidates.iter().any(|candidate| candidate.not_before <= longest) {
+            return;
+        }
+        let failed = self.candidates.iter_mut().filter(|candidate| candidate.failures > 0);
+        if let Some(first) = failed.min_by(|one, other| one.not_before.total_cmp(&other.not_before)) {
+            first.not_before = now + rng.random_range(0.0..=LONGEST_WAIT_MS);
+        }
+    }
+
     fn candidate(&mut self, number: ControlNumber) -> Option<&mut Candidate> {
         self.candidates.iter_mut().find(|candidate| candidate.number == number)
     }
--- a/crates/feed/src/follower.rs
+++ b/crates/feed/src/follower.rs
@@ -1,12 +1,13 @@
 //! A follower's side of the feed.
+mod in_flight;
 mod receiving;
 
 use crate::{
     Attempt, ChangeOrder, ControlChoice, ControlMessage, ControlNumber, FeedRecord, FollowerLimits,
     FollowerMessage, Ms, Position, Records,
 };
+use in_flight::InFlight;
 use rand::Rng;
-use std::collections::VecDeque;
 
 /// Tells the connections of a follower apart, failed attempts included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -104,14 +105,6 @@
     pub last_heard: Option<Ms>,
 }
 
-/// A batch on its way to disk.
-#[derive(Debug)]
-struct Pending {
-    batch: BatchNumber,
-    connection: ConnectionNumber,
-    position: Option<Position>,
-}
-
 /// What is said once nothing is on its way to disk any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Owed {
@@ -141,8 +134,7 @@
     taken: Option<Position>,
     /// What is on disk.
     kept: Option<Position>,
-    pending: VecDeque<Pending>,
-    batches: u64,
+    in_flight: InFlight<R>,
     actions: Vec<FollowerAction<R>>,
 }
 
@@ -167,8 +159,7 @@
             owed: Owed::Nothing,
             taken: position,
             kept: position,
-            pending: VecDeque::new(),
-            batches: 0,
+            in_flight: InFlight::new(),
             actions: Vec::new(),
         }
     }
@@ -223,10 +214,10 @@
 
     /// A batch is on disk, and so are all before it.
     pub fn persisted(&mut self, batch: BatchNumber, records: &impl Records<R>, now: Ms) {
-        while let Some(pending) = self.pending.pop_front_if(|pending| pending.batch <= batch) {
-            self.kept = pending.position.or(self.kept);
-            if pending.connection == self.connection {
-                self.acknowledge(pending.position);
+        while let Some(written) = self.in_flight.pop_upto(batch) {
+            self.kept = written.position.or(self.kept);
+            if written.connection == self.connection {
+                self.acknowledge(written.position);
             }
         }
         self.say_owed(records, now);
@@ -234,7 +225,7 @@
 
     /// The oldest batch that is on its way couldn't be written, and none after it will be.
     pub fn persist_failed(&mut self, now: Ms, rng: &mut impl Rng) {
-        self.pending.clear();
+        self.in_flight.clear();
         self.taken = self.kept;
         self.fail(now, rng);
     }
--- /dev/null
+++ b/crates/feed/src/follower/in_flight.rs
@@ -0,0 +1,77 @@
+//! What a follower has handed out to be written.
+use super::{BatchNumber, ConnectionNumber};
+use crate::{ChangeOrder, FeedRecord, Position, Records};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// A batch on its way to disk.
+#[derive(Debug)]
+pub(super) struct Batch {
+    pub number: BatchNumber,
+    /// The connection that its records came over.
+    pub connection: ConnectionNumber,
+    /// The position that it leads to.
+    pub position: Option<Position>,
+    keys: Vec<Arc<str>>,
+}
+
+/// The batches on their way to disk, and the records in them: the store may not show these yet.
+#[derive(Debug)]
+pub(super) struct InFlight<R> {
+    batches: VecDeque<Batch>,
+    records: HashMap<Arc<str>, (BatchNumber, R)>,
+    last: BatchNumber,
+}
+
+impl<R: FeedRecord> InFlight<R> {
+    pub fn new() -> Self {
+        InFlight { batches: VecDeque::new(), records: HashMap::new(), last: BatchNumber(0) }
+    }
+
+    pub fn len(&self) -> usize {
+        self.batches.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.batches.is_empty()
+    }
+
+    /// Whether a record replaces both what is held and what is on its way.
+    pub fn admits(&self, record: &R, order: &impl ChangeOrder<R>, held: &impl Records<R>) -> bool {
+        let on_its_way = self.records.get(record.key()).map(|entry| &entry.1);
+        order.supersedes(record, on_its_way) && order.supersedes(record, held.get(record.key()).as_ref())
+    }
+
+    pub fn push(
+        &mut self,
+        records: &[R],
+        position: Option<Position>,
+        connection: ConnectionNumber,
+    ) -> BatchNumber {
+        self.last.0 += 1;
+        let number = self.last;
+        for record in records {
+            self.records.insert(record.key().clone(), (number, record.clone()));
+        }
+        let keys = records.iter().map(|record| record.key().clone()).collect();
+        self.batches.push_back(Batch { number, connection, position, keys });
+        number
+    }
+
+    /// Takes the oldest batch, if it is the given one or came before it.
+    pub fn pop_upto(&mut self, number: BatchNumber) -> Option<Batch> {
+        let batch = self.batches.pop_front_if(|batch| batch.number <= number)?;
+        for key in &batch.keys {
+            // A later batch may hold a newer record of the key.
+            if self.records.get(key).is_some_and(|entry| entry.0 == batch.number) {
+                self.records.remove(key);
+            }
+        }
+        Some(batch)
+    }
+
+    pub fn clear(&mut self) {
+        self.batches.clear();
+        self.records.clear();
+    }
+}
--- a/crates/feed/src/follower/receiving.rs
+++ b/crates/feed/src/follower/receiving.rs
@@ -1,5 +1,5 @@
 //! What a follower makes of messages.
-use super::{BatchNumber, Follower, FollowerAction, FollowerState, Owed, Pending};
+use super::{Follower, FollowerAction, FollowerState, Owed};
 use crate::{ChangeOrder, ControlMessage, FeedRecord, FollowerMessage, Ms, Position, Records};
 
 /// A message that doesn't fit what was said before.
@@ -26,7 +26,7 @@
 
     /// Says what was put off until nothing is on its way to disk: so that what it says of its records is true of the disk.
     pub(super) fn say_owed(&mut self, records: &impl Records<R>, now: Ms) {
-        if !self.pending.is_empty() {
+        if !self.in_flight.is_empty() {
             return;
         }
         match std::mem::replace(&mut self.owed, Owed::Nothing) {
@@ -130,14 +130,12 @@
         position: Option<Position>,
         records: &impl Records<R>,
     ) -> Result<(), Unexpected> {
-        if self.pending.len() >= self.limits.pending_batches {
+        if self.in_flight.len() >= self.limits.pending_batches {
             return Err(Unexpected);
         }
-        incoming.retain(|record| self.order.supersedes(record, records.get(record.key()).as_ref()));
-        self.batches += 1;
-        let batch = BatchNumber(self.batches);
+        incoming.retain(|record| self.in_flight.admits(record, &self.order, records));
         self.taken = position.or(self.taken);
-        self.pending.push_back(Pending { batch, connection: self.connection, position });
+        let batch = self.in_flight.push(&incoming, position, self.connection);
         self.actions.push(FollowerAction::Persist { batch, records: incoming, position });
         Ok(())
     }
--- /dev/null
+++ b/crates/feed/tests/startup.rs
@@ -0,0 +1,74 @@
+//! All followers start at once against one control node: copies at a time and bytes a second stay in their bounds, and
+//! everyone is served in the end.
+mod support;
+
+use corkbay_feed::{FeedCounters, FeedLimits};
+use support::world::{Plan, Planted, Time, World, MS, SECOND};
+use support::TestStore;
+
+const FOLLOWERS: usize = 220;
+const RECORDS: usize = 2000;
+const VALUE_BYTES: usize = 300;
+/// The longest that the slowest start may take.
+const PATIENCE: Time = 60 * SECOND;
+
+/// Plays a start and tells when everyone was served, and what the control node did.
+fn start(kept: TestStore) -> (Time, FeedCounters) {
+    let limits = FeedLimits::default();
+    let mut content = TestStore::default();
+    content.fill(0, RECORDS, 2, VALUE_BYTES);
+    let plan = Plan {
+        seed: 1,
+        planted: Planted::Nothing,
+        controls: 1,
+        followers: FOLLOWERS,
+        limits: limits.clone(),
+        content,
+        kept,
+        troubled_until: 0,
+    };
+    let mut world = World::new(plan);
+    loop {
+        world.run_until(world.now + 100 * MS).expect("keeps its bounds");
+        if world.check_equal().is_ok() {
+            break;
+        }
+        assert!(world.now < PATIENCE, "everyone is served: {:?}", world.course());
+    }
+    check_rate(&limits, &world.differences);
+    let counters = world.course().feed;
+    println!(
+        "all served after {:.1} s, at most {} copies at a time, {counters:?}",
+        world.now as f64 / SECOND as f64,
+        world.most_copies
+    );
+    (world.now, counters)
+}
+
+/// In no span does more pass than the rate allows, and a second's worth and a page more.
+fn check_rate(limits: &FeedLimits, sent: &[(Time, usize)]) {
+    let (mut level, mut last) = (0.0f64, 0);
+    for (at, bytes) in sent {
+        let drained = (at - last) as f64 / SECOND as f64 * limits.bytes_per_s;
+        level = (level - drained).max(0.0) + *bytes as f64;
+        last = *at;
+        assert!(level <= limits.bytes_per_s + limits.page_bytes as f64, "{level} bytes at {at}");
+    }
+}
+
+#[test]
+fn followers_with_nothing_kept_are_all_served() {
+    let (_, counters) = start(TestStore::default());
+    assert_eq!(counters.copies, FOLLOWERS as u64);
+    assert!(counters.busy > 0, "some were told to come again");
+}
+
+#[test]
+fn followers_with_data_kept_are_sent_little() {
+    let mut kept = TestStore::default();
+    kept.fill(0, RECORDS, 2, VALUE_BYTES);
+    kept.fill(0, 10, 1, VALUE_BYTES);
+    let (took, counters) = start(kept);
+    assert_eq!(counters.copies, 0, "a page is no copy");
+    assert!(took < 6 * SECOND);
+}
--- /dev/null
+++ b/crates/feed/tests/support/mod.rs
@@ -0,0 +1,98 @@
+//! Records and stores for tests.
+#![allow(dead_code)]
+pub mod checker;
+pub mod world;
+
+use corkbay_feed::{stable_hash, BucketHashes, BucketIndex, BucketSet, FeedRecord, Page, Records};
+use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TestRecord {
+    pub key: Arc<str>,
+    pub version: u64,
+    pub writer: u64,
+    /// Nothing where it was deleted.
+    pub value: Option<Arc<str>>,
+}
+
+impl TestRecord {
+    pub fn new(key: &str, version: u64, writer: u64, value: Option<&str>) -> Self {
+        TestRecord { key: key.into(), version, writer, value: value.map(Arc::from) }
+    }
+}
+
+impl FeedRecord for TestRecord {
+    fn key(&self) -> &Arc<str> {
+        &self.key
+    }
+
+    fn hash(&self) -> u64 {
+        let value = self.value.as_deref().unwrap_or("-");
+        let (version, writer) = (self.version.to_be_bytes(), self.writer.to_be_bytes());
+        stable_hash(&[self.key.as_bytes(), &version, &writer, value.as_bytes()])
+    }
+
+    fn size(&self) -> usize {
+        48 + self.key.len() + self.value.as_ref().map_or(0, |value| value.len())
+    }
+
+    fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn order(&self, other: &Self) -> Ordering {
+        (self.version, self.writer, &self.value).cmp(&(other.version, other.writer, &other.value))
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TestStore {
+    pub records: BTreeMap<Arc<str>, TestRecord>,
+    index: BucketIndex,
+}
+
+impl TestStore {
+    pub fn put(&mut self, record: TestRecord) {
+        match self.records.get(&record.key) {
+            Some(old) => self.index.replace(old, &record),
+            None => self.index.insert(&record),
+        }
+        self.records.insert(record.key.clone(), record);
+    }
+
+    /// Whether the record was news.
+    pub fn merge(&mut self, record: TestRecord) -> bool {
+        let is_news = self.records.get(&record.key).is_none_or(|held| record.order(held).is_gt());
+        if is_news {
+            self.put(record);
+        }
+        is_news
+    }
+
+    /// Records `first..first + count`, each with a value of so many bytes.
+    pub fn fill(&mut self, first: usize, count: usize, version: u64, bytes: usize) {
+        for number in first..first + count {
+            self.put(TestRecord::new(&format!("key/{number}"), version, 0, Some(&"x".repeat(bytes))));
+        }
+    }
+}
+
+impl Records<TestRecord> for TestStore {
+    fn get(&self, key: &str) -> Option<TestRecord> {
+        self.records.get(key).cloned()
+    }
+
+    fn bucket_hashes(&self) -> BucketHashes {
+        self.index.hashes()
+    }
+
+    fn page(&self, buckets: &BucketSet, after: Option<&str>, most_bytes: usize) -> Page<TestRecord> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let records = self.records.range::<str, _>((from, Bound::Unbounded));
+        Page::fill(records.map(|entry| entry.1), buckets, most_bytes)
+    }
+}
--- /dev/null
+++ b/crates/feed/tests/units/messages.rs
@@ -0,0 +1,76 @@
+use crate::support::{TestRecord, TestStore};
+use corkbay_feed::{ControlMessage, FollowerMessage, Position, Records};
+
+const FRAME_HEAD: usize = 8;
+const GREATEST: Position = Position { incarnation: u64::MAX, revision: u64::MAX };
+
+#[test]
+fn a_heartbeat_and_its_answer_fit_200_bytes_whatever_the_position() {
+    let heartbeat = ControlMessage::<TestRecord>::Heartbeat { position: GREATEST };
+    let answer = FollowerMessage::Applied { position: Some(GREATEST) };
+    let texts =
+        [serde_json::to_string(&heartbeat).expect("writes"), serde_json::to_string(&answer).expect("writes")];
+    let bytes: usize = texts.iter().map(|text| text.len() + FRAME_HEAD).sum();
+    println!("{bytes} bytes: {texts:?}");
+    assert!(bytes <= 200, "{bytes}");
+}
+
+/// Guards talk between versions: the text of each message stays.
+#[test]
+fn messages_read_and_write_as_ever() {
+    let record = TestRecord::new("k", 2, 3, None);
+    let position = Position { incarnation: 255, revision: 7 };
+    let hashes = TestStore::default().bucket_hashes();
+    let empty = "A".repeat(2731);
+    let from_control = [
+        (
+            ControlMessage::Changes { after: position, upto: 8, records: vec![record.clone()] },
+            r#"{"changes":{"after":"00000000000000ff:7","upto":8,"records":[{"key":"k","version":2,"writer":3,"value":null}]}}"#,
+        ),
+        (ControlMessage::SendBuckets, r#""send_buckets""#),
+        (
+            ControlMessage::Difference { records: vec![], last: Some(position) },
+            r#"{"difference":{"records":[],"last":"00000000000000ff:7"}}"#,
+        ),
+        (ControlMessage::Heartbeat { position }, r#"{"heartbeat":{"position":"00000000000000ff:7"}}"#),
+        (ControlMessage::Busy { retry_after_ms: 5 }, r#"{"busy":{"retry_after_ms":5}}"#),
+    ];
+    for (message, text) in from_control {
+        assert_eq!(serde_json::to_string(&message).expect("writes"), text);
+        assert_eq!(serde_json::from_str::<ControlMessage<TestRecord>>(text).expect("reads"), message);
+    }
+    let from_follower = [
+        (
+            FollowerMessage::Hello { node: "n".into(), position: None },
+            r#"{"hello":{"node":"n","position":null}}"#.to_string(),
+        ),
+        (FollowerMessage::Buckets { hashes }, format!(r#"{{"buckets":{{"hashes":"{empty}="}}}}"#)),
+        (FollowerMessage::NextPage, r#""next_page""#.to_string()),
+        (
+            FollowerMessage::Applied { position: Some(position) },
+            r#"{"applied":{"position":"00000000000000ff:7"}}"#.to_string(),
+        ),
+    ];
+    for (message, text) in from_follower {
+        assert_eq!(serde_json::to_string(&message).expect("writes"), text);
+        assert_eq!(serde_json::from_str::<FollowerMessage>(&text).expect("reads"), message);
+    }
+}
+
+#[test]
+fn bad_positions_are_refused() {
+    for text in
+        ["", "1:2", "00000000000000ff", "00000000000000ff:", "00000000000000ff:-1", "+0000000000000ff:1"]
+    {
+        assert!(text.parse::<Position>().is_err(), "{text}");
+    }
+    assert_eq!(GREATEST.to_string().parse(), Ok(GREATEST));
+}
+
+#[test]
+fn positions_of_different_incarnations_are_not_compared() {
+    let position = Position { incarnation: 1, revision: 5 };
+    assert_eq!(position.behind(position.at(9)), Some(4));
+    assert_eq!(position.at(9).behind(position), None);
+    assert_eq!(position.behind(Position { incarnation: 2, revision: 9 }), None);
+}
