--- a/crates/node/src/wire/feed.rs
+++ b/crates/node/src/wire/feed.rs
@@ -20,6 +20,8 @@
 pub use server::{open, serve, FeedReport, FeedServer};
 pub use status::{FeedRole, ReadOnly, Role};
 
+pub use corkbay_feed::FeedLimits;
+
 use corkbay::Ms;
 use std::sync::OnceLock;
 use std::time::Instant;
