--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -19,6 +19,8 @@
 
 /// Some control nodes and their followers.
 struct Site {
+    /// More of the control nodes' `[feed]` section.
+    bounds: &'static str,
     folder: Folder,
     replication: Vec<SocketAddr>,
     feeds: Vec<SocketAddr>,
@@ -28,8 +30,13 @@
 
 impl Site {
     fn new(controls: usize, followers: usize) -> Self {
+        Site::with_bounds(controls, followers, "")
+    }
+
+    fn with_bounds(controls: usize, followers: usize, bounds: &'static str) -> Self {
         let addresses = || (0..controls).map(|_| free_address()).collect::<Vec<_>>();
         let mut site = Site {
+            bounds,
             folder: Folder::new(),
             replication: addresses(),
             feeds: addresses(),
@@ -45,7 +52,7 @@
     fn start_control(&self, number: usize) -> Daemon {
         let own = self.replication[number];
         let peers: Vec<SocketAddr> = self.replication.iter().copied().filter(|peer| *peer != own).collect();
-        let feed = format!("[feed]\nlisten = \"{}\"\n", self.feeds[number]);
+        let feed = format!("[feed]\nlisten = \"{}\"\n{}", self.feeds[number], self.bounds);
         let sections = format!("{}{feed}{CLASSES}", replication(own, &peers, 200));
         start_node(&self.folder, &format!("c{number}"), &sections)
     }
@@ -196,6 +203,68 @@
     assert_eq!(status(&site.controls[0])["feed"]["resumes"], json!(1));
 }
 
+/// Guards what is on the disk against a death in the midst of writes: the position never runs ahead of the records.
+#[test]
+fn a_follower_that_is_killed_in_the_midst_of_changes_misses_none() {
+    const CHANGES: usize = 200;
+    let mut site = Site::new(1, 1);
+    for number in 0..CHANGES {
+        put_function(&site.controls[0], &format!("x{number}"), 1);
+        if number == CHANGES / 2 {
+            site.followers.clear();
+        }
+    }
+    let follower = site.start_follower(0);
+    let last = format!("x{}", CHANGES - 1);
+    until("the last change is there", || function_memory(&follower, &last) == Some(1.0));
+    let functions = ask(follower.address, "GET", "/v1/functions", &[], b"").json();
+    let missing: Vec<usize> =
+        (0..CHANGES).filter(|number| functions[format!("x{number}")].is_null()).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+    assert_eq!(counter(&follower, "comparisons"), 0);
+}
+
+/// Guards deletions: a control node still knows of one after its restart, when nobody can go on from a position.
+#[test]
+fn a_deletion_gets_through_where_both_sides_restart() {
+    let mut site = Site::new(1, 1);
+    site.followers.clear();
+    delete_function(&site.controls[0], "once");
+    site.controls.clear();
+    let _control = site.start_control(0);
+    let follower = site.start_follower(0);
+    assert!(function_memory(&follower, "once").is_some(), "it starts with what it holds");
+    until("it is gone", || function_memory(&follower, "once").is_none());
+    assert!(function_memory(&follower, "check").is_some());
+}
+
+/// Guards all others against one that does not read, and that one against what it misses.
+#[test]
+fn a_follower_that_stops_delays_nobody_and_catches_up() {
+    let mut site = Site::new(1, 3);
+    let stopped = site.followers.remove(0);
+    stopped.signal("STOP");
+    for number in 0..50 {
+        put_function(&site.controls[0], &format!("x{number}"), 1);
+    }
+    site.in_force(Instant::now(), "x49", Some(1.0));
+    until("it is given up", || status(&site.controls[0])["feed"]["followers"] == json!(2));
+    stopped.signal("CONT");
+    let awake = Instant::now();
+    until("it has caught up", || function_memory(&stopped, "x49") == Some(1.0));
+    assert!(awake.elapsed() <= IN_FORCE, "{:?}", awake.elapsed());
+    assert_eq!(counter(&stopped, "comparisons"), 1, "of its first copy");
+}
+
+/// Guards control nodes against more followers than they can bear: the others find a place elsewhere.
+#[test]
+fn a_full_control_node_sends_followers_elsewhere() {
+    let site = Site::with_bounds(2, 2, "followers = 1\n");
+    for control in &site.controls {
+        until("each has one", || status(control)["feed"]["followers"] == json!(1));
+    }
+}
+
 /// Guards followers against the cost of a control node's restart: hashes are compared, and nothing is copied.
 #[test]
 fn a_control_node_that_restarts_causes_no_copies() {
