--- a/crates/feed/tests/simulation.rs
+++ b/crates/feed/tests/simulation.rs
@@ -15,26 +15,37 @@
 /// The time in which all followers must hold what control nodes hold.
 const IN_FORCE: u64 = 6 * SECOND;
 const IDLE: u64 = 9 * SECOND;
+/// Bytes of all records, at most.
+const MOST_COPY_BYTES: usize = 12 << 10;
+/// Pages that one copy after the other gets through in 2 s, at 30 ms from one to the next.
+const PAGES_IN_TIME: usize = 66;
 /// The most bytes of a heartbeat and its answer.
 const MOST_PAIR: u64 = 200;
 
+/// How many copies at a time serve all followers in time if they all come to one control node with nothing.
+fn copies_in_time(followers: usize, page_bytes: usize) -> usize {
+    let pages = MOST_COPY_BYTES.div_ceil(page_bytes);
+    (followers * pages).div_ceil(PAGES_IN_TIME)
+}
+
 fn plan(seed: u64, planted: Planted) -> Plan {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    let followers = rng.random_range(3..=40);
+    let page_bytes = rng.random_range(1..=6) << 10;
     let limits = FeedLimits {
         followers: 45,
-        full_copies: rng.random_range(1..=3),
+        full_copies: copies_in_time(followers, page_bytes) + rng.random_range(0..3),
         waiting_copies: rng.random_range(2..=45),
         bytes_per_s: rng.random_range(100_000.0..1_000_000.0),
         history: [4, 16, 64][rng.random_range(0..3)],
         window: rng.random_range(1..=20),
         window_bytes: 4 << 10,
-        page_bytes: rng.random_range(1..=6) << 10,
+        page_bytes,
         ..FeedLimits::default()
     };
     let (mut content, mut kept) = (TestStore::default(), TestStore::default());
     content.fill(0, 100, 2, 10);
     kept.fill(0, rng.random_range(0..100), 1, 10);
-    let followers = rng.random_range(3..=40);
     let troubled_until = rng.random_range(8..20) * SECOND;
     let controls = rng.random_range(3..=4);
     Plan { seed, planted, controls, followers, limits, content, kept, troubled_until }
@@ -76,8 +87,10 @@
 fn followers_come_to_equal_the_control_nodes_whatever_happens() {
     let mut troubles = [0; 8];
     let (mut most_pair, mut most_idle) = (0, 0);
-    for (seed, played) in play_all(Planted::Nothing) {
-        let course = played.unwrap_or_else(|found| panic!("seed {seed}: {found:?}"));
+    let played = play_all(Planted::Nothing);
+    let found: Vec<_> = played.iter().filter(|(_, played)| played.is_err()).collect();
+    assert!(found.is_empty(), "{found:?}");
+    for (seed, course) in played.into_iter().filter_map(|(seed, played)| Some((seed, played.ok()?))) {
         most_pair = most_pair.max(course.most_idle_pair);
         most_idle = most_idle.max(course.most_idle_bytes);
         let feed = course.feed;
