25,000 functions start within 256 MB: entries are written by batch, seeds are digests

Seen: 25,000 functions with memory_mb = 256 were refused ("327 bytes do not fit into catalog"), and starts with a data_dir took 1.6 to 14 s for 6,000 functions and 3.1 to 7.3 s for 12,000 (three runs each, loaded machine). Checked: without data_dir 12,000 take 0.11 s, and the CPU time with one grows no faster than the number of entries. So neither lookups nor compaction are at fault but two synced writes for each entry; what looked superlinear is the disk's time.

- Entries are written with put_many, up to 256 writes in one synced append, together with the page that tells what the file last said (256 pages of 64-bit digests, one node-local record each, in place of one record with the whole value for each entry).
- The catalog's part of the budget grows with what the deploy file configures, plus a quarter for changes by API, at the expense of parts that the file does not name.
What can't fit is named: memory_mb, or memory.shares.catalog where the file sets it.
- A seed that finds no room names memory_mb, not data_dir.
- life::accounts takes MemorySettings and no longer imports life::deploy.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -78,12 +78,62 @@
         Ok(self)
     }
 
+    /// These shares, with at least so many bytes of a room for a purpose. Purposes that the file does not name give
+    /// way in proportion. `keys` are where the memory and the shares stand in the file, for errors.
+    pub fn raise(
+        mut self,
+        purpose: Purpose,
+        bytes: usize,
+        room: usize,
+        (memory_key, shares_key): (&str, &str),
+    ) -> Result<Self, BudgetError> {
+        let place = purpose as usize;
+        let has = self.percent[place];
+        let wants = bytes as f64 * 100.0 / room.max(1) as f64;
+        if wants <= has {
+            return Ok(self);
+        }
+        let name = purpose.name();
+        let needs = format!("{name} needs {bytes} bytes of {room} for what is configured");
+        if self.named[place] {
+            let key = format!("{shares_key}.{name}");
+            return Err(BudgetError::new(key, format!("{needs}, {wants:.1} percent")));
+        }
+        let named = self.named;
+        let is_open = |other: usize| other != place && !named[other];
+        let others: f64 =
+            (0..Purpose::COUNT).filter(|other| is_open(*other)).map(|other| self.percent[other]).sum();
+        let left = others + has - wants;
+        if left < 0.0 {
+            return Err(BudgetError::new(
+                memory_key,
+                format!("{needs}, {:.1} percent are free", others + has),
+            ));
+        }
+        for other in Purpose::all().filter(|other| is_open(*other as usize)) {
+            let before = self.percent[other as usize];
+            let after = before * left / others;
+            let floor = other.terms().floor as f64 * 100.0 / room.max(1) as f64;
+            if before >= floor && after < floor {
+                let what = format!("{needs}, which leaves too little for {}", other.name());
+                return Err(BudgetError::new(memory_key, what));
+            }
+            self.percent[other as usize] = after;
+        }
+        self.percent[place] = wants;
+        Ok(self)
+    }
+
     /// The share of a purpose, in percent.
     pub fn percent(&self, purpose: Purpose) -> f64 {
         self.percent[purpose as usize]
     }
 }
 
+fn reserved(memory: usize, percent: f64) -> usize {
+    (memory as f64 * percent / 100.0) as usize
+}
+
 /// The caps of a process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Budget {
@@ -100,8 +150,8 @@
         shares: &Shares,
         (memory_key, shares_key): (&str, &str),
     ) -> Result<Self, BudgetError> {
-        let reserved = (memory as f64 * reserve / 100.0) as usize;
-        let room = memory.saturating_sub(base).saturating_sub(reserved);
+        let reserved = reserved(memory, reserve);
+        let room = Budget::room_within(memory, base, reserve);
         let mut caps = [0; Purpose::COUNT];
         for purpose in Purpose::all() {
             let (percent, floor) = (shares.percent(purpose), purpose.terms().floor);
@@ -123,6 +173,11 @@
         Ok(Budget { caps })
     }
 
+    /// What `memory` bytes leave to share out, less the `base` and `reserve` percent.
+    pub fn room_within(memory: usize, base: usize, reserve: f64) -> usize {
+        memory.saturating_sub(base).saturating_sub(reserved(memory, reserve))
+    }
+
     /// The cap of a purpose, in bytes.
     pub fn cap(&self, purpose: Purpose) -> usize {
         self.caps[purpose as usize]
@@ -135,49 +190,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::MIB;
-
-    const KEYS: (&str, &str) = ("memory_mb", "memory.shares");
-
-    fn shares(file: &[(&str, f64)]) -> Result<Shares, BudgetError> {
-        let file = file.iter().map(|(name, percent)| (name.to_string(), *percent)).collect();
-        Shares::daemon().with(&file, KEYS.1)
-    }
-
-    #[test]
-    fn caps_add_up_to_what_is_left() {
-        for shares in [Shares::daemon(), Shares::platform(), shares(&[("calls", 55.0)]).expect("fits")] {
-            let budget = Budget::plan(128 * MIB, 6 * MIB, 15.0, &shares, KEYS).expect("fits");
-            let room = 128.0 * 0.85 - 6.0;
-            assert!((budget.room() as f64 / MIB as f64 - room).abs() < 0.01);
-        }
-        let budget = Budget::plan(32 * MIB, 6 * MIB, 15.0, &Shares::platform(), KEYS).expect("fits");
-        assert_eq!(budget.cap(Purpose::Keys), 0, "off on the platform");
-    }
-
-    #[test]
-    fn what_the_file_names_stands_and_the_rest_keeps_its_proportions() {
-        let shares = shares(&[("calls", 64.0)]).expect("fits");
-        assert_eq!(shares.percent(Purpose::Calls), 64.0);
-        let of_rest =
-            |purpose: Purpose| purpose.terms().daemon * 36.0 / (100.0 - Purpose::Calls.terms().daemon);
-        let rest = Purpose::all().filter(|purpose| *purpose != Purpose::Calls);
-        assert!(rest.into_iter().all(|one| (shares.percent(one) - of_rest(one)).abs() < 1e-9), "{shares:?}");
-    }
-
-    #[test]
-    fn what_does_not_fit_together_names_its_key() {
-        let key = |end: Result<Shares, BudgetError>| end.expect_err("refused").key;
-        assert_eq!(key(shares(&[("calls", 60.0), ("keys", 41.0)])), "memory.shares");
-        assert_eq!(key(shares(&[("posts", 1.0)])), "memory.shares.posts");
-        assert_eq!(key(shares(&[("calls", -1.0)])), "memory.shares.calls");
-        assert_eq!(key(shares(&[("calls", f64::NAN)])), "memory.shares.calls");
-        let plan = |mb: usize, shares: Shares| Budget::plan(mb * MIB, 6 * MIB, 15.0, &shares, KEYS);
-        assert_eq!(plan(4, Shares::daemon()).expect_err("refused").key, "memory_mb");
-        let starved = shares(&[("log", 0.1)]).expect("adds up");
-        assert_eq!(plan(128, starved).expect_err("refused").key, "memory.shares.log");
-        assert!(plan(128, Shares::daemon()).is_ok());
-    }
-}
+mod tests;
--- a/crates/node/src/life/accounts.rs
+++ b/crates/node/src/life/accounts.rs
@@ -1,11 +1,11 @@
 //! From the configuration to the accounts of the process.
 use super::config::ConfigError;
-use super::deploy::Deploy;
 use super::spawn;
 use crate::core::{now_ms, Invoker};
 use crate::memory::resident::resident_bytes;
 use corkbay::Settings;
-use corkbay_ledger::{Alarm, Budget, BudgetError, Shares, TenantShare, MIB};
+use corkbay_ledger::{Alarm, Budget, BudgetError, Purpose, Shares, TenantShare, MIB};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +13,8 @@
 pub const USUAL_BASE: usize = 6 * MIB;
 /// What is kept back on the platform for what no account sees, in percent.
 const PLATFORM_RESERVE: f64 = 12.0;
+/// Room for changes by API beside what the file configures, as a part of that.
+const CATALOG_SPARE: f64 = 0.25;
 /// How often accounts are looked at.
 const LOOK: Duration = Duration::from_secs(1);
 
@@ -34,12 +36,33 @@
     Ok(Budget::plan(memory, base, PLATFORM_RESERVE, &Shares::platform(), keys)?)
 }
 
-/// The caps that a deploy file asks for.
-pub fn deploy_budget(deploy: &Deploy, base: usize) -> Result<Budget, ConfigError> {
-    let shares = Shares::daemon().with(&deploy.memory.shares, "memory.shares")?;
-    let base = deploy.memory.base_mb.map_or(base, |mb| (mb * MIB as f64) as usize);
+/// What a deploy file says of memory.
+#[derive(Clone, Debug)]
+pub struct MemorySettings {
+    /// Memory of the process, MB.
+    pub memory_mb: u64,
+    /// What the process takes by itself, MB; measured where it is not given.
+    pub base_mb: Option<f64>,
+    /// What is kept back for what no account sees, in percent.
+    pub reserve_percent: f64,
+    /// Parts of purposes, in percent of the rest.
+    pub shares: BTreeMap<String, f64>,
+    /// What the functions and workers of the file take, in bytes.
+    pub catalog_bytes: usize,
+}
+
+/// The caps that a deploy file asks for. The catalog's part grows with what the file configures, at the expense of
+/// parts that the file does not name.
+pub fn deploy_budget(settings: &MemorySettings, base: usize) -> Result<Budget, ConfigError> {
+    let base = settings.base_mb.map_or(base, |mb| (mb * MIB as f64) as usize);
+    let memory = settings.memory_mb as usize * MIB;
+    let reserve = settings.reserve_percent;
+    let room = Budget::room_within(memory, base, reserve);
+    let wanted = settings.catalog_bytes + (settings.catalog_bytes as f64 * CATALOG_SPARE) as usize;
     let keys = ("memory_mb", "memory.shares");
-    Ok(Budget::plan(deploy.memory_mb as usize * MIB, base, deploy.memory.reserve_percent, &shares, keys)?)
+    let shares =
+        Shares::daemon().with(&settings.shares, keys.1)?.raise(Purpose::Catalog, wanted, room, keys)?;
+    Ok(Budget::plan(memory, base, reserve, &shares, keys)?)
 }
 
 /// The tenants and their shares, in the order of their numbers.
--- a/crates/node/src/life/deploy.rs
+++ b/crates/node/src/life/deploy.rs
@@ -1,7 +1,9 @@
 //! The daemon's own deploy file: where the invoke API listens, what it serves and who the workers are.
-use super::accounts::{deploy_budget, USUAL_BASE};
+use super::accounts::{deploy_budget, MemorySettings, USUAL_BASE};
 use super::config::ConfigError;
 use crate::memory::catalog::{check_name, Function, State};
+use crate::memory::keys::{FUNCTION, WORKER};
+use crate::memory::seeds::configured_size;
 use corkbay_ledger::KIB;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
@@ -390,7 +392,7 @@
         if !(0.0..=90.0).contains(&self.memory.reserve_percent) {
             return Err(ConfigError::new("memory.reserve_percent", "not from 0 to 90"));
         }
-        deploy_budget(self, USUAL_BASE)?;
+        deploy_budget(&self.memory_settings(), USUAL_BASE)?;
         if self.classes.is_empty() {
             return Err(ConfigError::new("class", "no class"));
         }
@@ -436,6 +438,28 @@
         self.limits.answer_kb * KIB
     }
 
+    /// What the file says of memory.
+    pub fn memory_settings(&self) -> MemorySettings {
+        MemorySettings {
+            memory_mb: self.memory_mb,
+            base_mb: self.memory.base_mb,
+            reserve_percent: self.memory.reserve_percent,
+            shares: self.memory.shares.clone(),
+            catalog_bytes: self.catalog_bytes(),
+        }
+    }
+
+    /// What the functions and workers of the file take in the store, in bytes.
+    fn catalog_bytes(&self) -> usize {
+        let functions = self
+            .functions
+            .iter()
+            .map(|function| configured_size(&self.node, FUNCTION, &function.name, &function.function()));
+        let workers =
+            self.workers.iter().map(|worker| configured_size(&self.node, WORKER, &worker.name, worker));
+        functions.sum::<usize>() + workers.sum::<usize>()
+    }
+
     /// The settings object that the decisions read.
     pub fn settings(&self) -> Value {
         let mut zones: Vec<&str> = vec![&self.zone];
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -6,9 +6,10 @@
 };
 use super::{accounts, spawn};
 use crate::core::{Invoker, Workers};
-use crate::memory::catalog::{Catalog, Worker};
+use crate::memory::catalog::{Catalog, CatalogError, Worker};
 use crate::memory::invocations::Invocations;
-use crate::memory::store::Store;
+use crate::memory::seeds::SeedEntry;
+use crate::memory::store::{Store, StoreError};
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, Desk};
@@ -33,15 +34,17 @@
     let mut signals = signals()?;
     let settings = deploy.settings();
     let base = accounts::measured_base();
-    let ledger =
-        Arc::new(Ledger::new(&accounts::deploy_budget(deploy, base)?, &accounts::tenants(&settings)));
+    let ledger = Arc::new(Ledger::new(
+        &accounts::deploy_budget(&deploy.memory_settings(), base)?,
+        &accounts::tenants(&settings),
+    ));
     let store = Arc::new(match &deploy.data_dir {
         Some(folder) => Store::open(&deploy.node, folder, ledger.clone()).map_err(|e| at("data_dir")(&e))?,
         None => Store::in_memory(&deploy.node, ledger.clone()),
     });
     let give_up = deploy.classes.iter().map(|class| class.give_up_ms).collect();
     let catalog = Catalog::new(store.clone(), give_up);
-    seed(&catalog, deploy).map_err(|e| at("data_dir")(&e))?;
+    seed(&catalog, deploy)?;
     let retention = Duration::from_secs_f64(deploy.retention_s);
     let invocations =
         Invocations::new(store.clone(), retention, deploy.answer_bytes()).map_err(|e| at("data_dir")(&e))?;
@@ -75,8 +78,8 @@
     // Functions, workers and caps of memory are taken up; what the file says besides holds from the next start on.
     let reload = || {
         let next = Deploy::load(path)?;
-        ledger.adopt(&accounts::deploy_budget(&next, base)?);
-        seed(&desk.catalog, &next).map_err(|error| ConfigError::new("data_dir", error))?;
+        ledger.adopt(&accounts::deploy_budget(&next.memory_settings(), base)?);
+        seed(&desk.catalog, &next)?;
         desk.catalog.announce(&desk.invoker);
         Ok(())
     };
@@ -103,9 +106,11 @@
     store.on_write(listeners.collect());
 }
 
-fn seed(catalog: &Catalog, deploy: &Deploy) -> Result<(), Box<dyn std::error::Error>> {
+/// Writes the functions and workers that the deploy file changed since it was last read.
+fn seed(catalog: &Catalog, deploy: &Deploy) -> Result<(), ConfigError> {
+    let mut entries = Vec::with_capacity(deploy.functions.len() + deploy.workers.len());
     for function in &deploy.functions {
-        catalog.seed_function(&function.name, &function.function())?;
+        entries.push(SeedEntry::function(&function.name, &function.function()).map_err(unusable_entry)?);
     }
     for entry in &deploy.workers {
         let worker = Worker {
@@ -116,9 +121,18 @@
             weight: entry.weight,
             state: entry.state,
         };
-        catalog.seed_worker(&entry.name, &worker)?;
+        entries.push(SeedEntry::worker(&entry.name, &worker).map_err(unusable_entry)?);
     }
-    Ok(())
+    catalog.seed(entries).map_err(unusable_entry)
+}
+
+/// Names the key that an entry failed for: the memory where there is no room, else where the state is kept.
+fn unusable_entry(error: CatalogError) -> ConfigError {
+    let key = match &error {
+        CatalogError::Store(StoreError::Full { .. }) => "memory_mb",
+        CatalogError::Store(_) | CatalogError::Value(_) => "data_dir",
+    };
+    ConfigError::new(key, error)
 }
 
 fn workers(deploy: &Deploy, settings: &Value, connections: usize, account: &Account) -> Arc<dyn Workers> {
--- a/crates/node/src/memory/catalog.rs
+++ b/crates/node/src/memory/catalog.rs
@@ -1,4 +1,5 @@
 //! The functions and workers that the store holds as configuration.
+use super::hash::fnv1a;
 use super::keys::{FUNCTION, WORKER};
 use super::record::{Record, Text};
 use super::roster::Listing;
@@ -40,10 +41,7 @@
 impl Function {
     /// The number under which the decisions know the function of that name: FNV-1a, cut to the range.
     pub fn model(&self, name: &str) -> ModelId {
-        let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
-        ModelId(hash % MODELS)
+        ModelId(fnv1a(name.as_bytes()) % MODELS)
     }
 }
 
@@ -130,6 +128,10 @@
         self.store.node()
     }
 
+    pub(super) fn store(&self) -> &Store {
+        &self.store
+    }
+
     /// The longest time of a class.
     pub fn give_up(&self, class: usize) -> Ms {
         self.give_up.get(class).copied().unwrap_or(1000.0)
@@ -184,27 +186,6 @@
         self.put(&format!("{WORKER}{name}"), None, true)
     }
 
-    /// Writes an entry of the deploy file, unless the file said the same when it was last read here:
-    /// so the file's changes take effect, and what was changed by API since stays changed.
-    fn seed(&self, key: &str, value: &Text) -> Result<(), CatalogError> {
-        let seen = format!("seed/{}/{key}", self.node());
-        if self.store.get(&seen).and_then(|record| record.value).as_ref() == Some(value) {
-            return Ok(());
-        }
-        self.put(key, Some(value.clone()), true)?;
-        self.put(&seen, Some(value.clone()), true)
-    }
-
-    /// Writes a function of the deploy file; see above for what the file's word counts.
-    pub fn seed_function(&self, name: &str, function: &Function) -> Result<(), CatalogError> {
-        self.seed(&format!("{FUNCTION}{name}"), &text(function)?)
-    }
-
-    /// Writes a worker of the deploy file, likewise.
-    pub fn seed_worker(&self, name: &str, worker: &Worker) -> Result<(), CatalogError> {
-        self.seed(&format!("{WORKER}{name}"), &text(worker)?)
-    }
-
     /// Tells the decisions which workers there are.
     pub fn announce(&self, invoker: &Arc<Invoker>) {
         let listing = |(name, worker): (String, Worker)| Listing {
@@ -239,10 +220,6 @@
     }
 }
 
-fn text(value: &impl Serialize) -> Result<Text, CatalogError> {
-    Text::of(value).map_err(|error| CatalogError::Value(error.to_string()))
-}
-
 /// Entries on their way out as one JSON object. They share what they hold with the store until the text is
 /// made, which takes [`Object::size`] more.
 pub struct Object {
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -2,6 +2,7 @@
 pub mod catalog;
 pub mod clients;
 pub mod counters;
+pub mod hash;
 pub mod invocations;
 pub mod keys;
 pub mod link;
@@ -10,6 +11,7 @@
 pub mod resident;
 pub mod room;
 pub mod roster;
+pub mod seeds;
 pub mod store;
 
 /// Accounts with room for all that a test holds.
--- /dev/null
+++ b/crates/node/src/memory/seeds/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+use crate::memory::roomy;
+use std::sync::Arc;
+
+/// Enough for more entries in each page than one batch takes.
+const MANY: usize = 2 * PAGES * MOST_ENTRIES;
+
+fn function(lanes: u32) -> Function {
+    Function { class: "check".into(), tenant: String::new(), memory_mb: 0.0, lanes, cost_ms: None }
+}
+
+fn entries(count: usize, first_lanes: u32) -> Vec<SeedEntry> {
+    let lanes = |number: usize| if number == 0 { first_lanes } else { 1 };
+    let entry = |number: usize| SeedEntry::function(&number.to_string(), &function(lanes(number)));
+    (0..count).map(|number| entry(number).expect("text")).collect()
+}
+
+fn versions(store: &Store) -> u64 {
+    store.configuration(1000).flatten().map(|record| record.version).sum()
+}
+
+#[test]
+fn entries_are_written_when_the_file_changes_them_and_only_then() {
+    let store = Arc::new(Store::in_memory("one", roomy()));
+    let catalog = Catalog::new(store.clone(), Vec::new());
+    catalog.seed(entries(MANY, 1)).expect("room");
+    assert_eq!(store.under(FUNCTION).len(), MANY);
+    catalog.seed(entries(MANY, 1)).expect("room");
+    assert_eq!(versions(&store), MANY as u64, "nothing is written twice");
+    catalog.put_function("0", &function(7)).expect("room");
+    catalog.seed(entries(MANY, 1)).expect("room");
+    assert_eq!(catalog.function("0"), Some(function(7)), "a change by API stands");
+    catalog.seed(entries(MANY, 2)).expect("room");
+    assert_eq!(catalog.function("0"), Some(function(2)), "until the file changes the entry");
+    assert_eq!(versions(&store), MANY as u64 + 2);
+}
+
+/// Guards the budget that is planned for a deploy file: what its entries take may not be more.
+#[test]
+fn the_size_that_is_planned_is_what_entries_take() {
+    let store = Arc::new(Store::in_memory("one", roomy()));
+    Catalog::new(store.clone(), Vec::new()).seed(entries(MANY, 1)).expect("room");
+    let planned = (0..MANY).map(|number| configured_size("one", FUNCTION, &number.to_string(), &function(1)));
+    let (planned, held) = (planned.sum::<usize>(), store.ledger().held());
+    assert!(held <= planned + planned / 50 && planned <= held + held / 50, "{planned} planned, {held} held");
+}
