--- a/crates/feed/tests/startup.rs
+++ b/crates/feed/tests/startup.rs
@@ -72,3 +72,28 @@
     assert_eq!(counters.copies, 0, "a page is no copy");
     assert!(took < 6 * SECOND);
 }
+
+/// A large fleet whose followers hold the records already: a third of them lose their control node in the moment of a
+/// change, by its crash, its stop or its isolation.
+#[test]
+fn a_change_is_in_force_in_a_large_fleet_while_a_control_node_is_away() {
+    let mut content = TestStore::default();
+    content.fill(0, 1000, 2, VALUE_BYTES);
+    for seed in 1..=3 {
+        let plan = Plan {
+            seed,
+            planted: Planted::Nothing,
+            controls: 3,
+            followers: 880,
+            limits: FeedLimits::default(),
+            content: content.clone(),
+            kept: content.clone(),
+            troubled_until: 0,
+        };
+        let mut world = World::new(plan);
+        world.run_until(2 * SECOND).expect("keeps its bounds");
+        world.check_idle(15 * SECOND, 200).expect("sends heartbeats only");
+        world.check_change_while_one_is_away(6 * SECOND).expect("is in force in time");
+        println!("seed {seed}: {:?}", world.course());
+    }
+}
