A follower that can't keep what comes pauses before it asks again; pages of copies are tested

A follower without room in its catalog would have been sent the same records several times a second, as each new connection counted as a success. It pauses now, 0.5 s at first and 10 s at most. Tests: that, a follower's file with functions ends the start with exit code 2, and pages of copies hold each record once within their bound.

--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -30,6 +30,9 @@
 const PAGE_KEY: &str = "local/feed-page";
 /// How long the control node may send or take nothing of a message that has begun.
 const STALL: Duration = Duration::from_secs(3);
+/// Pauses after writes that failed, one after the other: the first in milliseconds, doubled up to the longest.
+const FIRST_WRITE_PAUSE_MS: Ms = 500.0;
+const LONGEST_WRITE_PAUSE_MS: Ms = 10_000.0;
 /// Longest wait without a look at whether the follower is to end.
 const LONGEST_WAIT_MS: Ms = 500.0;
 
@@ -157,6 +160,7 @@
         index,
         changes,
         connection: None,
+        write_pause_ms: FIRST_WRITE_PAUSE_MS,
         counters: FollowerCounters::default(),
         on_news,
         shared: shared.clone(),
@@ -189,6 +193,8 @@
     /// Records that the index has not seen.
     changes: mpsc::Receiver<Record>,
     connection: Option<ControlConnection>,
+    /// How long to pause after the next write that fails.
+    write_pause_ms: Ms,
     counters: FollowerCounters,
     on_news: OnNews,
     shared: Arc<Shared>,
@@ -276,6 +282,7 @@
         let news = News::of(&records);
         match self.write(batch, records, position) {
             Ok(count) => {
+                self.write_pause_ms = FIRST_WRITE_PAUSE_MS;
                 if count > 0 && news.workers {
                     (self.on_news)(news);
                 }
@@ -286,11 +293,22 @@
             Err(error) => {
                 tracing::error!(%error, "feed: what came can't be kept");
                 self.counters.failed_writes += 1;
+                self.pause_writes();
                 self.follower.persist_failed(monotonic_ms(), &mut rand::rng());
             }
         }
     }
 
+    /// Leaves the control nodes alone for a while: what can't be kept now would only be sent again.
+    fn pause_writes(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.socket.shut(Shutdown::Both);
+        }
+        self.publish();
+        may::coroutine::sleep(Duration::from_secs_f64(self.write_pause_ms / 1000.0));
+        self.write_pause_ms = (2.0 * self.write_pause_ms).min(LONGEST_WRITE_PAUSE_MS);
+    }
+
     /// Keeps records and, behind them, how far they lead.
     fn write(
         &self,
--- a/crates/node/src/wire/feed/records.rs
+++ b/crates/node/src/wire/feed/records.rs
@@ -42,3 +42,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/wire/feed/records/tests.rs
@@ -0,0 +1,68 @@
+use super::*;
+use crate::memory::record::Text;
+use crate::memory::roomy;
+use crate::memory::store::Draft;
+use corkbay_feed::{BucketNumber, FeedRecord};
+
+const FUNCTIONS: usize = 300;
+const MOST_BYTES: usize = 4 << 10;
+
+fn filled_store() -> Store {
+    let store = Store::in_memory("n", roomy());
+    for number in 0..FUNCTIONS {
+        let key = format!("function/{number}");
+        store.put(&mut Draft::new(&key, Text::of(&number).ok())).expect("room");
+    }
+    store.put(&mut Draft::new("worker/gone", None)).expect("a tombstone");
+    store.put(&mut Draft::new("invocation/1", Text::of(&1).ok())).expect("room");
+    store.put(&mut Draft::new("local/note", Text::of(&1).ok())).expect("room");
+    store
+}
+
+/// All pages of some buckets, one after the other.
+fn copied(store: &Store, buckets: &BucketSet) -> Vec<Record> {
+    let (index, _changes) = RecordIndex::of_store(Scope::Configuration, store);
+    let records = ConfigurationRecords { store, index: &index };
+    let mut all: Vec<Record> = Vec::new();
+    loop {
+        let page = records.page(buckets, all.last().map(|record| &*record.key), MOST_BYTES);
+        let bytes: usize = page.records.iter().map(FeedRecord::size).sum();
+        assert!(bytes <= MOST_BYTES, "{bytes}");
+        assert!(page.is_last || !page.records.is_empty());
+        all.extend(page.records);
+        if page.is_last {
+            return all;
+        }
+    }
+}
+
+/// Guards copies: each configuration record once, in order, tombstones too, and nothing else, in pages of bounded size.
+#[test]
+fn pages_cover_the_configuration_once() {
+    let store = filled_store();
+    let all = copied(&store, &BucketSet::all());
+    assert_eq!(all.len(), FUNCTIONS + 1);
+    assert!(all.windows(2).all(|pair| pair[0].key < pair[1].key));
+    assert!(all.iter().any(|record| &*record.key == "worker/gone" && record.value.is_none()));
+}
+
+#[test]
+fn pages_hold_the_buckets_asked_for() {
+    let store = filled_store();
+    let buckets: BucketSet = (0..40).map(BucketNumber).collect();
+    let some = copied(&store, &buckets);
+    let expected = copied(&store, &BucketSet::all());
+    let expected: Vec<Record> =
+        expected.into_iter().filter(|record| buckets.contains(BucketNumber::of(&record.key))).collect();
+    assert!(!some.is_empty() && some.len() < FUNCTIONS);
+    assert_eq!(some, expected);
+}
+
+#[test]
+fn only_configuration_is_read_by_key() {
+    let store = filled_store();
+    let (index, _changes) = RecordIndex::of_store(Scope::Configuration, &store);
+    let records = ConfigurationRecords { store: &store, index: &index };
+    assert!(records.get("function/1").is_some());
+    assert!(records.get("invocation/1").is_none() && records.get("local/note").is_none());
+}
--- a/crates/node/src/wire/replicate.rs
+++ b/crates/node/src/wire/replicate.rs
@@ -28,7 +28,7 @@
 /// How long the other side may take or send nothing of a message.
 const STALL: Duration = Duration::from_secs(5);
 /// Nodes that may be connected beside the peers.
-const OTHER_CALLERS: usize = 16;
+const OTHER_CALLERS: usize = 32;
 
 /// Listens for other nodes, of which so many are expected.
 pub fn open(address: SocketAddr, store: &Store, peers: usize) -> io::Result<Arc<Acceptor>> {
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -4,6 +4,7 @@
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
 use std::time::{Duration, Instant};
 use support::nodes::{
     classes_only, delete_function, frame, function_memory, put_function, replication, start_node, status,
@@ -332,6 +333,41 @@
     assert!(response.status == 409 && detail.contains("http://127.0.0.1:8080"), "{detail}");
 }
 
+/// Guards control nodes against a follower that asks again and again for what it has no room for, and operators against
+/// not being told.
+#[test]
+fn a_follower_without_room_says_so_and_asks_seldom() {
+    let site = Site::new(1, 0);
+    let sections = format!(
+        "[memory]\nshares = {{ catalog = 0.2 }}\n[follow]\n[[follow.control]]\naddress = \"{}\"\n{}",
+        site.feeds[0],
+        classes_only()
+    );
+    let follower = start_node(&site.folder, "f", &sections);
+    until("it follows", || is_following(&follower));
+    for number in 0..600 {
+        put_function(&site.controls[0], &format!("x{number}"), 1);
+    }
+    until("it has no more room", || counter(&follower, "failed_writes") > 0);
+    let (before, connections) = (counter(&follower, "failed_writes"), counter(&follower, "connections"));
+    std::thread::sleep(Duration::from_secs(4));
+    // Pauses of 0.5, 1 and 2 s leave room for four tries in 4 s.
+    assert!(counter(&follower, "failed_writes") - before <= 4);
+    assert!(counter(&follower, "connections") - connections <= 4);
+    assert!(function_memory(&follower, "once").is_some(), "it keeps what it has");
+}
+
+#[test]
+fn a_follower_with_functions_of_its_own_does_not_start() {
+    let folder = Folder::new();
+    let follow = format!("[follow]\n[[follow.control]]\naddress = \"{}\"\n", free_address());
+    let file = folder.write("f.toml", &support::nodes::deploy("f", &format!("{follow}{CLASSES}")));
+    let end = Command::new(env!("CARGO_BIN_EXE_corkbay")).arg("serve").arg(file).output().expect("runs");
+    let errors = String::from_utf8_lossy(&end.stderr).into_owned();
+    assert_eq!(end.status.code(), Some(2));
+    assert!(errors.contains("function: ") && errors.trim_end().lines().count() == 1, "{errors}");
+}
+
 /// Guards the feed against frames that are damaged, too long or out of turn: each ends its own connection only.
 #[test]
 fn bad_frames_end_their_connection_only() {
