The deletion's test starts the follower before its control node, so that the order is fixed

One run in five failed on a loaded machine: the deletion had reached the follower before the test looked for the record that it starts with. The follower now starts alone, shows the record, and then its control node comes up.

--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -232,9 +232,9 @@
     site.followers.clear();
     delete_function(&site.controls[0], "once");
     site.controls.clear();
-    let _control = site.start_control(0);
     let follower = site.start_follower(0);
     assert!(function_memory(&follower, "once").is_some(), "it starts with what it holds");
+    let _control = site.start_control(0);
     until("it is gone", || function_memory(&follower, "once").is_none());
     assert!(function_memory(&follower, "check").is_some());
 }
