Newcomers of a full node are refused in their time, and only connections with nothing unread give way

Cause: a newcomer evicted whoever was silent, mostly the one accepted just before, whose request was not read yet. Since that request is taken, and the connection keeps its slot until the answer, with its reading side shut, so that its client was not seen to leave. The acceptor waited for a slot, 0.1 s at a time, and all others stood in the listener's queue beyond their time. Which share each of these had was not measured apart. Change: a connection with something unread is read and answered first and closes after that, with its client still seen to leave; an idle one closes at once in its place, in both directions. While all are busy for 0.1 s, newcomers are let in beside the limit, four at a time, read, refused with advice and closed, on both fronts. A request that ends wakes the acceptor. An HTTP request keeps its slot while it is looked at, also one that waits for a deferred answer.

--- a/crates/node/src/memory/clients.rs
+++ b/crates/node/src/memory/clients.rs
@@ -21,6 +21,8 @@
     since: Ms,
     /// Its place was given to another: it is to end.
     evicted: bool,
+    /// Its place was wanted while something stood unread on it: it ends once nothing is owed on it.
+    leaving: bool,
     /// It is closed once nothing is owed on it, or passed on before.
     draining: bool,
     /// Its reading side is shut, or it was handed over.
@@ -54,6 +56,7 @@
             answered: false,
             since: now,
             evicted: false,
+            leaving: false,
             draining: false,
             shut: false,
         };
@@ -125,18 +128,42 @@
         self.entries.get(&number).is_some_and(|entry| entry.shut)
     }
 
-    /// Whether its place is given to another.
+    /// Whether its place is given to another, or to be given.
     pub fn is_evicted(&self, number: u64) -> bool {
-        self.entries.get(&number).is_some_and(|entry| entry.evicted)
+        self.entries.get(&number).is_some_and(|entry| entry.evicted || entry.leaving)
     }
 
-    /// Whose place is given to another: of those with nothing open one that never had an answer, else
-    /// the one idle longest. Each is named once, and its reading side is to be shut: what has come by then is owed.
-    pub fn evict_idle(&mut self) -> Option<H> {
-        let idle = self.entries.values_mut().filter(|entry| entry.open == 0 && !entry.evicted);
-        let entry = idle.min_by(|a, b| a.answered.cmp(&b.answered).then(a.since.total_cmp(&b.since)))?;
-        (entry.evicted, entry.draining, entry.shut) = (true, true, true);
-        Some(entry.handle.clone())
+    /// Whether its reading side is to be shut now, since its place was wanted and nothing is owed on it any more. True once.
+    pub fn leave(&mut self, number: u64) -> bool {
+        let entry =
+            self.entries.get_mut(&number).filter(|entry| entry.leaving && entry.open == 0 && !entry.shut);
+        let Some(entry) = entry else { return false };
+        (entry.draining, entry.shut) = (true, true);
+        true
+    }
+
+    /// Whose place is given to another: of those with nothing open and nothing unread one that never had an answer, else
+    /// the one idle longest. Each is named once, and is to be closed: only what has come by then is owed. Those before it
+    /// on which something stands unread are read and answered first, and leave after that. Before one of them that never had
+    /// an answer was read, none of those that had one gives way.
+    pub fn evict_idle(&mut self, mut has_unread: impl FnMut(&H) -> bool) -> Option<H> {
+        let mut idle: Vec<_> =
+            self.entries.values_mut().filter(|entry| entry.open == 0 && !entry.evicted).collect();
+        idle.sort_by(|a, b| a.answered.cmp(&b.answered).then(a.since.total_cmp(&b.since)));
+        let mut is_silent_unread = false;
+        for entry in idle {
+            if entry.answered && is_silent_unread {
+                return None;
+            }
+            if has_unread(&entry.handle) {
+                entry.leaving = true;
+                is_silent_unread |= !entry.answered;
+                continue;
+            }
+            (entry.evicted, entry.draining, entry.shut) = (true, true, true);
+            return Some(entry.handle.clone());
+        }
+        None
     }
 }
 
--- a/crates/node/src/memory/clients/tests.rs
+++ b/crates/node/src/memory/clients/tests.rs
@@ -18,13 +18,13 @@
         assert_eq!(clients.state(number), (ClientState::Idle, now));
     }
     clients.opened(busy);
-    let ways: Vec<_> = std::iter::from_fn(|| clients.evict_idle()).collect();
+    let ways: Vec<_> = std::iter::from_fn(|| clients.evict_idle(|_| false)).collect();
     assert_eq!(ways, ["silent longer", "silent", "idle", "fresh"]);
     clients.closed(busy, 9.0);
     assert_eq!(clients.state(busy), (ClientState::Silent, 9.0), "what it took back was never answered");
-    assert_eq!(clients.evict_idle(), Some("busy"));
+    assert_eq!(clients.evict_idle(|_| false), Some("busy"));
     clients.remove(busy);
-    assert_eq!(clients.evict_idle(), None);
+    assert_eq!(clients.evict_idle(|_| false), None);
 }
 
 /// Guards a drain: all are drained, newcomers too; each is shut once, and while something is owed on it not at all.
@@ -58,8 +58,36 @@
     assert_eq!(clients.drain(), ["idle"]);
     assert!(!clients.hand_over(idle) && clients.hand_over(busy) && !clients.hand_over(busy));
     clients.closed(busy, 2.0);
-    assert_eq!((clients.drain(), clients.evict_idle()), (vec![], Some("idle")));
+    assert_eq!((clients.drain(), clients.evict_idle(|_| false)), (vec![], Some("idle")));
     clients.closed(late, 3.0);
     assert_eq!(clients.drain(), ["late"], "nothing is owed on it any more");
     assert!(!clients.hand_over(late));
 }
+
+/// Guards what stands unread on a connection whose place is wanted: another gives way, and it leaves once it was answered.
+#[test]
+fn who_has_sent_something_gives_way_after_its_answer() {
+    let mut clients = ClientTable::default();
+    let [asking, other] = ["asking", "other"].map(|name| clients.insert(name, 1.0));
+    assert_eq!(clients.evict_idle(|name| *name == "asking"), Some("other"));
+    clients.remove(other);
+    clients.opened(asking);
+    assert!(!clients.leave(asking) && !clients.is_shut(asking), "its client is still seen to leave");
+    clients.closed(asking, 2.0);
+    assert!(clients.leave(asking) && clients.is_shut(asking) && !clients.leave(asking));
+    assert_eq!(clients.evict_idle(|_| false), Some("asking"), "should its reader not end");
+}
+
+/// Guards usual clients against a flood that was not read yet.
+#[test]
+fn nobody_who_was_answered_gives_way_before_the_silent_were_read() {
+    let mut clients = ClientTable::default();
+    let usual = clients.insert("usual", 1.0);
+    clients.answered(usual, 2.0);
+    clients.insert("flood", 3.0);
+    assert_eq!(clients.evict_idle(|name| *name == "flood"), None);
+    clients.insert("silent", 4.0);
+    assert_eq!(clients.evict_idle(|name| *name == "flood"), Some("silent"));
+    assert_eq!(clients.evict_idle(|_| false), Some("flood"));
+    assert_eq!(clients.evict_idle(|_| false), Some("usual"));
+}
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -1,7 +1,7 @@
 //! Accepting connections within a budget of descriptors.
 use super::passage::{Passage, Passed};
 use super::socket::Socket;
-use crate::core::{lock, now_ms};
+use crate::core::{lock, now_ms, until};
 use crate::life::spawn;
 use crate::memory::clients::{ClientState, ClientTable};
 use crate::memory::room::wait;
@@ -19,8 +19,14 @@
 
 /// Pause after an accept that failed, for want of descriptors above all.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long a newcomer waits for a place before another connection is asked to give way.
+/// How long a newcomer waits for an evicted connection to close before another one is evicted, and for how long all
+/// connections have to be busy before newcomers are turned away.
 const GIVE_WAY: Duration = Duration::from_millis(100);
+/// How often idle connections are looked for while there are none.
+const EVICT_LOOK: Duration = Duration::from_millis(2);
+/// Connections beyond the limit that may be held at once to be turned away.
+const SPARE_SLOTS: usize = 4;
+const GIVE_WAY_MS: Ms = GIVE_WAY.as_millis() as Ms;
 
 /// Longest time for taking up what stands in the queue, before the listener is closed.
 const EMPTIED: Duration = Duration::from_millis(100);
@@ -44,8 +50,10 @@
     /// Where answers go once it was passed on. Held while one is written.
     passed: Mutex<Option<Passed>>,
     account: Account,
+    slots: Arc<Slots>,
+    kind: SlotKind,
     /// Given back when it is passed on, or last, after the descriptor.
-    place: Mutex<Option<Place>>,
+    slot: Mutex<Option<Slot>>,
 }
 
 /// What a connection takes: the stack of its task as far as it is touched, a chunk, its entry. Measured.
@@ -61,31 +69,84 @@
     pub account: Account,
 }
 
-/// The connections that are taken, and how many may be.
-struct Places {
-    taken: Mutex<usize>,
+/// How many connections are held, and how many may be.
+struct Slots {
+    held: Mutex<Held>,
     most: AtomicUsize,
-    freed: Condvar,
+    changed: Condvar,
 }
 
-impl Places {
-    fn is_full(&self, taken: usize) -> bool {
-        taken >= self.most.load(Ordering::Acquire)
+#[derive(Default)]
+struct Held {
+    regular: usize,
+    /// Beyond the limit, to be turned away.
+    spare: usize,
+    /// Counts what may let a newcomer in: slots given back, and requests that have come to their end.
+    changes: u64,
+}
+
+impl Slots {
+    fn new(most: usize) -> Self {
+        Slots { held: Mutex::default(), most: AtomicUsize::new(most.max(1)), changed: Condvar::new() }
+    }
+
+    fn is_full(&self, held: &Held) -> bool {
+        held.regular >= self.most.load(Ordering::Acquire)
     }
 
-    /// Takes a place if one is free.
+    /// Takes a slot if one is free.
     fn take(&self) -> bool {
-        let mut taken = lock(&self.taken);
-        let free = !self.is_full(*taken);
-        *taken += usize::from(free);
+        let mut held = lock(&self.held);
+        let free = !self.is_full(&held);
+        held.regular += usize::from(free);
+        free
+    }
+
+    /// Takes a slot beyond the limit if one is free.
+    fn take_spare(&self) -> bool {
+        let mut held = lock(&self.held);
+        let free = held.spare < SPARE_SLOTS;
+        held.spare += usize::from(free);
         free
     }
 
-    /// Waits until a place may be free, for that long at most.
-    fn wait(&self, within: Duration) {
-        let taken = lock(&self.taken);
-        if self.is_full(*taken) {
-            let _ = self.freed.wait_timeout(taken, within);
+    fn give_back(&self, kind: SlotKind) {
+        let mut held = lock(&self.held);
+        match kind {
+            SlotKind::Regular => held.regular -= 1,
+            SlotKind::Spare => held.spare -= 1,
+        }
+        held.changes += 1;
+        self.changed.notify_all();
+    }
+
+    /// A connection may have become idle.
+    fn note_change(&self) {
+        lock(&self.held).changes += 1;
+        self.changed.notify_all();
+    }
+
+    fn changes(&self) -> u64 {
+        lock(&self.held).changes
+    }
+
+    /// Waits until a slot is free, for that long at most.
+    fn wait_for_free(&self, within: Duration) {
+        let end = now_ms() + within.as_secs_f64() * 1000.0;
+        let mut held = lock(&self.held);
+        while self.is_full(&held) && now_ms() < end {
+            held = match self.changed.wait_timeout(held, until(end)) {
+                Ok((held, _)) => held,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+    }
+
+    /// Waits until there are other changes than those that were seen, for that long at most.
+    fn wait_for_change(&self, seen: u64, within: Duration) {
+        let held = lock(&self.held);
+        if held.changes == seen {
+            let _ = self.changed.wait_timeout(held, within);
         }
     }
 }
@@ -95,7 +156,11 @@
     listener: TcpListener,
     limits: ConnectionLimits,
     clients: Table,
-    places: Arc<Places>,
+    /// Those that were let in beyond the limit, to be told that there is no room.
+    turned_away: Table,
+    slots: Arc<Slots>,
+    /// Since when no newcomer was let in because all connections were busy.
+    crowded_since: Mutex<Option<Ms>>,
     closed: AtomicBool,
     /// What becomes of a client.
     serve: OnceLock<Serve>,
@@ -107,12 +172,14 @@
     /// Listens at an address; others of the same user may listen there, too.
     pub fn open(address: SocketAddr, limits: ConnectionLimits) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
-        let (taken, most, freed) = (Mutex::new(0), AtomicUsize::new(limits.most.max(1)), Condvar::new());
+        let slots = Arc::new(Slots::new(limits.most));
         Ok(Arc::new(Acceptor {
             listener,
             limits,
             clients: Table::default(),
-            places: Arc::new(Places { taken, most, freed }),
+            turned_away: Table::default(),
+            slots,
+            crowded_since: Mutex::new(None),
             closed: AtomicBool::new(false),
             serve: OnceLock::new(),
         }))
@@ -123,8 +190,9 @@
         self.listener.local_addr()
     }
 
-    /// Accepts clients until it is closed. When all places or the room for them are taken, a newcomer gets that of a
-    /// client that is owed nothing: the silent go first.
+    /// Accepts clients until it is closed. When all slots or the room for them are taken, a newcomer gets that of a
+    /// client that is owed nothing: the silent go first. While all are owed something, newcomers are turned away: they
+    /// are read, and what they ask is refused, since what waits in the listener's queue has no answer in its time.
     pub fn accept(&self, serve: impl Fn(Arc<Connection>) + Send + Sync + 'static) {
         let serve = self.serve.get_or_init(|| Arc::new(serve));
         while !self.closed.load(Ordering::Acquire) {
@@ -141,10 +209,11 @@
         }
     }
 
-    /// Serves a client, once there is a place for it until then.
+    /// Serves a client, once there is a slot for it until then.
     fn let_in(&self, socket: Socket, serve: &Serve, until: Ms) -> std::io::Result<()> {
-        let place = self.make_way(until).ok_or(ErrorKind::TimedOut)?;
-        let (connection, serve) = (Connection::new(socket, &self.clients, place), serve.clone());
+        let slot = self.make_way(until).ok_or(ErrorKind::TimedOut)?;
+        let clients = if slot.kind == SlotKind::Spare { &self.turned_away } else { &self.clients };
+        let (connection, serve) = (Connection::new(socket, clients, slot), serve.clone());
         spawn(move || serve(connection));
         Ok(())
     }
@@ -172,8 +241,12 @@
     /// sent by then is still read. To be called again until all have ended: a reading side is shut once nothing is owed
     /// on its connection, for where it is shut a client can't be seen to leave.
     pub fn drain(&self) {
-        let idle: Vec<_> = lock(&self.clients).drain();
-        idle.iter().filter_map(Weak::upgrade).for_each(|connection| connection.socket.shut(Shutdown::Read));
+        for clients in [&self.clients, &self.turned_away] {
+            let idle: Vec<_> = lock(clients).drain();
+            idle.iter()
+                .filter_map(Weak::upgrade)
+                .for_each(|connection| connection.socket.shut(Shutdown::Read));
+        }
     }
 
     /// Ends it with its process: what came by now is taken up, read and answered, and connections end once nothing is owed
@@ -188,68 +261,137 @@
         }
     }
 
-    /// Takes over a connection that was accepted elsewhere, whether there is a place for it or not: its client was let
+    /// Takes over a connection that was accepted elsewhere, whether there is a slot for it or not: its client was let
     /// in.
     pub fn take_over(&self, stream: TcpStream) -> std::io::Result<Arc<Connection>> {
         let socket = Socket::adopt(stream, self.limits.stall)?;
-        *lock(&self.places.taken) += 1;
-        let place = Place { places: self.places.clone(), held: self.limits.account.owe(CONNECTION_BYTES) };
-        let connection = Connection::new(socket, &self.clients, place);
+        lock(&self.slots.held).regular += 1;
+        let slot = self.slot(SlotKind::Regular, self.limits.account.owe(CONNECTION_BYTES));
+        let connection = Connection::new(socket, &self.clients, slot);
         lock(&self.clients).answered(connection.number, now_ms());
         Ok(connection)
     }
 
     /// Connections that are held.
     pub fn held(&self) -> usize {
-        *lock(&self.places.taken)
+        let held = lock(&self.slots.held);
+        held.regular + held.spare
+    }
+
+    fn slot(&self, kind: SlotKind, memory: Reservation) -> Slot {
+        Slot { slots: self.slots.clone(), kind, memory }
     }
 
     /// Holds so many connections at most from now on; those beyond that give way as far as they are owed nothing.
     pub fn set_most(&self, most: usize) {
-        self.places.most.store(most.max(1), Ordering::Release);
-        (most..self.held()).for_each(|_| self.give_way());
+        self.slots.most.store(most.max(1), Ordering::Release);
+        for _ in most..self.held() {
+            self.evict_idle(&self.clients);
+        }
     }
 
-    fn give_way(&self) {
-        let leaver = lock(&self.clients).evict_idle().and_then(|leaver| leaver.upgrade());
-        if let Some(leaver) = leaver {
-            leaver.socket.shut(Shutdown::Read);
+    /// Closes a connection on which nothing is owed and nothing stands unread; false where there is none.
+    fn evict_idle(&self, clients: &Table) -> bool {
+        // Dropped after the lock on the table, which the end of a connection takes.
+        let mut looked_at = Vec::new();
+        let evicted = lock(clients).evict_idle(|connection| {
+            let Some(connection) = connection.upgrade() else { return false };
+            let has_unread = connection.socket.has_unread();
+            looked_at.push(connection);
+            has_unread
+        });
+        let Some(evicted) = evicted else { return false };
+        if let Some(evicted) = evicted.upgrade() {
+            evicted.socket.shut(Shutdown::Read);
+            if !evicted.socket.has_unread() {
+                // Its client hears of it at once. What came just before is answered by its reader instead.
+                evicted.socket.shut(Shutdown::Write);
+            }
         }
+        true
     }
 
-    /// A place for a newcomer, taken from another where none is free; none where that time has come before.
-    fn make_way(&self, until: Ms) -> Option<Place> {
-        while !self.places.take() {
-            if now_ms() >= until {
+    /// A slot for a newcomer, taken from an idle connection where none is free; a spare one where all others have been
+    /// busy for some time; none where that time has come before.
+    fn make_way(&self, until: Ms) -> Option<Slot> {
+        loop {
+            let seen = self.slots.changes();
+            let lacks = match self.regular_slot() {
+                Ok(slot) => {
+                    *lock(&self.crowded_since) = None;
+                    return Some(slot);
+                }
+                Err(lacks) => lacks,
+            };
+            let now = now_ms();
+            if self.evict_idle(&self.clients) {
+                if now >= until {
+                    return None;
+                }
+                match lacks {
+                    Lacks::Slot => self.slots.wait_for_free(GIVE_WAY),
+                    Lacks::Memory(account) => wait(&account, CONNECTION_BYTES, GIVE_WAY_MS),
+                }
+                continue;
+            }
+            let crowded_since = *lock(&self.crowded_since).get_or_insert(now);
+            let patience_ends = crowded_since + GIVE_WAY_MS;
+            if now >= patience_ends.min(until) {
+                if self.slots.take_spare() {
+                    return Some(self.slot(SlotKind::Spare, self.limits.account.owe(CONNECTION_BYTES)));
+                }
+                self.evict_idle(&self.turned_away);
+            }
+            if now >= until {
                 return None;
             }
-            self.give_way();
-            self.places.wait(GIVE_WAY);
+            // Readers have their turn meanwhile, and what stood unread was read.
+            match lacks {
+                Lacks::Slot => self.slots.wait_for_change(seen, EVICT_LOOK),
+                Lacks::Memory(account) => wait(&account, CONNECTION_BYTES, EVICT_LOOK.as_millis() as Ms),
+            }
+        }
+    }
+
+    /// A slot within the limit, with the memory that its connection takes.
+    fn regular_slot(&self) -> Result<Slot, Lacks> {
+        if !self.slots.take() {
+            return Err(Lacks::Slot);
         }
         // Given back with it, should there be no room.
-        let mut place = Place { places: self.places.clone(), held: self.limits.account.nothing() };
-        while let Err(full) = place.held.resize(CONNECTION_BYTES) {
-            if now_ms() >= until {
-                return None;
-            }
-            self.give_way();
-            wait(&full.account, CONNECTION_BYTES, GIVE_WAY.as_secs_f64() * 1000.0);
+        let mut slot = self.slot(SlotKind::Regular, self.limits.account.nothing());
+        match slot.memory.resize(CONNECTION_BYTES) {
+            Ok(()) => Ok(slot),
+            Err(full) => Err(Lacks::Memory(full.account)),
         }
-        Some(place)
     }
 }
 
+/// What a newcomer waits for.
+enum Lacks {
+    Slot,
+    Memory(Account),
+}
+
 impl Connection {
-    fn new(socket: Socket, clients: &Table, place: Place) -> Arc<Self> {
+    fn new(socket: Socket, clients: &Table, slot: Slot) -> Arc<Self> {
         Arc::new_cyclic(|connection| {
             let number = lock(clients).insert(connection.clone(), now_ms());
-            let (account, place) = (place.held.account().clone(), Mutex::new(Some(place)));
-            let (ended, passed) = (Semphore::new(0), Mutex::new(None));
-            Connection { socket, number, clients: clients.clone(), ended, passed, account, place }
+            Connection {
+                socket,
+                number,
+                clients: clients.clone(),
+                ended: Semphore::new(0),
+                passed: Mutex::new(None),
+                account: slot.memory.account().clone(),
+                slots: slot.slots.clone(),
+                kind: slot.kind,
+                slot: Mutex::new(Some(slot)),
+            }
         })
     }
 
-    /// A request was taken on the connection: it keeps its place until [`Connection::closed`].
+    /// A request was taken on the connection: it keeps its slot until [`Connection::closed`].
     pub fn opened(&self) {
         lock(&self.clients).opened(self.number);
     }
@@ -259,6 +401,22 @@
         if lock(&self.clients).closed(self.number, now_ms()) {
             self.ended.post();
         }
+        if lock(&self.clients).leave(self.number) {
+            // What came meanwhile is read and answered by its reader, which ends after that.
+            self.socket.shut(Shutdown::Read);
+        }
+        self.slots.note_change();
+    }
+
+    /// Keeps the slot while a request is looked at and answered.
+    pub fn keep(&self) -> Kept<'_> {
+        self.opened();
+        Kept(self)
+    }
+
+    /// Whether it was let in only to be told that there is no room for it.
+    pub fn is_turned_away(&self) -> bool {
+        self.kind == SlotKind::Spare
     }
 
     /// Waits until a request has come to its end on the connection, which is drained, or for that long.
@@ -312,7 +470,7 @@
         }
         *passed = ours;
         lock(&self.clients).remove(self.number);
-        drop(lock(&self.place).take());
+        drop(lock(&self.slot).take());
         true
     }
 
@@ -365,16 +523,32 @@
     }
 }
 
-/// A client's place, given back however its task ends.
-struct Place {
-    places: Arc<Places>,
-    held: Reservation,
+/// A request that is being looked at on a connection.
+pub struct Kept<'a>(&'a Connection);
+
+impl Drop for Kept<'_> {
+    fn drop(&mut self) {
+        self.0.closed();
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum SlotKind {
+    Regular,
+    /// Beyond the limit: what is asked on the connection is refused.
+    Spare,
+}
+
+/// A client's slot and memory, given back however its task ends.
+struct Slot {
+    slots: Arc<Slots>,
+    kind: SlotKind,
+    memory: Reservation,
 }
 
-impl Drop for Place {
+impl Drop for Slot {
     fn drop(&mut self) {
-        *lock(&self.places.taken) -= 1;
-        self.places.freed.notify_all();
+        self.slots.give_back(self.kind);
     }
 }
 
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -176,6 +176,9 @@
                 return Ok(End::Passed);
             }
             let (state, since) = connection.state();
+            if connection.is_turned_away() && state == ClientState::Idle && !connection.has_unread() {
+                return Ok(End::Closed);
+            }
             let end = match state {
                 ClientState::Busy if connection.is_draining() => now_ms() + DRAIN_LOOK.as_millis() as Ms,
                 ClientState::Busy => now_ms() + SILENT_MS,
@@ -285,6 +288,12 @@
     body: Vec<u8>,
 ) -> Result<(), &'static str> {
     let answer_now = |reply| write(connection, &thrift::reply("dispatch", seqid, reply));
+    let _kept = connection.keep();
+    if connection.is_turned_away() {
+        invoker.counters.turned_away.add();
+        answer_now(rejected(CROWDED_MS));
+        return Ok(());
+    }
     if lock(open).len() >= OPEN {
         answer_now(rejected(CROWDED_MS));
         return Ok(());
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -45,6 +45,8 @@
 const MAX_KEY: usize = 128;
 /// Advice to a client of a node that is about to end, in milliseconds.
 const ENDING_MS: Ms = 1000.0;
+/// Advice to a client for whose connection there is no room.
+const CROWDED_MS: Ms = 1000.0;
 
 /// What the API works on.
 pub struct Desk {
@@ -156,6 +158,8 @@
         if !answered(connection, &mut raw, chunk, current, true)? {
             return Err(ErrorKind::BrokenPipe.into());
         }
+        let kept = connection.keep();
+        head.keep_alive &= !connection.is_turned_away();
         match route(desk, &head, body, connection) {
             Next::Respond(response) => connection.answer(&response.encode(head.keep_alive))?,
             Next::Counted(response, held) => {
@@ -164,6 +168,7 @@
             }
             Next::Held(held) => *current = Some(held),
         }
+        drop(kept);
         if !head.keep_alive {
             // Until a held call has its answer, and no more is written, the client may leave.
             while current.is_some() && connection.state().0 == ClientState::Busy {
@@ -212,6 +217,9 @@
             continue;
         }
         match ahead.fill(connection, &mut chunk[..room], ANSWER_LOOK) {
+            // The reading side was shut here with the answer, and what came before is owed.
+            Ok(0) if connection.is_shut() && current.as_ref().is_some_and(|before| before.task.is_done()) => {
+            }
             Ok(0) => read_to_its_end(connection)?,
             Err(error) if error.kind() != ErrorKind::TimedOut => return Err(error),
             _ => {}
@@ -244,6 +252,10 @@
 fn route(desk: &Arc<Desk>, head: &RequestHead, body: Vec<u8>, connection: &Arc<Connection>) -> Next {
     let parts: Vec<&str> = head.path.trim_matches('/').split('/').collect();
     Next::Respond(match (head.method.as_str(), parts.as_slice()) {
+        ("POST", ["v1", "functions", _, "invocations"]) if connection.is_turned_away() => {
+            desk.invoker.counters.turned_away.add();
+            refused("there is no room for another connection", Some(CROWDED_MS))
+        }
         ("POST", ["v1", "functions", function, "invocations"]) => {
             return match desk.admit(function, head, body) {
                 Ok(Admitted::Run(job)) => desk.start(job, head.keep_alive, connection),
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -96,6 +96,11 @@
         poll(&mut looked_at, Some(&at_once)).is_ok_and(|ready| ready > 0)
     }
 
+    /// Whether bytes have come that were not read yet.
+    pub fn has_unread(&self) -> bool {
+        self.stream.inner().peek(&mut [0; 1]).is_ok_and(|size| size > 0)
+    }
+
     /// A second descriptor of the same connection.
     pub fn duplicate(&self) -> io::Result<OwnedFd> {
         self.stream.inner().try_clone().map(Into::into)
