Cold workers: what a warm fleet served is no measure of a fleet that has gone cold

Seen with started programs before counting stand-in workers (24 programs, 12 workers, trials on a loaded machine): after 20 s at one and a half times what the fleet can do, all 12 replaced by cold ones, each got 93 to 98 requests within the first window of 2 s, where N is 25 and N + 2*sqrt(N) + 2 some 38; with 4 of 12 replaced 47 to 63.

Calls served are remembered by the keep time, but were divided by the ready workers as they stand now: as many cold workers were taken to do what the warm ones had done. And what a worker was sent was a fading count, a leaky bucket, which lets up to twice its size pass within one window.

The ready workers are now averaged over the same time as the calls served, and requests sent are counted within the window of the rule itself; a rest of less than one request is drawn for.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -76,10 +76,10 @@
     loads: BTreeSet<(ModelId, WorkerId)>,
     loads_cap: f64,
     retries: f64,
-    /// Calls taken and served, and the ready workers counted as whole ones by their warmth and weight.
+    /// Calls taken and served, and over the same time the ready workers as whole ones by warmth and weight.
     taking: Fading,
     served: Fading,
-    whole: f64,
+    whole: Average,
     /// Half-life of counts that hold what came in about the span in which a cold worker falls.
     half: Ms,
     taken: Recent<RequestId>,
@@ -205,7 +205,7 @@
             retries: 1.0 / RETRY_PART,
             taking: Fading::default(),
             served: Fading::default(),
-            whole: 1.0,
+            whole: Average::default(),
             half: set.fall_span * std::f64::consts::LN_2,
             taken: Recent::default(),
             ordered: Recent::default(),
@@ -248,7 +248,8 @@
             self.ticking = self.now + period;
             act.push(Action::Timer { token: 0, delay: period });
             let part = |worker: &Worker| worker.warmth(self.now, &self.set) * worker.weight / self.weight;
-            self.whole = self.workers.values().filter(|worker| worker.ready).map(part).sum();
+            let whole = self.workers.values().filter(|worker| worker.ready).map(part).sum();
+            self.whole.note(self.now, whole, self.set.keep);
             if self.set.roster_on_request && self.now - self.last_watch > self.set.ask_within / 4.0 {
                 self.last_watch = self.now;
                 act.push(Action::Subscribe);
@@ -775,7 +776,7 @@
         };
         let (class, model, attempt) = (pending.request.class, pending.request.model, pending.attempts);
         worker.out += 1;
-        worker.sent.add(now, self.half);
+        worker.sent.add(now, self.set.fall_span);
         (pending.attempts, pending.out) = (attempt + 1, pending.out + 1);
         pending.ran.push((attempt, at, now));
         let holder = self.models.entry(model).or_default().holders.entry(at).or_default();
@@ -799,7 +800,7 @@
     fn bears(&self, worker: &Worker) -> f64 {
         let [taken, served] = [&self.taking, &self.served].map(|calls| calls.at(self.now, self.set.keep));
         let asked = (taken - UNSERVED * served) / self.ready.max(1) as f64;
-        let rate = (served / self.whole.max(1.0)).max(asked) / self.set.keep;
+        let rate = (served / self.whole.value.max(1.0)).max(asked) / self.set.keep;
         let share = worker.warmth(self.now, &self.set) * worker.weight / self.weight * rate * self.half;
         let proved = (self.set.fall_multiple - 1.0) * worker.answered.at(self.now, self.half);
         (share + proved).min(self.set.fall_multiple * share)
@@ -810,7 +811,7 @@
     fn spares(&self, pending: &Pending, worker: &Worker, at: WorkerId) -> bool {
         let lost = pending.draws.iter().filter(|draw| !draw.1 && self.now < draw.2 + self.set.fall_span);
         let lost = || lost.clone().count() >= DRAWS || lost.clone().any(|draw| draw.0 == at);
-        let full = || worker.sent.at(self.now, self.half) >= self.bears(worker).max(1.0);
+        let full = || worker.sent.count(self.now, self.set.fall_span) >= self.bears(worker).max(1.0);
         worker.cold(self.now, &self.set) && (full() || lost())
     }
 
@@ -820,7 +821,7 @@
     fn admitted(&mut self, id: RequestId, at: WorkerId) -> bool {
         let (now, set) = (self.now, &self.set);
         let Some(worker) = self.workers.get(&at).filter(|worker| worker.cold(now, set)) else { return true };
-        let bears = self.bears(worker);
+        let left = self.bears(worker) - worker.sent.count(now, set.fall_span);
         let (Some(pending), Some(worker)) = (self.pending.get_mut(&id), self.workers.get_mut(&at)) else {
             return true;
         };
@@ -829,7 +830,7 @@
             return met.1;
         }
         let wanted = worker.wanted.add(now, self.half);
-        let part = if bears < 1.0 { bears / wanted } else { 1.0 };
+        let part = if left < 1.0 { left / wanted } else { 1.0 };
         let least = if wanted <= 1.0 { FIRST_CALLS / f64::from(set.front_ends) } else { 0.0 };
         let drawn = self.rng.random::<f64>() < part.max(least);
         pending.draws.push((at, drawn, now));
@@ -942,9 +943,8 @@
                 Due::Answer(id, attempt) => self.overdue(id, attempt, act),
                 // An order that is long overdue is counted as lost; the load may go elsewhere.
                 Due::Order(model, at) if self.loads.remove(&(model, at)) => {
-                    self.workers
-                        .entry(at)
-                        .and_modify(|worker| worker.no_room_until = self.now + self.load_ms);
+                    let until = self.now + self.load_ms;
+                    self.workers.entry(at).and_modify(|worker| worker.no_room_until = until);
                 }
                 Due::Expiry(_) | Due::Order(..) => {}
                 Due::Sweep => self.sweep(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,42 @@
     }
 }
 
+/// An average over time in which the past fades by half in each keep time, as in a [`Fading`] count.
+#[derive(Default, Clone, Copy)]
+pub(crate) struct Average {
+    pub value: f64,
+    /// When it was last noted.
+    last: Option<Ms>,
+}
+
+impl Average {
+    /// The value as it stands now. The first one noted is the average.
+    pub fn note(&mut self, now: Ms, value: f64, keep: Ms) {
+        let kept = self.last.map_or(0.0, |last| 0.5f64.powf((now - last) / keep));
+        self.value = value + kept * (self.value - value);
+        self.last = Some(now);
+    }
+}
+
+/// The times of what happened within a span, oldest first.
+#[derive(Default, Clone)]
+pub(crate) struct Window {
+    times: VecDeque<Ms>,
+}
+
+impl Window {
+    /// One more; what is older than the span is forgotten.
+    pub fn add(&mut self, now: Ms, span: Ms) {
+        while self.times.pop_front_if(|time| *time <= now - span).is_some() {}
+        self.times.push_back(now);
+    }
+
+    /// How many lie within the span.
+    pub fn count(&self, now: Ms, span: Ms) -> f64 {
+        (self.times.len() - self.times.partition_point(|time| *time <= now - span)) as f64
+    }
+}
+
 /// What came of late, oldest first; what comes again while it is remembered is not counted twice.
 pub(crate) struct Recent<K> {
     times: VecDeque<(Ms, K)>,
@@ -92,7 +128,7 @@
     /// Calls of ours that would have gone there while it was cold.
     pub wanted: Fading,
     /// Calls of ours that went there, and those that it served.
-    pub sent: Fading,
+    pub sent: Window,
     pub answered: Fading,
     /// Models with a line in the table for this worker.
     pub lines: BTreeSet<ModelId>,
