Test cold workers under the sum of what thirty started programs send

Thirty programs and their clients, twice the demand that the warm fleet can serve, half of twelve workers or all of them replaced by cold ones; each request is noted as it comes. In every window of the rule that begins with a request, within 6 s of a ramp of 8 s, a cold worker gets at most N + 2*sqrt(N) + 2, N being the settings' figure for the middle of the window, the average over it; each is used, and warm workers serve at least half of what they can.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+pub mod counting;
 pub mod late;
 pub mod platform;
 pub mod workers;
