Test that nothing begins 0.1 s after a client has gone, on both fronts

Requests that wait for a worker, that are out and fail afterwards (their connection breaks, no room, an error), and that wait between two attempts; clients that cancel, also before another request of theirs, close, half-close, reset, and close behind a second request or a part of one. A client that stays beside them is served by the worker that would have got the others' requests.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod counting;
 pub mod late;
+pub mod leaving;
 pub mod platform;
 pub mod workers;
 
--- /dev/null
+++ b/crates/node/tests/terms.rs
@@ -0,0 +1,115 @@
+//! What the operators were promised, one test for each term, over sockets and with the started program.
+mod support;
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use support::leaving::{Failing, Front, HoldingWorker, Leaver, Leaving, Site};
+use support::until;
+
+/// No attempt begins later than that after its client has gone.
+const GONE: Duration = Duration::from_millis(100);
+/// For what must not happen: long enough for it to have happened.
+const LONG_ENOUGH: Duration = Duration::from_millis(500);
+
+/// Ways of leaving, in groups that leave a place for a client that stays: a new worker is given four requests at a time.
+const GROUPS: [(Front, &[Leaving]); 5] = [
+    (Front::Platform, &[Leaving::Cancels, Leaving::Closes, Leaving::Resets]),
+    (Front::Platform, &[Leaving::HalfCloses, Leaving::ClosesBehindSecond]),
+    (Front::Platform, &[Leaving::CancelsBefore, Leaving::ClosesBehindPart]),
+    (Front::Http, &[Leaving::Closes, Leaving::Resets, Leaving::HalfCloses]),
+    (Front::Http, &[Leaving::ClosesBehindSecond, Leaving::ClosesBehindPart]),
+];
+
+/// Lets them leave, and the time go by in which an attempt may still begin.
+fn leave(leavers: Vec<Leaver>) -> Vec<Option<TcpStream>> {
+    let left = leavers.into_iter().map(Leaver::leave).collect();
+    std::thread::sleep(GONE);
+    left
+}
+
+/// Requests that reach a worker at the same time: a second one on an HTTP connection waits for the first.
+fn open(front: Front, ways: &[Leaving]) -> u64 {
+    let two = |way: &&Leaving| matches!(way, Leaving::CancelsBefore | Leaving::ClosesBehindSecond);
+    let second = if front == Front::Platform { ways.iter().filter(two).count() } else { 0 };
+    (ways.len() + second) as u64
+}
+
+/// Sees the one that stays served, and nothing sent for those that have left.
+fn assert_only_stayers_are_sent_on(site: &Site, stayer: TcpStream, case: &str) {
+    site.assert_served(stayer);
+    std::thread::sleep(LONG_ENOUGH);
+    let sent = site.fleet.sent();
+    assert!(sent.iter().all(|sent| sent.body.starts_with(b"stayer")), "{case}: {sent:?}");
+}
+
+#[test]
+fn who_has_gone_while_no_worker_took_work_is_not_sent_on() {
+    for (front, ways) in GROUPS {
+        let mut site = Site::new(front);
+        let worker = site.fleet.frames("h1");
+        let leavers: Vec<Leaver> = ways.iter().map(|way| site.ask_and_leave(*way)).collect();
+        let stayer = site.ask("stayer");
+        site.until_counted("taken", open(front, ways) + 1);
+        let _open = leave(leavers);
+        site.set_worker("h1", worker, "up");
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?}"));
+    }
+}
+
+/// All requests out at one worker; the site, that worker, those who will leave and one who will stay.
+fn all_out(front: Front, ways: &[Leaving]) -> (Site, HoldingWorker, Vec<Leaver>, TcpStream) {
+    let (mut site, holding) = (Site::new(front), HoldingWorker::new());
+    site.set_worker("h0", holding.address, "up");
+    let leavers: Vec<Leaver> = ways.iter().map(|way| site.ask_and_leave(*way)).collect();
+    let stayer = site.ask("stayer");
+    let count = open(front, ways) as usize + 1;
+    until("all are out", || holding.bodies().len() == count);
+    (site, holding, leavers, stayer)
+}
+
+fn fails_once_its_client_has_gone(failing: Failing) {
+    for (front, ways) in GROUPS {
+        let (mut site, holding, leavers, stayer) = all_out(front, ways);
+        let next = site.fleet.frames("h1");
+        site.set_worker("h0", holding.address, "draining");
+        site.set_worker("h1", next, "up");
+        let _open = leave(leavers);
+        let before = holding.bodies().len();
+        holding.fail(failing);
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?} {failing:?}"));
+        assert_eq!(holding.bodies().len(), before, "{front:?} {ways:?} {failing:?}");
+    }
+}
+
+#[test]
+fn an_attempt_that_breaks_once_its_client_has_gone_is_the_last() {
+    fails_once_its_client_has_gone(Failing::Breaks);
+}
+
+#[test]
+fn an_attempt_that_finds_no_room_once_its_client_has_gone_is_the_last() {
+    fails_once_its_client_has_gone(Failing::Full);
+}
+
+#[test]
+fn an_attempt_that_errs_once_its_client_has_gone_is_the_last() {
+    fails_once_its_client_has_gone(Failing::Errs);
+}
+
+/// The first attempt has failed and the next waits for a worker.
+#[test]
+fn who_has_gone_between_two_attempts_is_not_sent_on() {
+    for (front, ways) in GROUPS {
+        let (mut site, holding, leavers, stayer) = all_out(front, ways);
+        let next = site.fleet.frames("h1");
+        site.set_worker("h0", holding.address, "draining");
+        std::thread::sleep(LONG_ENOUGH / 2);
+        holding.fail(Failing::Full);
+        site.until_counted("lost_full", open(front, ways) + 1);
+        let left_at = Instant::now();
+        let _open = leave(leavers);
+        assert!(left_at.elapsed() >= GONE);
+        site.set_worker("h1", next, "up");
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?}"));
+    }
+}
