--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -96,6 +96,20 @@
         Self::listening(command.arg(env!("CARGO_BIN_EXE_corkbay")).arg(deploy))
     }
 
+    /// Starts the platform's front with no more than so many descriptors, and waits until it listens.
+    pub fn platform_within(config: &Path, address: SocketAddr, descriptors: u32) -> Self {
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\""));
+        command.arg(env!("CARGO_BIN_EXE_corkbay"));
+        command.env("PROXY_CONFIG", config).env("PROXY_LISTEN", address.to_string());
+        command.env("TMPDIR", config.parent().expect("a folder"));
+        let mut child = spawn(&mut command);
+        let errors = gather(&mut child);
+        let daemon = Daemon { child, address, replication: None, errors };
+        until("it listens", || TcpStream::connect(address).is_ok());
+        daemon
+    }
+
     fn listening(command: &mut Command) -> Self {
         let mut child = spawn(command);
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
