Slow readers take no second descriptors: the command channel was not heard for want of one

A writer that met a full buffer took a second descriptor to wait on, without a bound. With 104 descriptors, 32 places of clients and 36 workers, clients that asked for long answers and read none took what is kept back for the program itself: the channel, back again, was not called ("Too many open files"). A writer now tries again after a pause of 1 to 16 ms, which needs none; a side that takes nothing for as long as before still ends its connection.

--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -40,8 +40,8 @@
 const WIND_UP: Duration = Duration::from_millis(500);
 /// What is still owed so long before SIGKILL is ended.
 const LAST_ANSWERS: Duration = Duration::from_millis(250);
-/// Descriptors for all but clients and workers: the program's own, and second ones of connections whose
-/// other side reads too slowly.
+/// Descriptors for all but clients and workers: the program's own, the command channel's, the operators', and those of
+/// connections that pass to another process.
 const RESERVE: usize = 40;
 /// Those of the operators' address, of the reserve: its listener and its callers.
 const _: () = assert!(operators::SEATS + 1 < RESERVE / 2);
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -2,7 +2,8 @@
 //!
 //! A coroutine that waits for a socket is parked in the one slot of its registration, so two may not wait
 //! on the same descriptor. Here the reader alone waits on it. A writer writes what the kernel takes at
-//! once; only one that meets a full buffer takes a second descriptor, for as long as it waits.
+//! once; one that meets a full buffer tries again after a pause. A second descriptor to wait on would save the
+//! pauses, but clients that read slowly could then take all descriptors that the program has.
 use crate::core::lock;
 use may::io::CoIo;
 use may::net::TcpStream;
@@ -11,8 +12,11 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{self, Shutdown, SocketAddr};
 use std::os::fd::OwnedFd;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// Pauses of a writer that meets a full buffer; each is twice the one before.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(1);
+const LONGEST_PAUSE: Duration = Duration::from_millis(16);
 /// The shortest wait that a timer is set for.
 const LEAST: Duration = Duration::from_millis(1);
 
@@ -28,10 +32,6 @@
     fn get(&self) -> &CoIo<net::TcpStream> {
         self.0.as_ref().expect("there until it is dropped")
     }
-
-    fn get_mut(&mut self) -> &mut CoIo<net::TcpStream> {
-        self.0.as_mut().expect("there until it is dropped")
-    }
 }
 
 impl Drop for Adopted {
@@ -136,22 +136,22 @@
     }
 
     fn write_all(&self, mut rest: &[u8]) -> io::Result<()> {
-        // A second registration to wait on, once the buffer proves full.
-        let mut second: Option<Adopted> = None;
+        let (mut moved, mut pause) = (Instant::now(), SHORTEST_PAUSE);
         while !rest.is_empty() {
-            let written = match &mut second {
-                None => self.stream.inner().write(rest),
-                Some(second) => second.get_mut().write(rest),
-            };
-            match written {
+            match self.stream.inner().write(rest) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(size) => rest = &rest[size..],
+                Ok(size) => {
+                    rest = &rest[size..];
+                    (moved, pause) = (Instant::now(), SHORTEST_PAUSE);
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock && second.is_none() => {
-                    let stream = Adopted::new(self.stream.inner().try_clone()?)?;
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     // Each wait by itself: whoever takes some of a message is given time for the rest.
-                    stream.get().set_write_timeout(Some(self.stall.max(LEAST)))?;
-                    second = Some(stream);
+                    if moved.elapsed() >= self.stall {
+                        return Err(ErrorKind::TimedOut.into());
+                    }
+                    may::coroutine::sleep(pause);
+                    pause = (pause * 2).min(LONGEST_PAUSE);
                 }
                 Err(error) => return Err(error),
             }
--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -2,6 +2,8 @@
 mod support;
 
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 use support::leaving::{Failing, Front, HoldingWorker, Leaver, Leaving, Site};
@@ -203,6 +205,47 @@
     }
 }
 
+/// Guards the same descriptors against clients that ask for long answers and read none: each held a second one, on which
+/// the writer of its answer waited.
+#[test]
+fn clients_that_read_none_of_their_answers_keep_nobody_from_discovery() {
+    const DESCRIPTORS: u32 = 104;
+    const PLACES: u64 = 32;
+    // Together more than the kernel holds for a connection.
+    const ANSWERS: u64 = 24;
+    let bench = Bench::within(&[Act::Long], 36, DESCRIPTORS);
+    let (discovery, mut config) = (free_address(), bench.config.clone());
+    config["channel"] = json!(discovery.to_string());
+    config["admin"] = json!(free_address().to_string());
+    let path = bench.folder.write("deaf.json", &config.to_string());
+    let daemon = Daemon::platform_within(&path, free_address(), DESCRIPTORS);
+    let join = |_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("set");
+        socket.connect(&daemon.address.into()).expect("connects");
+        TcpStream::from(socket)
+    };
+    let mut clients: Vec<TcpStream> = (0..PLACES).map(join).collect();
+    let mut most = 0;
+    for answer in 1..=ANSWERS {
+        for (number, client) in clients.iter_mut().enumerate() {
+            let number = number as u64 * ANSWERS + answer;
+            let (id, model) = (format!("{number:016x}"), format!("{:016x}", 0x1000 + number));
+            let mut fields = fields("check", &id, "8000");
+            fields.iter_mut().filter(|field| field.0 == "lookup").for_each(|field| field.1 = &model);
+            // It may have been ended for not reading.
+            let _ = client.write_all(&dispatch(answer as i32, &fields, b"x"));
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        most = most.max(descriptors(&daemon));
+    }
+    let channel = Channel::at(discovery);
+    let heard = channel.calls.recv_timeout(HEARD_WITHIN);
+    println!("{most} descriptors at most, {} requests came to workers", bench.fleet.sent().len());
+    assert_eq!(heard.as_deref(), Ok("1"), "{}", daemon.errors());
+    assert!(!daemon.errors().contains("Too many open files"), "{}", daemon.errors());
+}
+
 /// Descriptors that the program holds.
 fn descriptors(daemon: &Daemon) -> usize {
     std::fs::read_dir(format!("/proc/{}/fd", daemon.child.id())).expect("Linux").count()
