Test that processes killed at once serve again within 10 s

Twenty processes with thirty workers in their list, killed together, with three clients each that come again all the while.

--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -250,3 +250,64 @@
 fn descriptors(daemon: &Daemon) -> usize {
     std::fs::read_dir(format!("/proc/{}/fd", daemon.child.id())).expect("Linux").count()
 }
+
+/// Processes that are killed at once, and workers in their list.
+const KILLED: usize = 20;
+const LISTED: usize = 30;
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+/// A client that comes again whenever it is refused or its connection ends; when it was first served.
+fn first_served(address: SocketAddr, number: u64) -> Instant {
+    let start = Instant::now();
+    for attempt in 1..=u64::MAX {
+        assert!(start.elapsed() < support::PATIENCE, "never served again");
+        if let Some(mut client) = Client::connect(address) {
+            let sent = client.socket.write_all(&check(1, number << 32 | attempt)).is_ok();
+            if sent && matches!(client.receive(), Some((1, Reply::Answer(_)))) {
+                return Instant::now();
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    unreachable!("the clock runs")
+}
+
+/// Guards the time in which processes that died together serve again, each under the load of clients that come again
+/// all the while, with a long list of workers.
+#[test]
+fn processes_that_were_killed_at_once_serve_again_in_time() {
+    const CLIENTS: usize = 3;
+    let bench = Bench::new(&[Act::Serve], LISTED);
+    let configure = |number: usize| {
+        let mut config = bench.config.clone();
+        config["name"] = json!(format!("n{number}"));
+        config["admin"] = json!(free_address().to_string());
+        bench.folder.write(&format!("config{number}.json"), &config.to_string())
+    };
+    let places: Vec<_> = (1..=KILLED).map(|number| (configure(number), free_address())).collect();
+    let start = |place: &(std::path::PathBuf, SocketAddr)| Daemon::beside(&place.0, place.1, &[]);
+    let mut daemons: Vec<Daemon> = places.iter().map(start).collect();
+    for (number, place) in places.iter().enumerate() {
+        first_served(place.1, number as u64 + 1);
+    }
+    for daemon in &mut daemons {
+        daemon.child.kill().expect("own child");
+    }
+    daemons.clear();
+    let (told, served) = std::sync::mpsc::channel();
+    for client in 0..KILLED * CLIENTS {
+        let (told, address) = (told.clone(), places[client % KILLED].1);
+        std::thread::spawn(move || told.send((client % KILLED, first_served(address, 100 + client as u64))));
+    }
+    std::thread::sleep(LONG_ENOUGH);
+    let restarted = Instant::now();
+    let _daemons: Vec<Daemon> = places.iter().map(start).collect();
+    let mut ready = vec![Duration::MAX; KILLED];
+    for _ in 0..KILLED * CLIENTS {
+        let (process, at) = served.recv_timeout(support::PATIENCE).expect("each client is served");
+        ready[process] = ready[process].min(at - restarted);
+    }
+    ready.sort();
+    println!("first answers from {:?} to {:?}, median {:?}", ready[0], ready[KILLED - 1], ready[KILLED / 2]);
+    assert!(ready[KILLED - 1] < READY_WITHIN, "{ready:?}");
+}
