--- a/crates/node/tests/support/leaving.rs
+++ b/crates/node/tests/support/leaving.rs
@@ -4,11 +4,10 @@
 use super::workers::{Act, Fleet};
 use super::{ask, receive, until, Daemon, Folder, CLASSES, PATIENCE};
 use corkbay_node::wire::frames::{code, Frame, FROM_INVOKER, FROM_WORKER};
-use socket2::SockRef;
+use rustix::net::connect_unspec;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 /// How a client leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,7 +35,8 @@
 }
 
 impl Front {
-    fn request(self, seqid: i32, body: &str) -> Vec<u8> {
+    /// A request as it stands on the wire.
+    pub fn request(self, seqid: i32, body: &str) -> Vec<u8> {
         match self {
             Front::Platform => {
                 let id = body.bytes().fold(0u64, |id, byte| id.wrapping_mul(257) + u64::from(byte));
@@ -90,6 +90,11 @@
         self.bench.as_ref().map(|bench| &bench.daemon).or(other).expect("one of the two")
     }
 
+    /// Signals the program.
+    pub fn signal(&self, name: &str) {
+        self.daemon().signal(name);
+    }
+
     /// Names a worker to the program; states are `up` and `draining`.
     pub fn set_worker(&mut self, name: &str, address: SocketAddr, state: &str) {
         self.cursor += 1;
@@ -159,7 +164,8 @@
 }
 
 impl Leaver {
-    /// Leaves; the connection, where it stays open.
+    /// Leaves; the connection, where it stays open. A closed descriptor would not do: a child that another test starts
+    /// holds a copy of it until it runs, and the connection stays for so long.
     pub fn leave(mut self) -> Option<TcpStream> {
         match self.way {
             Leaving::Cancels | Leaving::CancelsBefore => {
@@ -171,10 +177,13 @@
                 Some(self.socket)
             }
             Leaving::Resets => {
-                SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)).expect("set");
+                connect_unspec(&self.socket).expect("reset");
+                None
+            }
+            Leaving::Closes | Leaving::ClosesBehindSecond | Leaving::ClosesBehindPart => {
+                self.socket.shutdown(Shutdown::Both).expect("shut");
                 None
             }
-            Leaving::Closes | Leaving::ClosesBehindSecond | Leaving::ClosesBehindPart => None,
         }
     }
 }
--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -3,13 +3,14 @@
 
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
+use support::late::LateListener;
 use support::leaving::{Failing, Front, HoldingWorker, Leaver, Leaving, Site};
 use support::platform::{dispatch, fields, nodes, Bench, Channel, Client, Reply};
 use support::workers::Act;
-use support::{free_address, until, Daemon};
+use support::{ask, free_address, receive, until, Daemon, PATIENCE};
 
 /// No attempt begins later than that after its client has gone.
 const GONE: Duration = Duration::from_millis(100);
@@ -61,6 +62,24 @@
     }
 }
 
+/// Guards the same where the program had no turn meanwhile: it finds the leaving and the worker's news together.
+#[test]
+fn who_has_gone_while_the_program_stood_still_is_not_sent_on() {
+    for (front, ways) in GROUPS.into_iter().filter(|group| group.0 == Front::Platform) {
+        let mut site = Site::new(front);
+        let worker = site.fleet.frames("h1");
+        let leavers: Vec<Leaver> = ways.iter().map(|way| site.ask_and_leave(*way)).collect();
+        let stayer = site.ask("stayer");
+        site.until_counted("taken", open(front, ways) + 1);
+        site.signal("STOP");
+        let _open = leave(leavers);
+        site.set_worker("h1", worker, "up");
+        std::thread::sleep(GONE);
+        site.signal("CONT");
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?}"));
+    }
+}
+
 /// All requests out at one worker; the site, that worker, those who will leave and one who will stay.
 fn all_out(front: Front, ways: &[Leaving]) -> (Site, HoldingWorker, Vec<Leaver>, TcpStream) {
     let (mut site, holding) = (Site::new(front), HoldingWorker::new());
@@ -260,7 +279,7 @@
 fn first_served(address: SocketAddr, number: u64) -> Instant {
     let start = Instant::now();
     for attempt in 1..=u64::MAX {
-        assert!(start.elapsed() < support::PATIENCE, "never served again");
+        assert!(start.elapsed() < PATIENCE, "never served again");
         if let Some(mut client) = Client::connect(address) {
             let sent = client.socket.write_all(&check(1, number << 32 | attempt)).is_ok();
             if sent && matches!(client.receive(), Some((1, Reply::Answer(_)))) {
@@ -304,10 +323,146 @@
     let _daemons: Vec<Daemon> = places.iter().map(start).collect();
     let mut ready = vec![Duration::MAX; KILLED];
     for _ in 0..KILLED * CLIENTS {
-        let (process, at) = served.recv_timeout(support::PATIENCE).expect("each client is served");
+        let (process, at) = served.recv_timeout(PATIENCE).expect("each client is served");
         ready[process] = ready[process].min(at - restarted);
     }
     ready.sort();
     println!("first answers from {:?} to {:?}, median {:?}", ready[0], ready[KILLED - 1], ready[KILLED / 2]);
     assert!(ready[KILLED - 1] < READY_WITHIN, "{ready:?}");
 }
+
+/// Guards a reload that the operators' drain follows at once: the new channel's worker serves what is owed.
+#[test]
+fn a_reload_is_heeded_though_the_operators_drain_at_once() {
+    let bench = Bench::new(&[Act::Serve], 0);
+    let worker = bench.fleet.frames("h0");
+    let mut client = bench.client();
+    client.send(&check(1, 0xa1));
+    until("it is taken", || {
+        bench.daemon.signal("USR1");
+        bench.daemon.errors().contains("taken=1 ")
+    });
+    let next = Channel::new();
+    let mut config = bench.config.clone();
+    config["channel"] = json!(next.address.to_string());
+    bench.folder.write("config.json", &config.to_string());
+    bench.daemon.signal("HUP");
+    assert_eq!(ask(bench.admin, "PUT", "/v1/invoker/drain", &[], b"").status, 200);
+    next.tell(2, "h0", worker, "up");
+    assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))), "{}", bench.daemon.errors());
+    assert_eq!(client.receive(), None, "drained: it is let go once nothing is owed");
+}
+
+/// Guards the list against a channel that takes a call and says nothing, behind one that fell silent, and against a whole
+/// list that comes again: who is listed still keeps its open requests, and who is not gets no more.
+#[test]
+fn a_whole_list_behind_a_channel_that_says_nothing_is_heard() {
+    let bench = Bench::new(&[Act::Hold, Act::Serve], 2);
+    let mut client = bench.client();
+    // A call of a keyed class is not called off for its silence.
+    client.send(&dispatch(1, &fields("post", "00000000000000a1", "6000"), b"x"));
+    until("it is out", || !bench.fleet.sent().is_empty());
+    let holder = bench.fleet.sent()[0].worker.clone();
+    let number = usize::from(holder == "h1");
+    let channel = LateListener::new();
+    let mut config = bench.config.clone();
+    config["channel"] = json!(channel.address.to_string());
+    bench.folder.write("config.json", &config.to_string());
+    bench.daemon.signal("HUP");
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n";
+    let mut first = channel.accept(PATIENCE).expect("the first call");
+    first.write_all(head.as_bytes()).expect("written");
+    let fell_silent = Instant::now();
+    let _mute = channel.accept(PATIENCE).expect("called again");
+    let mut third = channel.accept(PATIENCE).expect("and again");
+    println!("the third call came {:?} after the first fell silent", fell_silent.elapsed());
+    let whole = nodes(2, true, &[(&holder, bench.hosts[number], "up")]);
+    third.write_all(format!("{head}id: 2\ndata: {whole}\n\n").as_bytes()).expect("written");
+    // Comments, so that this one doesn't fall silent.
+    std::thread::sleep(LONG_ENOUGH);
+    third.write_all(b":\n\n").expect("written");
+    bench.fleet.release();
+    assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
+    for seqid in 10..16 {
+        client.send(&check(seqid, 0xb0 + seqid as u64));
+        assert!(matches!(client.receive(), Some((_, Reply::Answer(_)))));
+    }
+    let sent = bench.fleet.sent();
+    assert!(sent.iter().all(|sent| sent.worker == holder), "{sent:?}");
+}
+
+/// Guards the address of a process that is killed while callers stand in its queue and others were just let in: a new
+/// process serves there.
+#[test]
+fn a_process_that_is_killed_right_after_an_accept_leaves_its_address_to_the_next() {
+    let mut bench = Bench::new(&[Act::Serve], 1);
+    let address = bench.daemon.address;
+    let mut early: Vec<Client> = (0..8).map(|_| bench.client()).collect();
+    bench.daemon.signal("STOP");
+    let mut late: Vec<Client> = (0..8).map(|_| bench.client()).collect();
+    for client in early.iter_mut().chain(&mut late) {
+        client.send(&check(1, 0xa1));
+    }
+    bench.daemon.signal("CONT");
+    bench.daemon.child.kill().expect("own child");
+    bench.daemon.child.wait().expect("own child");
+    for client in early.iter_mut().chain(&mut late) {
+        let end = client.receive();
+        assert!(matches!(end, None | Some((1, _))), "{end:?}");
+    }
+    let _next = Daemon::beside(&bench.folder.0.join("config.json"), address, &[]);
+    first_served(address, 0xb);
+}
+
+/// Sends bytes in two parts, the second one once the first has surely been read apart.
+fn send_in_two(socket: &mut TcpStream, bytes: &[u8], at: usize) {
+    socket.set_nodelay(true).expect("set");
+    socket.write_all(&bytes[..at]).expect("written");
+    std::thread::sleep(Duration::from_millis(2));
+    socket.write_all(&bytes[at..]).expect("written");
+}
+
+#[test]
+fn a_platform_request_that_is_split_anywhere_is_served() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    let mut client = bench.client();
+    for at in 1..check(1, 0xa1).len() {
+        let seqid = at as i32;
+        send_in_two(&mut client.socket, &check(seqid, 0x1000 + at as u64), at);
+        let reply = client.receive();
+        assert!(matches!(reply, Some((answered, Reply::Answer(_))) if answered == seqid), "{at}: {reply:?}");
+    }
+}
+
+#[test]
+fn an_http_request_that_is_split_anywhere_is_served() {
+    let mut site = Site::new(Front::Http);
+    let worker = site.fleet.frames("h0");
+    site.set_worker("h0", worker, "up");
+    let request = Front::Http.request(1, "body");
+    let mut socket = site.ask("first");
+    let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
+    assert_eq!(receive(&mut reader).status, 200);
+    for at in 1..request.len() {
+        send_in_two(&mut socket, &request, at);
+        assert_eq!(receive(&mut reader).status, 200, "{at}");
+    }
+    socket.set_nodelay(true).expect("set");
+    for byte in &request {
+        socket.write_all(&[*byte]).expect("written");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(receive(&mut reader).status, 200, "byte by byte");
+}
+
+#[test]
+fn an_operators_request_that_is_split_anywhere_is_answered() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    until("it is ready", || ask(bench.admin, "GET", "/v1/readyz", &[], b"").status == 200);
+    let request = b"GET /v1/readyz HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n";
+    for at in 1..request.len() {
+        let mut socket = TcpStream::connect(bench.admin).expect("connects");
+        send_in_two(&mut socket, request, at);
+        assert_eq!(receive(&mut BufReader::new(socket)).status, 200, "{at}");
+    }
+}
