--- /dev/null
+++ b/crates/node/tests/terms.rs
@@ -0,0 +1,468 @@
+//! What the operators were promised, one test for each term, over sockets and with the started program.
+mod support;
+
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+use support::late::LateListener;
+use support::leaving::{Failing, Front, HoldingWorker, Leaver, Leaving, Site};
+use support::platform::{dispatch, fields, nodes, Bench, Channel, Client, Reply};
+use support::workers::Act;
+use support::{ask, free_address, receive, until, Daemon, PATIENCE};
+
+/// No attempt begins later than that after its client has gone.
+const GONE: Duration = Duration::from_millis(100);
+/// For what must not happen: long enough for it to have happened.
+const LONG_ENOUGH: Duration = Duration::from_millis(500);
+
+/// Ways of leaving, in groups that leave a place for a client that stays: a new worker is given four requests at a time.
+const GROUPS: [(Front, &[Leaving]); 5] = [
+    (Front::Platform, &[Leaving::Cancels, Leaving::Closes, Leaving::Resets]),
+    (Front::Platform, &[Leaving::HalfCloses, Leaving::ClosesBehindSecond]),
+    (Front::Platform, &[Leaving::CancelsBefore, Leaving::ClosesBehindPart]),
+    (Front::Http, &[Leaving::Closes, Leaving::Resets, Leaving::HalfCloses]),
+    (Front::Http, &[Leaving::ClosesBehindSecond, Leaving::ClosesBehindPart]),
+];
+
+/// Lets them leave, and the time go by in which an attempt may still begin.
+fn leave(leavers: Vec<Leaver>) -> Vec<Option<TcpStream>> {
+    let left = leavers.into_iter().map(Leaver::leave).collect();
+    std::thread::sleep(GONE);
+    left
+}
+
+/// Requests that reach a worker at the same time: a second one on an HTTP connection waits for the first.
+fn open(front: Front, ways: &[Leaving]) -> u64 {
+    let two = |way: &&Leaving| matches!(way, Leaving::CancelsBefore | Leaving::ClosesBehindSecond);
+    let second = if front == Front::Platform { ways.iter().filter(two).count() } else { 0 };
+    (ways.len() + second) as u64
+}
+
+/// Sees the one that stays served, and nothing sent for those that have left.
+fn assert_only_stayers_are_sent_on(site: &Site, stayer: TcpStream, case: &str) {
+    site.assert_served(stayer);
+    std::thread::sleep(LONG_ENOUGH);
+    let sent = site.fleet.sent();
+    assert!(sent.iter().all(|sent| sent.body.starts_with(b"stayer")), "{case}: {sent:?}");
+}
+
+#[test]
+fn who_has_gone_while_no_worker_took_work_is_not_sent_on() {
+    for (front, ways) in GROUPS {
+        let mut site = Site::new(front);
+        let worker = site.fleet.frames("h1");
+        let leavers: Vec<Leaver> = ways.iter().map(|way| site.ask_and_leave(*way)).collect();
+        let stayer = site.ask("stayer");
+        site.until_counted("taken", open(front, ways) + 1);
+        let _open = leave(leavers);
+        site.set_worker("h1", worker, "up");
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?}"));
+    }
+}
+
+/// Guards the same where the program had no turn meanwhile: it finds the leaving and the worker's news together.
+#[test]
+fn who_has_gone_while_the_program_stood_still_is_not_sent_on() {
+    for (front, ways) in GROUPS.into_iter().filter(|group| group.0 == Front::Platform) {
+        let mut site = Site::new(front);
+        let worker = site.fleet.frames("h1");
+        let leavers: Vec<Leaver> = ways.iter().map(|way| site.ask_and_leave(*way)).collect();
+        let stayer = site.ask("stayer");
+        site.until_counted("taken", open(front, ways) + 1);
+        site.signal("STOP");
+        let _open = leave(leavers);
+        site.set_worker("h1", worker, "up");
+        std::thread::sleep(GONE);
+        site.signal("CONT");
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?}"));
+    }
+}
+
+/// All requests out at one worker; the site, that worker, those who will leave and one who will stay.
+fn all_out(front: Front, ways: &[Leaving]) -> (Site, HoldingWorker, Vec<Leaver>, TcpStream) {
+    let (mut site, holding) = (Site::new(front), HoldingWorker::new());
+    site.set_worker("h0", holding.address, "up");
+    let leavers: Vec<Leaver> = ways.iter().map(|way| site.ask_and_leave(*way)).collect();
+    let stayer = site.ask("stayer");
+    let count = open(front, ways) as usize + 1;
+    until("all are out", || holding.bodies().len() == count);
+    (site, holding, leavers, stayer)
+}
+
+fn fails_once_its_client_has_gone(failing: Failing) {
+    for (front, ways) in GROUPS {
+        let (mut site, holding, leavers, stayer) = all_out(front, ways);
+        let next = site.fleet.frames("h1");
+        site.set_worker("h0", holding.address, "draining");
+        site.set_worker("h1", next, "up");
+        let _open = leave(leavers);
+        let before = holding.bodies().len();
+        holding.fail(failing);
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?} {failing:?}"));
+        assert_eq!(holding.bodies().len(), before, "{front:?} {ways:?} {failing:?}");
+    }
+}
+
+#[test]
+fn an_attempt_that_breaks_once_its_client_has_gone_is_the_last() {
+    fails_once_its_client_has_gone(Failing::Breaks);
+}
+
+#[test]
+fn an_attempt_that_finds_no_room_once_its_client_has_gone_is_the_last() {
+    fails_once_its_client_has_gone(Failing::Full);
+}
+
+#[test]
+fn an_attempt_that_errs_once_its_client_has_gone_is_the_last() {
+    fails_once_its_client_has_gone(Failing::Errs);
+}
+
+/// The first attempt has failed and the next waits for a worker.
+#[test]
+fn who_has_gone_between_two_attempts_is_not_sent_on() {
+    for (front, ways) in GROUPS {
+        let (mut site, holding, leavers, stayer) = all_out(front, ways);
+        let next = site.fleet.frames("h1");
+        site.set_worker("h0", holding.address, "draining");
+        std::thread::sleep(LONG_ENOUGH / 2);
+        holding.fail(Failing::Full);
+        site.until_counted("lost_full", open(front, ways) + 1);
+        let left_at = Instant::now();
+        let _open = leave(leavers);
+        assert!(left_at.elapsed() >= GONE);
+        site.set_worker("h1", next, "up");
+        assert_only_stayers_are_sent_on(&site, stayer, &format!("{front:?} {ways:?}"));
+    }
+}
+
+/// Descriptors of a program whose clients hold every place, and the places of clients among them.
+const DESCRIPTORS: u32 = 64;
+const PLACES: usize = 12;
+/// A channel that is back is called within its longest pause, and a call takes up to 0.3 s.
+const HEARD_WITHIN: Duration = Duration::from_millis(1500);
+
+fn check(seqid: i32, id: u64) -> Vec<u8> {
+    dispatch(seqid, &fields("check", &format!("{id:016x}"), "8000"), b"x")
+}
+
+/// Clients that hold every place of a program.
+#[derive(Clone, Copy, Debug)]
+enum Crowd {
+    /// They connect and say nothing.
+    Silent,
+    /// They were answered and stay.
+    Idle,
+    /// They wait for their answers.
+    Waiting,
+}
+
+impl Crowd {
+    /// As many as hold all places, and as many again that wait for one.
+    fn gather(self, address: SocketAddr) -> Vec<Client> {
+        let join = |number: usize| {
+            let mut client = Client::new(address);
+            if !matches!(self, Crowd::Silent) {
+                client.send(&check(1, 0x100 + number as u64));
+            }
+            if matches!(self, Crowd::Idle) {
+                assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))), "client {number}");
+            }
+            client
+        };
+        let mut crowd: Vec<Client> = (0..PLACES).map(join).collect();
+        crowd.extend((0..PLACES).map(|_| Client::new(address)));
+        crowd
+    }
+}
+
+/// Guards the descriptors that the program needs for itself: whoever holds the places of clients, the command channel is
+/// heard as soon as it is back, and a worker that it names is connected to and serves.
+#[test]
+fn clients_that_hold_every_place_keep_nobody_from_discovery_and_workers() {
+    for crowd in [Crowd::Silent, Crowd::Idle, Crowd::Waiting] {
+        let holds = matches!(crowd, Crowd::Waiting);
+        let bench = Bench::within(&[if holds { Act::Hold } else { Act::Serve }], 3, DESCRIPTORS);
+        let (discovery, mut config) = (free_address(), bench.config.clone());
+        config["channel"] = json!(discovery.to_string());
+        config["admin"] = json!(free_address().to_string());
+        let path = bench.folder.write("deaf.json", &config.to_string());
+        let daemon = Daemon::platform_within(&path, free_address(), DESCRIPTORS);
+        let mut clients = crowd.gather(daemon.address);
+        if holds {
+            until("all are taken", || {
+                daemon.signal("USR1");
+                daemon.errors().contains(&format!("taken={PLACES} "))
+            });
+        }
+        let channel = Channel::at(discovery);
+        let back = Instant::now();
+        assert_eq!(
+            channel.calls.recv_timeout(HEARD_WITHIN).as_deref(),
+            Ok("1"),
+            "{crowd:?}: {}",
+            daemon.errors()
+        );
+        println!("{crowd:?}: heard after {:?}, {} descriptors", back.elapsed(), descriptors(&daemon));
+        let newcomer = support::workers::Fleet::new(&[Act::Serve]);
+        let data = nodes(2, true, &[("new", newcomer.frames("new"), "up")]);
+        channel.events.send(format!("id: 2\ndata: {data}\n\n")).expect("channel");
+        std::thread::sleep(Duration::from_millis(300));
+        bench.fleet.release();
+        let mut asks = clients.swap_remove(0);
+        if holds {
+            assert!(matches!(asks.receive(), Some((1, Reply::Answer(_)))), "{crowd:?}");
+        } else {
+            asks = Client::new(daemon.address);
+        }
+        asks.send(&check(2, 0xa2));
+        assert!(matches!(asks.receive(), Some((2, Reply::Answer(_)))), "{crowd:?}: {}", daemon.errors());
+        assert_eq!(newcomer.sent().len(), 1, "{crowd:?}");
+        assert!(!daemon.errors().contains("Too many open files"), "{crowd:?}: {}", daemon.errors());
+    }
+}
+
+/// Guards the same descriptors against clients that ask for long answers and read none: each held a second one, on which
+/// the writer of its answer waited.
+#[test]
+fn clients_that_read_none_of_their_answers_keep_nobody_from_discovery() {
+    const DESCRIPTORS: u32 = 104;
+    const PLACES: u64 = 32;
+    // Together more than the kernel holds for a connection.
+    const ANSWERS: u64 = 24;
+    let bench = Bench::within(&[Act::Long], 36, DESCRIPTORS);
+    let (discovery, mut config) = (free_address(), bench.config.clone());
+    config["channel"] = json!(discovery.to_string());
+    config["admin"] = json!(free_address().to_string());
+    let path = bench.folder.write("deaf.json", &config.to_string());
+    let daemon = Daemon::platform_within(&path, free_address(), DESCRIPTORS);
+    let join = |_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("set");
+        socket.connect(&daemon.address.into()).expect("connects");
+        TcpStream::from(socket)
+    };
+    let mut clients: Vec<TcpStream> = (0..PLACES).map(join).collect();
+    let mut most = 0;
+    for answer in 1..=ANSWERS {
+        for (number, client) in clients.iter_mut().enumerate() {
+            let number = number as u64 * ANSWERS + answer;
+            let (id, model) = (format!("{number:016x}"), format!("{:016x}", 0x1000 + number));
+            let mut fields = fields("check", &id, "8000");
+            fields.iter_mut().filter(|field| field.0 == "lookup").for_each(|field| field.1 = &model);
+            // It may have been ended for not reading.
+            let _ = client.write_all(&dispatch(answer as i32, &fields, b"x"));
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        most = most.max(descriptors(&daemon));
+    }
+    let channel = Channel::at(discovery);
+    let heard = channel.calls.recv_timeout(HEARD_WITHIN);
+    println!("{most} descriptors at most, {} requests came to workers", bench.fleet.sent().len());
+    assert_eq!(heard.as_deref(), Ok("1"), "{}", daemon.errors());
+    assert!(!daemon.errors().contains("Too many open files"), "{}", daemon.errors());
+}
+
+/// Descriptors that the program holds.
+fn descriptors(daemon: &Daemon) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", daemon.child.id())).expect("Linux").count()
+}
+
+/// Processes that are killed at once, and workers in their list.
+const KILLED: usize = 20;
+const LISTED: usize = 30;
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+/// A client that comes again whenever it is refused or its connection ends; when it was first served.
+fn first_served(address: SocketAddr, number: u64) -> Instant {
+    let start = Instant::now();
+    for attempt in 1..=u64::MAX {
+        assert!(start.elapsed() < PATIENCE, "never served again");
+        if let Some(mut client) = Client::connect(address) {
+            let sent = client.socket.write_all(&check(1, number << 32 | attempt)).is_ok();
+            if sent && matches!(client.receive(), Some((1, Reply::Answer(_)))) {
+                return Instant::now();
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    unreachable!("the clock runs")
+}
+
+/// Guards the time in which processes that died together serve again, each under the load of clients that come again
+/// all the while, with a long list of workers.
+#[test]
+fn processes_that_were_killed_at_once_serve_again_in_time() {
+    const CLIENTS: usize = 3;
+    let bench = Bench::new(&[Act::Serve], LISTED);
+    let configure = |number: usize| {
+        let mut config = bench.config.clone();
+        config["name"] = json!(format!("n{number}"));
+        config["admin"] = json!(free_address().to_string());
+        bench.folder.write(&format!("config{number}.json"), &config.to_string())
+    };
+    let places: Vec<_> = (1..=KILLED).map(|number| (configure(number), free_address())).collect();
+    let start = |place: &(std::path::PathBuf, SocketAddr)| Daemon::beside(&place.0, place.1, &[]);
+    let mut daemons: Vec<Daemon> = places.iter().map(start).collect();
+    for (number, place) in places.iter().enumerate() {
+        first_served(place.1, number as u64 + 1);
+    }
+    for daemon in &mut daemons {
+        daemon.child.kill().expect("own child");
+    }
+    daemons.clear();
+    let (told, served) = std::sync::mpsc::channel();
+    for client in 0..KILLED * CLIENTS {
+        let (told, address) = (told.clone(), places[client % KILLED].1);
+        std::thread::spawn(move || told.send((client % KILLED, first_served(address, 100 + client as u64))));
+    }
+    std::thread::sleep(LONG_ENOUGH);
+    let restarted = Instant::now();
+    let _daemons: Vec<Daemon> = places.iter().map(start).collect();
+    let mut ready = vec![Duration::MAX; KILLED];
+    for _ in 0..KILLED * CLIENTS {
+        let (process, at) = served.recv_timeout(PATIENCE).expect("each client is served");
+        ready[process] = ready[process].min(at - restarted);
+    }
+    ready.sort();
+    println!("first answers from {:?} to {:?}, median {:?}", ready[0], ready[KILLED - 1], ready[KILLED / 2]);
+    assert!(ready[KILLED - 1] < READY_WITHIN, "{ready:?}");
+}
+
+/// Guards a reload that the operators' drain follows at once: the new channel's worker serves what is owed.
+#[test]
+fn a_reload_is_heeded_though_the_operators_drain_at_once() {
+    let bench = Bench::new(&[Act::Serve], 0);
+    let worker = bench.fleet.frames("h0");
+    let mut client = bench.client();
+    client.send(&check(1, 0xa1));
+    until("it is taken", || {
+        bench.daemon.signal("USR1");
+        bench.daemon.errors().contains("taken=1 ")
+    });
+    let next = Channel::new();
+    let mut config = bench.config.clone();
+    config["channel"] = json!(next.address.to_string());
+    bench.folder.write("config.json", &config.to_string());
+    bench.daemon.signal("HUP");
+    assert_eq!(ask(bench.admin, "PUT", "/v1/invoker/drain", &[], b"").status, 200);
+    next.tell(2, "h0", worker, "up");
+    assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))), "{}", bench.daemon.errors());
+    assert_eq!(client.receive(), None, "drained: it is let go once nothing is owed");
+}
+
+/// Guards the list against a channel that takes a call and says nothing, behind one that fell silent, and against a whole
+/// list that comes again: who is listed still keeps its open requests, and who is not gets no more.
+#[test]
+fn a_whole_list_behind_a_channel_that_says_nothing_is_heard() {
+    let bench = Bench::new(&[Act::Hold, Act::Serve], 2);
+    let mut client = bench.client();
+    // A call of a keyed class is not called off for its silence.
+    client.send(&dispatch(1, &fields("post", "00000000000000a1", "6000"), b"x"));
+    until("it is out", || !bench.fleet.sent().is_empty());
+    let holder = bench.fleet.sent()[0].worker.clone();
+    let number = usize::from(holder == "h1");
+    let channel = LateListener::new();
+    let mut config = bench.config.clone();
+    config["channel"] = json!(channel.address.to_string());
+    bench.folder.write("config.json", &config.to_string());
+    bench.daemon.signal("HUP");
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n";
+    let mut first = channel.accept(PATIENCE).expect("the first call");
+    first.write_all(head.as_bytes()).expect("written");
+    let fell_silent = Instant::now();
+    let _mute = channel.accept(PATIENCE).expect("called again");
+    let mut third = channel.accept(PATIENCE).expect("and again");
+    println!("the third call came {:?} after the first fell silent", fell_silent.elapsed());
+    let whole = nodes(2, true, &[(&holder, bench.hosts[number], "up")]);
+    third.write_all(format!("{head}id: 2\ndata: {whole}\n\n").as_bytes()).expect("written");
+    // Comments, so that this one doesn't fall silent.
+    std::thread::sleep(LONG_ENOUGH);
+    third.write_all(b":\n\n").expect("written");
+    bench.fleet.release();
+    assert!(matches!(client.receive(), Some((1, Reply::Answer(_)))));
+    for seqid in 10..16 {
+        client.send(&check(seqid, 0xb0 + seqid as u64));
+        assert!(matches!(client.receive(), Some((_, Reply::Answer(_)))));
+    }
+    let sent = bench.fleet.sent();
+    assert!(sent.iter().all(|sent| sent.worker == holder), "{sent:?}");
+}
+
+/// Guards the address of a process that is killed while callers stand in its queue and others were just let in: a new
+/// process serves there.
+#[test]
+fn a_process_that_is_killed_right_after_an_accept_leaves_its_address_to_the_next() {
+    let mut bench = Bench::new(&[Act::Serve], 1);
+    let address = bench.daemon.address;
+    let mut early: Vec<Client> = (0..8).map(|_| bench.client()).collect();
+    bench.daemon.signal("STOP");
+    let mut late: Vec<Client> = (0..8).map(|_| bench.client()).collect();
+    for client in early.iter_mut().chain(&mut late) {
+        client.send(&check(1, 0xa1));
+    }
+    bench.daemon.signal("CONT");
+    bench.daemon.child.kill().expect("own child");
+    bench.daemon.child.wait().expect("own child");
+    for client in early.iter_mut().chain(&mut late) {
+        let end = client.receive();
+        assert!(matches!(end, None | Some((1, _))), "{end:?}");
+    }
+    let _next = Daemon::beside(&bench.folder.0.join("config.json"), address, &[]);
+    first_served(address, 0xb);
+}
+
+/// Sends bytes in two parts, the second one once the first has surely been read apart.
+fn send_in_two(socket: &mut TcpStream, bytes: &[u8], at: usize) {
+    socket.set_nodelay(true).expect("set");
+    socket.write_all(&bytes[..at]).expect("written");
+    std::thread::sleep(Duration::from_millis(2));
+    socket.write_all(&bytes[at..]).expect("written");
+}
+
+#[test]
+fn a_platform_request_that_is_split_anywhere_is_served() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    let mut client = bench.client();
+    for at in 1..check(1, 0xa1).len() {
+        let seqid = at as i32;
+        send_in_two(&mut client.socket, &check(seqid, 0x1000 + at as u64), at);
+        let reply = client.receive();
+        assert!(matches!(reply, Some((answered, Reply::Answer(_))) if answered == seqid), "{at}: {reply:?}");
+    }
+}
+
+#[test]
+fn an_http_request_that_is_split_anywhere_is_served() {
+    let mut site = Site::new(Front::Http);
+    let worker = site.fleet.frames("h0");
+    site.set_worker("h0", worker, "up");
+    let request = Front::Http.request(1, "body");
+    let mut socket = site.ask("first");
+    let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
+    assert_eq!(receive(&mut reader).status, 200);
+    for at in 1..request.len() {
+        send_in_two(&mut socket, &request, at);
+        assert_eq!(receive(&mut reader).status, 200, "{at}");
+    }
+    socket.set_nodelay(true).expect("set");
+    for byte in &request {
+        socket.write_all(&[*byte]).expect("written");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(receive(&mut reader).status, 200, "byte by byte");
+}
+
+#[test]
+fn an_operators_request_that_is_split_anywhere_is_answered() {
+    let bench = Bench::new(&[Act::Serve], 1);
+    until("it is ready", || ask(bench.admin, "GET", "/v1/readyz", &[], b"").status == 200);
+    let request = b"GET /v1/readyz HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n";
+    for at in 1..request.len() {
+        let mut socket = TcpStream::connect(bench.admin).expect("connects");
+        send_in_two(&mut socket, request, at);
+        assert_eq!(receive(&mut BufReader::new(socket)).status, 200, "{at}");
+    }
+}
