Import circles untied: counters know no answers, and the clock is a module of its own

memory::counters imported core::Answer while core imports the counters: what counters say of answers now stands in core/counting.rs. memory::room imported core for the time: now_ms and until stand in clock.rs, and core hands them on.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -2,8 +2,10 @@
 //! away, [`Workers`] carry attempts and orders out.
 mod attempt;
 mod call;
+mod counting;
 mod invoker;
 
+pub use crate::clock::{now_ms, until};
 pub use attempt::{AttemptError, Cause, Verdict};
 pub use call::{Answer, Call, Failure};
 pub(crate) use invoker::lock;
@@ -13,17 +15,7 @@
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-/// The system's Unix clock in milliseconds: the only clock of the decisions.
-pub fn now_ms() -> Ms {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
-}
-
-/// The span from now to a point on the clock; zero once it has passed.
-pub fn until(at: Ms) -> Duration {
-    Duration::from_secs_f64((at - now_ms()).clamp(0.0, 1e9) / 1000.0)
-}
+use std::time::Duration;
 
 /// Told once how an attempt ended: with the worker's body, or how far it had come.
 pub type Ending = Box<dyn FnOnce(Result<Vec<u8>, AttemptError>) + Send>;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(unsafe_op_in_unsafe_fn)]
 #![warn(missing_docs)]
 
+pub mod clock;
 pub mod core;
 pub mod life;
 pub mod memory;
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -1,5 +1,4 @@
 //! Counters of what is taken in, sent and answered.
-use crate::core::Answer;
 use corkbay::Outcome;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use std::fmt;
@@ -133,16 +132,6 @@
             self.lost[place].add();
         }
     }
-
-    /// A request has its final answer.
-    pub fn answered(&self, answer: &Answer) {
-        match answer {
-            Answer::Served { .. } => self.served.add(),
-            Answer::Refused { .. } => self.refused.add(),
-            Answer::Failed(_) => self.failed.add(),
-            Answer::Withdrawn => self.withdrawn.add(),
-        }
-    }
 }
 
 impl Counters {
--- a/crates/node/src/memory/room.rs
+++ b/crates/node/src/memory/room.rs
@@ -1,5 +1,5 @@
 //! Waiting for room in an account, on the coroutine library's own timers.
-use crate::core::now_ms;
+use crate::clock::now_ms;
 use corkbay::Ms;
 use corkbay_ledger::pressure::{decide, Case, Decision};
 use corkbay_ledger::{Account, Purpose, Reservation};
