--- a/crates/node/src/memory/store/expiry.rs
+++ b/crates/node/src/memory/store/expiry.rs
@@ -76,6 +76,7 @@
     pub fn sweep(&self) -> Result<(), StoreError> {
         let mut expiry = lock(&self.writing);
         self.forget_expired(&mut expiry, now_ms());
+        self.forget_tombstones(&mut expiry);
         let Some(log) = &self.log else { return Ok(()) };
         let live_bytes = lock(&self.records).values().map(|entry| entry.record.size()).sum();
         if !log.is_worth_replacing(live_bytes) {
@@ -98,21 +99,29 @@
         page.map(|(_, entry)| entry.record.clone()).collect()
     }
 
-    /// Drops expired records, and tombstones where no other node could bring back what they stand for.
+    /// Drops expired records.
     fn forget_expired(&self, expiry: &mut ExpiryState, now: Ms) {
-        let is_alone = !lock(&self.listeners).any();
         expiry.next_expiry = 0.0;
+        lock(&self.records).retain(|_, entry| {
+            let stays = !entry.record.expired(now);
+            if stays {
+                expiry.note_expiry(entry.record.expires);
+            }
+            stays
+        });
+    }
+
+    /// Drops tombstones where no other node could bring back what they stand for. A node is alone as long as nobody
+    /// listens to its records, which is known only once it serves: not while it starts.
+    fn forget_tombstones(&self, expiry: &mut ExpiryState) {
+        let is_alone = !lock(&self.listeners).any();
         lock(&self.records).retain(|key, entry| {
             let record = &entry.record;
-            let is_needless_tombstone = record.value.is_none() && (is_alone || is_node_local(key));
-            if is_needless_tombstone {
+            let is_needless = record.value.is_none() && (is_alone || is_node_local(key));
+            if is_needless {
                 expiry.dropped_version = expiry.dropped_version.max(record.version);
             }
-            let stays = !is_needless_tombstone && !record.expired(now);
-            if stays {
-                expiry.note_expiry(record.expires);
-            }
-            stays
+            !is_needless
         });
     }
 }
--- a/crates/node/src/memory/store/listeners.rs
+++ b/crates/node/src/memory/store/listeners.rs
@@ -48,7 +48,7 @@
     /// node-local ones too, in the order in which they took effect.
     ///
     /// Records are sent while writers are held off, so the order is exact. Whoever registers first and reads
-    /// the store afterwards misses no record, and may meet one both ways.
+    /// the store afterwards misses no record, and may meet one both ways. Tombstones are kept from now on.
     pub fn on_change(&self, listener: mpsc::Sender<Record>) {
         let _no_writer = lock(&self.writing);
         lock(&self.listeners).changes.push(listener);
--- a/crates/node/src/memory/store/tests.rs
+++ b/crates/node/src/memory/store/tests.rs
@@ -166,3 +166,23 @@
     drop(store);
     assert_eq!(ledger.held(), 0);
 }
+
+/// Guards deletions while a node starts: it has no listeners yet, and a full account must not cost it what it knows
+/// of deleted records.
+#[test]
+fn room_is_made_of_expired_records_and_not_of_tombstones() {
+    let (store, _) = small();
+    store.put(&mut Draft::new("function/a", text(1))).expect("room");
+    store.put(&mut Draft::new("function/a", None)).expect("taken away");
+    let expired =
+        Draft { expires: now_ms() - 1.0, ..Draft::new("function/expired", text("x".repeat(10 * KIB))) };
+    store.put(&mut { expired }).expect("room");
+    let fill =
+        |name: u32| store.put(&mut Draft::new(&format!("function/{name}"), text("x".repeat(10 * KIB))));
+    assert!((0..1000).any(|name| fill(name).is_err()), "it gets full");
+    assert!(!lock(&store.records).contains_key("function/expired"));
+    assert!(lock(&store.records).contains_key("function/a"));
+    store.on_change(may::sync::mpsc::channel().0);
+    store.sweep().expect("in memory");
+    assert!(lock(&store.records).contains_key("function/a"), "somebody follows");
+}
