--- a/crates/node/src/wire/feed.rs
+++ b/crates/node/src/wire/feed.rs
@@ -21,13 +21,3 @@
 pub use status::{FeedRole, ReadOnly, Role};
 
 pub use corkbay_feed::FeedLimits;
-
-use corkbay::Ms;
-use std::sync::OnceLock;
-use std::time::Instant;
-
-/// The time since the first call, which never runs backwards.
-fn monotonic_ms() -> Ms {
-    static START: OnceLock<Instant> = OnceLock::new();
-    START.get_or_init(Instant::now).elapsed().as_secs_f64() * 1000.0
-}
--- a/crates/node/src/wire/feed/server.rs
+++ b/crates/node/src/wire/feed/server.rs
@@ -1,5 +1,4 @@
 //! A control node's side of the feed.
-use super::monotonic_ms;
 use super::records::ConfigurationRecords;
 use super::session::Session;
 use crate::core::{lock, now_ms};
@@ -7,6 +6,7 @@
 use crate::memory::record::Record;
 use crate::memory::store::Store;
 use crate::wire::accept::{Acceptor, Connection, ConnectionLimits};
+use crate::wire::clock::monotonic_ms;
 use crate::wire::framing::{self, FramingError};
 use crate::wire::index::{RecordIndex, Scope};
 use corkbay::Ms;
--- a/crates/node/src/wire/replicate/caller.rs
+++ b/crates/node/src/wire/replicate/caller.rs
@@ -3,7 +3,6 @@
 use super::mesh::Mesh;
 use super::messages::{Hello, Reply, Request, VERSION};
 use super::STALL;
-use crate::core::{now_ms, until};
 use crate::memory::record::Record;
 use crate::wire::framing::FramingError;
 use crate::wire::socket::Socket;
@@ -11,11 +10,14 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest time for making a connection.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// The shortest wait that a timer is set for.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// A connection to a peer that has greeted.
 struct PeerConnection {
     socket: Socket,
@@ -43,17 +45,16 @@
         loop {
             let end = self.compare_if_due();
             self.note_end(&end);
-            let next = now_ms() + self.interval.as_secs_f64() * 1000.0;
-            if !self.push_until(next, written) {
+            if !self.push_until(Instant::now() + self.interval, written) {
                 return;
             }
         }
     }
 
     /// Pushes what is written until that time; false once nobody writes any more.
-    fn push_until(&mut self, next: f64, written: &mpsc::Receiver<Record>) -> bool {
+    fn push_until(&mut self, next: Instant, written: &mpsc::Receiver<Record>) -> bool {
         loop {
-            match written.recv_timeout(until(next)) {
+            match written.recv_timeout(next.saturating_duration_since(Instant::now()).max(SHORTEST_WAIT)) {
                 Ok(first) => {
                     let batch = std::iter::once(first).chain(written.try_iter()).collect();
                     if self.is_reachable {
@@ -64,7 +65,7 @@
                 Err(RecvTimeoutError::Timeout) => return true,
                 Err(RecvTimeoutError::Disconnected) => return false,
             }
-            if now_ms() >= next {
+            if Instant::now() >= next {
                 return true;
             }
         }
--- a/crates/node/src/wire/replicate/mesh.rs
+++ b/crates/node/src/wire/replicate/mesh.rs
@@ -5,6 +5,7 @@
 use crate::core::{lock, now_ms};
 use crate::memory::record::Record;
 use crate::memory::store::Store;
+use crate::wire::clock::monotonic_ms;
 use crate::wire::framing::{self, Received, MAX_MESSAGE};
 use crate::wire::index::{RecordIndex, Scope};
 use crate::wire::news::{News, OnNews};
@@ -80,12 +81,12 @@
     /// Whether it is time to compare with a peer.
     pub fn is_due(&self, peer: &str) -> bool {
         let root = self.root();
-        lock(&self.agreements).is_due(self.node(), peer, root, now_ms())
+        lock(&self.agreements).is_due(self.node(), peer, root, monotonic_ms())
     }
 
     /// Notes that a peer holds the same records.
     pub fn agreed(&self, peer: &Arc<str>, root: u64) {
-        lock(&self.agreements).note(peer, root, now_ms());
+        lock(&self.agreements).note(peer, root, monotonic_ms());
     }
 
     /// What is held in these buckets: as many of them, from the first on, as go into a message; one at least.
@@ -104,8 +105,8 @@
         held
     }
 
-    /// The records that a node that holds this lacks or has in another version, as many as go into a message: the rest
-    /// comes with the next comparison.
+    /// The records that a node that holds this lacks or has in another version, as many as go into a message and at
+    /// least one: the rest comes with the next comparison.
     pub fn lacking(&self, theirs: &Held) -> Vec<Record> {
         let keys: Vec<Arc<str>> = {
             let index = lock(&self.index);
@@ -113,13 +114,15 @@
             let differing = entries.filter(|(key, hash)| theirs.hashes.get(*key) != Some(hash));
             differing.map(|(key, _)| key.clone()).collect()
         };
-        let mut left = self.message_bytes();
-        let records = keys.iter().filter_map(|key| self.store.get(key));
-        let fits = |record: &Record| {
-            left = left.saturating_sub(record.size());
-            left > 0
-        };
-        records.take_while(fits).collect()
+        let (mut records, mut bytes) = (Vec::new(), 0);
+        for record in keys.iter().filter_map(|key| self.store.get(key)) {
+            bytes += record.size();
+            if bytes > self.message_bytes() && !records.is_empty() {
+                break;
+            }
+            records.push(record);
+        }
+        records
     }
 
     /// Keeps what a peer sent.
--- a/crates/node/tests/mesh.rs
+++ b/crates/node/tests/mesh.rs
@@ -8,7 +8,7 @@
     classes_only, delete_function, frame, function_memory, put_function, replication, start_node, status,
     until_ended, Relay,
 };
-use support::{free_address, until, Daemon, Folder, PATIENCE};
+use support::{ask, free_address, until, Daemon, Folder, PATIENCE};
 
 /// Sixteen nodes, 120 pairs, may send 4 KB a second in all while nothing changes: so much for each pair.
 const IDLE_BYTES_PER_S_OF_A_PAIR: f64 = 4096.0 / 120.0;
@@ -100,6 +100,44 @@
     }
 }
 
+/// Guards nodes with little memory for messages: what does not go into one comes with the next.
+#[test]
+fn a_large_catalog_comes_in_pieces() {
+    const FUNCTIONS: usize = 1500;
+    let folder = Folder::new();
+    let addresses = [free_address(), free_address()];
+    let node = |own: usize, functions: &str| {
+        let memory = "[memory]\nshares = { replication = 0.4, catalog = 10 }\n";
+        let replication = replication(addresses[own], &[addresses[1 - own]], 100);
+        start_node(
+            &folder,
+            &format!("n{own}"),
+            &format!("{memory}{replication}{}{functions}", classes_only()),
+        )
+    };
+    let entry = |number: usize| format!("[[function]]\nname = \"f{number}\"\nclass = \"check\"\n");
+    let functions: String = (0..FUNCTIONS).map(entry).collect();
+    let full = node(0, &functions);
+    let account = |node: &Daemon| {
+        let accounts = status(node)["memory"]["accounts"].as_array().expect("a list").clone();
+        accounts.into_iter().find(|account| account["purpose"] == "replication").expect("its line")
+    };
+    let records_bytes = FUNCTIONS as u64 * 200;
+    assert!(
+        account(&full)["cap_bytes"].as_u64().expect("bytes") / 8 < records_bytes,
+        "more than one message"
+    );
+    let empty = node(1, "");
+    until("all is there", || {
+        ask(empty.address, "GET", "/v1/functions", &[], b"").json().as_object().map(|all| all.len())
+            == Some(FUNCTIONS)
+    });
+    for node in [&full, &empty] {
+        let account = account(node);
+        assert!(account["peak_bytes"].as_u64() <= account["cap_bytes"].as_u64(), "{account}");
+    }
+}
+
 /// Guards a fleet that is brought up to this version node by node: an older peer is an error in the log, and nothing more.
 #[test]
 fn an_earlier_version_gets_a_clear_error() {
