--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod mood;
 pub mod plan;
 pub mod report;
+pub mod scale;
 pub mod soak;
 pub mod verdict;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 use corkbay_rig::fleet::{Fleet, Kind};
 use corkbay_rig::mood::Script;
 use corkbay_rig::plan::{Offer, Plan};
+use corkbay_rig::scale::{self, Experiment, ScaleContext};
 use corkbay_rig::soak::{names, Soak, STEADY};
 use corkbay_rig::verdict::{judge, Bounds};
 use corkbay_rig::{compare, load, report};
@@ -97,6 +98,12 @@
         #[arg(long, default_value = "")]
         head: String,
     },
+    /// Measures a cost at several sizes and fits how it grows.
+    Scale {
+        /// What is measured.
+        #[command(subcommand)]
+        experiment: Experiment,
+    },
 }
 
 fn main() -> ExitCode {
@@ -173,6 +180,11 @@
             println!("{}", if flat { "memory stayed flat" } else { "memory did not stay flat" });
             Ok(flat)
         }
+        Task::Scale { experiment } => {
+            let context = ScaleContext { program: program()?, out: out.clone(), seed };
+            scale::run(&context, experiment)?;
+            Ok(true)
+        }
     }
 }
 
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -96,12 +96,22 @@
     Ok(writer.flush()?)
 }
 
-type Line = (String, Vec<(f64, f64)>);
+/// A named line of a chart.
+pub(crate) type Line = (String, Vec<(f64, f64)>);
 
-fn chart(path: &Path, title: &str, labels: [&str; 2], lines: Vec<Line>) -> Result<(), Box<dyn Error>> {
+/// Draws lines as SVG; both axes begin at 0 unless a point lies below.
+pub(crate) fn chart(
+    path: &Path,
+    title: &str,
+    labels: [&str; 2],
+    lines: Vec<Line>,
+) -> Result<(), Box<dyn Error>> {
     let most = |of: fn(&(f64, f64)) -> f64| {
         lines.iter().flat_map(|line| line.1.iter()).map(of).fold(1e-3, f64::max) * 1.05
     };
+    let least = |of: fn(&(f64, f64)) -> f64| {
+        lines.iter().flat_map(|line| line.1.iter()).map(of).fold(0.0, f64::min) * 1.05
+    };
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area)
@@ -109,7 +119,10 @@
         .margin(12)
         .x_label_area_size(40)
         .y_label_area_size(60)
-        .build_cartesian_2d(0.0..most(|point| point.0), 0.0..most(|point| point.1))?;
+        .build_cartesian_2d(
+            least(|point| point.0)..most(|point| point.0),
+            least(|point| point.1)..most(|point| point.1),
+        )?;
     chart.configure_mesh().x_desc(labels[0]).y_desc(labels[1]).draw()?;
     for (place, (name, points)) in lines.into_iter().enumerate() {
         let colour = Palette99::pick(place).to_rgba();
