--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -2,11 +2,17 @@
 //!
 //! Every experiment returns [`Measurement`]s. They are printed as a table, written as CSV and drawn as a
 //! chart, and every row that was measured at three sizes or more is fitted by a straight line and a power law.
+pub mod catalog;
 pub mod connections;
 pub mod decisions;
 pub mod deferred;
+pub mod deploy;
 pub mod fit;
+pub mod in_force;
+pub mod mesh;
+pub mod process;
 pub mod table;
+pub mod traffic;
 pub mod worker_list;
 
 mod chart;
@@ -70,6 +76,10 @@
 /// The experiments.
 #[derive(Clone, Debug, Subcommand)]
 pub enum Experiment {
+    /// Daemons that name one another as peers: idle cost, and the time until a change is in force.
+    Mesh(mesh::Options),
+    /// A daemon's start and memory over the number of functions.
+    Catalog(catalog::Options),
     /// The cost of a decision over workers and functions.
     Decisions(decisions::Options),
     /// The cost of the worker list and of changes to it.
@@ -84,6 +94,8 @@
     /// The name under which the results are written.
     pub fn name(&self) -> &'static str {
         match self {
+            Experiment::Mesh(_) => "mesh",
+            Experiment::Catalog(_) => "catalog",
             Experiment::Decisions(_) => "decisions",
             Experiment::WorkerList(_) => "worker-list",
             Experiment::Connections(_) => "connections",
@@ -93,6 +105,8 @@
 
     fn measure(&self, context: &ScaleContext) -> Result<Vec<Measurement>, ScaleError> {
         match self {
+            Experiment::Mesh(options) => mesh::run(context, options),
+            Experiment::Catalog(options) => catalog::run(context, options),
             Experiment::Decisions(options) => decisions::run(context, options),
             Experiment::WorkerList(options) => worker_list::run(context, options),
             Experiment::Connections(options) => connections::run(context, options),
