--- a/crates/rig/src/compare.rs
+++ b/crates/rig/src/compare.rs
@@ -4,8 +4,8 @@
 //! meets both alike, and the ratio of a round says more than any single time.
 use crate::client::Client;
 use crate::daemon::{Daemon, Deployment};
+use crate::fault_schedule::FaultSchedule;
 use crate::fleet::{Fleet, Kind};
-use crate::mood::Script;
 use hdrhistogram::Histogram;
 use std::io;
 use std::path::Path;
@@ -22,7 +22,7 @@
 /// Runs so many rounds of so many calls through each of two programs.
 pub fn run(programs: [&Path; 2], folder: &Path, rounds: usize, calls: usize) -> io::Result<Vec<Round>> {
     let kind = Kind { work: Duration::ZERO, load: Duration::ZERO, cold: Duration::ZERO, ..Kind::default() };
-    let fleet = Fleet::start(2, kind, Script { seed: 1, trouble: 0.0 })?;
+    let fleet = Fleet::start(2, kind, FaultSchedule { seed: 1, fault_rate: 0.0 })?;
     let workers = fleet.addresses();
     let deployment = Deployment { head: String::new(), protocol: "frames", workers, functions: 2 };
     let start = |place: usize| Daemon::start(programs[place], &folder.join(place.to_string()), &deployment);
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Emulated workers on loopback: they speak the invoke API or binary frames, hold models in memory that is
 //! only counted, load them with a delay, start cold, and behave as a script says.
-use crate::mood::{Mood, Script};
+use crate::fault_schedule::{Behaviour, FaultSchedule};
 use corkbay_node::wire::frames::{code, Frame, FROM_INVOKER, FROM_WORKER};
 use corkbay_node::wire::http::RequestHead;
 use std::collections::BTreeMap;
@@ -61,7 +61,7 @@
     number: usize,
     address: SocketAddr,
     kind: Kind,
-    script: Script,
+    schedule: FaultSchedule,
     began: Instant,
     state: Mutex<State>,
     served: AtomicU64,
@@ -92,14 +92,14 @@
 
 impl Fleet {
     /// Starts workers of a kind, all on free ports.
-    pub fn start(count: usize, kind: Kind, script: Script) -> io::Result<Self> {
+    pub fn start(count: usize, kind: Kind, schedule: FaultSchedule) -> io::Result<Self> {
         let began = Instant::now();
         let worker = |number| {
             let listener = TcpListener::bind("127.0.0.1:0")?;
             let address = listener.local_addr()?;
             let state = State { started: began, copies: BTreeMap::new(), busy: 0 };
             let (state, served) = (Mutex::new(state), AtomicU64::new(0));
-            let worker = Arc::new(Worker { number, address, kind, script, began, state, served });
+            let worker = Arc::new(Worker { number, address, kind, schedule, began, state, served });
             let ours = worker.clone();
             std::thread::Builder::new().stack_size(STACK).spawn(move || ours.listen(&listener))?;
             Ok(worker)
@@ -178,19 +178,19 @@
         self.served.fetch_add(1, Relaxed);
     }
 
-    fn mood(&self) -> Mood {
-        self.script.mood(self.number, self.began.elapsed())
+    fn behaviour(&self) -> Behaviour {
+        self.schedule.behaviour(self.number, self.began.elapsed())
     }
 
     /// Runs a call; `None` where nothing is to be answered.
-    fn run(&self, after: Duration, mood: Mood) -> Option<bool> {
-        let slower = if let Mood::Slow(times) = mood { times } else { 1.0 };
+    fn run(&self, after: Duration, behaviour: Behaviour) -> Option<bool> {
+        let slower = if let Behaviour::Slow(times) = behaviour { times } else { 1.0 };
         std::thread::sleep(after.mul_f64(slower));
         self.done();
-        match mood {
-            Mood::Fine | Mood::Slow(_) => Some(true),
-            Mood::Failing => Some(false),
-            Mood::Silent | Mood::Resetting | Mood::Lying => None,
+        match behaviour {
+            Behaviour::Healthy | Behaviour::Slow(_) => Some(true),
+            Behaviour::Failing => Some(false),
+            Behaviour::Silent | Behaviour::ResettingConnection | Behaviour::AnsweringGarbage => None,
         }
     }
 
@@ -218,15 +218,17 @@
             Verdict::Miss => (404, not_run, Vec::new()),
             Verdict::Full => (503, not_run, Vec::new()),
             Verdict::Run { after } => {
-                let mood = self.mood();
-                match self.run(after, mood) {
+                let behaviour = self.behaviour();
+                match self.run(after, behaviour) {
                     Some(true) => (200, "", body),
                     Some(false) => (500, "", Vec::new()),
-                    None if mood == Mood::Silent => {
+                    None if behaviour == Behaviour::Silent => {
                         let _ = socket.read(&mut [0]);
                         return Ok(());
                     }
-                    None if mood == Mood::Lying => return socket.write_all(b"HTTP/1.1 2\x00\r\n\r\n"),
+                    None if behaviour == Behaviour::AnsweringGarbage => {
+                        return socket.write_all(b"HTTP/1.1 2\x00\r\n\r\n")
+                    }
                     None => return Ok(()),
                 }
             }
@@ -276,15 +278,16 @@
                     Verdict::Miss => answer(code::MISS, String::new(), Vec::new()),
                     Verdict::Full => answer(code::FULL, String::new(), Vec::new()),
                     Verdict::Run { after } => {
-                        let (mood, body) = (self.mood(), frame.body);
-                        scope.spawn(move || match self.run(after, mood) {
+                        let (behaviour, body) = (self.behaviour(), frame.body);
+                        scope.spawn(move || match self.run(after, behaviour) {
                             Some(true) => answer(code::OK, String::new(), body),
                             Some(false) => answer(code::ERROR, String::new(), Vec::new()),
-                            None if mood == Mood::Silent => {}
+                            None if behaviour == Behaviour::Silent => {}
                             None => {
                                 let socket = writer.lock().unwrap_or_else(PoisonError::into_inner);
-                                let lie: &[u8] = if mood == Mood::Lying { &[0xff; 20] } else { &[] };
-                                let _ = (&*socket).write_all(lie);
+                                let garbage: &[u8] =
+                                    if behaviour == Behaviour::AnsweringGarbage { &[0xff; 20] } else { &[] };
+                                let _ = (&*socket).write_all(garbage);
                                 let _ = socket.shutdown(std::net::Shutdown::Both);
                             }
                         });
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,9 +8,9 @@
 pub mod client;
 pub mod compare;
 pub mod daemon;
+pub mod fault_schedule;
 pub mod fleet;
 pub mod load;
-pub mod mood;
 pub mod plan;
 pub mod report;
 pub mod scale;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,8 +2,8 @@
 use clap::{Parser, Subcommand};
 use corkbay_rig::client::Client;
 use corkbay_rig::daemon::{beside, Daemon, Deployment};
+use corkbay_rig::fault_schedule::FaultSchedule;
 use corkbay_rig::fleet::{Fleet, Kind};
-use corkbay_rig::mood::Script;
 use corkbay_rig::plan::{Offer, Plan};
 use corkbay_rig::scale::{self, Experiment, ScaleContext};
 use corkbay_rig::soak::{names, Soak, STEADY};
@@ -124,11 +124,11 @@
         Task::Demo => demo(&Daemon::start(
             &program()?,
             out,
-            &small(&Fleet::start(3, Kind::default(), Script { seed, trouble: 0.0 })?),
+            &small(&Fleet::start(3, Kind::default(), FaultSchedule { seed, fault_rate: 0.0 })?),
         )?),
         Task::Fleet { workers, seconds, trouble, ordered } => {
             let kind = Kind { loads: !ordered, ..Kind::default() };
-            let fleet = Fleet::start(*workers, kind, Script { seed, trouble: *trouble })?;
+            let fleet = Fleet::start(*workers, kind, FaultSchedule { seed, fault_rate: *trouble })?;
             fleet.addresses().iter().for_each(|address| println!("{address}"));
             std::thread::sleep(Duration::from_secs(*seconds));
             Ok(true)
@@ -136,7 +136,7 @@
         Task::Load { rate, seconds, threads, trouble, protocol } => {
             let protocol = if protocol == "frames" { "frames" } else { "http" };
             let kind = Kind { loads: protocol == "http", ..Kind::default() };
-            let fleet = Fleet::start(6, kind, Script { seed, trouble: *trouble })?;
+            let fleet = Fleet::start(6, kind, FaultSchedule { seed, fault_rate: *trouble })?;
             let offer = Offer { rate: *rate, ..Offer::default() };
             let deployment = Deployment { protocol, functions: offer.functions, ..small(&fleet) };
             let daemon = Daemon::start(&program()?, out, &deployment)?;
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -1,9 +1,9 @@
 //! An hour's turnover in a few minutes: steady, churning, flooding, and steady again.
 use crate::client::{request, Client};
 use crate::daemon::{Daemon, Deployment};
+use crate::fault_schedule::FaultSchedule;
 use crate::fleet::{Fleet, Kind};
 use crate::load::{self, Outcome};
-use crate::mood::Script;
 use crate::plan::{tenant, Arrival, Offer, Plan};
 use crate::verdict::Sample;
 use std::collections::{BTreeMap, VecDeque};
@@ -43,7 +43,8 @@
 impl Soak {
     /// Runs it; gives what was sampled and what came of the calls of configured functions.
     pub fn run(&self) -> io::Result<(Vec<Sample>, Outcome)> {
-        let fleet = Fleet::start(WORKERS, Kind::default(), Script { seed: self.seed, trouble: 0.05 })?;
+        let fleet =
+            Fleet::start(WORKERS, Kind::default(), FaultSchedule { seed: self.seed, fault_rate: 0.05 })?;
         let offer = Offer { rate: 100.0, ..Offer::default() };
         // An hour's retention, compressed as the hour is.
         let retention = (self.span.as_secs_f64() / 10.0).max(1.0);
@@ -200,7 +201,7 @@
     let fleet = Fleet::start(
         WORKERS,
         Kind { work: QUICK, load: QUICK, ..Kind::default() },
-        Script { seed: 1, trouble: 0.0 },
+        FaultSchedule { seed: 1, fault_rate: 0.0 },
     )?;
     let deployment =
         Deployment { head: head.into(), protocol: "http", workers: fleet.addresses(), functions: 4 };
