Rig: scale feed and scale recovery measure followers of the change feed

Idle cost, changes, bursts, restarts, lost and stale control nodes are measured with hollow followers, many to a process, against three control nodes that are whole daemons; two whole followers and a daemon without feed tell what hollow ones leave out.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 use corkbay_rig::fault_schedule::FaultSchedule;
 use corkbay_rig::fleet::{Fleet, Kind};
 use corkbay_rig::plan::{Offer, Plan};
+use corkbay_rig::scale::feed::hollow;
 use corkbay_rig::scale::{self, Experiment, ScaleContext};
 use corkbay_rig::soak::{names, Soak, STEADY};
 use corkbay_rig::verdict::{judge, Bounds};
@@ -14,6 +15,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// The allocator of the daemon, so that hollow followers take the memory that they take there.
+#[global_allocator]
+static HEAP: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
+
 /// Emulated workers and loads for corkbay, on loopback and for a bounded time.
 #[derive(Parser)]
 #[command(version)]
@@ -104,6 +109,12 @@
         #[command(subcommand)]
         experiment: Experiment,
     },
+    /// A process of hollow followers, as the experiments start it.
+    #[command(hide = true)]
+    FollowerHost {
+        /// The file that says which.
+        config: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
@@ -185,6 +196,10 @@
             scale::run(&context, experiment)?;
             Ok(true)
         }
+        Task::FollowerHost { config } => {
+            hollow::serve(&serde_json::from_slice(&std::fs::read(config)?)?)?;
+            Ok(true)
+        }
     }
 }
 
--- a/crates/rig/src/scale/deploy.rs
+++ b/crates/rig/src/scale/deploy.rs
@@ -27,6 +27,12 @@
         self
     }
 
+    /// Most descriptors that the process may hold.
+    pub fn sockets(mut self, sockets: usize) -> Self {
+        let _ = writeln!(self.head, "sockets = {sockets}");
+        self
+    }
+
     /// The node's zone.
     pub fn zone(mut self, zone: &str) -> Self {
         let _ = writeln!(self.head, "zone = \"{zone}\"");
@@ -76,7 +82,15 @@
     format!("household-score-{number:06}")
 }
 
+/// The memory of a function in a deploy file, and of one that is configured over the API unless told otherwise, in MB.
+const MEMORY_MB: f64 = 64.0;
+
 /// The body with which a function is configured over the API.
 pub fn function_body() -> Vec<u8> {
-    format!(r#"{{"class":"{CLASS}","memory_mb":64,"lanes":4}}"#).into_bytes()
+    function_body_with_memory(MEMORY_MB)
+}
+
+/// The same for a function with another memory.
+pub fn function_body_with_memory(memory_mb: f64) -> Vec<u8> {
+    format!(r#"{{"class":"{CLASS}","memory_mb":{memory_mb:?},"lanes":4}}"#).into_bytes()
 }
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -7,10 +7,12 @@
 pub mod decisions;
 pub mod deferred;
 pub mod deploy;
+pub mod feed;
 pub mod fit;
 pub mod in_force;
 pub mod mesh;
 pub mod process;
+pub mod recovery;
 pub mod table;
 pub mod traffic;
 pub mod worker_list;
@@ -80,6 +82,10 @@
     Mesh(mesh::Options),
     /// A daemon's start and memory over the number of functions.
     Catalog(catalog::Options),
+    /// Many followers of the change feed: idle cost, changes, restarts, lost control nodes.
+    Feed(feed::Options),
+    /// Followers that come back: bytes and time until they are current.
+    Recovery(recovery::Options),
     /// The cost of a decision over workers and functions.
     Decisions(decisions::Options),
     /// The cost of the worker list and of changes to it.
@@ -96,6 +102,8 @@
         match self {
             Experiment::Mesh(_) => "mesh",
             Experiment::Catalog(_) => "catalog",
+            Experiment::Feed(_) => "feed",
+            Experiment::Recovery(_) => "recovery",
             Experiment::Decisions(_) => "decisions",
             Experiment::WorkerList(_) => "worker-list",
             Experiment::Connections(_) => "connections",
@@ -107,6 +115,8 @@
         match self {
             Experiment::Mesh(options) => mesh::run(context, options),
             Experiment::Catalog(options) => catalog::run(context, options),
+            Experiment::Feed(options) => feed::run(context, options),
+            Experiment::Recovery(options) => recovery::run(context, options),
             Experiment::Decisions(options) => decisions::run(context, options),
             Experiment::WorkerList(options) => worker_list::run(context, options),
             Experiment::Connections(options) => connections::run(context, options),
--- a/crates/rig/src/scale/process.rs
+++ b/crates/rig/src/scale/process.rs
@@ -61,6 +61,11 @@
         Ok(())
     }
 
+    /// Ends it at once, as SIGKILL does, without waiting for its end.
+    pub fn send_kill(&self) -> io::Result<()> {
+        self.signal(Signal::KILL)
+    }
+
     /// Stops it from running until [`OwnedChild::resume`]; its connections stay.
     pub fn suspend(&self) -> io::Result<()> {
         self.signal(Signal::STOP)
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -1,6 +1,9 @@
 //! Scale experiments at small sizes: the fits against known laws, and the experiments against real daemons.
 use corkbay_rig::scale::fit::{fit_rows, Line, PowerLaw};
 use corkbay_rig::scale::Measurement;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::Command;
 
 #[test]
 fn fits_recover_a_line_and_a_power_law_and_tell_the_residual() {
@@ -29,3 +32,75 @@
     assert_eq!(fits.len(), 1);
     assert!(fits[0].row == "three" && fits[0].points == 3 && (fits[0].slope - 7.0).abs() < 1e-9);
 }
+
+/// The folder of the built programs, which `cargo test --workspace` builds beside these tests.
+fn programs() -> PathBuf {
+    let tests = std::env::current_exe().expect("this test");
+    tests.ancestors().nth(2).expect("a target folder").to_path_buf()
+}
+
+/// Runs an experiment of the rig and reads back its table: the figure of each row and size.
+fn experiment(name: &str, options: &[&str]) -> BTreeMap<(String, u64), f64> {
+    let folder = std::env::temp_dir().join(format!("corkbay-scale-{name}-{}", std::process::id()));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_corkbay-rig"));
+    command.arg("--program").arg(programs().join("corkbay")).arg("--out").arg(&folder);
+    let output = command.args(["scale", name]).args(options).output().expect("runs");
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{told}");
+    let mut rows = csv::Reader::from_path(folder.join(format!("scale-{name}.csv"))).expect("a table");
+    let found = rows.deserialize::<(String, f64, f64, String)>().map(|row| row.expect("a measurement"));
+    let found = found.map(|(row, size, value, _)| ((row, size as u64), value)).collect();
+    assert!(folder.join(format!("scale-{name}.svg")).exists());
+    let _ = std::fs::remove_dir_all(folder);
+    println!("{told}");
+    found
+}
+
+fn figure(found: &BTreeMap<(String, u64), f64>, row: &str, size: u64) -> f64 {
+    *found.get(&(row.to_string(), size)).unwrap_or_else(|| panic!("{row} at {size} in {found:?}"))
+}
+
+#[test]
+fn mesh_tells_cost_and_time_at_each_size() {
+    let options = ["--nodes", "2,3", "--functions", "20", "--idle-seconds", "1", "--changes", "1"];
+    let found = experiment("mesh", &options);
+    for nodes in [2, 3] {
+        // Idle peers swap something at each interval, and every one keeps its memory.
+        assert!(figure(&found, "idle cpu a node; 20 functions, over nodes", nodes) > 0.0);
+        assert!(figure(&found, "resident a node; 20 functions, over nodes", nodes) > 1.0);
+        assert!(figure(&found, "change in force at all, max; 20 functions, over nodes", nodes) > 0.0);
+    }
+}
+
+#[test]
+fn catalog_tells_start_and_memory_at_each_size() {
+    let found = experiment("catalog", &["--functions", "10,40", "--plays", "1"]);
+    let account = |functions| figure(&found, "first start: catalog account", functions);
+    assert!(account(40) > 2.0 * account(10), "{found:?}");
+    assert!(figure(&found, "start on kept data: log on disk", 40) > 0.0);
+}
+
+/// Guards the promises of the feed at a small size: a lost control node delays no change past 6 s, a stale one takes
+/// nothing back, and followers that kept their data have no copy sent.
+#[test]
+fn feed_changes_outlive_lost_and_stale_control_nodes() {
+    let options = ["--followers", "3", "--functions", "30", "--idle-seconds", "1", "--changes", "2"];
+    let plays = ["--burst", "10", "--failures", "2", "--stale", "1"];
+    let found = experiment("feed", &[options.as_slice(), plays.as_slice()].concat());
+    let of = |name: &str| figure(&found, &format!("{name}; 30 functions, over followers"), 3);
+    assert_eq!(of("one change in force at all, plays"), 2.0);
+    assert!(of("idle message bytes a hollow follower") > 0.0);
+    assert_eq!(of("all restarted: full copies"), 0.0);
+    assert_eq!(of("change while a control node is lost, plays"), 2.0);
+    assert!(of("change while a control node is lost, max") <= 6.0);
+    assert_eq!(of("stale control node: followers that went to it"), 3.0);
+    assert_eq!(of("stale control node: changes taken back"), 0.0);
+}
+
+#[test]
+fn recovery_tells_that_kept_data_saves_bytes() {
+    let found = experiment("recovery", &["--followers", "2", "--functions", "100", "--pauses", "0.5"]);
+    let bytes =
+        |name: &str| figure(&found, &format!("start, {name}: message bytes a follower; over functions"), 100);
+    assert!(bytes("kept data") < bytes("empty disk"), "{found:?}");
+}
