--- a/crates/rig/src/scale/feed.rs
+++ b/crates/rig/src/scale/feed.rs
@@ -132,9 +132,13 @@
     }
     restart_all(&mut cluster, rows)?;
     if is_largest && options.failures > 0 {
-        let times = failures::control_lost_at_a_change(&mut cluster, options.failures, context.seed)?;
-        rows.add("change while a control node is lost, median", median_s(&times), "s");
-        rows.add("change while a control node is lost, max", longest_s(&times), "s");
+        let outcome = failures::control_lost_at_a_change(&mut cluster, options.failures, context.seed)?;
+        let times = &outcome.until_in_force;
+        rows.add("change while a control node is lost, median", median_s(times), "s");
+        rows.add("change while a control node is lost, max", longest_s(times), "s");
+        let caught_up = &outcome.until_caught_up;
+        rows.add("returned control node: until it has the change, median", median_s(caught_up), "s");
+        rows.add("returned control node: until it has the change, max", longest_s(caught_up), "s");
         rows.add("change while a control node is lost, plays", times.len() as f64, "plays");
     }
     if is_largest && options.stale > 0 {
--- a/crates/rig/src/scale/feed/failures.rs
+++ b/crates/rig/src/scale/feed/failures.rs
@@ -24,15 +24,23 @@
     Suspended,
 }
 
-/// Makes changes at one control node while another is killed or suspended within milliseconds of it. The time of each
-/// until the change was in force at all followers.
+/// What was found while control nodes were lost.
+#[derive(Clone, Debug, Default)]
+pub struct LossOutcome {
+    /// The time until each change was in force at all followers.
+    pub until_in_force: Vec<Duration>,
+    /// The time from each return of a control node until it had the change as well.
+    pub until_caught_up: Vec<Duration>,
+}
+
+/// Makes changes at one control node while another is killed or suspended within milliseconds of it.
 pub fn control_lost_at_a_change(
     cluster: &mut Cluster,
     plays: usize,
     seed: u64,
-) -> Result<Vec<Duration>, ScaleError> {
+) -> Result<LossOutcome, ScaleError> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut times = Vec::new();
+    let mut outcome = LossOutcome::default();
     for play in 0..plays {
         let lost = rng.random_range(0..CONTROLS);
         let writer = (lost + rng.random_range(1..CONTROLS)) % CONTROLS;
@@ -52,15 +60,17 @@
         })?;
         let longest = of_all.into_iter().max().unwrap_or_default();
         eprintln!("play {play}: control-{lost} {loss:?}, first: {lost_first}, in force after {longest:?}");
-        times.push(longest);
+        outcome.until_in_force.push(longest);
+        let returns = Instant::now();
         match loss {
             Loss::Killed => cluster.controls[lost].restart()?,
             Loss::Suspended => cluster.controls[lost].process().resume()?,
         }
         cluster.wait_until_controls_know(&function)?;
+        outcome.until_caught_up.push(returns.elapsed());
         std::thread::sleep(SETTLE);
     }
-    Ok(times)
+    Ok(outcome)
 }
 
 fn lose(control: &DaemonProcess, loss: Loss) -> Result<(), ScaleError> {
