Rig: scale feed loses the control node that most followers follow

With a control node drawn at random, 12 of 23 suspensions delayed no change: followers stay where they went after its last loss, so a control node that came back may have none, and such plays show nothing.

--- a/crates/rig/src/scale/feed/failures.rs
+++ b/crates/rig/src/scale/feed/failures.rs
@@ -33,7 +33,8 @@
     pub until_caught_up: Vec<Duration>,
 }
 
-/// Makes changes at one control node while another is killed or suspended within milliseconds of it.
+/// Makes changes at one control node while another, that with the most followers, is killed or suspended within
+/// milliseconds of it.
 pub fn control_lost_at_a_change(
     cluster: &mut Cluster,
     plays: usize,
@@ -42,7 +43,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut outcome = LossOutcome::default();
     for play in 0..plays {
-        let lost = rng.random_range(0..CONTROLS);
+        let (lost, followers) = busiest_control(cluster)?;
         let writer = (lost + rng.random_range(1..CONTROLS)) % CONTROLS;
         let loss = if rng.random() { Loss::Killed } else { Loss::Suspended };
         let lost_first: bool = rng.random();
@@ -59,7 +60,10 @@
             lose(&controls[lost], loss)
         })?;
         let longest = of_all.into_iter().max().unwrap_or_default();
-        eprintln!("play {play}: control-{lost} {loss:?}, first: {lost_first}, in force after {longest:?}");
+        eprintln!(
+            "play {play}: control-{lost} with {followers} followers {loss:?}, first: {lost_first}, \
+             in force after {longest:?}"
+        );
         outcome.until_in_force.push(longest);
         let returns = Instant::now();
         match loss {
@@ -73,6 +77,20 @@
     Ok(outcome)
 }
 
+/// The control node that most hollow followers follow, and how many do. A control node that came back has few: followers
+/// stay where they went.
+fn busiest_control(cluster: &mut Cluster) -> Result<(usize, usize), ScaleError> {
+    let summaries = cluster.summaries()?;
+    let counted = (0..CONTROLS).map(|control| {
+        let address = cluster.feed_address(control);
+        let follows = summaries.iter().filter(|one| one.is_following && one.control == Some(address));
+        (control, follows.count())
+    });
+    counted
+        .max_by_key(|(_, followers)| *followers)
+        .ok_or_else(|| ScaleError::Failed("there are no control nodes".into()))
+}
+
 fn lose(control: &DaemonProcess, loss: Loss) -> Result<(), ScaleError> {
     match loss {
         Loss::Killed => control.process().send_kill()?,
