--- a/crates/rig/src/scale/catalog.rs
+++ b/crates/rig/src/scale/catalog.rs
@@ -16,6 +16,9 @@
     /// Memory of the daemon, in MB.
     #[arg(long, default_value_t = 256)]
     pub memory_mb: u64,
+    /// The part of the memory that functions and workers may take, in percent; the usual one where it is not given.
+    #[arg(long)]
+    pub catalog_percent: Option<f64>,
     /// Starts that are measured at each size.
     #[arg(long, default_value_t = 3)]
     pub plays: usize,
@@ -53,10 +56,13 @@
 ) -> Result<Vec<Measurement>, ScaleError> {
     std::fs::create_dir_all(folder)?;
     let folder = folder.canonicalize()?;
-    let deploy = DeployFile::new("catalog")
+    let mut deploy = DeployFile::new("catalog")
         .memory_mb(options.memory_mb)
         .data_dir(&folder.join("data"))
         .functions(functions);
+    if let Some(percent) = options.catalog_percent {
+        deploy = deploy.catalog_percent(percent);
+    }
     let mut daemon = DaemonProcess::start(&context.program, &folder, &deploy.text())?;
     let mut measurements = state_of(&daemon, functions, "first start")?;
     daemon.restart()?;
--- a/crates/rig/src/scale/deploy.rs
+++ b/crates/rig/src/scale/deploy.rs
@@ -53,6 +53,12 @@
         self
     }
 
+    /// The part of the memory that functions and workers may take, in percent.
+    pub fn catalog_percent(mut self, percent: f64) -> Self {
+        let _ = writeln!(self.tables, "[memory.shares]\ncatalog = {percent:?}");
+        self
+    }
+
     /// Functions that the file configures.
     pub fn functions(mut self, count: usize) -> Self {
         for number in 0..count {
--- a/crates/rig/src/scale/feed.rs
+++ b/crates/rig/src/scale/feed.rs
@@ -62,6 +62,10 @@
     /// Memory of each follower, in MB.
     #[arg(long, default_value_t = 256)]
     pub follower_memory_mb: u64,
+    /// The part of the memory of a follower that functions and workers may take, in percent. At 256 MB the usual 5
+    /// don't hold 25,000 functions.
+    #[arg(long, default_value_t = 15.0)]
+    pub follower_catalog_percent: f64,
 }
 
 impl Options {
@@ -73,6 +77,7 @@
             per_process: self.per_process,
             control_memory_mb: self.control_memory_mb,
             follower_memory_mb: self.follower_memory_mb,
+            follower_catalog_percent: self.follower_catalog_percent,
         }
     }
 }
--- a/crates/rig/src/scale/feed/cluster.rs
+++ b/crates/rig/src/scale/feed/cluster.rs
@@ -36,6 +36,8 @@
     pub control_memory_mb: u64,
     /// Memory of each follower, in MB.
     pub follower_memory_mb: u64,
+    /// The part of the memory of a follower that functions and workers may take, in percent.
+    pub follower_catalog_percent: f64,
 }
 
 /// Bytes of messages in both directions, as daemons count them.
@@ -350,6 +352,7 @@
         }
         DeployFile::new(name)
             .memory_mb(self.options.follower_memory_mb)
+            .catalog_percent(self.options.follower_catalog_percent)
             .zone(&zone(number))
             .data_dir(Path::new("data"))
             .tables(&follow)
--- a/crates/rig/src/scale/feed/hollow.rs
+++ b/crates/rig/src/scale/feed/hollow.rs
@@ -5,7 +5,7 @@
 use corkbay_ledger::{Ledger, Purpose};
 use corkbay_node::core::{now_ms, Invoker};
 use corkbay_node::life::deploy::Deploy;
-use corkbay_node::life::{accounts, platform, spawn};
+use corkbay_node::life::{accounts, logs, platform, spawn};
 use corkbay_node::memory::catalog::Catalog;
 use corkbay_node::memory::store::Store;
 use corkbay_node::wire::feed::{follow, FollowerHandle};
@@ -25,6 +25,7 @@
 
 /// Runs the followers and answers requests on standard input until it ends.
 pub fn serve(config: &HostConfig) -> Result<(), ScaleError> {
+    logs::set_up();
     platform::set_up_coroutines();
     let base_bytes = accounts::measured_base();
     let mut followers = Vec::new();
--- a/crates/rig/src/scale/recovery.rs
+++ b/crates/rig/src/scale/recovery.rs
@@ -33,6 +33,10 @@
     /// Memory of each follower, in MB.
     #[arg(long, default_value_t = 256)]
     pub follower_memory_mb: u64,
+    /// The part of the memory of a follower that functions and workers may take, in percent. At 256 MB the usual 5
+    /// don't hold 25,000 functions.
+    #[arg(long, default_value_t = 15.0)]
+    pub follower_catalog_percent: f64,
 }
 
 /// Measures starts over functions, and pauses over their length.
@@ -47,6 +51,7 @@
             per_process: options.followers.max(1),
             control_memory_mb: options.control_memory_mb,
             follower_memory_mb: options.follower_memory_mb,
+            follower_catalog_percent: options.follower_catalog_percent,
         };
         let mut cluster = Cluster::start_controls(&context.program, &folder, &cluster_options)?;
         cluster.start_followers()?;
