--- a/crates/node/src/wire/replicate/caller.rs
+++ b/crates/node/src/wire/replicate/caller.rs
@@ -3,7 +3,6 @@
 use super::mesh::Mesh;
 use super::messages::{Hello, Reply, Request, VERSION};
 use super::STALL;
-use crate::core::{now_ms, until};
 use crate::memory::record::Record;
 use crate::wire::framing::FramingError;
 use crate::wire::socket::Socket;
@@ -11,11 +10,16 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest time for making a connection.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// A peer that could not be reached is tried again after this at the earliest, when there is something to push.
+const RETRY: Duration = Duration::from_millis(200);
+/// The shortest wait that a timer is set for.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// A connection to a peer that has greeted.
 struct PeerConnection {
     socket: Socket,
@@ -29,12 +33,13 @@
     interval: Duration,
     connection: Option<PeerConnection>,
     is_reachable: bool,
+    last_try: Instant,
 }
 
 impl Caller {
     /// The side of a peer at that address, with which it compares at each interval where that is due.
     pub fn new(mesh: Arc<Mesh>, peer: SocketAddr, interval: Duration) -> Self {
-        Caller { mesh, peer, interval, connection: None, is_reachable: true }
+        Caller { mesh, peer, interval, connection: None, is_reachable: true, last_try: Instant::now() }
     }
 
     /// Compares at each interval and pushes at once what is written, until nobody writes any more. A push that is
@@ -43,28 +48,31 @@
         loop {
             let end = self.compare_if_due();
             self.note_end(&end);
-            let next = now_ms() + self.interval.as_secs_f64() * 1000.0;
-            if !self.push_until(next, written) {
+            if !self.push_until(Instant::now() + self.interval, written) {
                 return;
             }
         }
     }
 
-    /// Pushes what is written until that time; false once nobody writes any more.
-    fn push_until(&mut self, next: f64, written: &mpsc::Receiver<Record>) -> bool {
+    /// Pushes what is written until that time, or until a peer that could not be reached may be tried again; false once nobody writes any more.
+    fn push_until(&mut self, mut next: Instant, written: &mpsc::Receiver<Record>) -> bool {
         loop {
-            match written.recv_timeout(until(next)) {
+            match written.recv_timeout(next.saturating_duration_since(Instant::now()).max(SHORTEST_WAIT)) {
                 Ok(first) => {
                     let batch = std::iter::once(first).chain(written.try_iter()).collect();
-                    if self.is_reachable {
-                        let end = self.push(batch);
+                    let may_try_at = self.last_try + RETRY;
+                    if self.is_reachable || Instant::now() >= may_try_at {
+                        let end = self.push_or_compare(batch);
                         self.note_end(&end);
+                    } else {
+                        // The comparison brings it.
+                        next = next.min(may_try_at);
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => return true,
                 Err(RecvTimeoutError::Disconnected) => return false,
             }
-            if now_ms() >= next {
+            if Instant::now() >= next {
                 return true;
             }
         }
@@ -78,6 +86,16 @@
             }
         }
         self.is_reachable = end.is_ok();
+        self.last_try = Instant::now();
+    }
+
+    /// Pushes records; a peer that could not be reached before lacks others, too.
+    fn push_or_compare(&mut self, records: Vec<Record>) -> Result<(), ReplicationError> {
+        self.push(records)?;
+        if self.is_reachable {
+            return Ok(());
+        }
+        self.compare_if_due()
     }
 
     fn push(&mut self, records: Vec<Record>) -> Result<(), ReplicationError> {
