Rig: scale decisions and scale worker-list measure what grows with workers and copies

What the decision library and the list of workers cost at the size that is planned for was not known. `scale decisions` drives one dispatcher on a synthetic clock and times each event by the thread's CPU clock, over workers, functions and copies known. `scale worker-list` feeds the stream reader, the JSON text, the directory and the catalog with lists of growing length.

Figures are in the tables that the commands print; the tests run both at small sizes and recompute a fit.

--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -7,6 +7,7 @@
 pub mod deferred;
 pub mod fit;
 pub mod table;
+pub mod usage;
 pub mod worker_list;
 
 mod chart;
--- /dev/null
+++ b/crates/rig/tests/slopes.rs
@@ -0,0 +1,103 @@
+//! The scale experiments at small sizes: what they measure is there, plausible, and fitted as it should be.
+use clap::Parser;
+use corkbay_rig::scale::fit::{fit_rows, Line};
+use corkbay_rig::scale::{decisions, worker_list, Measurement, ScaleContext};
+use std::path::PathBuf;
+
+/// Options of an experiment as the command line gives them.
+#[derive(Parser)]
+struct Told<O: clap::Args> {
+    #[command(flatten)]
+    options: O,
+}
+
+fn options<O: clap::Args>(words: &[&str]) -> O {
+    let words = ["slopes"].iter().chain(words);
+    Told::<O>::try_parse_from(words).expect("options").options
+}
+
+fn context(name: &str) -> ScaleContext {
+    let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("slopes-{name}"));
+    // The daemon's program lies beside the folder of this test.
+    let test = std::env::current_exe().expect("the test's own path");
+    let program = test.ancestors().nth(2).expect("a target folder").join("corkbay");
+    ScaleContext { program, out, seed: 3 }
+}
+
+/// The points of a row, by size.
+fn points(measurements: &[Measurement], row: &str) -> Vec<(f64, f64)> {
+    let of_row = measurements.iter().filter(|measurement| measurement.row == row);
+    of_row.map(|measurement| (measurement.size, measurement.value)).collect()
+}
+
+fn values(measurements: &[Measurement], row: &str) -> Vec<f64> {
+    points(measurements, row).into_iter().map(|point| point.1).collect()
+}
+
+#[test]
+fn decisions_are_measured_over_workers_functions_and_copies() {
+    let options: decisions::Options = options(&[
+        "--workers=2,8,32",
+        "--functions=8,16,32",
+        "--copies=16,32,64",
+        "--known-workers=4",
+        "--zones=2",
+        "--seconds=2",
+        "--rate=100",
+    ]);
+    let found = decisions::run(&context("decisions"), &options).expect("measures");
+    for axis in ["workers", "functions", "functions, called evenly", "copies"] {
+        let calls = values(&found, &format!("{axis}: calls measured"));
+        assert_eq!(calls, [200.0; 3], "{axis}");
+        let served = values(&found, &format!("{axis}: calls served"));
+        assert!(served.iter().all(|served| (150.0..=200.0).contains(served)), "{axis}: {served:?}");
+        let cpu = values(&found, &format!("{axis}: CPU a call"));
+        assert!(cpu.iter().all(|cpu| *cpu > 0.0), "{axis}: {cpu:?}");
+    }
+    // The homes of a model are ranked once in a step at the most: never more often than events come.
+    assert!(values(&found, "workers: ranking events a call").iter().all(|part| *part > 0.0 && *part < 3.0));
+    assert_eq!(values(&found, "functions: models known"), [8.0, 16.0, 32.0]);
+    let lines = values(&found, "copies: lines known");
+    assert!(lines.windows(2).all(|pair| pair[0] < pair[1]), "{lines:?}");
+    assert_fit(&found, "functions: memory told");
+}
+
+#[test]
+fn worker_lists_grow_in_bytes_and_cpu_with_their_workers() {
+    let options: worker_list::Options =
+        options(&["--workers=16,64,256", "--zones=2", "--plays=3", "--changes=3"]);
+    let found = worker_list::run(&context("worker-list"), &options).expect("measures");
+    for row in [
+        "channel: bytes of a whole list",
+        "channel: memory told of the roster",
+        "catalog: bytes of GET /v1/workers",
+        "catalog: memory told of the records",
+    ] {
+        let told = values(&found, row);
+        assert!(told[0] > 0.0 && told.windows(2).all(|pair| pair[1] > 3.0 * pair[0]), "{row}: {told:?}");
+        assert_fit(&found, row);
+    }
+    let change = values(&found, "channel: bytes of a change of one worker");
+    assert!(change.iter().all(|bytes| *bytes < 400.0), "{change:?}");
+    for row in ["channel: CPU of a list that is known", "catalog: CPU of announcing a change"] {
+        assert!(values(&found, row).iter().all(|cpu| *cpu > 0.0), "{row}");
+    }
+    assert_eq!(values(&found, "roster: workers taken in with 256 MB"), [16.0, 64.0, 256.0]);
+}
+
+/// The fit that is told of a row is the least-squares line of its points, whose rests cancel out.
+fn assert_fit(measurements: &[Measurement], row: &str) {
+    let points = points(measurements, row);
+    let line = Line::fit(&points).expect("three sizes");
+    let told = fit_rows(measurements).into_iter().find(|fit| fit.row == row).expect("a fit of the row");
+    let tolerance = 1e-6 * points.iter().map(|point| point.1.abs()).fold(1.0, f64::max);
+    assert!((told.slope - line.slope).abs() < tolerance && told.points == points.len(), "{told:?}");
+    let rest = |point: &(f64, f64)| point.1 - told.intercept - told.slope * point.0;
+    let sum: f64 = points.iter().map(rest).sum();
+    let weighted: f64 = points.iter().map(|point| rest(point) * point.0).sum();
+    let largest = points.iter().map(|point| point.0).fold(1.0, f64::max);
+    assert!(
+        sum.abs() < 3.0 * tolerance && weighted.abs() < 3.0 * tolerance * largest,
+        "{row}: {sum} {weighted}"
+    );
+}
