Rig: scale connections and scale deferred measure whole daemons against emulated workers

How many connections a daemon holds to the workers that it knows, what they cost while they are idle, and what a deferred or keyed call costs in CPU, disk, memory and bytes to other nodes was not known. Connections are counted as open descriptors at both ends; bytes between nodes pass a relay that counts them. Tests at small sizes check the counts at both ends, the closing of idle connections, the records on disk and at the other node, and recompute a fit.

--- a/crates/rig/src/scale/connections.rs
+++ b/crates/rig/src/scale/connections.rs
@@ -21,6 +21,10 @@
 /// Calls of each function: the first one asks where it stands and has it loaded.
 const ROUNDS: usize = 2;
 const MICROSECONDS: f64 = 1e6;
+/// Idle connections are kept for so long where their end isn't looked at, in seconds.
+const KEPT_S: f64 = 120.0;
+/// The emulated workers hold two descriptors of each connection: one to read and one to write.
+const FLEET_DESCRIPTORS: f64 = 2.0;
 
 /// What the experiment is told on the command line.
 #[derive(Args, Clone, Debug)]
@@ -40,8 +44,9 @@
     /// For how long idle daemons are watched, in seconds.
     #[arg(long, default_value_t = 2.0)]
     pub idle_seconds: f64,
-    /// After how many seconds the daemons close an idle connection.
-    #[arg(long, default_value_t = 5.0)]
+    /// After how many seconds daemons close an idle connection, where that is looked at; elsewhere they keep them
+    /// for longer than they are watched.
+    #[arg(long, default_value_t = 3.0)]
     pub close_seconds: f64,
 }
 
@@ -56,15 +61,16 @@
         measurements.extend(found?.measurements(axis, size as f64));
         Ok(())
     };
+    let frames = Point { workers: options.shared_workers, daemons: 1, protocol: "frames", close_s: KEPT_S };
     for &workers in &options.workers {
-        measure("frames, workers", workers, Point { workers, daemons: 1, protocol: "frames" })?;
+        measure("frames, workers", workers, Point { workers, ..frames })?;
     }
     for &daemons in &options.daemons {
-        let point = Point { workers: options.shared_workers, daemons, protocol: "frames" };
-        measure("frames, daemons", daemons, point)?;
+        measure("frames, daemons", daemons, Point { daemons, ..frames })?;
     }
-    let point = Point { workers: options.shared_workers, daemons: 1, protocol: "http" };
-    measure("http, workers", options.shared_workers, point)?;
+    let closing = Point { close_s: options.close_seconds, ..frames };
+    measure("frames, closing, workers", options.shared_workers, closing)?;
+    measure("http, workers", options.shared_workers, Point { protocol: "http", ..frames })?;
     Ok(measurements)
 }
 
@@ -74,6 +80,8 @@
     workers: usize,
     daemons: usize,
     protocol: &'static str,
+    /// After how many seconds an idle connection is closed.
+    close_s: f64,
 }
 
 /// What all daemons and the process of the emulated workers hold and have used at one time.
@@ -97,7 +105,7 @@
     unconnected_later: Look,
     connected: Look,
     connected_later: Look,
-    closed: Look,
+    closed: Option<Look>,
 }
 
 impl Point {
@@ -112,7 +120,7 @@
         let schedule = FaultSchedule { seed: context.seed, fault_rate: 0.0 };
         let fleet = Fleet::start(self.workers, kind, schedule)?;
         let functions = options.functions * self.workers;
-        let deploy = self.deploy(&fleet, functions, options);
+        let deploy = self.deploy(&fleet, functions);
         let mut daemons = Vec::new();
         for number in 0..self.daemons {
             let text = deploy.replace("NODE", &format!("node-{number}"));
@@ -133,8 +141,12 @@
         std::thread::sleep(idle);
         let connected_later = look(&daemons)?;
         let span_s = began.elapsed().as_secs_f64();
-        std::thread::sleep(Duration::from_secs_f64(options.close_seconds) + SETTLE);
-        let closed = look(&daemons)?;
+        let closed = if self.close_s < KEPT_S {
+            std::thread::sleep(Duration::from_secs_f64(self.close_s) + SETTLE);
+            Some(look(&daemons)?)
+        } else {
+            None
+        };
         let point = *self;
         let (before, after) = (unconnected, connected);
         if calls_served <= 0.0 || before.daemon_sockets <= 0.0 || after.daemon_sockets <= 0.0 {
@@ -152,8 +164,8 @@
         })
     }
 
-    fn deploy(&self, fleet: &Fleet, functions: usize, options: &Options) -> String {
-        let idle_ms = options.close_seconds * 1000.0;
+    fn deploy(&self, fleet: &Fleet, functions: usize) -> String {
+        let idle_ms = self.close_s * 1000.0;
         let mut tables = format!(
             "[limits]\nidle_ms = {idle_ms:.1}\n[transport]\nprotocol = \"{}\"\norders = {}\n",
             self.protocol,
@@ -218,24 +230,31 @@
         let later = |of: fn(&Look) -> f64| of(&self.connected_later) - of(&self.connected);
         let figures = [
             ("connections a daemon", connections / daemons, "connections"),
-            ("connections at a worker", grown(|look| look.fleet_sockets) / workers, "connections"),
             (
-                "connections a daemon once idle for long",
-                (self.closed.daemon_sockets - self.unconnected.daemon_sockets) / daemons,
+                "connections at a worker",
+                grown(|look| look.fleet_sockets) / workers / FLEET_DESCRIPTORS,
                 "connections",
             ),
             ("CPU of an unconnected daemon", idle_cpu(&self.unconnected, &self.unconnected_later), "us/s"),
             ("CPU of a connected, idle daemon", idle_cpu(&self.connected, &self.connected_later), "us/s"),
             ("frames of an idle daemon", later(|look| look.sent) / self.span_s / daemons, "frames/s"),
             ("dials of an idle daemon", later(|look| look.dials) / self.span_s / daemons, "dials/s"),
+            ("frames sent before, a daemon", self.connected.sent / daemons, "frames"),
+            ("dials before, a daemon", self.connected.dials / daemons, "dials"),
             ("resident of a daemon", self.connected.daemons.resident / daemons, "bytes"),
             ("resident a connection, daemon", each(grown(|look| look.daemons.resident)), "bytes"),
             ("resident a connection, emulated worker", each(grown(|look| look.fleet.resident)), "bytes"),
             ("calls served", self.calls_served, "calls"),
         ];
-        figures
+        let mut measurements: Vec<Measurement> = figures
             .into_iter()
             .map(|(row, value, unit)| Measurement::new(format!("{axis}: {row}"), size, value, unit))
-            .collect()
+            .collect();
+        if let Some(closed) = &self.closed {
+            let left = (closed.daemon_sockets - self.unconnected.daemon_sockets) / daemons;
+            let row = format!("{axis}: connections a daemon, once idle for long");
+            measurements.push(Measurement::new(row, size, left, "connections"));
+        }
+        measurements
     }
 }
--- a/crates/rig/src/scale/deferred.rs
+++ b/crates/rig/src/scale/deferred.rs
@@ -1,12 +1,321 @@
-//! The experiment `deferred`.
+//! The experiment `deferred`: what deferred calls and idempotency keys cost in CPU, memory, bytes on disk and
+//! bytes to other nodes, over calls a second and over nodes that keep copies.
+//!
+//! All calls go to the first node; the others keep copies. Bytes between nodes pass a [`Relay`] that counts them.
+use super::deploy::DeployFile;
+use super::process::{free_ports, DaemonProcess};
+use super::relay::Relay;
 use super::{Measurement, ScaleContext, ScaleError};
+use crate::fault_schedule::FaultSchedule;
+use crate::fleet::{Fleet, Kind};
+use crate::load::{self, Outcome};
+use crate::plan::Arrival;
 use clap::Args;
+use serde_json::Value;
+use std::fmt::Write;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const WORKERS: usize = 4;
+const FUNCTIONS: usize = 8;
+/// Memory of a daemon in MB, as the plan has it.
+const MEMORY_MB: u64 = 256;
+/// Work and loads of workers whose own pace is of no interest.
+const QUICK: Duration = Duration::from_millis(1);
+const SETTLE: Duration = Duration::from_millis(500);
+/// After the last call, its end is kept and sent by then.
+const LAST_ENDS: Duration = Duration::from_millis(1500);
+/// Time between two swaps of digests: longer than a point, so that only the first swap and the pushes are counted.
+const NO_SWAPS_MS: u64 = 60_000;
+/// For how long repeats of a key are answered.
+const KEY_WINDOW_MS: u64 = 6000;
+const MICROSECONDS: f64 = 1e6;
 
 /// What the experiment is told on the command line.
 #[derive(Args, Clone, Debug)]
-pub struct Options {}
+pub struct Options {
+    /// Calls a second of one node.
+    #[arg(long, value_delimiter = ',', default_values_t = [10.0, 50.0, 200.0, 500.0])]
+    pub rates: Vec<f64>,
+    /// Calls a second of the first of several nodes.
+    #[arg(long, value_delimiter = ',', default_values_t = [10.0, 50.0, 200.0])]
+    pub shared_rates: Vec<f64>,
+    /// Numbers of nodes that keep copies of the records, the one that is called included.
+    #[arg(long, value_delimiter = ',', default_values_t = [2, 3])]
+    pub nodes: Vec<usize>,
+    /// Calls a second at which kinds of calls are compared.
+    #[arg(long, default_value_t = 159.0)]
+    pub compared_rate: f64,
+    /// For how long calls are made at each size, in seconds.
+    #[arg(long, default_value_t = 3.0)]
+    pub seconds: f64,
+    /// Bytes of a call's body; its answer has as many.
+    #[arg(long, default_value_t = 256)]
+    pub body: usize,
+    /// Calls that are waited for at a time.
+    #[arg(long, default_value_t = 32)]
+    pub threads: usize,
+}
+
+/// A kind of call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Style {
+    name: &'static str,
+    keyed: bool,
+    deferred: bool,
+}
+
+const HELD: Style = Style { name: "held", keyed: false, deferred: false };
+const HELD_KEYED: Style = Style { name: "held, keyed", keyed: true, deferred: false };
+const DEFERRED: Style = Style { name: "deferred", keyed: false, deferred: true };
+const DEFERRED_KEYED: Style = Style { name: "deferred, keyed", keyed: true, deferred: true };
+
+/// One size at which calls are measured.
+#[derive(Clone, Copy, Debug)]
+struct Point {
+    style: Style,
+    rate: f64,
+    nodes: usize,
+}
 
 /// Measures and returns the figures.
-pub fn run(_context: &ScaleContext, _options: &Options) -> Result<Vec<Measurement>, ScaleError> {
-    Err(ScaleError::NotAvailable("deferred"))
+pub fn run(context: &ScaleContext, options: &Options) -> Result<Vec<Measurement>, ScaleError> {
+    let mut measurements = Vec::new();
+    for style in [HELD, HELD_KEYED, DEFERRED, DEFERRED_KEYED] {
+        let point = Point { style, rate: options.compared_rate, nodes: 1 };
+        let row = format!("{}, one node, at one rate", style.name);
+        measurements.extend(point.measure(context, options)?.measurements(&row, point.rate));
+    }
+    for &rate in &options.rates {
+        let point = Point { style: DEFERRED_KEYED, rate, nodes: 1 };
+        measurements.extend(point.measure(context, options)?.measurements("one node, calls a second", rate));
+    }
+    for &nodes in &options.nodes {
+        for &rate in &options.shared_rates {
+            let point = Point { style: DEFERRED_KEYED, rate, nodes };
+            let row = format!("{nodes} nodes, calls a second");
+            measurements.extend(point.measure(context, options)?.measurements(&row, rate));
+        }
+    }
+    Ok(measurements)
+}
+
+/// What one node has used and holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct NodeLook {
+    cpu_s: f64,
+    resident: f64,
+    log_bytes: f64,
+    /// Bytes that it had the disk write, the pages' rest included.
+    disk_bytes: f64,
+    final_bytes: f64,
+    key_bytes: f64,
+    refused_for_room: f64,
+}
+
+/// What one point gave.
+struct Reading {
+    accepted: f64,
+    other: f64,
+    span_s: f64,
+    nodes: Vec<(NodeLook, NodeLook)>,
+    sent_bytes: f64,
+    pushes: f64,
+}
+
+impl Point {
+    fn measure(&self, context: &ScaleContext, options: &Options) -> Result<Reading, ScaleError> {
+        let style = self.style.name.replace(", ", "-");
+        let folder = context.out.join(format!("deferred-{style}-{}-{}", self.nodes, self.rate));
+        // What an earlier run left would be read as records.
+        let _ = std::fs::remove_dir_all(&folder);
+        let found = self.measure_in(context, options, &folder);
+        let _ = std::fs::remove_dir_all(&folder);
+        found
+    }
+
+    fn measure_in(
+        &self,
+        context: &ScaleContext,
+        options: &Options,
+        folder: &Path,
+    ) -> Result<Reading, ScaleError> {
+        let kind = Kind { load: QUICK, work: QUICK, cold: QUICK, slots: 1024, ..Kind::default() };
+        let schedule = FaultSchedule { seed: context.seed, fault_rate: 0.0 };
+        let fleet = Fleet::start(WORKERS, kind, schedule)?;
+        let ports = free_ports(self.nodes)?;
+        let relays: Vec<Relay> =
+            ports[1..].iter().map(|port| Relay::start(*port)).collect::<Result<_, _>>()?;
+        let mut nodes = Vec::new();
+        // The node that is called starts last: those that it pushes to are there.
+        for (number, port) in ports.iter().enumerate().rev() {
+            let peers: Vec<u16> = match number {
+                0 => relays.iter().map(|relay| relay.address.port()).collect(),
+                _ => Vec::new(),
+            };
+            let text = deploy(number, *port, &peers, &fleet);
+            nodes.push(DaemonProcess::start(&context.program, &folder.join(number.to_string()), &text)?);
+        }
+        nodes.reverse();
+        std::thread::sleep(SETTLE);
+        self.measure_calls(options, &nodes, &relays, context.seed)
+    }
+
+    fn measure_calls(
+        &self,
+        options: &Options,
+        nodes: &[DaemonProcess],
+        relays: &[Relay],
+        seed: u64,
+    ) -> Result<Reading, ScaleError> {
+        // What is used by the first calls alone is not counted.
+        let warm_up = Duration::from_secs_f64(FUNCTIONS as f64 / self.rate);
+        load::run(nodes[0].address, self.arrivals(options, seed, 0), warm_up, options.threads)?;
+        std::thread::sleep(SETTLE);
+        let before = look_at_all(nodes)?;
+        let (bytes, pushes) = passed(relays);
+        let began = Instant::now();
+        let span = Duration::from_secs_f64(options.seconds);
+        let outcome = load::run(nodes[0].address, self.arrivals(options, seed, 1), span, options.threads)?;
+        let span_s = began.elapsed().as_secs_f64();
+        std::thread::sleep(LAST_ENDS);
+        let after = look_at_all(nodes)?;
+        let (bytes_later, pushes_later) = passed(relays);
+        let wanted = if self.style.deferred { 202 } else { 200 };
+        let (accepted, other) = counts(&outcome, wanted);
+        if accepted <= 0.0 {
+            return Err(ScaleError::Failed(format!("no call was answered with {wanted}: {outcome:?}")));
+        }
+        Ok(Reading {
+            accepted,
+            other,
+            span_s,
+            nodes: before.into_iter().zip(after).collect(),
+            sent_bytes: (bytes_later - bytes) as f64,
+            pushes: (pushes_later - pushes) as f64,
+        })
+    }
+
+    /// Calls at even distances, without an end; keys differ by run.
+    fn arrivals(&self, options: &Options, seed: u64, run: u64) -> impl Iterator<Item = Arrival> + Send {
+        let Point { style, rate, .. } = *self;
+        let body = options.body;
+        (0u64..).map(move |number| Arrival {
+            at: Duration::from_secs_f64(number as f64 / rate),
+            function: function(style.keyed, number as usize % FUNCTIONS),
+            key: style.keyed.then(|| format!("{seed:x}-{run}-{number}")),
+            deferred: style.deferred,
+            abandoned: style.deferred,
+            body,
+        })
+    }
+}
+
+fn function(keyed: bool, number: usize) -> String {
+    format!("{}-{number}", if keyed { "post" } else { "check" })
+}
+
+fn deploy(number: usize, port: u16, peers: &[u16], fleet: &Fleet) -> String {
+    let mut tables = format!("interval_ms = {NO_SWAPS_MS}\n");
+    let _ = writeln!(tables, "[[class]]\nname = \"post\"\naim_ms = 750\ngive_up_ms = 3000");
+    let _ = writeln!(tables, "effect = \"token\"\ndedup_window_ms = {KEY_WINDOW_MS}");
+    for function_number in 0..FUNCTIONS {
+        for (keyed, class) in [(false, "check"), (true, "post")] {
+            let name = function(keyed, function_number);
+            let _ = writeln!(tables, "[[function]]\nname = \"{name}\"\nclass = \"{class}\"");
+            let _ = writeln!(tables, "memory_mb = 64\nlanes = 64");
+        }
+    }
+    for (worker, address) in fleet.addresses().iter().enumerate() {
+        let _ = writeln!(tables, "[[worker]]\nname = \"w{worker}\"\naddress = \"{address}\"");
+    }
+    DeployFile::new(&format!("node-{number}"))
+        .memory_mb(MEMORY_MB)
+        .data_dir(Path::new("data"))
+        .replication(port, peers)
+        .tables(&tables)
+        .text()
+}
+
+fn look_at_all(nodes: &[DaemonProcess]) -> Result<Vec<NodeLook>, ScaleError> {
+    nodes.iter().map(look).collect()
+}
+
+fn look(node: &DaemonProcess) -> Result<NodeLook, ScaleError> {
+    let status: Value = serde_json::from_slice(&node.request("GET", "/v1/status", b"")?.body)
+        .map_err(|error| ScaleError::Failed(format!("status: {error}")))?;
+    let accounts = status["memory"]["accounts"].as_array().cloned().unwrap_or_default();
+    let account = |purpose: &str, field: &str| {
+        let whole = |account: &&Value| account["purpose"] == purpose && account["tenant"].is_null();
+        accounts.iter().find(whole).and_then(|account| account[field].as_f64()).unwrap_or_default()
+    };
+    let used = node.process().usage()?;
+    let log = std::fs::metadata(node.folder().join("data").join("records.log"));
+    Ok(NodeLook {
+        cpu_s: used.cpu_s,
+        resident: used.resident,
+        log_bytes: log.map_or(0.0, |log| log.len() as f64),
+        disk_bytes: disk_bytes(node.process().id())?,
+        final_bytes: account("deferred-final", "used_bytes"),
+        key_bytes: account("keys", "used_bytes"),
+        refused_for_room: account("deferred-final", "refused") + account("keys", "refused"),
+    })
+}
+
+/// Bytes that a process had the block layer write.
+fn disk_bytes(process: u32) -> Result<f64, ScaleError> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/io"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("write_bytes:"));
+    let bytes = line.and_then(|bytes| bytes.trim().parse().ok());
+    bytes.ok_or_else(|| ScaleError::Failed("the process's io can't be read".into()))
+}
+
+fn passed(relays: &[Relay]) -> (u64, u64) {
+    let bytes = relays.iter().map(Relay::bytes).sum();
+    let connections = relays.iter().map(Relay::connections).sum();
+    (bytes, connections)
+}
+
+/// Answers with a status, and all others.
+fn counts(outcome: &Outcome, wanted: u16) -> (f64, f64) {
+    let all: u64 = outcome.values().map(load::Group::count).sum();
+    let of_status = |group: &load::Group| group.statuses.get(&wanted).copied().unwrap_or(0);
+    let accepted: u64 = outcome.values().map(of_status).sum();
+    (accepted as f64, (all - accepted) as f64)
+}
+
+impl Reading {
+    fn measurements(&self, row: &str, size: f64) -> Vec<Measurement> {
+        let calls = self.accepted;
+        let mut measurements = Vec::new();
+        let mut add = |name: &str, value: f64, unit: &str| {
+            measurements.push(Measurement::new(format!("{row}: {name}"), size, value, unit));
+        };
+        add("calls taken", calls, "calls");
+        add("calls not taken", self.other, "calls");
+        add("calls taken a second", calls / self.span_s, "calls/s");
+        let (first, copies) = self.nodes.split_at(1);
+        for (before, after) in first {
+            add("CPU a call", (after.cpu_s - before.cpu_s) * MICROSECONDS / calls, "us");
+            add("log a call", (after.log_bytes - before.log_bytes) / calls, "bytes");
+            add("disk a call", (after.disk_bytes - before.disk_bytes) / calls, "bytes");
+            add("resident a call", (after.resident - before.resident) / calls, "bytes");
+            add("deferred-final account a call", (after.final_bytes - before.final_bytes) / calls, "bytes");
+            add("keys account a call", (after.key_bytes - before.key_bytes) / calls, "bytes");
+            add("refused for room", after.refused_for_room - before.refused_for_room, "times");
+        }
+        if copies.is_empty() {
+            return measurements;
+        }
+        let count = copies.len() as f64;
+        let mean = |of: fn(&NodeLook) -> f64| {
+            copies.iter().map(|(before, after)| of(after) - of(before)).sum::<f64>() / count
+        };
+        add("copy: CPU a call", mean(|look| look.cpu_s) * MICROSECONDS / calls, "us");
+        add("copy: log a call", mean(|look| look.log_bytes) / calls, "bytes");
+        add("copy: resident a call", mean(|look| look.resident) / calls, "bytes");
+        add("bytes sent a call and copy", self.sent_bytes / calls / count, "bytes");
+        add("connections a call and copy", self.pushes / calls / count, "connections");
+        measurements
+    }
 }
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -11,6 +11,7 @@
 pub mod in_force;
 pub mod mesh;
 pub mod process;
+pub mod relay;
 pub mod table;
 pub mod traffic;
 pub mod usage;
--- a/crates/rig/tests/slopes.rs
+++ b/crates/rig/tests/slopes.rs
@@ -1,7 +1,10 @@
 //! The scale experiments at small sizes: what they measure is there, plausible, and fitted as it should be.
 use clap::Parser;
 use corkbay_rig::scale::fit::{fit_rows, Line};
-use corkbay_rig::scale::{decisions, worker_list, Measurement, ScaleContext};
+use corkbay_rig::scale::relay::Relay;
+use corkbay_rig::scale::{connections, decisions, deferred, worker_list, Measurement, ScaleContext};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 
 /// Options of an experiment as the command line gives them.
@@ -85,6 +88,76 @@
     assert_eq!(values(&found, "roster: workers taken in with 256 MB"), [16.0, 64.0, 256.0]);
 }
 
+#[test]
+fn connections_are_counted_at_both_ends_and_end_when_they_are_idle() {
+    let options: connections::Options = options(&[
+        "--workers=1,2,4",
+        "--daemons=2",
+        "--shared-workers=2",
+        "--functions=4",
+        "--idle-seconds=0.5",
+        "--close-seconds=1",
+    ]);
+    let found = connections::run(&context("connections"), &options).expect("measures");
+    let served = values(&found, "frames, workers: calls served");
+    assert_eq!(served, [8.0, 16.0, 32.0], "each function is called twice");
+    let held = points(&found, "frames, workers: connections a daemon");
+    let at_a_worker = points(&found, "frames, workers: connections at a worker");
+    for ((workers, held), (_, at_a_worker)) in held.iter().zip(&at_a_worker) {
+        assert!(*held >= 1.0, "{workers} workers: {held}");
+        assert_eq!(*held, at_a_worker * workers, "{workers} workers");
+    }
+    assert_eq!(values(&found, "frames, closing, workers: connections a daemon, once idle for long"), [0.0]);
+    assert_eq!(values(&found, "http, workers: connections a daemon"), [0.0], "one for each attempt");
+    assert!(values(&found, "frames, daemons: CPU of a connected, idle daemon")[0] > 0.0);
+    assert_fit(&found, "frames, workers: resident of a daemon");
+}
+
+#[test]
+fn deferred_calls_are_counted_on_disk_in_accounts_and_at_other_nodes() {
+    let options: deferred::Options = options(&[
+        "--rates=20,40,80",
+        "--shared-rates=40",
+        "--nodes=2",
+        "--compared-rate=40",
+        "--seconds=1",
+        "--threads=8",
+        "--body=100",
+    ]);
+    let found = deferred::run(&context("deferred"), &options).expect("measures");
+    assert_eq!(values(&found, "one node, calls a second: calls taken"), [20.0, 40.0, 80.0]);
+    assert_eq!(values(&found, "one node, calls a second: calls not taken"), [0.0; 3]);
+    let log = values(&found, "one node, calls a second: log a call");
+    // An open and a final record of each, with the body of the answer in the latter.
+    assert!(log.iter().all(|bytes| (400.0..2000.0).contains(bytes)), "{log:?}");
+    let held = |row: &str| values(&found, &format!("{row}, one node, at one rate: log a call"));
+    assert_eq!([held("held"), held("held, keyed")], [[0.0], [0.0]]);
+    let keys = |row: &str| values(&found, &format!("{row}, one node, at one rate: keys account a call"))[0];
+    assert!(keys("held") == 0.0 && keys("deferred") == 0.0 && keys("deferred, keyed") > 100.0);
+    // Both records go to the other node, which keeps them.
+    let sent = values(&found, "2 nodes, calls a second: bytes sent a call and copy");
+    assert!(sent[0] > 0.8 * log[0] && sent[0] < 3.0 * log[0], "{sent:?} of {log:?}");
+    assert!(values(&found, "2 nodes, calls a second: copy: log a call")[0] > 0.9 * log[0]);
+    assert_fit(&found, "one node, calls a second: CPU a call");
+}
+
+#[test]
+fn a_relay_counts_both_directions() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let relay = Relay::start(listener.local_addr().expect("bound").port()).expect("starts");
+    let mut caller = TcpStream::connect(relay.address).expect("connects");
+    let (mut callee, _) = listener.accept().expect("is called");
+    caller.write_all(b"hello").expect("writes");
+    caller.shutdown(Shutdown::Write).expect("ends");
+    let mut text = String::new();
+    callee.read_to_string(&mut text).expect("reads");
+    callee.write_all(b"and back").expect("writes");
+    drop(callee);
+    text.clear();
+    caller.read_to_string(&mut text).expect("reads");
+    assert_eq!((text.as_str(), relay.bytes(), relay.connections()), ("and back", 13, 1));
+}
+
 /// The fit that is told of a row is the least-squares line of its points, whose rests cancel out.
 fn assert_fit(measurements: &[Measurement], row: &str) {
     let points = points(measurements, row);
