--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -6,18 +6,20 @@
 };
 use super::{accounts, spawn};
 use crate::core::{Invoker, Workers};
-use crate::memory::catalog::{Catalog, Worker};
+use crate::memory::catalog::{Catalog, CatalogError, Worker};
 use crate::memory::invocations::Invocations;
-use crate::memory::store::Store;
+use crate::memory::seeds::SeedEntry;
+use crate::memory::store::{Store, StoreError};
 use crate::wire::accept::{Acceptor, ConnectionLimits};
+use crate::wire::feed::{self, FeedRole, Role};
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, Desk};
+use crate::wire::news::OnNews;
 use crate::wire::replicate;
 use crate::wire::workers::FrameWorkers;
 use corkbay_ledger::{Account, Ledger, Purpose};
 use serde_json::Value;
 use std::fmt::Display;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,36 +35,35 @@
     let mut signals = signals()?;
     let settings = deploy.settings();
     let base = accounts::measured_base();
-    let ledger =
-        Arc::new(Ledger::new(&accounts::deploy_budget(deploy, base)?, &accounts::tenants(&settings)));
+    let ledger = Arc::new(Ledger::new(
+        &accounts::deploy_budget(&deploy.memory_settings(), base)?,
+        &accounts::tenants(&settings),
+    ));
     let store = Arc::new(match &deploy.data_dir {
         Some(folder) => Store::open(&deploy.node, folder, ledger.clone()).map_err(|e| at("data_dir")(&e))?,
         None => Store::in_memory(&deploy.node, ledger.clone()),
     });
     let give_up = deploy.classes.iter().map(|class| class.give_up_ms).collect();
     let catalog = Catalog::new(store.clone(), give_up);
-    seed(&catalog, deploy).map_err(|e| at("data_dir")(&e))?;
+    seed(&catalog, deploy)?;
     let retention = Duration::from_secs_f64(deploy.retention_s);
     let invocations =
         Invocations::new(store.clone(), retention, deploy.answer_bytes()).map_err(|e| at("data_dir")(&e))?;
-    let (clients, to_workers) = connections(deploy.sockets);
+    let followers = deploy.feed.as_ref().map_or(0, |feed| feed.followers);
+    let (clients, to_workers) = connections(deploy.sockets - followers);
     let workers = workers(deploy, &settings, to_workers, ledger.account(Purpose::Workers));
     let invoker = Invoker::new(&settings, rand::random(), workers, ledger.clone());
     accounts::watch(&invoker);
     catalog.announce(&invoker);
-    let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog });
+    let parts =
+        Parts { invoker: invoker.clone(), catalog: Arc::new(catalog), invocations: Arc::new(invocations) };
+    let role = role(deploy, &store, &parts)?;
+    let Parts { catalog, invocations, .. } = parts;
+    let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog, role });
     let account = ledger.account(Purpose::Clients).clone();
     let client_limits = ConnectionLimits { most: clients, stall: invoke::WRITE_STALL, account };
     let acceptor = Acceptor::open(deploy.listen, client_limits).map_err(|e| at("listen")(&e))?;
     let bound = acceptor.address().map_err(|e| at("listen")(&e))?;
-    if let Some(replication) = &deploy.replication {
-        let acceptor =
-            replicate::open(replication.listen, &store).map_err(|e| at("replication.listen")(&e))?;
-        let bound = acceptor.address().map_err(|e| at("replication.listen")(&e))?;
-        println!("replication on {bound}");
-        let interval = Duration::from_millis(replication.interval_ms);
-        replicate(&desk, &store, acceptor, &replication.peers, interval);
-    }
     spawn(move || loop {
         may::coroutine::sleep(SWEEP);
         if let Err(error) = store.sweep() {
@@ -75,8 +76,8 @@
     // Functions, workers and caps of memory are taken up; what the file says besides holds from the next start on.
     let reload = || {
         let next = Deploy::load(path)?;
-        ledger.adopt(&accounts::deploy_budget(&next, base)?);
-        seed(&desk.catalog, &next).map_err(|error| ConfigError::new("data_dir", error))?;
+        ledger.adopt(&accounts::deploy_budget(&next.memory_settings(), base)?);
+        seed(&desk.catalog, &next)?;
         desk.catalog.announce(&desk.invoker);
         Ok(())
     };
@@ -85,27 +86,61 @@
     Ok(serve_until_signalled(&invoker, &mut signals, reload, end))
 }
 
-fn replicate(
-    desk: &Arc<Desk>,
-    store: &Arc<Store>,
-    acceptor: Arc<Acceptor>,
-    peers: &[SocketAddr],
-    interval: Duration,
-) {
-    let ours = desk.clone();
-    let on_news: replicate::OnNews = Arc::new(move || {
-        ours.catalog.announce(&ours.invoker);
-        ours.invocations.wake();
-    });
-    replicate::listen(store.clone(), acceptor, on_news.clone());
-    let listeners =
-        peers.iter().map(|peer| replicate::follow(store.clone(), *peer, interval, on_news.clone()));
-    store.on_write(listeners.collect());
+/// What records of other nodes have an effect on.
+struct Parts {
+    invoker: Arc<Invoker>,
+    catalog: Arc<Catalog>,
+    invocations: Arc<Invocations>,
 }
 
-fn seed(catalog: &Catalog, deploy: &Deploy) -> Result<(), Box<dyn std::error::Error>> {
+impl Parts {
+    /// What is done when such records came in.
+    fn on_news(&self) -> OnNews {
+        let invoker = self.invoker.clone();
+        let catalog = self.catalog.clone();
+        let invocations = self.invocations.clone();
+        Arc::new(move |news| {
+            if news.workers {
+                catalog.announce(&invoker);
+            }
+            if news.invocations {
+                invocations.wake();
+            }
+        })
+    }
+}
+
+/// Starts the node's part in the distribution of configuration.
+fn role(deploy: &Deploy, store: &Arc<Store>, parts: &Parts) -> Result<Role, ConfigError> {
+    let mut role = Role::default();
+    if let Some(replication) = &deploy.replication {
+        let at = |error| ConfigError::new("replication.listen", error);
+        let acceptor = replicate::open(replication.listen, store, replication.peers.len()).map_err(at)?;
+        println!("replication on {}", acceptor.address().map_err(at)?);
+        let interval = Duration::from_millis(replication.interval_ms);
+        let mesh = replicate::start(store, acceptor, &replication.peers, interval, parts.on_news());
+        role.mesh = Some(mesh);
+    }
+    if let Some(settings) = &deploy.feed {
+        let at = |error| ConfigError::new("feed.listen", error);
+        let acceptor = feed::open(settings.listen, store, settings.followers).map_err(at)?;
+        println!("feed on {}", acceptor.address().map_err(at)?);
+        role.feed = FeedRole::Control(feed::serve(store.clone(), settings.limits(), acceptor));
+    }
+    if let Some(settings) = &deploy.follow {
+        let options = settings.options(&deploy.zone);
+        let follower = feed::follow(store.clone(), options, parts.on_news());
+        let follower = follower.map_err(|error| ConfigError::new("follow.control", error))?;
+        role.feed = FeedRole::Follower(follower);
+    }
+    Ok(role)
+}
+
+/// Writes the functions and workers that the deploy file changed since it was last read.
+fn seed(catalog: &Catalog, deploy: &Deploy) -> Result<(), ConfigError> {
+    let mut entries = Vec::with_capacity(deploy.functions.len() + deploy.workers.len());
     for function in &deploy.functions {
-        catalog.seed_function(&function.name, &function.function())?;
+        entries.push(SeedEntry::function(&function.name, &function.function()).map_err(unusable_entry)?);
     }
     for entry in &deploy.workers {
         let worker = Worker {
@@ -116,9 +151,18 @@
             weight: entry.weight,
             state: entry.state,
         };
-        catalog.seed_worker(&entry.name, &worker)?;
+        entries.push(SeedEntry::worker(&entry.name, &worker).map_err(unusable_entry)?);
     }
-    Ok(())
+    catalog.seed(entries).map_err(unusable_entry)
+}
+
+/// Names the key that an entry failed for: the memory where there is no room, else where the state is kept.
+fn unusable_entry(error: CatalogError) -> ConfigError {
+    let key = match &error {
+        CatalogError::Store(StoreError::Full { .. }) => "memory_mb",
+        CatalogError::Store(_) | CatalogError::Value(_) => "data_dir",
+    };
+    ConfigError::new(key, error)
 }
 
 fn workers(deploy: &Deploy, settings: &Value, connections: usize, account: &Account) -> Arc<dyn Workers> {
