--- a/crates/rig/src/scale/connections.rs
+++ b/crates/rig/src/scale/connections.rs
@@ -1,12 +1,260 @@
-//! The experiment `connections`.
+//! The experiment `connections`: connections of daemons to workers, what they cost while nothing is called, and
+//! what is asked over them, over workers that a daemon knows and over daemons that know a worker.
+use super::deploy::{function_name, DeployFile};
+use super::process::{usage, DaemonProcess, Usage};
+use super::usage::open_sockets;
 use super::{Measurement, ScaleContext, ScaleError};
+use crate::fault_schedule::FaultSchedule;
+use crate::fleet::{Fleet, Kind};
 use clap::Args;
+use serde_json::Value;
+use std::fmt::Write;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Time for a start or for closed connections to settle.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Work and loads of workers whose own pace is of no interest.
+const QUICK: Duration = Duration::from_millis(1);
+/// Memory of a daemon in MB, as the plan has it.
+const MEMORY_MB: u64 = 256;
+/// Calls of each function: the first one asks where it stands and has it loaded.
+const ROUNDS: usize = 2;
+const MICROSECONDS: f64 = 1e6;
+/// Idle connections are kept for so long where their end isn't looked at, in seconds.
+const KEPT_S: f64 = 120.0;
+/// The emulated workers hold two descriptors of each connection: one to read and one to write.
+const FLEET_DESCRIPTORS: f64 = 2.0;
 
 /// What the experiment is told on the command line.
 #[derive(Args, Clone, Debug)]
-pub struct Options {}
+pub struct Options {
+    /// Numbers of workers that one daemon knows, over frames.
+    #[arg(long, value_delimiter = ',', default_values_t = [1, 4, 16, 64])]
+    pub workers: Vec<usize>,
+    /// Numbers of daemons that know the same workers.
+    #[arg(long, value_delimiter = ',', default_values_t = [1, 4, 16])]
+    pub daemons: Vec<usize>,
+    /// Workers that several daemons know.
+    #[arg(long, default_value_t = 4)]
+    pub shared_workers: usize,
+    /// Functions for each worker; each is called a few times, so that every worker is spoken to.
+    #[arg(long, default_value_t = 6)]
+    pub functions: usize,
+    /// For how long idle daemons are watched, in seconds.
+    #[arg(long, default_value_t = 2.0)]
+    pub idle_seconds: f64,
+    /// After how many seconds daemons close an idle connection, where that is looked at; elsewhere they keep them
+    /// for longer than they are watched.
+    #[arg(long, default_value_t = 3.0)]
+    pub close_seconds: f64,
+}
 
 /// Measures and returns the figures.
-pub fn run(_context: &ScaleContext, _options: &Options) -> Result<Vec<Measurement>, ScaleError> {
-    Err(ScaleError::NotAvailable("connections"))
+pub fn run(context: &ScaleContext, options: &Options) -> Result<Vec<Measurement>, ScaleError> {
+    let mut measurements = Vec::new();
+    let mut measure = |axis: &str, size: usize, point: Point| -> Result<(), ScaleError> {
+        let folder = context.out.join(format!("connections-{}-{}", point.daemons, point.workers));
+        let found = point.measure(context, options, &folder);
+        // The files of the daemons aren't results.
+        let _ = std::fs::remove_dir_all(&folder);
+        measurements.extend(found?.measurements(axis, size as f64));
+        Ok(())
+    };
+    let frames = Point { workers: options.shared_workers, daemons: 1, protocol: "frames", close_s: KEPT_S };
+    for &workers in &options.workers {
+        measure("frames, workers", workers, Point { workers, ..frames })?;
+    }
+    for &daemons in &options.daemons {
+        measure("frames, daemons", daemons, Point { daemons, ..frames })?;
+    }
+    let closing = Point { close_s: options.close_seconds, ..frames };
+    measure("frames, closing, workers", options.shared_workers, closing)?;
+    measure("http, workers", options.shared_workers, Point { protocol: "http", ..frames })?;
+    Ok(measurements)
+}
+
+/// One size at which connections are measured.
+#[derive(Clone, Copy, Debug)]
+struct Point {
+    workers: usize,
+    daemons: usize,
+    protocol: &'static str,
+    /// After how many seconds an idle connection is closed.
+    close_s: f64,
+}
+
+/// What all daemons and the process of the emulated workers hold and have used at one time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Look {
+    daemons: Usage,
+    daemon_sockets: f64,
+    fleet: Usage,
+    fleet_sockets: f64,
+    /// Frames and connections that the daemons sent or dialled, in all.
+    sent: f64,
+    dials: f64,
+}
+
+/// What one point gave.
+struct Reading {
+    point: Point,
+    span_s: f64,
+    calls_served: f64,
+    unconnected: Look,
+    unconnected_later: Look,
+    connected: Look,
+    connected_later: Look,
+    closed: Option<Look>,
+}
+
+impl Point {
+    fn measure(
+        &self,
+        context: &ScaleContext,
+        options: &Options,
+        folder: &Path,
+    ) -> Result<Reading, ScaleError> {
+        let kind =
+            Kind { load: QUICK, work: QUICK, cold: QUICK, loads: self.protocol == "http", ..Kind::default() };
+        let schedule = FaultSchedule { seed: context.seed, fault_rate: 0.0 };
+        let fleet = Fleet::start(self.workers, kind, schedule)?;
+        let functions = options.functions * self.workers;
+        let deploy = self.deploy(&fleet, functions);
+        let mut daemons = Vec::new();
+        for number in 0..self.daemons {
+            let text = deploy.replace("NODE", &format!("node-{number}"));
+            daemons.push(DaemonProcess::start(&context.program, &folder.join(number.to_string()), &text)?);
+        }
+        std::thread::sleep(SETTLE);
+        let idle = Duration::from_secs_f64(options.idle_seconds);
+        let unconnected = look(&daemons)?;
+        std::thread::sleep(idle);
+        let unconnected_later = look(&daemons)?;
+        let mut calls_served = 0.0;
+        for daemon in &daemons {
+            calls_served += call_all(daemon, functions)?;
+        }
+        std::thread::sleep(SETTLE);
+        let connected = look(&daemons)?;
+        let began = Instant::now();
+        std::thread::sleep(idle);
+        let connected_later = look(&daemons)?;
+        let span_s = began.elapsed().as_secs_f64();
+        let closed = if self.close_s < KEPT_S {
+            std::thread::sleep(Duration::from_secs_f64(self.close_s) + SETTLE);
+            Some(look(&daemons)?)
+        } else {
+            None
+        };
+        let point = *self;
+        let (before, after) = (unconnected, connected);
+        if calls_served <= 0.0 || before.daemon_sockets <= 0.0 || after.daemon_sockets <= 0.0 {
+            return Err(ScaleError::Failed("no call was served".into()));
+        }
+        Ok(Reading {
+            point,
+            span_s,
+            calls_served,
+            unconnected,
+            unconnected_later,
+            connected,
+            connected_later,
+            closed,
+        })
+    }
+
+    fn deploy(&self, fleet: &Fleet, functions: usize) -> String {
+        let idle_ms = self.close_s * 1000.0;
+        let mut tables = format!(
+            "[limits]\nidle_ms = {idle_ms:.1}\n[transport]\nprotocol = \"{}\"\norders = {}\n",
+            self.protocol,
+            self.protocol == "frames"
+        );
+        for (number, address) in fleet.addresses().iter().enumerate() {
+            let cell = number % 3;
+            let _ = writeln!(tables, "[[worker]]\nname = \"w{number}\"\naddress = \"{address}\"");
+            let _ = writeln!(tables, "zone = \"zone-{cell}\"\ncell = {cell}");
+        }
+        DeployFile::new("NODE").memory_mb(MEMORY_MB).functions(functions).tables(&tables).text()
+    }
+}
+
+/// Calls each function a few times; tells how many calls were served.
+fn call_all(daemon: &DaemonProcess, functions: usize) -> Result<f64, ScaleError> {
+    let mut client = daemon.client();
+    let mut served = 0.0;
+    for _ in 0..ROUNDS {
+        for number in 0..functions {
+            let path = format!("/v1/functions/{}/invocations", function_name(number));
+            let response = client.ask("POST", &path, &[], b"a household")?;
+            served += f64::from(u8::from(response.status == 200));
+        }
+    }
+    Ok(served)
+}
+
+fn look(daemons: &[DaemonProcess]) -> Result<Look, ScaleError> {
+    let own = std::process::id();
+    let mut look = Look::default();
+    for daemon in daemons {
+        let status: Value = serde_json::from_slice(&daemon.request("GET", "/v1/status", b"")?.body)
+            .map_err(|error| ScaleError::Failed(format!("status: {error}")))?;
+        let count = |name: &str| status["counters"][name].as_f64().unwrap_or_default();
+        look.sent += count("sent") + count("orders") + count("questions") + count("evictions");
+        look.dials += count("dials");
+    }
+    // The connections over which the status was asked for are closed by now at this end, and soon at the other.
+    std::thread::sleep(Duration::from_millis(100));
+    for daemon in daemons {
+        let used = daemon.process().usage()?;
+        look.daemons.cpu_s += used.cpu_s;
+        look.daemons.resident += used.resident;
+        look.daemon_sockets += open_sockets(daemon.process().id())? as f64;
+    }
+    look.fleet = usage(own)?;
+    look.fleet_sockets = open_sockets(own)? as f64;
+    Ok(look)
+}
+
+impl Reading {
+    fn measurements(&self, axis: &str, size: f64) -> Vec<Measurement> {
+        let daemons = self.point.daemons as f64;
+        let workers = self.point.workers as f64;
+        let connections = self.connected.daemon_sockets - self.unconnected.daemon_sockets;
+        let each = |bytes: f64| if connections > 0.0 { bytes / connections } else { 0.0 };
+        let idle_cpu = |from: &Look, to: &Look| {
+            (to.daemons.cpu_s - from.daemons.cpu_s) * MICROSECONDS / self.span_s / daemons
+        };
+        let grown = |of: fn(&Look) -> f64| of(&self.connected) - of(&self.unconnected);
+        let later = |of: fn(&Look) -> f64| of(&self.connected_later) - of(&self.connected);
+        let figures = [
+            ("connections a daemon", connections / daemons, "connections"),
+            (
+                "connections at a worker",
+                grown(|look| look.fleet_sockets) / workers / FLEET_DESCRIPTORS,
+                "connections",
+            ),
+            ("CPU of an unconnected daemon", idle_cpu(&self.unconnected, &self.unconnected_later), "us/s"),
+            ("CPU of a connected, idle daemon", idle_cpu(&self.connected, &self.connected_later), "us/s"),
+            ("frames of an idle daemon", later(|look| look.sent) / self.span_s / daemons, "frames/s"),
+            ("dials of an idle daemon", later(|look| look.dials) / self.span_s / daemons, "dials/s"),
+            ("frames sent before, a daemon", self.connected.sent / daemons, "frames"),
+            ("dials before, a daemon", self.connected.dials / daemons, "dials"),
+            ("resident of a daemon", self.connected.daemons.resident / daemons, "bytes"),
+            ("resident a connection, daemon", each(grown(|look| look.daemons.resident)), "bytes"),
+            ("resident a connection, emulated worker", each(grown(|look| look.fleet.resident)), "bytes"),
+            ("calls served", self.calls_served, "calls"),
+        ];
+        let mut measurements: Vec<Measurement> = figures
+            .into_iter()
+            .map(|(row, value, unit)| Measurement::new(format!("{axis}: {row}"), size, value, unit))
+            .collect();
+        if let Some(closed) = &self.closed {
+            let left = (closed.daemon_sockets - self.unconnected.daemon_sockets) / daemons;
+            let row = format!("{axis}: connections a daemon, once idle for long");
+            measurements.push(Measurement::new(row, size, left, "connections"));
+        }
+        measurements
+    }
 }
--- a/crates/rig/src/scale/feed/hollow.rs
+++ b/crates/rig/src/scale/feed/hollow.rs
@@ -101,7 +101,7 @@
     fn start(deploy_file: &Path, base_bytes: usize) -> Result<Self, ScaleError> {
         let deploy = Deploy::load(deploy_file).map_err(failed)?;
         let settings = deploy.settings();
-        let budget = accounts::deploy_budget(&deploy, base_bytes).map_err(failed)?;
+        let budget = accounts::deploy_budget(&deploy.memory_settings(), base_bytes).map_err(failed)?;
         let ledger = Arc::new(Ledger::new(&budget, &accounts::tenants(&settings)));
         let folder = deploy.data_dir.as_deref().ok_or_else(|| failed("a follower without data_dir"))?;
         let store = Arc::new(Store::open(&deploy.node, folder, ledger.clone()).map_err(failed)?);
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -13,8 +13,10 @@
 pub mod mesh;
 pub mod process;
 pub mod recovery;
+pub mod relay;
 pub mod table;
 pub mod traffic;
+pub mod usage;
 pub mod worker_list;
 
 mod chart;
