--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,9 +2,11 @@
 use clap::{Parser, Subcommand};
 use corkbay_rig::client::Client;
 use corkbay_rig::daemon::{beside, Daemon, Deployment};
+use corkbay_rig::fault_schedule::FaultSchedule;
 use corkbay_rig::fleet::{Fleet, Kind};
-use corkbay_rig::mood::Script;
 use corkbay_rig::plan::{Offer, Plan};
+use corkbay_rig::scale::feed::hollow;
+use corkbay_rig::scale::{self, Experiment, ScaleContext};
 use corkbay_rig::soak::{names, Soak, STEADY};
 use corkbay_rig::verdict::{judge, Bounds};
 use corkbay_rig::{compare, load, report};
@@ -13,6 +15,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// The allocator of the daemon, so that hollow followers take the memory that they take there.
+#[global_allocator]
+static HEAP: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
+
 /// Emulated workers and loads for corkbay, on loopback and for a bounded time.
 #[derive(Parser)]
 #[command(version)]
@@ -97,6 +103,18 @@
         #[arg(long, default_value = "")]
         head: String,
     },
+    /// Measures a cost at several sizes and fits how it grows.
+    Scale {
+        /// What is measured.
+        #[command(subcommand)]
+        experiment: Experiment,
+    },
+    /// A process of hollow followers, as the experiments start it.
+    #[command(hide = true)]
+    FollowerHost {
+        /// The file that says which.
+        config: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
@@ -117,11 +135,11 @@
         Task::Demo => demo(&Daemon::start(
             &program()?,
             out,
-            &small(&Fleet::start(3, Kind::default(), Script { seed, trouble: 0.0 })?),
+            &small(&Fleet::start(3, Kind::default(), FaultSchedule { seed, fault_rate: 0.0 })?),
         )?),
         Task::Fleet { workers, seconds, trouble, ordered } => {
             let kind = Kind { loads: !ordered, ..Kind::default() };
-            let fleet = Fleet::start(*workers, kind, Script { seed, trouble: *trouble })?;
+            let fleet = Fleet::start(*workers, kind, FaultSchedule { seed, fault_rate: *trouble })?;
             fleet.addresses().iter().for_each(|address| println!("{address}"));
             std::thread::sleep(Duration::from_secs(*seconds));
             Ok(true)
@@ -129,7 +147,7 @@
         Task::Load { rate, seconds, threads, trouble, protocol } => {
             let protocol = if protocol == "frames" { "frames" } else { "http" };
             let kind = Kind { loads: protocol == "http", ..Kind::default() };
-            let fleet = Fleet::start(6, kind, Script { seed, trouble: *trouble })?;
+            let fleet = Fleet::start(6, kind, FaultSchedule { seed, fault_rate: *trouble })?;
             let offer = Offer { rate: *rate, ..Offer::default() };
             let deployment = Deployment { protocol, functions: offer.functions, ..small(&fleet) };
             let daemon = Daemon::start(&program()?, out, &deployment)?;
@@ -173,6 +191,15 @@
             println!("{}", if flat { "memory stayed flat" } else { "memory did not stay flat" });
             Ok(flat)
         }
+        Task::Scale { experiment } => {
+            let context = ScaleContext { program: program()?, out: out.clone(), seed };
+            scale::run(&context, experiment)?;
+            Ok(true)
+        }
+        Task::FollowerHost { config } => {
+            hollow::serve(&serde_json::from_slice(&std::fs::read(config)?)?)?;
+            Ok(true)
+        }
     }
 }
 
