--- a/src/brain.rs
+++ b/src/brain.rs
@@ -776,7 +776,7 @@
         };
         let (class, model, attempt) = (pending.request.class, pending.request.model, pending.attempts);
         worker.out += 1;
-        worker.sent.add(now, self.set.fall_span);
+        worker.sent.add(now, self.set.fall_span.min(self.set.cold_span));
         (pending.attempts, pending.out) = (attempt + 1, pending.out + 1);
         pending.ran.push((attempt, at, now));
         let holder = self.models.entry(model).or_default().holders.entry(at).or_default();
