--- a/crates/rig/src/scale/deferred.rs
+++ b/crates/rig/src/scale/deferred.rs
@@ -120,7 +120,9 @@
     span_s: f64,
     nodes: Vec<(NodeLook, NodeLook)>,
     sent_bytes: f64,
-    pushes: f64,
+    /// Connections to the copies while calls were made, and since the start.
+    connections: f64,
+    connections_in_all: f64,
 }
 
 impl Point {
@@ -173,14 +175,14 @@
         load::run(nodes[0].address, self.arrivals(options, seed, 0), warm_up, options.threads)?;
         std::thread::sleep(SETTLE);
         let before = look_at_all(nodes)?;
-        let (bytes, pushes) = passed(relays);
+        let (bytes, connections) = passed(relays);
         let began = Instant::now();
         let span = Duration::from_secs_f64(options.seconds);
         let outcome = load::run(nodes[0].address, self.arrivals(options, seed, 1), span, options.threads)?;
         let span_s = began.elapsed().as_secs_f64();
         std::thread::sleep(LAST_ENDS);
         let after = look_at_all(nodes)?;
-        let (bytes_later, pushes_later) = passed(relays);
+        let (bytes_later, connections_later) = passed(relays);
         let wanted = if self.style.deferred { 202 } else { 200 };
         let (accepted, other) = counts(&outcome, wanted);
         if accepted <= 0.0 {
@@ -192,7 +194,8 @@
             span_s,
             nodes: before.into_iter().zip(after).collect(),
             sent_bytes: (bytes_later - bytes) as f64,
-            pushes: (pushes_later - pushes) as f64,
+            connections: (connections_later - connections) as f64,
+            connections_in_all: connections_later as f64,
         })
     }
 
@@ -315,7 +318,8 @@
         add("copy: log a call", mean(|look| look.log_bytes) / calls, "bytes");
         add("copy: resident a call", mean(|look| look.resident) / calls, "bytes");
         add("bytes sent a call and copy", self.sent_bytes / calls / count, "bytes");
-        add("connections a call and copy", self.pushes / calls / count, "connections");
+        add("connections a call and copy", self.connections / calls / count, "connections");
+        add("connections to a copy since the start", self.connections_in_all / count, "connections");
         measurements
     }
 }
