--- a/crates/rig/src/scale/feed.rs
+++ b/crates/rig/src/scale/feed.rs
@@ -161,6 +161,7 @@
     let began = Instant::now();
     cluster.start_followers()?;
     cluster.wait_until_current(began)?;
+    cluster.wait_until_following()?;
     let took = began.elapsed();
     let totals = cluster.hollow_totals()?;
     let followers = rows.followers as f64;
--- a/crates/rig/src/scale/feed/cluster.rs
+++ b/crates/rig/src/scale/feed/cluster.rs
@@ -181,6 +181,18 @@
         self.wait_for(&[function_name(last)], super::OLD_MEMORY_MB, began)
     }
 
+    /// Waits until no hollow follower has anything of a copy still to come.
+    pub fn wait_until_following(&mut self) -> Result<(), ScaleError> {
+        let began = Instant::now();
+        while !self.summaries()?.iter().all(|summary| summary.is_following) {
+            if began.elapsed() > SETTLE_LIMIT {
+                return Err(ScaleError::Failed("some followers do not come to follow".into()));
+            }
+            std::thread::sleep(POLL);
+        }
+        Ok(())
+    }
+
     /// Waits until all followers have these functions with that memory; the time of each since `began`, the hollow ones
     /// first.
     pub fn wait_for(
--- a/crates/rig/src/scale/recovery.rs
+++ b/crates/rig/src/scale/recovery.rs
@@ -4,7 +4,6 @@
 //! A pause is a suspended process: its connections stay, and its control node gives it up after its silence limit.
 use super::feed::cluster::{configure, Cluster, ClusterOptions};
 use super::feed::OLD_MEMORY_MB;
-use super::in_force::longest_s;
 use super::process::Usage;
 use super::{Measurement, ScaleContext, ScaleError};
 use clap::Args;
@@ -56,6 +55,7 @@
         let mut cluster = Cluster::start_controls(&context.program, &folder, &cluster_options)?;
         cluster.start_followers()?;
         cluster.wait_until_current(Instant::now())?;
+        cluster.wait_until_following()?;
         measurements.extend(starts(&mut cluster, options, functions)?);
         if functions == most_functions {
             for &pause in &options.pauses {
@@ -85,7 +85,9 @@
         let control_before: Usage = cluster.control_usage()?;
         let began = Instant::now();
         cluster.start_hollow_followers()?;
-        let times = cluster.wait_for(&changed, OLD_MEMORY_MB, began)?;
+        cluster.wait_for(&changed, OLD_MEMORY_MB, began)?;
+        cluster.wait_until_following()?;
+        let took = began.elapsed();
         let control_after = cluster.control_usage()?;
         let followers = options.followers as f64;
         let bytes = cluster.hollow_totals()?.bytes() / followers;
@@ -96,7 +98,7 @@
             measurements.push(Measurement::new(row, functions as f64, value, unit));
         };
         add("message bytes a follower", bytes, "bytes");
-        add("until the last is current", longest_s(&times), "s");
+        add("until the last is current", took.as_secs_f64(), "s");
         add("cpu a follower", cpu, "s");
         add("cpu of the control nodes a follower", control_cpu, "s");
     }
@@ -118,7 +120,10 @@
     std::thread::sleep(Duration::from_secs_f64(pause_s).saturating_sub(paused.elapsed()));
     cluster.suspend_hollow_followers(false)?;
     end?;
-    let times = cluster.wait_for(&changed, OLD_MEMORY_MB, Instant::now())?;
+    let resumed = Instant::now();
+    cluster.wait_for(&changed, OLD_MEMORY_MB, resumed)?;
+    cluster.wait_until_following()?;
+    let took = resumed.elapsed();
     let bytes = (cluster.hollow_totals()?.bytes() - bytes_before) / options.followers as f64;
     let copies = cluster.copies()?.copies - copies_before.copies;
     let measurement = |what: &str, value: f64, unit: &str| {
@@ -126,7 +131,7 @@
     };
     Ok(vec![
         measurement("message bytes a follower", bytes, "bytes"),
-        measurement("until the last is current", longest_s(&times), "s"),
+        measurement("until the last is current", took.as_secs_f64(), "s"),
         measurement("full copies", copies, "copies"),
     ])
 }
