A follower's catalog has room for what its control nodes hold

Seen in scale trials: with memory_mb = 256 and the usual shares a follower of 25,000 functions never became current ('351 bytes do not fit into catalog'), and asked again every few seconds. The catalog's part grows with what a node's own file configures, and a follower's file configures nothing.

--- a/crates/node/src/life/deploy.rs
+++ b/crates/node/src/life/deploy.rs
@@ -5,7 +5,7 @@
 use crate::memory::catalog::{check_name, Function, State};
 use crate::memory::keys::{FUNCTION, WORKER};
 use crate::memory::seeds::{configured_size, pages_size};
-use corkbay_ledger::{Purpose, KIB};
+use corkbay_ledger::{Purpose, KIB, MIB};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +15,8 @@
 /// Largest answer that the file may allow, in KiB, and what holds where it says nothing: calls that are kept hold room
 /// for one from the start, and the log's share has to take its record.
 const LARGEST_ANSWER_KB: usize = 64;
+/// A follower's catalog has room for this part of its memory, one in so many bytes.
+const FOLLOWER_CATALOG_PART: usize = 12;
 
 /// The whole file.
 #[derive(Debug, Deserialize)]
@@ -470,8 +472,17 @@
         }
     }
 
-    /// What the functions and workers of the file take in the store, in bytes.
+    /// What the catalog is to have room for, in bytes. A follower's file names no functions: those of its control nodes
+    /// have to fit, unless the file says itself what part of the memory is for them.
     fn catalog_bytes(&self) -> usize {
+        if self.follow.is_some() && !self.memory.shares.contains_key(Purpose::Catalog.name()) {
+            return (self.memory_mb as usize * MIB) / FOLLOWER_CATALOG_PART;
+        }
+        self.configured_bytes()
+    }
+
+    /// What the functions and workers of the file take in the store, in bytes.
+    fn configured_bytes(&self) -> usize {
         let functions = self
             .functions
             .iter()
--- a/crates/node/tests/catalog.rs
+++ b/crates/node/tests/catalog.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
-use support::{ask, Daemon, Folder};
+use support::{ask, free_address, Daemon, Folder};
 
 const FUNCTIONS: usize = 25_000;
 const WORKERS: usize = 1_000;
@@ -219,3 +219,16 @@
         assert_eq!(line.trim_end().lines().count(), 1, "{line}");
     }
 }
+
+/// Guards followers of a large catalog, whose own files name no functions: with the memory that its control node has, a
+/// follower has room for all that it is sent.
+#[test]
+fn a_follower_with_the_usual_shares_has_room_for_a_large_catalog() {
+    let (folder, feed) = (Folder::new(), free_address());
+    let control = format!("{DATA}[feed]\nlisten = \"{feed}\"\n");
+    let _control = Daemon::serve(&folder.write("control.toml", &deploy(&control, FUNCTIONS, WORKERS, 1)));
+    let follow = format!("data_dir = \"followed\"\n[follow]\n[[follow.control]]\naddress = \"{feed}\"\n");
+    let follower = Daemon::serve(&folder.write("follower.toml", &deploy(&follow, 0, 0, 1)));
+    until("the follower has all functions", || list(&follower, "functions").len() == FUNCTIONS);
+    until("the follower has all workers", || list(&follower, "workers").len() == WORKERS);
+}
