A newcomer that is turned away keeps its slot for 20 ms, so that what it asked is answered

Traced: it was evicted from the spare slots as silent, its request read and not yet taken (state silent, nothing unread).

--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -189,7 +189,7 @@
         let mut looked_at = Vec::new();
         let evicted = lock(clients).evict_idle(|connection| {
             let Some(connection) = connection.upgrade() else { return false };
-            let has_unread = connection.has_unread();
+            let has_unread = connection.has_unread() || connection.is_being_turned_away();
             looked_at.push(connection);
             has_unread
         });
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -17,6 +17,9 @@
 const LINGER_BYTES: usize = 4 << 20;
 const LINGER_WAITS: u32 = 4;
 
+/// How long a connection that is turned away keeps its slot though it asks nothing, in milliseconds.
+const TURN_AWAY_MS: Ms = 20.0;
+
 /// What a connection takes: the stack of its task as far as it is touched, a chunk, its entry. Measured.
 pub const CONNECTION_BYTES: usize = 14 << 10;
 
@@ -32,6 +35,7 @@
     account: Account,
     slots: Arc<Slots>,
     kind: SlotKind,
+    let_in: Ms,
     /// Given back when it is passed on, or last, after the descriptor.
     slot: Mutex<Option<Slot>>,
 }
@@ -49,6 +53,7 @@
                 account: slot.memory.account().clone(),
                 slots: slot.slots.clone(),
                 kind: slot.kind,
+                let_in: now_ms(),
                 slot: Mutex::new(Some(slot)),
             }
         })
@@ -87,6 +92,11 @@
         self.kind == SlotKind::Spare
     }
 
+    /// Whether it was let in to be turned away, and its reader may still be about to take what it asks.
+    pub(super) fn is_being_turned_away(&self) -> bool {
+        self.is_turned_away() && now_ms() < self.let_in + TURN_AWAY_MS
+    }
+
     /// Waits until a request has come to its end on the connection, which is drained, or for that long.
     pub fn wait_for_an_end(&self, within: Duration) {
         self.ended.wait_timeout(within);
