Evicted connections are shut for reading only, so that a request that was just read is answered

By reading: an idle connection with nothing unread was shut in both directions although its reader had just read a request and not yet taken it.

--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -196,10 +196,6 @@
         let Some(evicted) = evicted else { return false };
         if let Some(evicted) = evicted.upgrade() {
             evicted.shut(Shutdown::Read);
-            if !evicted.has_unread() {
-                // Its client hears of it at once. What came just before is answered by its reader instead.
-                evicted.shut(Shutdown::Write);
-            }
         }
         true
     }
