Rig: feed and recovery share the options on the memory of a cluster

Three fields stood in feed's options, in recovery's and in the cluster's, and were copied over one by one. They are one struct that both flatten; the command line is unchanged. Clippy of the rig is clean; its scale tests pass (6). The whole suite was not run.

--- a/crates/rig/src/scale/feed.rs
+++ b/crates/rig/src/scale/feed.rs
@@ -20,7 +20,7 @@
 use super::traffic::loopback_bytes;
 use super::{Measurement, ScaleContext, ScaleError};
 use clap::Args;
-use cluster::{Cluster, ClusterOptions, FeedTotals};
+use cluster::{Cluster, ClusterMemory, ClusterOptions, FeedTotals};
 use std::time::{Duration, Instant};
 
 /// After the last copy, what follows from it has ended by then.
@@ -56,29 +56,15 @@
     /// Hollow followers in a process.
     #[arg(long, default_value_t = 55)]
     pub per_process: usize,
-    /// Memory of each control node, in MB.
-    #[arg(long, default_value_t = 1024)]
-    pub control_memory_mb: u64,
-    /// Memory of each follower, in MB.
-    #[arg(long, default_value_t = 256)]
-    pub follower_memory_mb: u64,
-    /// The part of the memory of a follower that functions and workers may take, in percent. At 256 MB the usual 5
-    /// don't hold 25,000 functions.
-    #[arg(long, default_value_t = 15.0)]
-    pub follower_catalog_percent: f64,
+    /// Memory of the cluster's nodes.
+    #[command(flatten)]
+    pub memory: ClusterMemory,
 }
 
 impl Options {
     /// What a cluster of a size is like.
     pub fn cluster(&self, followers: usize, functions: usize) -> ClusterOptions {
-        ClusterOptions {
-            followers,
-            functions,
-            per_process: self.per_process,
-            control_memory_mb: self.control_memory_mb,
-            follower_memory_mb: self.follower_memory_mb,
-            follower_catalog_percent: self.follower_catalog_percent,
-        }
+        ClusterOptions { followers, functions, per_process: self.per_process, memory: self.memory }
     }
 }
 
--- a/crates/rig/src/scale/feed/cluster.rs
+++ b/crates/rig/src/scale/feed/cluster.rs
@@ -6,6 +6,7 @@
 use crate::scale::in_force::{takes_calls, LONGEST_WAIT};
 use crate::scale::process::{free_ports, DaemonProcess, Usage};
 use crate::scale::ScaleError;
+use clap::Args;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -23,6 +24,20 @@
 const SETTLE_LIMIT: Duration = Duration::from_secs(120);
 const POLL: Duration = Duration::from_millis(20);
 
+/// What memory the nodes of a cluster have, as told on the command line.
+#[derive(Args, Clone, Copy, Debug)]
+pub struct ClusterMemory {
+    /// Memory of each control node, in MB.
+    #[arg(long, default_value_t = 1024)]
+    pub control_memory_mb: u64,
+    /// Memory of each follower, in MB.
+    #[arg(long, default_value_t = 256)]
+    pub follower_memory_mb: u64,
+    /// The part of the memory of a follower that functions and workers may take, in percent.
+    #[arg(long, default_value_t = 15.0)]
+    pub follower_catalog_percent: f64,
+}
+
 /// What a cluster is like.
 #[derive(Clone, Copy, Debug)]
 pub struct ClusterOptions {
@@ -32,12 +47,8 @@
     pub functions: usize,
     /// Hollow followers in a process.
     pub per_process: usize,
-    /// Memory of each control node, in MB.
-    pub control_memory_mb: u64,
-    /// Memory of each follower, in MB.
-    pub follower_memory_mb: u64,
-    /// The part of the memory of a follower that functions and workers may take, in percent.
-    pub follower_catalog_percent: f64,
+    /// Memory of its nodes.
+    pub memory: ClusterMemory,
 }
 
 /// Bytes of messages in both directions, as daemons count them.
@@ -123,7 +134,7 @@
             let folder = self.folder.join(&name);
             self.whole.push(DaemonProcess::start(&self.program, &folder, &deploy.text())?);
         }
-        let roleless = DeployFile::new("roleless").memory_mb(self.options.follower_memory_mb);
+        let roleless = DeployFile::new("roleless").memory_mb(self.options.memory.follower_memory_mb);
         let folder = self.folder.join("roleless");
         self.roleless = Some(DaemonProcess::start(&self.program, &folder, &roleless.text())?);
         self.start_hollow_followers()
@@ -363,8 +374,8 @@
             ));
         }
         DeployFile::new(name)
-            .memory_mb(self.options.follower_memory_mb)
-            .catalog_percent(self.options.follower_catalog_percent)
+            .memory_mb(self.options.memory.follower_memory_mb)
+            .catalog_percent(self.options.memory.follower_catalog_percent)
             .zone(&zone(number))
             .data_dir(Path::new("data"))
             .tables(&follow)
@@ -415,7 +426,7 @@
     let functions = if number == 0 { options.functions } else { 0 };
     let feed = format!("[feed]\nlisten = \"127.0.0.1:{feed_port}\"\nfollowers = {MOST_FOLLOWERS}\n");
     DeployFile::new(&format!("control-{number}"))
-        .memory_mb(options.control_memory_mb)
+        .memory_mb(options.memory.control_memory_mb)
         .sockets(CONTROL_SOCKETS)
         .zone(&zone(number))
         .data_dir(Path::new("data"))
--- a/crates/rig/src/scale/recovery.rs
+++ b/crates/rig/src/scale/recovery.rs
@@ -2,7 +2,7 @@
 //! after a pause.
 //!
 //! A pause is a suspended process: its connections stay, and its control node gives it up after its silence limit.
-use super::feed::cluster::{configure, Cluster, ClusterOptions};
+use super::feed::cluster::{configure, Cluster, ClusterMemory, ClusterOptions};
 use super::feed::OLD_MEMORY_MB;
 use super::process::Usage;
 use super::{Measurement, ScaleContext, ScaleError};
@@ -26,16 +26,9 @@
     /// Lengths of the pauses, in seconds; at the largest number of functions.
     #[arg(long, value_delimiter = ',', default_values_t = [1.0f64, 3.0, 6.0, 12.0])]
     pub pauses: Vec<f64>,
-    /// Memory of each control node, in MB.
-    #[arg(long, default_value_t = 1024)]
-    pub control_memory_mb: u64,
-    /// Memory of each follower, in MB.
-    #[arg(long, default_value_t = 256)]
-    pub follower_memory_mb: u64,
-    /// The part of the memory of a follower that functions and workers may take, in percent. At 256 MB the usual 5
-    /// don't hold 25,000 functions.
-    #[arg(long, default_value_t = 15.0)]
-    pub follower_catalog_percent: f64,
+    /// Memory of the cluster's nodes.
+    #[command(flatten)]
+    pub memory: ClusterMemory,
 }
 
 /// Measures starts over functions, and pauses over their length.
@@ -48,9 +41,7 @@
             followers: options.followers,
             functions,
             per_process: options.followers.max(1),
-            control_memory_mb: options.control_memory_mb,
-            follower_memory_mb: options.follower_memory_mb,
-            follower_catalog_percent: options.follower_catalog_percent,
+            memory: options.memory,
         };
         let mut cluster = Cluster::start_controls(&context.program, &folder, &cluster_options)?;
         cluster.start_followers()?;
