Tests: free addresses hold no listener, and the rig counts connections at its workers

Ruled out: another test's port (each address has a loopback address of its own). Change: the emulated workers count their connections; addresses and ports are tried by binding without listening.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,8 +1,9 @@
 //! The program under test as a child process, a plain HTTP client, and stand-in workers.
 #![allow(dead_code)] // Each test file uses a part of this.
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -208,12 +209,17 @@
 }
 
 /// An address where nothing listens until the caller does. Each has a loopback address of its own: the
-/// program's listeners share ports, so a free port on a common address may be handed out twice.
+/// program's listeners share ports, so a free port on a common address may be handed out twice. It is bound without
+/// listening: a process that another test is just starting holds a copy of the descriptor until it runs its program, and a
+/// copy that listened would keep the caller from listening.
 pub fn free_address() -> SocketAddr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let (number, process) = (COUNT.fetch_add(1, Ordering::Relaxed), std::process::id());
     let own = std::net::Ipv4Addr::new(127, 100 + (number % 100) as u8, (process >> 8) as u8, process as u8);
-    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port")
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("set");
+    socket.bind(&SocketAddr::from((own, 0)).into()).expect("a port");
+    socket.local_addr().expect("bound").as_socket().expect("an IPv4 address")
 }
 
 /// A response as a client sees it; header names in lower case.
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -65,6 +65,8 @@
     began: Instant,
     state: Mutex<State>,
     served: AtomicU64,
+    /// Connections that are open at this worker.
+    connections: AtomicUsize,
 }
 
 #[derive(Debug)]
@@ -98,8 +100,16 @@
             let listener = TcpListener::bind("127.0.0.1:0")?;
             let address = listener.local_addr()?;
             let state = State { started: began, copies: BTreeMap::new(), busy: 0 };
-            let (state, served) = (Mutex::new(state), AtomicU64::new(0));
-            let worker = Arc::new(Worker { number, address, kind, schedule, began, state, served });
+            let worker = Arc::new(Worker {
+                number,
+                address,
+                kind,
+                schedule,
+                began,
+                state: Mutex::new(state),
+                served: AtomicU64::new(0),
+                connections: AtomicUsize::new(0),
+            });
             let ours = worker.clone();
             std::thread::Builder::new().stack_size(STACK).spawn(move || ours.listen(&listener))?;
             Ok(worker)
@@ -117,6 +127,11 @@
         self.workers.iter().map(|worker| worker.served.load(Relaxed)).collect()
     }
 
+    /// Connections that are open at all workers.
+    pub fn connections(&self) -> usize {
+        self.workers.iter().map(|worker| worker.connections.load(Relaxed)).sum()
+    }
+
     /// The worker's process is replaced: it is cold and holds nothing.
     pub fn restart(&self, number: usize) {
         if let Some(worker) = self.workers.get(number) {
@@ -136,7 +151,12 @@
             let ours = self.clone();
             let task = std::thread::Builder::new().stack_size(STACK);
             // Without a thread the connection is closed, as by a worker that takes no more.
-            let _ = task.spawn(move || ours.converse(socket));
+            let _ = task.spawn(move || {
+                ours.connections.fetch_add(1, Relaxed);
+                // A connection that ends in an error has ended all the same.
+                let _ = ours.converse(socket);
+                ours.connections.fetch_sub(1, Relaxed);
+            });
         }
     }
 
--- a/crates/rig/src/scale/connections.rs
+++ b/crates/rig/src/scale/connections.rs
@@ -23,8 +23,6 @@
 const MICROSECONDS: f64 = 1e6;
 /// Idle connections are kept for so long where their end isn't looked at, in seconds.
 const KEPT_S: f64 = 120.0;
-/// The emulated workers hold two descriptors of each connection: one to read and one to write.
-const FLEET_DESCRIPTORS: f64 = 2.0;
 
 /// What the experiment is told on the command line.
 #[derive(Args, Clone, Debug)]
@@ -90,7 +88,8 @@
     daemons: Usage,
     daemon_sockets: f64,
     fleet: Usage,
-    fleet_sockets: f64,
+    /// Connections that the emulated workers count. The descriptors of their process would count others as well.
+    fleet_connections: f64,
     /// Frames and connections that the daemons sent or dialled, in all.
     sent: f64,
     dials: f64,
@@ -128,22 +127,22 @@
         }
         std::thread::sleep(SETTLE);
         let idle = Duration::from_secs_f64(options.idle_seconds);
-        let unconnected = look(&daemons)?;
+        let unconnected = look(&daemons, &fleet)?;
         std::thread::sleep(idle);
-        let unconnected_later = look(&daemons)?;
+        let unconnected_later = look(&daemons, &fleet)?;
         let mut calls_served = 0.0;
         for daemon in &daemons {
             calls_served += call_all(daemon, functions)?;
         }
         std::thread::sleep(SETTLE);
-        let connected = look(&daemons)?;
+        let connected = look(&daemons, &fleet)?;
         let began = Instant::now();
         std::thread::sleep(idle);
-        let connected_later = look(&daemons)?;
+        let connected_later = look(&daemons, &fleet)?;
         let span_s = began.elapsed().as_secs_f64();
         let closed = if self.close_s < KEPT_S {
             std::thread::sleep(Duration::from_secs_f64(self.close_s) + SETTLE);
-            Some(look(&daemons)?)
+            Some(look(&daemons, &fleet)?)
         } else {
             None
         };
@@ -194,7 +193,7 @@
     Ok(served)
 }
 
-fn look(daemons: &[DaemonProcess]) -> Result<Look, ScaleError> {
+fn look(daemons: &[DaemonProcess], fleet: &Fleet) -> Result<Look, ScaleError> {
     let own = std::process::id();
     let mut look = Look::default();
     for daemon in daemons {
@@ -213,7 +212,7 @@
         look.daemon_sockets += open_sockets(daemon.process().id())? as f64;
     }
     look.fleet = usage(own)?;
-    look.fleet_sockets = open_sockets(own)? as f64;
+    look.fleet_connections = fleet.connections() as f64;
     Ok(look)
 }
 
@@ -230,11 +229,7 @@
         let later = |of: fn(&Look) -> f64| of(&self.connected_later) - of(&self.connected);
         let figures = [
             ("connections a daemon", connections / daemons, "connections"),
-            (
-                "connections at a worker",
-                grown(|look| look.fleet_sockets) / workers / FLEET_DESCRIPTORS,
-                "connections",
-            ),
+            ("connections at a worker", grown(|look| look.fleet_connections) / workers, "connections"),
             ("CPU of an unconnected daemon", idle_cpu(&self.unconnected, &self.unconnected_later), "us/s"),
             ("CPU of a connected, idle daemon", idle_cpu(&self.connected, &self.connected_later), "us/s"),
             ("frames of an idle daemon", later(|look| look.sent) / self.span_s / daemons, "frames/s"),
--- a/crates/rig/src/scale/process.rs
+++ b/crates/rig/src/scale/process.rs
@@ -2,9 +2,10 @@
 use super::ScaleError;
 use crate::client::{Client, Response};
 use rustix::process::{kill_process, Pid, Signal};
+use socket2::{Domain, Socket, Type};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -209,7 +210,7 @@
             break;
         }
         let port = FIRST_PORT + (first + offset) % range;
-        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        if is_free(port) {
             ports.push(port);
         }
     }
@@ -218,3 +219,14 @@
     }
     Ok(ports)
 }
+
+/// Whether a loopback port can be listened at. It is bound without listening: a process that is just being started
+/// holds a copy of the descriptor until it runs its program, and a copy that listened would keep others away.
+fn is_free(port: u16) -> bool {
+    let bind = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, port)).into())
+    };
+    bind().is_ok()
+}
