A connection is shut only while its reader waits and nothing stands unread

Cause (listed as left in docs/races.md; now shown): a drain shut the reading side of each connection on which nothing was owed, also where a request stood unread or had been read and not been taken yet. Ruled out: the end of the drain (3.6 s, later than the test). Change: the socket tells whether its reader waits; drains and evictions pass over connections whose reader is at work.

--- a/crates/node/src/memory/clients.rs
+++ b/crates/node/src/memory/clients.rs
@@ -99,16 +99,20 @@
         })
     }
 
-    /// Drains all: each is closed once nothing is owed on it. Names those on which nothing is, whose reading sides are to be
-    /// shut, each once. One on which something is owed is read on as before, so that its client is seen to leave.
-    pub fn drain(&mut self) -> Vec<H> {
-        self.entries.values_mut().for_each(|entry| entry.draining = true);
-        let idle = self.entries.values_mut().filter(|entry| !entry.shut && entry.open == 0);
-        let idle = idle.map(|entry| {
+    /// Drains all: each is closed once nothing is owed on it. Names those on which nothing is owed and nothing stands
+    /// unread, whose reading sides are to be shut, each once. The others are read on as before, so that their clients are
+    /// seen to leave.
+    pub fn drain(&mut self, mut has_unread: impl FnMut(&H) -> bool) -> Vec<H> {
+        let mut idle = Vec::new();
+        for entry in self.entries.values_mut() {
+            entry.draining = true;
+            if entry.shut || entry.open > 0 || has_unread(&entry.handle) {
+                continue;
+            }
             entry.shut = true;
-            entry.handle.clone()
-        });
-        idle.collect()
+            idle.push(entry.handle.clone());
+        }
+        idle
     }
 
     /// Whether the connection may be passed on; from then on it is nobody else's to close.
--- a/crates/node/src/memory/clients/tests.rs
+++ b/crates/node/src/memory/clients/tests.rs
@@ -34,18 +34,18 @@
     let first = clients.insert("first", 1.0);
     assert!(!clients.is_draining(first));
     assert_eq!(
-        (clients.drain(), clients.is_draining(first), clients.is_shut(first)),
+        (clients.drain(|_| false), clients.is_draining(first), clients.is_shut(first)),
         (vec!["first"], true, true)
     );
     let second = clients.insert("second", 2.0);
     clients.opened(second);
     assert_eq!(
-        (clients.drain(), clients.is_draining(second), clients.is_shut(second)),
+        (clients.drain(|_| false), clients.is_draining(second), clients.is_shut(second)),
         (vec![], true, false)
     );
     clients.closed(second, 3.0);
-    assert_eq!(clients.drain(), ["second"]);
-    assert!(clients.drain().is_empty());
+    assert_eq!(clients.drain(|_| false), ["second"]);
+    assert!(clients.drain(|_| false).is_empty());
 }
 
 /// Guards a connection that passes to a successor: it is passed or closed, never both, and by one alone.
@@ -55,12 +55,12 @@
     let [idle, busy, late] = ["idle", "busy", "late"].map(|name| clients.insert(name, 1.0));
     [busy, late].into_iter().for_each(|number| clients.opened(number));
     assert!(!clients.hand_over(busy), "nobody leaves yet");
-    assert_eq!(clients.drain(), ["idle"]);
+    assert_eq!(clients.drain(|_| false), ["idle"]);
     assert!(!clients.hand_over(idle) && clients.hand_over(busy) && !clients.hand_over(busy));
     clients.closed(busy, 2.0);
-    assert_eq!((clients.drain(), clients.evict_idle(|_| false)), (vec![], Some("idle")));
+    assert_eq!((clients.drain(|_| false), clients.evict_idle(|_| false)), (vec![], Some("idle")));
     clients.closed(late, 3.0);
-    assert_eq!(clients.drain(), ["late"], "nothing is owed on it any more");
+    assert_eq!(clients.drain(|_| false), ["late"], "nothing is owed on it any more");
     assert!(!clients.hand_over(late));
 }
 
@@ -91,3 +91,16 @@
     assert_eq!(clients.evict_idle(|_| false), Some("flood"));
     assert_eq!(clients.evict_idle(|_| false), Some("usual"));
 }
+
+/// Guards a request that stands unread when its connection is drained: its client is still seen to leave.
+#[test]
+fn a_drain_shuts_nothing_on_which_something_stands_unread() {
+    let mut clients = ClientTable::default();
+    let [asking, idle] = ["asking", "idle"].map(|name| clients.insert(name, 1.0));
+    assert_eq!(clients.drain(|name| *name == "asking"), ["idle"]);
+    assert!(clients.is_draining(asking) && !clients.is_shut(asking) && clients.is_shut(idle));
+    clients.opened(asking);
+    assert!(clients.drain(|_| false).is_empty(), "something is owed on it");
+    clients.closed(asking, 2.0);
+    assert_eq!(clients.drain(|_| false), ["asking"]);
+}
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -135,10 +135,12 @@
 
     /// Drains all connections that there are: their readers close them once nothing is owed on them. What a client has
     /// sent by then is still read. To be called again until all have ended: a reading side is shut once nothing is owed
-    /// on its connection, for where it is shut a client can't be seen to leave.
+    /// and nothing stands unread on its connection, for where it is shut a client can't be seen to leave.
     pub fn drain(&self) {
         for clients in [&self.clients, &self.turned_away] {
-            let idle: Vec<_> = lock(clients).drain();
+            // Dropped after the lock on the table, which the end of a connection takes.
+            let mut looked_at = Vec::new();
+            let idle = lock(clients).drain(|connection| has_unread(connection, &mut looked_at));
             idle.iter().filter_map(Weak::upgrade).for_each(|connection| connection.shut(Shutdown::Read));
         }
     }
@@ -187,12 +189,7 @@
     fn evict_idle(&self, clients: &Table) -> bool {
         // Dropped after the lock on the table, which the end of a connection takes.
         let mut looked_at = Vec::new();
-        let evicted = lock(clients).evict_idle(|connection| {
-            let Some(connection) = connection.upgrade() else { return false };
-            let has_unread = connection.has_unread() || connection.is_being_turned_away();
-            looked_at.push(connection);
-            has_unread
-        });
+        let evicted = lock(clients).evict_idle(|connection| has_unread(connection, &mut looked_at));
         let Some(evicted) = evicted else { return false };
         if let Some(evicted) = evicted.upgrade() {
             evicted.shut(Shutdown::Read);
@@ -256,6 +253,15 @@
     }
 }
 
+/// Whether something stands unread on a connection, or its reader is at work on what it read or may be about to take what
+/// is asked. A connection that was looked at is kept for the caller to drop, since it may be the last to hold it.
+fn has_unread(connection: &Weak<Connection>, looked_at: &mut Vec<Arc<Connection>>) -> bool {
+    let Some(connection) = connection.upgrade() else { return false };
+    let has_unread = connection.has_unused() || connection.is_being_turned_away();
+    looked_at.push(connection);
+    has_unread
+}
+
 /// What a newcomer waits for.
 enum Lacks {
     Slot,
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -12,6 +12,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{self, Shutdown, SocketAddr};
 use std::os::fd::OwnedFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Pauses of a writer that meets a full buffer; each is twice the one before.
@@ -73,6 +74,8 @@
 pub struct Socket {
     stream: Stream,
     writing: Mutex<()>,
+    /// Whether the reader waits, so that it has taken nothing that it has not told of yet.
+    reader_waits: AtomicBool,
     /// How long the other side may take nothing of a message.
     stall: Duration,
 }
@@ -81,12 +84,16 @@
     /// Wraps a stream; a message of which nothing is taken for `stall` ends the connection.
     pub fn new(stream: TcpStream, stall: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Socket { stream: Stream::Own(stream), writing: Mutex::new(()), stall })
+        Ok(Self::of(Stream::Own(stream), stall))
     }
 
     /// Wraps a stream that was made elsewhere.
     pub fn adopt(stream: net::TcpStream, stall: Duration) -> io::Result<Self> {
-        Ok(Socket { stream: Stream::Adopted(Adopted::new(stream)?), writing: Mutex::new(()), stall })
+        Ok(Self::of(Stream::Adopted(Adopted::new(stream)?), stall))
+    }
+
+    fn of(stream: Stream, stall: Duration) -> Self {
+        Socket { stream, writing: Mutex::new(()), reader_waits: AtomicBool::new(false), stall }
     }
 
     /// Whether the other side writes no more, also where what it wrote before was not read yet.
@@ -101,6 +108,12 @@
         self.stream.inner().peek(&mut [0; 1]).is_ok_and(|size| size > 0)
     }
 
+    /// Whether bytes have come that were not read yet, or the reader is at work on what it read.
+    pub fn has_unused(&self) -> bool {
+        // In this order: whoever reads what would have been seen here does not wait from before that on.
+        self.has_unread() || !self.reader_waits.load(Ordering::SeqCst)
+    }
+
     /// A second descriptor of the same connection.
     pub fn duplicate(&self) -> io::Result<OwnedFd> {
         self.stream.inner().try_clone().map(Into::into)
@@ -117,7 +130,10 @@
             match self.stream.inner().read(buffer) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    match self.stream.wait(within) {
+                    self.reader_waits.store(true, Ordering::SeqCst);
+                    let waited = self.stream.wait(within);
+                    self.reader_waits.store(false, Ordering::SeqCst);
+                    match waited {
                         // What came just as the time was up has come.
                         Err(error) if error.kind() == ErrorKind::TimedOut => {
                             return self.stream.inner().read(buffer).map_err(|late| match late.kind() {
--- a/crates/node/tests/moments.rs
+++ b/crates/node/tests/moments.rs
@@ -10,7 +10,7 @@
 use support::late::{requests, LateListener};
 use support::platform::{cancel, dispatch, fields, Bench, Channel, Client, Reply};
 use support::workers::Act;
-use support::{free_address, until, Daemon, PATIENCE};
+use support::{ask, free_address, until, Daemon, PATIENCE};
 
 /// For what must not happen: long enough for it to have happened.
 const LONG_ENOUGH: Duration = Duration::from_millis(700);
@@ -18,6 +18,8 @@
 const ONE_PLACE: u32 = 42;
 /// By then after SIGTERM connections are let go.
 const LET_GO: Duration = Duration::from_millis(1000);
+/// So long after the operators' drain connections are let go.
+const LET_GO_DRAINED: Duration = Duration::from_millis(700);
 
 /// Waits until the program has taken so many requests.
 fn until_taken(bench: &Bench, count: u32) {
@@ -170,6 +172,35 @@
     }
 }
 
+/// Guards requests that stand unread when their connections are let go: with the reading side shut, a client that left
+/// was not seen to leave, and its request went out as soon as a worker took work.
+#[test]
+fn a_client_whose_request_stood_unread_at_the_drain_is_seen_to_leave() {
+    const CLIENTS: u64 = 40;
+    let bench = Bench::new(&[Act::Serve], 0);
+    let worker = bench.fleet.frames("h0");
+    assert!(ask(bench.admin, "PUT", "/v1/invoker/drain", &[], b"").status < 300);
+    let called = Instant::now();
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| bench.client()).collect();
+    std::thread::sleep(LET_GO_DRAINED.saturating_sub(called.elapsed() + Duration::from_millis(300)));
+    bench.daemon.signal("STOP");
+    for (client, id) in clients.iter_mut().zip(0x100..) {
+        client.send(&check(1, id));
+    }
+    std::thread::sleep(LET_GO_DRAINED.saturating_sub(called.elapsed()) + Duration::from_millis(100));
+    bench.daemon.signal("CONT");
+    until_taken(&bench, CLIENTS as u32);
+    drop(clients);
+    let withdrawn = format!("withdrawn={CLIENTS} ");
+    until("all are withdrawn", || {
+        bench.daemon.signal("USR1");
+        bench.daemon.errors().contains(&withdrawn)
+    });
+    bench.channel.tell(2, "h0", worker, "up");
+    std::thread::sleep(LONG_ENOUGH);
+    assert!(bench.fleet.sent().is_empty());
+}
+
 /// Guards what has come by the end of the process and was not read: the process stands still from the time in which it
 /// takes requests to after it, and finds them all at once.
 #[test]
