A follower without its first copy refuses calls of unknown functions in place of 404

Checked: the position is on disk only behind a whole copy. Change: 503 with Retry-After until then. Measured: feed.rs, the extended test fails on 404 before, green after.

--- a/crates/node/src/wire/feed/status.rs
+++ b/crates/node/src/wire/feed/status.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Whether this node has a whole configuration, which only a follower may lack.
+    pub fn is_ready(&self) -> bool {
+        self.follower_report().is_none_or(|report| report.is_ready())
+    }
+
     /// Adds what there is to tell to a node's status.
     pub fn add_status(&self, status: &mut Value) {
         if let Some(mesh) = &self.mesh {
@@ -66,9 +71,8 @@
         if let Some(report) = self.feed_report() {
             status["feed"] = feed_status(&report);
         }
-        let follower = self.follower_report();
-        status["ready"] = follower.as_ref().is_none_or(FollowerReport::is_ready).into();
-        if let Some(report) = follower {
+        status["ready"] = self.is_ready().into();
+        if let Some(report) = self.follower_report() {
             status["follow"] = follower_status(&report);
         }
     }
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -46,6 +46,8 @@
 const MAX_KEY: usize = 128;
 /// Advice to a client of a node that is about to end, in milliseconds.
 const ENDING_MS: Ms = 1000.0;
+/// Advice to a client of a follower that has no configuration yet.
+const NOT_READY_MS: Ms = 1000.0;
 /// Advice to a client for whose connection there is no room.
 const CROWDED_MS: Ms = 1000.0;
 
@@ -317,9 +319,7 @@
     /// Reads a call and takes it in, unless it repeats an earlier one.
     fn admit(&self, name: &str, head: &RequestHead, body: Vec<u8>) -> Result<Admitted, Response> {
         let bad = |detail: &str| problem(400, "malformed", detail, Some(false));
-        let function = self.catalog.function(name);
-        let function = function
-            .ok_or_else(|| problem(404, "unknown-function", &format!("no function {name:?}"), Some(false)))?;
+        let function = self.catalog.function(name).ok_or_else(|| self.unknown_function(name))?;
         let invoker = &self.invoker;
         let class = position(&invoker.names.classes, &function.class).ok_or_else(|| {
             problem(404, "unknown-class", "the function's class is unknown here", Some(false))
@@ -478,6 +478,15 @@
         }
     }
 
+    /// What a call of a function without a record is told: nothing is unknown for good before the first copy is whole.
+    fn unknown_function(&self, name: &str) -> Response {
+        if self.role.is_ready() {
+            problem(404, "unknown-function", &format!("no function {name:?}"), Some(false))
+        } else {
+            refused("this node has no whole copy of its configuration yet", Some(NOT_READY_MS))
+        }
+    }
+
     fn check_function(&self, function: &Function) -> Result<(), CatalogError> {
         if position(&self.invoker.names.classes, &function.class).is_none() {
             return Err(CatalogError::Value(format!("class: {:?} is unknown", function.class)));
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -294,8 +294,14 @@
     assert!(function_memory(&known, "once").is_some());
     let empty = site.start_follower(1);
     assert_eq!(status(&empty)["ready"], json!(false));
+    let call =
+        |name: &str| ask(empty.address, "POST", &format!("/v1/functions/{name}/invocations"), &[], b"x");
+    let early = call("once");
+    assert_eq!((early.status, early.header("retry-after")), (503, Some("1")), "it may be known soon");
+    assert_eq!(early.header("corkbay-may-have-run"), Some("false"));
     let _control = site.start_control(0);
     until("its first copy is there", || is_following(&empty) && function_memory(&empty, "once").is_some());
+    assert_eq!(call("nowhere").status, 404);
 }
 
 #[test]
