--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -13,7 +13,7 @@
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::feed::{self, FeedRole, Role};
 use crate::wire::http_workers::{self, HttpWorkers};
-use crate::wire::invoke::{self, Desk};
+use crate::wire::invoke::{self, InvokeApi};
 use crate::wire::news::OnNews;
 use crate::wire::replicate;
 use crate::wire::workers::FrameWorkers;
@@ -59,7 +59,7 @@
         Parts { invoker: invoker.clone(), catalog: Arc::new(catalog), invocations: Arc::new(invocations) };
     let role = role(deploy, &store, &parts)?;
     let Parts { catalog, invocations, .. } = parts;
-    let desk = Arc::new(Desk { invoker: invoker.clone(), invocations, catalog, role });
+    let api = Arc::new(InvokeApi { invoker: invoker.clone(), invocations, catalog, role });
     let account = ledger.account(Purpose::Clients).clone();
     let client_limits = ConnectionLimits { most: clients, stall: invoke::WRITE_STALL, account };
     let acceptor = Acceptor::open(deploy.listen, client_limits).map_err(|e| at("listen")(&e))?;
@@ -70,15 +70,15 @@
             tracing::error!(%error, "store");
         }
     });
-    let (ours, theirs) = (desk.clone(), acceptor.clone());
+    let (ours, theirs) = (api.clone(), acceptor.clone());
     spawn(move || theirs.accept(move |connection| invoke::serve(&ours, &connection)));
     println!("invoke API on {bound}");
     // Functions, workers and caps of memory are taken up; what the file says besides holds from the next start on.
     let reload = || {
         let next = Deploy::load(path)?;
         ledger.adopt(&accounts::deploy_budget(&next.memory_settings(), base)?);
-        seed(&desk.catalog, &next)?;
-        desk.catalog.announce(&desk.invoker);
+        seed(&api.catalog, &next)?;
+        api.catalog.announce(&api.invoker);
         Ok(())
     };
     let within = STILL_TAKING + longest_deadline(&settings) + LAST_ANSWERS;
