--- a/crates/node/src/core/invoker/tests.rs
+++ b/crates/node/src/core/invoker/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use crate::core::{CancelNotice, Ending};
+use crate::core::{Answer, AttemptError, CancelNotice, Cause, Ending, Exchange};
+use crate::memory::roster::Host;
 use corkbay::{ModelId, Request, Standing};
 use std::sync::atomic::AtomicUsize;
 
