Rig: connections count as idle once the decisions are done with what was called

The experiment watched from 1 s after the last call on, so it counted the decisions' work behind the calls. Ruled out: frames and dials (none while idle). Change: daemons are left alone for longer than a keep time first.

--- a/crates/rig/src/scale/connections.rs
+++ b/crates/rig/src/scale/connections.rs
@@ -12,7 +12,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-/// Time for a start or for closed connections to settle.
+/// Time for a start, or for connections that were opened or closed, to be seen by all.
 const SETTLE: Duration = Duration::from_secs(1);
 /// Work and loads of workers whose own pace is of no interest.
 const QUICK: Duration = Duration::from_millis(1);
@@ -39,6 +39,10 @@
     /// Functions for each worker; each is called a few times, so that every worker is spoken to.
     #[arg(long, default_value_t = 6)]
     pub functions: usize,
+    /// For how long daemons are left alone after the last call before they count as idle, in seconds: the decisions look
+    /// after what was called for up to a keep time (10 s by default).
+    #[arg(long, default_value_t = 14.0)]
+    pub settle_seconds: f64,
     /// For how long idle daemons are watched, in seconds.
     #[arg(long, default_value_t = 2.0)]
     pub idle_seconds: f64,
@@ -134,13 +138,13 @@
         for daemon in &daemons {
             calls_served += call_all(daemon, functions)?;
         }
-        std::thread::sleep(SETTLE);
+        std::thread::sleep(self.settle_time(options));
         let connected = look(&daemons, &fleet)?;
         let began = Instant::now();
         std::thread::sleep(idle);
         let connected_later = look(&daemons, &fleet)?;
         let span_s = began.elapsed().as_secs_f64();
-        let closed = if self.close_s < KEPT_S {
+        let closed = if self.closes_soon() {
             std::thread::sleep(Duration::from_secs_f64(self.close_s) + SETTLE);
             Some(look(&daemons, &fleet)?)
         } else {
@@ -163,6 +167,19 @@
         })
     }
 
+    /// Whether idle connections are to close while they are watched.
+    fn closes_soon(&self) -> bool {
+        self.close_s < KEPT_S
+    }
+
+    /// How long daemons are left alone after the last call.
+    fn settle_time(&self, options: &Options) -> Duration {
+        if self.closes_soon() {
+            return SETTLE;
+        }
+        Duration::from_secs_f64(options.settle_seconds)
+    }
+
     fn deploy(&self, fleet: &Fleet, functions: usize) -> String {
         let idle_ms = self.close_s * 1000.0;
         let mut tables = format!(
--- a/crates/rig/tests/slopes.rs
+++ b/crates/rig/tests/slopes.rs
@@ -95,6 +95,7 @@
         "--daemons=2",
         "--shared-workers=2",
         "--functions=4",
+        "--settle-seconds=1",
         "--idle-seconds=0.5",
         "--close-seconds=1",
     ]);
