Feed: a cut between regions is played with real processes

A relay holds all bytes between three regions for 5 s, longer than the silence limits: each region goes on by itself, and all five nodes hold the same after it.

--- a/crates/node/tests/support/nodes.rs
+++ b/crates/node/tests/support/nodes.rs
@@ -1,7 +1,7 @@
 //! Nodes that share configuration: control nodes, followers, and a relay whose connections can be cut.
 use super::{ask, Daemon, Folder, CLASSES};
 use serde_json::{json, Value};
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -52,10 +52,11 @@
     ask(node.address, "GET", "/v1/functions", &[], b"").json()[name]["memory_mb"].as_f64()
 }
 
-/// Passes connections on to an address until it is cut.
+/// Passes connections on to an address until it is cut or silenced.
 pub struct Relay {
     pub address: SocketAddr,
     is_cut: Arc<AtomicBool>,
+    is_silent: Arc<AtomicBool>,
     sockets: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -63,8 +64,10 @@
     pub fn to(target: SocketAddr) -> Self {
         let address = super::free_address();
         let listener = TcpListener::bind(address).expect("free");
-        let (is_cut, sockets) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
-        let relay = Relay { address, is_cut: is_cut.clone(), sockets: sockets.clone() };
+        let (is_cut, is_silent) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let sockets = Arc::new(Mutex::new(Vec::new()));
+        let relay =
+            Relay { address, is_cut: is_cut.clone(), is_silent: is_silent.clone(), sockets: sockets.clone() };
         std::thread::spawn(move || {
             for client in listener.incoming().map_while(Result::ok) {
                 if is_cut.load(Ordering::SeqCst) {
@@ -75,7 +78,8 @@
                 };
                 for (from, to) in [(&client, &server), (&server, &client)] {
                     let (from, to) = (from.try_clone().expect("a copy"), to.try_clone().expect("a copy"));
-                    std::thread::spawn(move || copy(from, to));
+                    let is_silent = is_silent.clone();
+                    std::thread::spawn(move || copy(from, to, &is_silent));
                 }
                 sockets.lock().expect("whole").extend([client, server]);
             }
@@ -91,14 +95,32 @@
         }
     }
 
-    /// Lets connections through again.
+    /// Passes nothing on from now on, as a network that loses all packets: connections stay open, and what is on its way
+    /// arrives after [`Relay::mend`].
+    pub fn silence(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
+    }
+
+    /// Lets connections and what stood on them through again.
     pub fn mend(&self) {
         self.is_cut.store(false, Ordering::SeqCst);
+        self.is_silent.store(false, Ordering::SeqCst);
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream) {
-    let _ = io::copy(&mut from, &mut to);
+/// Passes bytes on; while it is silent they wait, and so does the end of the connection.
+fn copy(mut from: TcpStream, mut to: TcpStream, is_silent: &AtomicBool) {
+    let mut chunk = [0; 16 << 10];
+    loop {
+        let read = from.read(&mut chunk);
+        while is_silent.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        match read {
+            Ok(size @ 1..) if to.write_all(&chunk[..size]).is_ok() => {}
+            _ => break,
+        }
+    }
     let _ = to.shutdown(Shutdown::Both);
 }
 
