--- a/crates/duty/src/passage.rs
+++ b/crates/duty/src/passage.rs
@@ -105,39 +105,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    fn message() -> impl Strategy<Value = Message> {
-        let bytes = proptest::collection::vec(any::<u8>(), 0..40);
-        prop_oneof![
-            (any::<u64>(), proptest::collection::vec(any::<i32>(), 0..33))
-                .prop_map(|(number, owed)| Message::Connection { number, owed }),
-            (any::<u64>(), any::<i32>(), bytes).prop_map(|(number, seqid, bytes)| Message::End {
-                number,
-                seqid,
-                bytes
-            }),
-        ]
-    }
-
-    proptest! {
-        #[test]
-        fn a_message_is_read_back(message in message()) {
-            let bytes = message.encode();
-            let (head, body) = bytes.split_first_chunk::<HEAD>().expect("a head");
-            let head = Head::decode(head).expect("good");
-            prop_assert_eq!(head.length(), body.len());
-            prop_assert_eq!(head.message(body.to_vec()), message);
-        }
-
-        /// Guards memory against what is no message: nothing is read beyond a bound.
-        #[test]
-        fn no_head_asks_for_more_than_may_be(head in any::<[u8; HEAD]>()) {
-            if let Ok(head) = Head::decode(&head) {
-                prop_assert!(head.length() <= MOST_BODY);
-            }
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/ledger/src/account/tests.rs
@@ -0,0 +1,64 @@
+use super::*;
+use std::sync::mpsc::channel;
+
+#[test]
+fn a_reservation_counts_in_all_accounts_above_and_goes_back_from_all() {
+    let root = Account::root("all", 100);
+    let (calls, keys) = (root.child("calls", 80), root.child("keys", 50));
+    let one = calls.reserve(60).expect("room");
+    assert_eq!((root.used(), calls.used(), keys.used()), (60, 60, 0));
+    let full = keys.reserve(50).expect_err("the root has 40 left");
+    assert!(full.account.is(&root));
+    assert_eq!((keys.used(), root.refused(), keys.refused()), (0, 1, 0), "nothing stays half taken");
+    drop(one);
+    assert_eq!((root.used(), calls.used(), root.peak(), calls.peak()), (0, 0, 60, 60));
+}
+
+#[test]
+fn a_lowered_cap_ends_nothing_and_takes_nothing_new() {
+    let account = Account::root("calls", 100);
+    let mut held = account.reserve(90).expect("room");
+    account.set_cap(50);
+    assert!(account.reserve(1).is_err() && held.resize(91).is_err());
+    assert_eq!((held.bytes(), account.used()), (90, 90));
+    held.shrink_to(40);
+    assert!(account.reserve(10).is_ok());
+    assert!(account.reserve(0).is_ok(), "nothing always fits");
+    drop(account.owe(30));
+    assert_eq!((account.used(), account.peak()), (40, 90));
+}
+
+/// Guards readers that are slowed down: each goes on as soon as its bytes fit, in turn, and one that
+/// left the queue holds up nobody.
+#[test]
+fn those_who_wait_are_woken_in_turn() {
+    let account = Account::root("clients", 100);
+    let mut held = account.reserve(100).expect("room");
+    let (sender, woken) = channel();
+    let wait = |name: &'static str, bytes| {
+        let sender = sender.clone();
+        account.when_room(bytes, move || sender.send(name).expect("heard"))
+    };
+    let large = wait("large", 60);
+    let _small = wait("small", 10);
+    let _last = wait("last", 50);
+    held.shrink_to(80);
+    assert!(woken.try_recv().is_err(), "the large one came first");
+    drop(large);
+    assert_eq!(woken.try_iter().collect::<Vec<_>>(), ["small"]);
+    drop(held);
+    assert_eq!(woken.try_iter().collect::<Vec<_>>(), ["last"]);
+    let _at_once = wait("at once", 1);
+    assert_eq!(woken.try_recv(), Ok("at once"));
+    account.set_cap(0);
+    let _raised = wait("raised", 5);
+    account.set_cap(5);
+    assert_eq!(woken.try_recv(), Ok("raised"));
+}
+
+#[test]
+fn the_high_mark_starts_anew_at_each_look() {
+    let account = Account::root("keys", 100);
+    drop(account.reserve(70).expect("room"));
+    assert_eq!((account.take_high(), account.take_high(), account.peak()), (70, 0, 70));
+}
--- a/crates/node/src/memory/resident.rs
+++ b/crates/node/src/memory/resident.rs
@@ -10,14 +10,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_touched_is_seen() {
-        let before = resident_bytes();
-        let held = vec![1u8; 32 << 20];
-        let grown = resident_bytes().saturating_sub(before);
-        assert!(before > 0 && grown > 24 << 20, "{before} and {grown} more for {}", held.len());
-    }
-}
+mod tests;
--- a/crates/node/src/wire/thrift.rs
+++ b/crates/node/src/wire/thrift.rs
@@ -316,48 +316,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    fn dispatch(seqid: i32, fields: &Fields, body: &[u8]) -> Vec<u8> {
-        let mut writer = Writer::message(CALL, "dispatch", seqid);
-        writer.field(MAP, 1);
-        writer.map(fields);
-        writer.field(STRING, 2);
-        writer.bytes(body);
-        writer.0.push(STOP);
-        writer.frame()
-    }
-
-    proptest! {
-        #[test]
-        fn dispatch_is_read_back(seqid in any::<i32>(), name in "[a-z]{1,8}", value in ".{0,20}",
-                                 body in proptest::collection::vec(any::<u8>(), 0..200)) {
-            let fields = Fields::from([(name, value)]);
-            let mut buffer = dispatch(seqid, &fields, &body);
-            let message = unframe(&mut buffer).expect("framed").expect("whole");
-            prop_assert_eq!(read(&message), Ok(Message::Dispatch { seqid, fields, body }));
-        }
-
-        /// Guards against a client's bytes taking the process down.
-        #[test]
-        fn any_bytes_are_read_or_turned_down(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
-            let _ = read(&bytes);
-            let mut head = Writer::message(CALL, "dispatch", 7).frame().split_off(4);
-            head.extend(bytes);
-            if let Err(malformed) = read(&head) {
-                prop_assert_eq!(malformed.call, Some((7, "dispatch".to_string())));
-            }
-        }
-    }
-
-    #[test]
-    fn lengths_beyond_the_message_are_turned_down() {
-        let mut message = Writer::message(CALL, "dispatch", 3);
-        message.field(STRING, 2);
-        message.0.extend(i32::MAX.to_be_bytes());
-        assert_eq!(read(&message.frame()[4..]).expect_err("cut").what, "cut short");
-        assert!(unframe(&mut vec![0xff; 8]).is_err());
-    }
-}
+mod tests;
