--- a/crates/node/src/life/deploy.rs
+++ b/crates/node/src/life/deploy.rs
@@ -1,15 +1,21 @@
 //! The daemon's own deploy file: where the invoke API listens, what it serves and who the workers are.
-use super::accounts::{deploy_budget, MemorySettings, USUAL_BASE};
+mod check;
+mod entries;
+
+use super::accounts::MemorySettings;
 use super::config::ConfigError;
 use super::roles::{FeedSettings, FollowSettings};
-use crate::memory::catalog::{check_name, Function, State};
 use crate::memory::keys::{FUNCTION, WORKER};
 use crate::memory::seeds::{configured_size, pages_size};
 use corkbay_ledger::{Purpose, KIB, MIB};
-use serde::{Deserialize, Serialize};
+pub use entries::{
+    Class, Effect, FunctionEntry, Kind, Limits, Memory, Protocol, Replication, Scope, Style, Tenant,
+    Transport, WorkerEntry, WorkersFile,
+};
+use serde::Deserialize;
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::{SocketAddr, ToSocketAddrs};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Largest answer that the file may allow, in KiB, and what holds where it says nothing: calls that are kept hold room
@@ -74,244 +80,6 @@
     pub workers: Vec<WorkerEntry>,
 }
 
-/// What a workers file holds.
-#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct WorkersFile {
-    /// The workers.
-    #[serde(rename = "worker", default)]
-    pub workers: Vec<WorkerEntry>,
-}
-
-/// A function as it stands in the file.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct FunctionEntry {
-    /// Its name.
-    pub name: String,
-    /// Its class.
-    pub class: String,
-    /// Its tenant, where there are tenants.
-    #[serde(default)]
-    pub tenant: String,
-    /// Memory of one copy, MB.
-    #[serde(default)]
-    pub memory_mb: f64,
-    /// Calls at a time in one copy.
-    #[serde(default = "one_lane")]
-    pub lanes: u32,
-    /// Rough core time of a call, milliseconds.
-    pub cost_ms: Option<f64>,
-}
-
-impl FunctionEntry {
-    /// The function without its name.
-    pub fn function(&self) -> Function {
-        let FunctionEntry { class, tenant, memory_mb, lanes, cost_ms, .. } = self.clone();
-        Function { class, tenant, memory_mb, lanes, cost_ms }
-    }
-}
-
-/// A worker as it stands in a file; its address may name a host.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct WorkerEntry {
-    /// Its name.
-    pub name: String,
-    /// Host and port.
-    pub address: String,
-    /// Its zone.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub zone: String,
-    /// Its machine kind.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub kind: String,
-    /// Its rack.
-    #[serde(default)]
-    pub cell: i64,
-    /// Size in relation to the others.
-    #[serde(default = "one")]
-    pub weight: f64,
-    /// Whether it takes work.
-    #[serde(default)]
-    pub state: State,
-}
-
-/// What is spoken to workers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Protocol {
-    /// The invoke API.
-    #[default]
-    Http,
-    /// Binary frames.
-    Frames,
-}
-
-/// How an answer travels from a worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Style {
-    /// On the exchange that carried the call.
-    #[default]
-    Held,
-    /// Collected later.
-    Deferred,
-}
-
-/// How workers are spoken to.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Transport {
-    /// What is spoken.
-    #[serde(default)]
-    pub protocol: Protocol,
-    /// How answers travel.
-    #[serde(default)]
-    pub style: Style,
-    /// Workers load models only when ordered to (frames only).
-    #[serde(default)]
-    pub orders: bool,
-}
-
-/// Limits of attempts and connections.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Limits {
-    /// Most attempts for a call.
-    pub attempts: u32,
-    /// A connection not made by then has failed.
-    pub connect_timeout_ms: f64,
-    /// An idle connection is closed after this.
-    pub idle_ms: f64,
-    /// Exchanges that one connection carries at once.
-    pub streams: u32,
-    /// Least time for which workers keep an idle copy.
-    pub keep_ms: f64,
-    /// Longest advice to stay away.
-    pub max_retry_after_ms: f64,
-    /// Largest body of a worker's answer, KiB. Calls whose answers are kept hold room for it meanwhile.
-    pub answer_kb: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Limits {
-            attempts: 5,
-            connect_timeout_ms: 250.0,
-            idle_ms: 15_000.0,
-            streams: 32,
-            keep_ms: 10_000.0,
-            max_retry_after_ms: 1000.0,
-            answer_kb: LARGEST_ANSWER_KB,
-        }
-    }
-}
-
-/// How the memory is shared out between purposes.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Memory {
-    /// What the process takes by itself, MB; measured at the start where it is not given.
-    pub base_mb: Option<f64>,
-    /// What is kept back for what no account sees, in percent.
-    pub reserve_percent: f64,
-    /// Parts of purposes, in percent of the rest; those not named split what is left.
-    pub shares: BTreeMap<String, f64>,
-}
-
-impl Default for Memory {
-    fn default() -> Self {
-        Memory { base_mb: None, reserve_percent: 15.0, shares: BTreeMap::new() }
-    }
-}
-
-/// Replication of the store.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Replication {
-    /// Where other nodes call.
-    pub listen: SocketAddr,
-    /// Where they are called.
-    #[serde(default)]
-    pub peers: Vec<SocketAddr>,
-    /// Time between two swaps of digests; writes are pushed at once.
-    #[serde(default = "interval")]
-    pub interval_ms: u64,
-}
-
-/// What running a call of a class twice would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Effect {
-    /// Nothing.
-    Pure,
-    /// Workers drop repeats of a key.
-    Token,
-    /// Harm.
-    SideEffect,
-}
-
-/// Which workers drop repeats.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Scope {
-    /// Every one.
-    All,
-    /// Those of a zone.
-    Zone,
-    /// Those of a rack.
-    #[default]
-    Cell,
-}
-
-/// A class of calls.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Class {
-    /// Its name.
-    pub name: String,
-    /// When an answer is wanted.
-    pub aim_ms: f64,
-    /// When a client gives up at the latest.
-    pub give_up_ms: f64,
-    /// What a repeat does.
-    pub effect: Effect,
-    /// Which workers drop repeats.
-    #[serde(default)]
-    pub dedup_scope: Scope,
-    /// For how long they do.
-    #[serde(default)]
-    pub dedup_window_ms: f64,
-    /// Worth of a call.
-    #[serde(default = "one")]
-    pub worth: f64,
-    /// Part of it that a late answer earns.
-    #[serde(default)]
-    pub late_worth: f64,
-}
-
-/// A tenant.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Tenant {
-    /// Its name.
-    pub name: String,
-    /// Calls a second within its share; 0 for no share.
-    #[serde(default)]
-    pub quota_per_s: f64,
-}
-
-/// A machine kind.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Kind {
-    /// Its name.
-    pub name: String,
-    /// Its memory.
-    pub memory_mb: f64,
-}
-
 fn memory() -> u64 {
     128
 }
@@ -324,18 +92,6 @@
     3600.0
 }
 
-fn interval() -> u64 {
-    2000
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-fn one_lane() -> u32 {
-    1
-}
-
 /// Reads a TOML text; an error names the key.
 pub fn read<'de, T: Deserialize<'de>>(text: &'de str) -> Result<T, ConfigError> {
     let reader = toml::Deserializer::new(text);
@@ -365,88 +121,6 @@
         Ok(deploy)
     }
 
-    /// Checks what the types of the settings leave open.
-    pub(super) fn check(&self) -> Result<(), ConfigError> {
-        let positive = |key: &str, value: f64| {
-            let fine = value.is_finite() && value > 0.0;
-            fine.then_some(()).ok_or_else(|| ConfigError::new(key, "not above 0"))
-        };
-        let names = |key: &str, names: Vec<&str>| {
-            let mut seen = BTreeSet::new();
-            for name in names {
-                check_name(name).map_err(|error| ConfigError::new(format!("{key}.name"), error))?;
-                if !seen.insert(name) {
-                    return Err(ConfigError::new(format!("{key}.name"), format!("{name:?} stands twice")));
-                }
-            }
-            Ok(())
-        };
-        check_name(&self.node).map_err(|error| ConfigError::new("node", error))?;
-        if self.sockets < 64 {
-            return Err(ConfigError::new("sockets", "fewer than 64"));
-        }
-        positive("retention_s", self.retention_s)?;
-        positive("limits.attempts", f64::from(self.limits.attempts))?;
-        positive("limits.connect_timeout_ms", self.limits.connect_timeout_ms)?;
-        positive("limits.idle_ms", self.limits.idle_ms)?;
-        positive("limits.streams", f64::from(self.limits.streams))?;
-        positive("limits.keep_ms", self.limits.keep_ms)?;
-        if !(1..=LARGEST_ANSWER_KB).contains(&self.limits.answer_kb) {
-            return Err(ConfigError::new("limits.answer_kb", format!("not from 1 to {}", LARGEST_ANSWER_KB)));
-        }
-        if let Some(base) = self.memory.base_mb {
-            positive("memory.base_mb", base)?;
-        }
-        if !(0.0..=90.0).contains(&self.memory.reserve_percent) {
-            return Err(ConfigError::new("memory.reserve_percent", "not from 0 to 90"));
-        }
-        let budget = deploy_budget(&self.memory_settings(), USUAL_BASE)?;
-        if let Some(follow) = &self.follow {
-            follow.check(self)?;
-        }
-        if let Some(feed) = &self.feed {
-            feed.check(self.sockets, budget.cap(Purpose::Replication))?;
-        }
-        if self.classes.is_empty() {
-            return Err(ConfigError::new("class", "no class"));
-        }
-        names("class", self.classes.iter().map(|class| class.name.as_str()).collect())?;
-        names("tenant", self.tenants.iter().map(|tenant| tenant.name.as_str()).collect())?;
-        names("kind", self.kinds.iter().map(|kind| kind.name.as_str()).collect())?;
-        names("function", self.functions.iter().map(|function| function.name.as_str()).collect())?;
-        names("worker", self.workers.iter().map(|worker| worker.name.as_str()).collect())?;
-        for class in &self.classes {
-            positive("class.aim_ms", class.aim_ms)?;
-            positive("class.give_up_ms", class.give_up_ms)?;
-            if class.effect == Effect::Token {
-                positive("class.dedup_window_ms", class.dedup_window_ms)?;
-            }
-        }
-        for function in &self.functions {
-            positive("function.lanes", f64::from(function.lanes))?;
-            if !self.classes.iter().any(|class| class.name == function.class) {
-                let what = format!("{:?} of {:?} is no class", function.class, function.name);
-                return Err(ConfigError::new("function.class", what));
-            }
-            let known = self.tenants.iter().any(|tenant| tenant.name == function.tenant);
-            if !self.tenants.is_empty() && !known {
-                let what = format!("{:?} of {:?} is no tenant", function.tenant, function.name);
-                return Err(ConfigError::new("function.tenant", what));
-            }
-        }
-        for worker in &self.workers {
-            positive("worker.weight", worker.weight)?;
-            worker.resolve()?;
-        }
-        match (self.transport.protocol, self.transport.style, self.transport.orders) {
-            (Protocol::Frames, Style::Deferred, _) => {
-                Err(ConfigError::new("transport.style", "frames are held only"))
-            }
-            (Protocol::Http, _, true) => Err(ConfigError::new("transport.orders", "goes with frames only")),
-            _ => Ok(()),
-        }
-    }
-
     /// Largest body of a worker's answer, in bytes.
     pub fn answer_bytes(&self) -> usize {
         self.limits.answer_kb * KIB
@@ -535,13 +209,5 @@
     }
 }
 
-impl WorkerEntry {
-    /// Its address, looked up if it names a host; only at the start, before the first coroutine runs.
-    pub fn resolve(&self) -> Result<SocketAddr, ConfigError> {
-        let unknown = || ConfigError::new("worker.address", format!("{:?} of {:?}", self.address, self.name));
-        self.address.to_socket_addrs().ok().and_then(|mut found| found.next()).ok_or_else(unknown)
-    }
-}
-
 #[cfg(test)]
 mod tests;
