Feed: followers go back to the control node that they prefer

Change: a follower of another than its first choice tries the better ones again after one to three times return_s, doubled with each try in vain, and only with nothing on its way to disk. Rejected: moving as soon as the preferred one is heard of, which sends all at once.

--- a/crates/feed/src/choice.rs
+++ b/crates/feed/src/choice.rs
@@ -109,6 +109,17 @@
         }
     }
 
+    /// Whether no other control node ranks before this one.
+    pub fn is_first(&self, number: ControlNumber) -> bool {
+        self.candidates.first().is_some_and(|first| first.number == number)
+    }
+
+    /// Lets those that rank before this one be tried again at once.
+    pub fn retry_before(&mut self, number: ControlNumber) {
+        let better = self.candidates.iter_mut().take_while(|candidate| candidate.number != number);
+        better.for_each(|candidate| candidate.not_before = Ms::MIN);
+    }
+
     /// Where all are left alone for long, moves the one that failed and comes first closer.
     fn bound_wait(&mut self, now: Ms, rng: &mut impl Rng) {
         let longest = now + LONGEST_WAIT_MS;
--- a/crates/feed/src/follower.rs
+++ b/crates/feed/src/follower.rs
@@ -1,6 +1,7 @@
 //! A follower's side of the feed.
 mod in_flight;
 mod receiving;
+mod returning;
 mod state;
 
 use crate::{
@@ -9,6 +10,7 @@
 };
 use in_flight::InFlight;
 use rand::Rng;
+use returning::Return;
 
 pub use state::{BatchNumber, ConnectionNumber, FollowerAction, FollowerState, FollowerStatus};
 
@@ -36,6 +38,8 @@
     /// When the state was entered or the control node was last heard in it.
     since: Ms,
     last_heard: Option<Ms>,
+    /// When it goes back to a control node that it prefers.
+    planned_return: Return,
     owed: Owed,
     /// What was handed out to be written.
     taken: Option<Position>,
@@ -63,6 +67,7 @@
             connection: ConnectionNumber(0),
             since: Ms::MIN,
             last_heard: None,
+            planned_return: Return::default(),
             owed: Owed::Nothing,
             taken: position,
             kept: position,
@@ -116,7 +121,9 @@
         }
         if self.receive(message, records, now).is_err() {
             self.fail(now, rng);
+            return;
         }
+        self.plan_return(now, rng);
     }
 
     /// A batch is on disk, and so are all before it.
@@ -135,13 +142,16 @@
         self.fail(now, rng);
     }
 
-    /// Does what is due: connects, and leaves a control node that is silent.
+    /// Does what is due: connects, leaves a control node that is silent, and goes back to one that it prefers.
     pub fn tick(&mut self, now: Ms, rng: &mut impl Rng) {
         if self.next_wakeup() > now {
             return;
         }
         match self.state {
             FollowerState::Waiting { .. } => self.connect(now),
+            FollowerState::Following { control } if now < self.since + self.limits.silence_ms => {
+                self.go_back(control, now);
+            }
             _ => self.fail(now, rng),
         }
     }
@@ -154,8 +164,9 @@
             // The disk is slow, not the control node.
             FollowerState::Greeting { .. } if self.owed == Owed::Hello => self.since + self.limits.silence_ms,
             FollowerState::Greeting { .. } => self.since + self.limits.greeting_ms,
-            FollowerState::Comparing { .. } | FollowerState::Following { .. } => {
-                self.since + self.limits.silence_ms
+            FollowerState::Comparing { .. } => self.since + self.limits.silence_ms,
+            FollowerState::Following { .. } => {
+                self.planned_return.or_before(self.since + self.limits.silence_ms)
             }
         }
     }
@@ -196,6 +207,7 @@
     }
 
     fn leave(&mut self, now: Ms) {
+        self.planned_return.put_off();
         self.owed = Owed::Nothing;
         self.actions.push(FollowerAction::Disconnect { connection: self.connection });
         self.connect(now);
--- a/crates/feed/src/limits.rs
+++ b/crates/feed/src/limits.rs
@@ -60,10 +60,19 @@
     pub silence_ms: Ms,
     /// Batches that may be on their way to disk; a control node that sends more is left.
     pub pending_batches: usize,
+    /// A follower of another control node than its first choice tries the better ones again after one to three times so
+    /// long, at random; each try that was in vain doubles the span.
+    pub return_ms: Ms,
 }
 
 impl Default for FollowerLimits {
     fn default() -> Self {
-        FollowerLimits { connect_ms: 1000.0, greeting_ms: 1500.0, silence_ms: 3500.0, pending_batches: 1024 }
+        FollowerLimits {
+            connect_ms: 1000.0,
+            greeting_ms: 1500.0,
+            silence_ms: 3500.0,
+            pending_batches: 1024,
+            return_ms: 60_000.0,
+        }
     }
 }
--- a/crates/feed/tests/simulation.rs
+++ b/crates/feed/tests/simulation.rs
@@ -2,7 +2,7 @@
 //! any control node changes records. What a follower holds, claims and acknowledges is checked all the time.
 mod support;
 
-use corkbay_feed::FeedLimits;
+use corkbay_feed::{FeedLimits, FollowerLimits, Ms};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use support::checker::Violation;
@@ -15,6 +15,10 @@
 /// The time in which all followers must hold what control nodes hold.
 const IN_FORCE: u64 = 6 * SECOND;
 const IDLE: u64 = 9 * SECOND;
+/// The span after which followers go back where that is played, and the time in which all have: three times sixteen of
+/// these, and what lies between.
+const RETURN_MS: Ms = 400.0;
+const ALL_RETURN: u64 = 30 * SECOND;
 /// Bytes of all records, at most.
 const MOST_COPY_BYTES: usize = 12 << 10;
 /// Pages that one copy after the other gets through in 2 s, at 30 ms from one to the next.
@@ -48,7 +52,8 @@
     kept.fill(0, rng.random_range(0..100), 1, 10);
     let troubled_until = rng.random_range(8..20) * SECOND;
     let controls = rng.random_range(3..=4);
-    Plan { seed, planted, controls, followers, limits, content, kept, troubled_until }
+    let follower_limits = FollowerLimits::default();
+    Plan { seed, planted, controls, followers, limits, follower_limits, content, kept, troubled_until }
 }
 
 fn play(seed: u64, planted: Planted) -> Result<Course, Violation> {
@@ -62,6 +67,21 @@
     Ok(world.course())
 }
 
+/// Plays with followers that go back soon, so that they do so in the middle of the troubles; tells how many strayed at the
+/// end of these.
+fn play_returns(seed: u64) -> Result<usize, Violation> {
+    let mut plan = plan(seed, Planted::Nothing);
+    plan.follower_limits.return_ms = RETURN_MS;
+    let troubled_until = plan.troubled_until;
+    let mut world = World::new(plan);
+    world.run_until(troubled_until)?;
+    let strays = world.strays();
+    world.check_settles(ALL_RETURN)?;
+    assert_eq!(world.strays(), 0, "seed {seed}");
+    world.check_change_while_one_is_away(IN_FORCE)?;
+    Ok(strays)
+}
+
 /// The seeds, from the one that `CORKBAY_SEED` names or from 1 on, and as many as `CORKBAY_SEEDS` says.
 fn seeds() -> std::ops::Range<u64> {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
@@ -122,6 +142,14 @@
     assert!(troubles.iter().all(|count| *count > 100), "the troubles took place: {troubles:?}");
 }
 
+/// Guards control nodes against carrying the followers of one that failed for ever.
+#[test]
+fn followers_go_back_to_their_first_choice_after_troubles() {
+    let strays: Vec<_> = seeds().take(40).map(|seed| play_returns(seed).expect("keeps the rules")).collect();
+    println!("followers at another control node at the end of the troubles: {strays:?}");
+    assert!(strays.iter().sum::<usize>() > 40, "there was something to come back from: {strays:?}");
+}
+
 fn tell_spread(what: &str, mut times: Vec<Time>) {
     times.sort_unstable();
     let (median, most) = (times[times.len() / 2] / MS, times[times.len() - 1] / MS);
--- a/crates/feed/tests/startup.rs
+++ b/crates/feed/tests/startup.rs
@@ -2,7 +2,7 @@
 //! everyone is served in the end.
 mod support;
 
-use corkbay_feed::{FeedCounters, FeedLimits};
+use corkbay_feed::{FeedCounters, FeedLimits, FollowerLimits};
 use support::world::{Plan, Planted, Time, World, MS, SECOND};
 use support::TestStore;
 
@@ -23,6 +23,7 @@
         controls: 1,
         followers: FOLLOWERS,
         limits: limits.clone(),
+        follower_limits: FollowerLimits::default(),
         content,
         kept,
         troubled_until: 0,
@@ -86,6 +87,7 @@
             controls: 3,
             followers: 880,
             limits: FeedLimits::default(),
+            follower_limits: FollowerLimits::default(),
             content: content.clone(),
             kept: content.clone(),
             troubled_until: 0,
--- a/crates/feed/tests/support/world.rs
+++ b/crates/feed/tests/support/world.rs
@@ -48,6 +48,7 @@
     pub controls: usize,
     pub followers: usize,
     pub limits: FeedLimits,
+    pub follower_limits: FollowerLimits,
     /// What control nodes hold, and what followers hold.
     pub content: TestStore,
     pub kept: TestStore,
@@ -276,15 +277,19 @@
     }
 
     fn machine(&self, follower: usize, position: Option<Position>) -> Follower<TestRecord, TestOrder> {
-        let name = format!("invoker-{follower}");
+        let order = TestOrder { takes_older: self.plan.planted == Planted::TakesOlder };
+        let limits = self.plan.follower_limits.clone();
+        Follower::new(&name(follower), limits, self.choice(follower), order, position)
+    }
+
+    /// The choice of a follower that has not tried any control node yet.
+    fn choice(&self, follower: usize) -> ControlChoice {
         let zone = |number: usize| format!("zone-{}", number % 2);
         let address = |number: usize| format!("127.0.0.1:{}", 7000 + number);
         let nodes = 0..self.plan.controls;
         let controls: Vec<ControlNode> =
             nodes.map(|number| ControlNode { address: address(number), zone: Some(zone(number)) }).collect();
-        let choice = ControlChoice::new(&name, Some(&zone(follower)), &controls).expect("has control nodes");
-        let order = TestOrder { takes_older: self.plan.planted == Planted::TakesOlder };
-        Follower::new(&name, FollowerLimits::default(), choice, order, position)
+        ControlChoice::new(&name(follower), Some(&zone(follower)), &controls).expect("has control nodes")
     }
 
     fn schedule(&mut self, at: Time, event: Event) {
@@ -404,6 +409,10 @@
     }
 }
 
+fn name(follower: usize) -> String {
+    format!("invoker-{follower}")
+}
+
 fn add(sum: &mut FeedCounters, more: FeedCounters) {
     sum.resumes += more.resumes;
     sum.comparisons += more.comparisons;
--- a/crates/feed/tests/support/world/checks.rs
+++ b/crates/feed/tests/support/world/checks.rs
@@ -1,5 +1,6 @@
 //! What is checked once the troubles are over.
 use super::*;
+use corkbay_feed::FollowerState;
 
 /// How often it is looked whether something has come about.
 const LOOK_INTERVAL: Time = 50 * MS;
@@ -29,6 +30,16 @@
         }
     }
 
+    /// How many followers follow another control node than the first of their choice.
+    pub fn strays(&self) -> usize {
+        let is_stray = |(number, follower): &(usize, &FollowerNode)| {
+            let first = self.choice(*number);
+            let state = follower.machine.status().state;
+            !matches!(state, FollowerState::Following { control } if first.is_first(control))
+        };
+        self.followers.iter().enumerate().filter(is_stray).count()
+    }
+
     /// Lets so much time pass in which nothing changes, and checks what is said in it.
     pub fn check_idle(&mut self, span: Time, most_pair: u64) -> Checked {
         self.idle = Some(vec![IdleTraffic::default(); self.plan.followers]);
--- a/crates/feed/tests/units/main.rs
+++ b/crates/feed/tests/units/main.rs
@@ -8,3 +8,4 @@
 mod follower;
 mod history;
 mod messages;
+mod returning;
--- a/crates/node/src/life/roles.rs
+++ b/crates/node/src/life/roles.rs
@@ -45,6 +45,9 @@
     /// Invokers that share the workers, this one among them.
     #[serde(default = "one")]
     pub invokers: usize,
+    /// After one to three times so long at another than its first choice, the follower tries that again, in seconds.
+    #[serde(default = "return_s")]
+    pub return_s: f64,
     /// The control nodes.
     #[serde(rename = "control", default)]
     pub controls: Vec<ControlEntry>,
@@ -72,6 +75,10 @@
     1
 }
 
+fn return_s() -> f64 {
+    60.0
+}
+
 fn followers() -> usize {
     100
 }
@@ -141,7 +148,11 @@
             zone: named(&entry.zone),
             api: entry.api,
         };
-        FollowOptions { zone: named(zone), controls: self.controls.iter().map(control).collect() }
+        FollowOptions {
+            zone: named(zone),
+            controls: self.controls.iter().map(control).collect(),
+            return_ms: self.return_s * 1000.0,
+        }
     }
 
     /// Checks that the node takes its configuration from its control nodes alone.
@@ -152,6 +163,9 @@
         if self.invokers == 0 {
             return Err(ConfigError::new("follow.invokers", "not above 0"));
         }
+        if !self.return_s.is_finite() || self.return_s <= 0.0 {
+            return Err(ConfigError::new("follow.return_s", "not above 0"));
+        }
         let mut seen = BTreeSet::new();
         for control in &self.controls {
             if control.address.port() == 0 {
--- a/crates/node/src/life/roles/tests.rs
+++ b/crates/node/src/life/roles/tests.rs
@@ -37,6 +37,7 @@
         (vec!["[follow]\n[[follow.control]]\naddress = \"127.0.0.1:0\"\n"], "follow.control.address"),
         (vec![FOLLOW, "[[follow.control]]\naddress = \"127.0.0.1:7\"\n"], "follow.control.address"),
         (vec!["[follow]\ninvokers = 0\n[[follow.control]]\naddress = \"127.0.0.1:7\"\n"], "follow.invokers"),
+        (vec!["[follow]\nreturn_s = 0\n[[follow.control]]\naddress = \"127.0.0.1:7\"\n"], "follow.return_s"),
         (vec![FOLLOW, FUNCTION], "function"),
         (vec![FOLLOW, WORKER], "worker"),
         (vec![FOLLOW, REPLICATION], "replication"),
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -48,12 +48,14 @@
 }
 
 /// Whom to follow.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FollowOptions {
     /// The follower's own zone, where that is known.
     pub zone: Option<String>,
     /// The control nodes.
     pub controls: Vec<ControlAddress>,
+    /// After one to three times so long at another than its first choice, a follower tries that again, in milliseconds.
+    pub return_ms: Ms,
 }
 
 /// What a follower has done since it started.
@@ -149,7 +151,8 @@
     let nodes: Vec<ControlNode> = options.controls.iter().map(control_node).collect();
     let choice = ControlChoice::new(store.node(), options.zone.as_deref(), &nodes)?;
     let position = stored_position(&store);
-    let follower = Follower::new(store.node(), FollowerLimits::default(), choice, GreaterRecord, position);
+    let limits = FollowerLimits { return_ms: options.return_ms, ..FollowerLimits::default() };
+    let follower = Follower::new(store.node(), limits, choice, GreaterRecord, position);
     let (index, changes) = RecordIndex::of_store(Scope::Configuration, &store);
     let published = Published { status: follower.status(), counters: FollowerCounters::default() };
     let shared = Arc::new(Shared { published: Mutex::new(published), is_ended: AtomicBool::new(false) });
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -22,6 +22,8 @@
 struct Site {
     /// More of the control nodes' `[feed]` section.
     bounds: &'static str,
+    /// More of the followers' `[follow]` section.
+    following: &'static str,
     folder: Folder,
     replication: Vec<SocketAddr>,
     feeds: Vec<SocketAddr>,
@@ -31,13 +33,14 @@
 
 impl Site {
     fn new(controls: usize, followers: usize) -> Self {
-        Site::with_bounds(controls, followers, "")
+        Site::with(controls, followers, "", "")
     }
 
-    fn with_bounds(controls: usize, followers: usize, bounds: &'static str) -> Self {
+    fn with(controls: usize, followers: usize, bounds: &'static str, following: &'static str) -> Self {
         let addresses = || (0..controls).map(|_| free_address()).collect::<Vec<_>>();
         let mut site = Site {
             bounds,
+            following,
             folder: Folder::new(),
             replication: addresses(),
             feeds: addresses(),
@@ -61,7 +64,7 @@
     fn start_follower(&self, number: usize) -> Daemon {
         let control = |address: &SocketAddr| format!("[[follow.control]]\naddress = \"{address}\"\n");
         let controls: String = self.feeds.iter().map(control).collect();
-        let sections = format!("[follow]\n{controls}{}", classes_only());
+        let sections = format!("[follow]\n{}{controls}{}", self.following, classes_only());
         start_node(&self.folder, &format!("f{number}"), &sections)
     }
 
@@ -257,10 +260,34 @@
     assert_eq!(counter(&stopped, "comparisons"), 1, "of its first copy");
 }
 
+/// Guards the spread of followers over control nodes: those of one that was away come back to it, and miss nothing.
+#[test]
+fn followers_go_back_to_a_control_node_that_is_there_again() {
+    let mut site = Site::with(2, 6, "", "return_s = 0.3\n");
+    let preferred: Vec<_> = site.followers.iter().map(|follower| site.control_of(follower)).collect();
+    let away = site.busiest();
+    let other = 1 - away;
+    site.controls[away].child.kill().expect("own child");
+    for follower in &site.followers {
+        until("it follows the other one", || {
+            is_following(follower) && site.control_of(follower) == Some(other)
+        });
+    }
+    put_function(&site.controls[other], "meanwhile", 1);
+    site.controls[away] = site.start_control(away);
+    for (follower, preferred) in site.followers.iter().zip(preferred) {
+        until("it is back", || is_following(follower) && site.control_of(follower) == preferred);
+        assert_eq!(function_memory(follower, "meanwhile"), Some(1.0));
+    }
+    let changed = Instant::now();
+    put_function(&site.controls[away], "fresh", 7);
+    site.in_force(changed, "fresh", Some(7.0));
+}
+
 /// Guards control nodes against more followers than they can bear: the others find a place elsewhere.
 #[test]
 fn a_full_control_node_sends_followers_elsewhere() {
-    let site = Site::with_bounds(2, 2, "followers = 1\n");
+    let site = Site::with(2, 2, "followers = 1\n", "");
     for control in &site.controls {
         until("each has one", || status(control)["feed"]["followers"] == json!(1));
     }
