--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -45,6 +45,9 @@
     });
     let give_up = deploy.classes.iter().map(|class| class.give_up_ms).collect();
     let catalog = Catalog::new(store.clone(), give_up);
+    if deploy.follow.is_some() {
+        feed::check_store(&store).map_err(|error| at("data_dir")(&error))?;
+    }
     seed(&catalog, deploy)?;
     let retention = Duration::from_secs_f64(deploy.retention_s);
     let invocations =
--- a/crates/node/src/wire/feed.rs
+++ b/crates/node/src/wire/feed.rs
@@ -16,7 +16,9 @@
 mod session;
 mod status;
 
-pub use follower::{follow, ControlAddress, FollowOptions, FollowerCounters, FollowerHandle, FollowerReport};
+pub use follower::{
+    check_store, follow, ControlAddress, FollowOptions, FollowerCounters, FollowerHandle, FollowerReport,
+};
 pub use server::{open, serve, FeedReport, FeedServer};
 pub use status::{FeedRole, ReadOnly, Role};
 
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -139,6 +139,23 @@
     }
 }
 
+/// The disk holds configuration that did not come over the feed: it would stand beside that of the control nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("holds functions or workers of another role; a follower starts with an empty data_dir")]
+pub struct OtherConfiguration;
+
+/// Whether a node with this store can follow: all configuration that it holds came over the feed, which notes so beside it.
+///
+/// # Errors
+/// [`OtherConfiguration`] where it holds any without such a note.
+pub fn check_store(store: &Store) -> Result<(), OtherConfiguration> {
+    let is_noted = [POSITION_KEY, PAGE_KEY].iter().any(|key| store.get(key).is_some());
+    if is_noted || store.configuration_after(None, 1).is_empty() {
+        return Ok(());
+    }
+    Err(OtherConfiguration)
+}
+
 /// Follows control nodes for as long as the handle lives: keeps what comes in the store, and tells of it.
 ///
 /// # Errors
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -401,6 +401,22 @@
     assert!(errors.contains("function: ") && errors.trim_end().lines().count() == 1, "{errors}");
 }
 
+/// Guards a node that becomes a follower: what it had by itself would stay beside what its control nodes say, or hide it.
+#[test]
+fn a_follower_does_not_start_on_the_data_of_another_role() {
+    let folder = Folder::new();
+    drop(start_node(&folder, "f", CLASSES));
+    let follow =
+        format!("[follow]\n[[follow.control]]\naddress = \"{}\"\n{}", free_address(), classes_only());
+    let file = folder.write("f.toml", &support::nodes::deploy("f", &follow));
+    let end = Command::new(env!("CARGO_BIN_EXE_corkbay")).arg("serve").arg(file).output().expect("runs");
+    let errors = String::from_utf8_lossy(&end.stderr).into_owned();
+    assert_eq!(end.status.code(), Some(2));
+    assert!(errors.contains("data_dir: ") && errors.trim_end().lines().count() == 1, "{errors}");
+    let again = start_node(&folder, "f", CLASSES);
+    assert!(function_memory(&again, "once").is_some(), "nothing was written");
+}
+
 /// Guards the feed against frames that are damaged, too long or out of turn: each ends its own connection only.
 #[test]
 fn bad_frames_end_their_connection_only() {
