--- a/crates/duty/src/bans.rs
+++ b/crates/duty/src/bans.rs
@@ -1,4 +1,4 @@
-//! The operators' word on hosts: who is held out, and who came back lately.
+//! The operators' overrides on hosts: who is held out, and who came back lately.
 use crate::Ms;
 use std::collections::BTreeMap;
 
--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -13,7 +13,7 @@
 
 use super::{now_ms, until, Call, Workers};
 use crate::memory::counters::Counters;
-use crate::memory::roster::{Directory, Listing, NotHeeded};
+use crate::memory::roster::{BanError, Directory, Listing};
 use corkbay::{Dispatcher, Event, ModelId, Ms, Names, RequestId, Settings};
 use corkbay_duty::{Bans, Duty, Leave, Terms};
 use corkbay_ledger::pressure::{decide, Case, Decision};
@@ -184,7 +184,7 @@
         self.feed(Event::Roster(roster));
     }
 
-    /// Takes over the operators' word on hosts: from here on nothing begins where they hold one out, whatever the
+    /// Takes over the operators' overrides on hosts: from here on nothing begins where they hold one out, whatever the
     /// directory says.
     pub fn adopt(self: &Arc<Self>, bans: Bans) {
         let _turn = lock(&self.telling);
@@ -195,12 +195,12 @@
     }
 
     /// Whether a host can be held out.
-    pub fn may_suspend(&self, name: &str) -> Result<(), NotHeeded> {
+    pub fn may_suspend(&self, name: &str) -> Result<(), BanError> {
         lock(&self.directory).may_suspend(name)
     }
 
     /// Whether a host can be let back.
-    pub fn may_resume(&self, name: &str) -> Result<(), NotHeeded> {
+    pub fn may_resume(&self, name: &str) -> Result<(), BanError> {
         lock(&self.directory).may_resume(name)
     }
 
@@ -214,7 +214,7 @@
         self.serving.load(Ordering::Acquire)
     }
 
-    /// The operators' word on hosts.
+    /// The operators' overrides on hosts.
     pub fn bans(&self) -> Bans {
         lock(&self.directory).bans().clone()
     }
--- a/crates/node/src/life/handover/tests.rs
+++ b/crates/node/src/life/handover/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use corkbay_duty::Other;
+use corkbay_duty::{Other, Seen};
+use std::path::{Path, PathBuf};
 
 fn folder(name: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("corkbay-handover-{}-{name}", std::process::id()));
@@ -7,7 +8,7 @@
     path
 }
 
-fn clerk(folder: &Path) -> Clerk {
+fn sync(folder: &Path) -> OverridesSync {
     let setup = serde_json::json!({"classes": [{"name": "check"}]});
     let ledger = crate::memory::roomy();
     let limits = crate::wire::workers::Limits {
@@ -20,39 +21,43 @@
     };
     let account = ledger.account(corkbay_ledger::Purpose::Workers).clone();
     let workers = Arc::new(crate::wire::workers::FrameWorkers::new(limits, account));
-    let files = Files::join(folder).expect("a seat");
-    Clerk::new(&Invoker::new(&setup, 1, workers, ledger), files)
+    let files = SharedFiles::join(folder).expect("a slot");
+    OverridesSync::new(&Invoker::new(&setup, 1, workers, ledger), files)
 }
 
-fn suspend(name: &str) -> Ask {
-    Ask::Suspend(name.to_string())
+fn suspend(name: &str) -> OperatorCommand {
+    OperatorCommand::Suspend(name.to_string())
 }
 
 /// Guards bans over an upgrade, in both directions, and over a death without a word.
 #[test]
 fn a_word_passes_both_ways_and_outlives_its_writer() {
     let folder = folder("both");
-    let mut old = clerk(&folder);
+    let mut old = sync(&folder);
     old.look_at_overrides().expect("nothing stands");
-    assert_eq!(old.heed(&suspend("a")), Ok(()));
-    let mut new = clerk(&folder);
-    assert_eq!(new.told.succession.lock().expect("whole").other(), Some(Other::Predecessor));
+    assert_eq!(old.execute(&suspend("a")), Ok(()));
+    let mut new = sync(&folder);
+    assert_eq!(new.status.succession.lock().expect("whole").other(), Some(Other::Predecessor));
     new.look_at_overrides().expect("read");
     assert!(new.invoker.bans().is_out("a"));
-    assert_eq!(new.heed(&suspend("b")), Ok(()));
-    assert_eq!(new.heed(&Ask::Drain), Ok(()));
+    assert_eq!(new.execute(&suspend("b")), Ok(()));
+    assert_eq!(new.execute(&OperatorCommand::Drain), Ok(()));
     old.look_at_overrides().expect("read");
     assert!(old.invoker.bans().is_out("b"));
     assert_eq!(old.invoker.duty().leaving(), Some(Leave::Drained));
-    assert_eq!(old.heed(&Ask::Resume("a".into())), Ok(()));
-    assert_eq!(old.heed(&Ask::Activate), Ok(()));
+    assert_eq!(old.execute(&OperatorCommand::Resume("a".into())), Ok(()));
+    assert_eq!(old.execute(&OperatorCommand::Activate), Ok(()));
     new.look_at_overrides().expect("read");
     assert!(!new.invoker.bans().is_out("a") && new.invoker.bans().is_out("b"));
     assert!(new.invoker.bans().back_at("a").is_some(), "it is cold for the other one, too");
     assert_eq!(new.invoker.duty().leaving(), None);
     drop((old, new));
-    let mut later = clerk(&folder);
-    assert_eq!(later.told.succession.lock().expect("whole").other(), None, "seats end with their processes");
+    let mut later = sync(&folder);
+    assert_eq!(
+        later.status.succession.lock().expect("whole").other(),
+        None,
+        "slots end with their processes"
+    );
     later.look_at_overrides().expect("read");
     assert!(later.invoker.bans().is_out("b"));
     let _ = std::fs::remove_dir_all(&folder);
@@ -63,19 +68,19 @@
 #[test]
 fn a_damaged_record_lifts_nothing_and_is_written_again() {
     let folder = folder("torn");
-    let mut old = clerk(&folder);
+    let mut old = sync(&folder);
     old.look_at_overrides().expect("nothing stands");
-    old.heed(&suspend("a")).expect("written");
+    old.execute(&suspend("a")).expect("written");
     let whole = std::fs::read(folder.join("word")).expect("stands");
     for damage in [&whole[..whole.len() / 2], b"", b"nonsense"] {
         std::fs::write(folder.join("word"), damage).expect("torn");
-        let mut new = clerk(&folder);
+        let mut new = sync(&folder);
         new.look_at_overrides().expect("looked at");
-        assert!(!new.told.knows.load(Ordering::Acquire), "it waits for its predecessor");
+        assert!(!new.status.has_overrides.load(Ordering::Acquire), "it waits for its predecessor");
         old.look_at_overrides().expect("restored");
         assert!(old.invoker.bans().is_out("a"));
         new.look_at_overrides().expect("read");
-        assert!(new.told.knows.load(Ordering::Acquire) && new.invoker.bans().is_out("a"));
+        assert!(new.status.has_overrides.load(Ordering::Acquire) && new.invoker.bans().is_out("a"));
     }
     std::fs::remove_file(folder.join("word")).expect("gone");
     old.look_at_overrides().expect("restored");
@@ -83,9 +88,9 @@
     drop(old);
     // Without anybody who knows, the record is set aside and the process goes on.
     std::fs::write(folder.join("word"), b"nonsense").expect("torn");
-    let mut later = clerk(&folder);
+    let mut later = sync(&folder);
     later.look_at_overrides().expect("set aside");
-    assert!(later.told.knows.load(Ordering::Acquire) && folder.join("word.damaged").exists());
+    assert!(later.status.has_overrides.load(Ordering::Acquire) && folder.join("word.damaged").exists());
     let _ = std::fs::remove_dir_all(&folder);
 }
 
@@ -94,33 +99,34 @@
 #[test]
 fn what_cannot_be_written_is_held_and_not_lifted() {
     let folder = folder("full");
-    let mut clerk = clerk(&folder);
-    clerk.look_at_overrides().expect("nothing stands");
-    clerk.heed(&suspend("a")).expect("written");
+    let mut sync = sync(&folder);
+    sync.look_at_overrides().expect("nothing stands");
+    sync.execute(&suspend("a")).expect("written");
     // A folder in the place of the file that is to be renamed stands for any failure to write.
-    let blocked = folder.join(format!("word.{}", clerk.files.number));
+    let blocked = folder.join(format!("word.{}", sync.files.number));
     std::fs::create_dir(&blocked).expect("in the way");
-    assert_eq!(clerk.heed(&Ask::Resume("a".into())), Err(Unheeded::Unwritten));
-    assert_eq!(clerk.heed(&suspend("b")), Err(Unheeded::Unwritten));
-    assert!(clerk.look_at_overrides().is_err(), "it goes on trying");
-    let bans = clerk.invoker.bans();
+    assert_eq!(sync.execute(&OperatorCommand::Resume("a".into())), Err(CommandError::Unwritten));
+    assert_eq!(sync.execute(&suspend("b")), Err(CommandError::Unwritten));
+    assert!(sync.look_at_overrides().is_err(), "it goes on trying");
+    let bans = sync.invoker.bans();
     assert!(bans.is_out("a") && bans.is_out("b"));
     std::fs::remove_dir(&blocked).expect("out of the way");
-    clerk.look_at_overrides().expect("written");
-    let overrides = clerk.files.read().expect("stands").expect("whole");
+    sync.look_at_overrides().expect("written");
+    let overrides = sync.files.read().expect("stands").expect("whole");
     assert!(overrides.bans.is_out("a") && overrides.bans.is_out("b"));
     let _ = std::fs::remove_dir_all(&folder);
 }
 
 #[test]
 fn there_are_two_seats() {
-    let folder = folder("seats");
-    let (first, mut second) = (Files::join(&folder).expect("free"), Files::join(&folder).expect("free"));
+    let folder = folder("slots");
+    let (first, mut second) =
+        (SharedFiles::join(&folder).expect("free"), SharedFiles::join(&folder).expect("free"));
     assert_eq!((first.parts(), second.parts()), (1, 2));
-    assert_eq!(Files::join(&folder).err().map(|error| error.kind()), Some(io::ErrorKind::WouldBlock));
+    assert_eq!(SharedFiles::join(&folder).err().map(|error| error.kind()), Some(io::ErrorKind::WouldBlock));
     assert_eq!(second.look_at_other(), Seen::Taken { ready: false });
     let mut first = first;
-    say(&mut first.seat, READY).expect("written");
+    first.announce_ready().expect("written");
     assert_eq!(second.look_at_other(), Seen::Taken { ready: true });
     drop(first);
     assert_eq!(second.look_at_other(), Seen::Empty);
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -1,6 +1,6 @@
 //! The daemon on the platform: start, service, drain.
 use super::config::{ConfigError, Platform, Source};
-use super::handover::{self, Files, Keeper};
+use super::handover::{self, OverridesHandle, SharedFiles};
 use super::{accounts, spawn};
 use crate::core::{now_ms, Invoker};
 use crate::wire::accept::{Acceptor, ConnectionLimits};
@@ -29,7 +29,7 @@
 /// Longest wait of a successor for the command channel: it is due to serve within 6 s, news or none.
 const CHANNEL_WAIT: Duration = Duration::from_secs(3);
 /// By then the other process has looked at the seat of this one twice.
-const SEEN_BY_OTHER: Duration = Duration::from_millis(4 * handover::LOOK.as_millis() as u64);
+const SEEN_BY_OTHER: Duration = Duration::from_millis(4 * handover::SYNC_INTERVAL.as_millis() as u64);
 const NEWS_LOOK: Duration = Duration::from_millis(10);
 const NEWS_REST: Duration = Duration::from_millis(100);
 /// How often connections are looked at that are drained.
@@ -100,11 +100,11 @@
 }
 
 /// Takes a seat beside a process of the same invoker, where operators are heard and there is a folder for both.
-fn join(config: &Platform, source: &Source) -> Option<Files> {
+fn join(config: &Platform, source: &Source) -> Option<SharedFiles> {
     let (_, shared) = (config.admin?, source.shared.as_ref()?);
     // More than one invoker may be given the same folder.
     let folder = shared.join(format!("corkbay-{}", config.listen.to_string().replace(':', "-")));
-    Files::join(&folder)
+    SharedFiles::join(&folder)
         .inspect_err(
             |error| tracing::error!(%error, ?folder, "handover: nothing is shared with another process"),
         )
@@ -116,8 +116,8 @@
     let mut signals = signals()?;
     let base = accounts::measured_base();
     let files = join(&config, source);
-    let meeting = files.as_ref().map(Files::meeting);
-    let parts = files.as_ref().map_or(1, Files::parts);
+    let slot = files.as_ref().map(SharedFiles::slot);
+    let parts = files.as_ref().map_or(1, SharedFiles::parts);
     let ledger =
         Arc::new(Ledger::new(&budget(config.memory_mb, base, parts)?, &accounts::tenants(&config.settings)));
     let (clients, to_workers) = connections(config.sockets / parts);
@@ -137,13 +137,13 @@
         workers,
         acceptor: OnceLock::new(),
     });
-    let keeper = match files {
+    let overrides = match files {
         Some(files) => {
             let limits = limits.clone();
-            let keeper = Keeper::beside(&invoker, files, move |parts| limits.share(parts));
-            keeper.map_err(|error| ConfigError::new("TMPDIR", error))?
+            let overrides = OverridesHandle::beside(&invoker, files, move |parts| limits.share(parts));
+            overrides.map_err(|error| ConfigError::new("TMPDIR", error))?
         }
-        None => Keeper::alone(&invoker),
+        None => OverridesHandle::alone(&invoker),
     };
     if let Some(admin) = config.admin {
         let account = ledger.account(Purpose::Operators).clone();
@@ -151,8 +151,8 @@
             ConnectionLimits { most: operators::SEATS, stall: operators::WRITE_STALL, account };
         let acceptor =
             Acceptor::open(admin, client_limits).map_err(|error| ConfigError::new("admin", error))?;
-        let (ours, keeper) = (invoker.clone(), keeper.clone());
-        spawn(move || acceptor.accept(move |connection| operators::serve(&ours, &keeper, &connection)));
+        let (ours, overrides) = (invoker.clone(), overrides.clone());
+        spawn(move || acceptor.accept(move |connection| operators::serve(&ours, &overrides, &connection)));
     }
     let (ours, line, cursor) = (invoker.clone(), Line::new(config.channel), config.cursor);
     let reload = {
@@ -179,31 +179,31 @@
     };
     let heard = line.clone();
     spawn(move || channel::follow(&ours, &line, cursor));
-    wait_for_news(&keeper, &heard);
+    wait_for_news(&overrides, &heard);
     let account = ledger.account(Purpose::Clients).clone();
     let client_limits = ConnectionLimits { most: clients, stall: front::WRITE_STALL, account };
     let acceptor =
         Acceptor::open(config.listen, client_limits).map_err(|error| ConfigError::new("listen", error))?;
     // Whoever lived beside this process may have gone since.
     if limits.acceptor.set(acceptor.clone()).is_ok() {
-        limits.share(keeper.succession().parts());
+        limits.share(overrides.succession().parts());
     }
     let passage = Arc::<Passage>::default();
     let (ours, theirs, onward) = (invoker.clone(), acceptor.clone(), passage.clone());
     spawn(move || theirs.accept(move |connection| front::serve(&ours, &onward, connection)));
     let (ours, theirs) = (invoker.clone(), acceptor.clone());
     spawn(move || drain(&ours, &theirs));
-    if let Some(meeting) = &meeting {
+    if let Some(slot) = &slot {
         let (ours, theirs, onward) = (invoker.clone(), acceptor.clone(), passage.clone());
         let arrive = move |stream, owed: &[i32]| {
             theirs.take_over(stream).map(|connection| front::resume(&ours, &onward, connection, owed))
         };
-        if let Err(error) = passage::listen(&meeting.folder, meeting.seat, arrive) {
+        if let Err(error) = passage::listen(&slot.folder, slot.number, arrive) {
             tracing::warn!(%error, "handover: no connections can be taken over");
         }
     }
-    keeper.serving();
-    if keeper.succession().other().is_some() {
+    overrides.announce_ready();
+    if overrides.succession().other().is_some() {
         // Whoever is told yes may end the other process at once, which has to know by then.
         std::thread::sleep(SEEN_BY_OTHER);
     }
@@ -211,18 +211,18 @@
     let longest = longest_deadline(&config.settings).min(LONGEST_COUNTED);
     let end = End {
         terms: || {
-            let succession = keeper.succession();
+            let succession = overrides.succession();
             if succession.is_succeeded() {
                 // What stands in the queue is taken; whoever comes later comes to the successor.
                 acceptor.close();
-                let opened = meeting.as_ref().map(|meeting| passage.open(&meeting.folder, meeting.other()));
+                let opened = slot.as_ref().map(|slot| passage.open(&slot.folder, slot.other_number()));
                 if let Some(Err(error)) = opened {
                     tracing::warn!(%error, "handover: no connections can be passed on");
                 }
             }
             succession.ending(ENDING, SUCCEEDED_TAKES.as_millis() as f64)
         },
-        is_over: || keeper.succession().is_succeeded() && acceptor.held() == 0,
+        is_over: || overrides.succession().is_succeeded() && acceptor.held() == 0,
         acceptor: &acceptor,
         within: STILL_TAKING + longest.saturating_sub(LAST_ANSWERS),
     };
@@ -231,13 +231,13 @@
     Ok(settled)
 }
 
-/// Waits until a process beside another knows what that one knows: the operators' word, and what the command channel
+/// Waits until a process beside another knows what that one knows: the operators' overrides, and what the command channel
 /// has to tell. Alone there is nobody who could serve meanwhile.
-fn wait_for_news(keeper: &Keeper, channel: &Line) {
+fn wait_for_news(overrides: &OverridesHandle, channel: &Line) {
     let start = Instant::now();
-    let accompanied = || keeper.succession().other().is_some();
+    let accompanied = || overrides.succession().other().is_some();
     let deaf = || !channel.is_heard() && start.elapsed() < CHANNEL_WAIT;
-    while accompanied() && (!keeper.knows() || deaf()) {
+    while accompanied() && (!overrides.has_overrides() || deaf()) {
         std::thread::sleep(NEWS_LOOK);
     }
     // What stood in the channel comes at once, event by event.
@@ -287,7 +287,7 @@
         SIGUSR1 => {
             tracing::info!("{}", invoker.counters);
             let (suspended, leaving) = (invoker.bans().out().count(), invoker.duty().leaving());
-            tracing::info!(suspended, ?leaving, "operators' word");
+            tracing::info!(suspended, ?leaving, "operators' overrides");
             accounts::log(invoker);
             true
         }
--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -94,9 +94,9 @@
     }
 }
 
-/// Why the operators' word on a host is not taken.
+/// Why the operators' overrides on a host is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NotHeeded {
+pub enum BanError {
     /// No list ever named it.
     Unknown,
     /// There is no room for one more name.
@@ -146,29 +146,29 @@
         self.hosts.get(&id).map(|known| known.host.clone())
     }
 
-    /// The operators' word on hosts.
+    /// The operators' overrides on hosts.
     pub fn bans(&self) -> &Bans {
         &self.bans
     }
 
     /// Whether a host can be held out: some list named it, and there is room for its name.
-    pub fn may_suspend(&mut self, name: &str) -> Result<(), NotHeeded> {
+    pub fn may_suspend(&mut self, name: &str) -> Result<(), BanError> {
         self.may_resume(name)?;
         let bytes = self.bans.bytes() + Bans::cost(name);
         if !self.bans.is_out(name) && self.bans_held.resize(bytes).is_err() {
-            return Err(NotHeeded::NoRoom);
+            return Err(BanError::NoRoom);
         }
         Ok(())
     }
 
     /// Whether a host can be let back: some list named it.
-    pub fn may_resume(&self, name: &str) -> Result<(), NotHeeded> {
+    pub fn may_resume(&self, name: &str) -> Result<(), BanError> {
         let known = self.numbers.contains_key(name) || self.bans.is_out(name);
         let listed = known || self.forgotten.contains(&hash(name));
-        listed.then_some(()).ok_or(NotHeeded::Unknown)
+        listed.then_some(()).ok_or(BanError::Unknown)
     }
 
-    /// Takes over the operators' word on all hosts; what the decisions are to hear of those for which it has changed.
+    /// Takes over the operators' overrides on all hosts; what the decisions are to hear of those for which it has changed.
     pub fn adopt(&mut self, bans: Bans) -> Roster {
         let before = std::mem::replace(&mut self.bans, bans);
         self.bans_held.owe(self.bans.bytes());
--- a/crates/node/src/memory/roster/tests.rs
+++ b/crates/node/src/memory/roster/tests.rs
@@ -33,14 +33,14 @@
     assert_eq!(account.used(), 0);
 }
 
-fn suspend(directory: &mut Directory, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
+fn suspend(directory: &mut Directory, name: &str, now: Ms) -> Result<Roster, BanError> {
     directory.may_suspend(name)?;
     let mut bans = directory.bans().clone();
     bans.suspend(name, now);
     Ok(directory.adopt(bans))
 }
 
-fn resume(directory: &mut Directory, name: &str, now: Ms) -> Result<Roster, NotHeeded> {
+fn resume(directory: &mut Directory, name: &str, now: Ms) -> Result<Roster, BanError> {
     directory.may_resume(name)?;
     let mut bans = directory.bans().clone();
     bans.resume(name, now);
@@ -58,7 +58,7 @@
         directory.apply(vec![listing(name, Standing::Gone)], false, false);
     }
     assert!(!directory.numbers.contains_key("w0"));
-    assert_eq!(suspend(&mut directory, "never", 1.0).err(), Some(NotHeeded::Unknown));
+    assert_eq!(suspend(&mut directory, "never", 1.0).err(), Some(BanError::Unknown));
     assert!(suspend(&mut directory, "w0", 1.0).is_ok());
     let Roster::Changes(back) = directory.apply(vec![listing(0, Standing::Ready)], false, false) else {
         panic!("changes")
@@ -128,7 +128,7 @@
                     }));
                 }
                 Ok(other) => panic!("{other:?}"),
-                Err(why) => prop_assert_eq!(why, NotHeeded::Unknown),
+                Err(why) => prop_assert_eq!(why, BanError::Unknown),
             }
             for (name, standing) in &said {
                 let held_out = out.contains(name);
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -3,7 +3,7 @@
 use super::http::{BadHttp, RequestHead, Response};
 use super::intake::{Intake, CHUNK};
 use crate::core::{now_ms, until, Invoker};
-use crate::life::handover::{Ask, Keeper, Unheeded};
+use crate::life::handover::{CommandError, OperatorCommand, OverridesHandle};
 use corkbay::Ms;
 use corkbay_duty::Leave;
 use corkbay_ledger::Purpose;
@@ -28,7 +28,7 @@
 #[derive(Debug, PartialEq, Eq)]
 enum Call {
     Ready,
-    Ask(Ask),
+    Command(OperatorCommand),
 }
 
 impl Call {
@@ -36,10 +36,10 @@
     fn place(&self) -> usize {
         match self {
             Call::Ready => 0,
-            Call::Ask(Ask::Suspend(_)) => 1,
-            Call::Ask(Ask::Resume(_)) => 2,
-            Call::Ask(Ask::Drain) => 3,
-            Call::Ask(Ask::Activate) => 4,
+            Call::Command(OperatorCommand::Suspend(_)) => 1,
+            Call::Command(OperatorCommand::Resume(_)) => 2,
+            Call::Command(OperatorCommand::Drain) => 3,
+            Call::Command(OperatorCommand::Activate) => 4,
         }
     }
 }
@@ -48,8 +48,8 @@
 struct Reply(u16, serde_json::Value);
 
 /// The life of one connection.
-pub fn serve(invoker: &Arc<Invoker>, keeper: &Keeper, connection: &Arc<Connection>) {
-    let Some(response) = converse(invoker, keeper, connection) else { return };
+pub fn serve(invoker: &Arc<Invoker>, overrides: &OverridesHandle, connection: &Arc<Connection>) {
+    let Some(response) = converse(invoker, overrides, connection) else { return };
     let counters = &invoker.counters;
     if response.status < 300 { &counters.operators_yes } else { &counters.operators_no }.add();
     if connection.answer(&response.encode(false)).is_ok() {
@@ -59,7 +59,11 @@
 }
 
 /// Reads the call and answers it; `None` where the caller left or took too long.
-fn converse(invoker: &Invoker, keeper: &Keeper, connection: &Arc<Connection>) -> Option<Response> {
+fn converse(
+    invoker: &Invoker,
+    overrides: &OverridesHandle,
+    connection: &Arc<Connection>,
+) -> Option<Response> {
     let (mut raw, mut chunk) = (Intake::new(connection.account(), Purpose::Operators), vec![0; CHUNK]);
     let end = now_ms() + CALL_MS;
     let mut fill = |raw: &mut Intake| match raw.fill(connection, &mut chunk, until(end)) {
@@ -85,10 +89,10 @@
         Ok(call) => {
             let Reply(status, told) = match &call {
                 Call::Ready => ready(invoker),
-                Call::Ask(ask) => {
-                    let end = keeper.ask(ask.clone());
-                    tracing::info!(?ask, ?end, "operators");
-                    heeded(ask, end)
+                Call::Command(command) => {
+                    let end = overrides.execute(command.clone());
+                    tracing::info!(?command, ?end, "operators");
+                    executed(command, end)
                 }
             };
             let [yes, no] = &invoker.counters.operators[call.place()];
@@ -113,10 +117,10 @@
     let words: Vec<&str> = path.strip_prefix("/v1/").unwrap_or_default().split('/').collect();
     let (allowed, call) = match words.as_slice() {
         ["readyz"] => ("GET", Call::Ready),
-        ["hosts", id, "suspend"] => ("PUT", Call::Ask(Ask::Suspend(unescape(id)))),
-        ["hosts", id, "resume"] => ("PUT", Call::Ask(Ask::Resume(unescape(id)))),
-        ["invoker", "drain"] => ("PUT", Call::Ask(Ask::Drain)),
-        ["invoker", "activate"] => ("PUT", Call::Ask(Ask::Activate)),
+        ["hosts", id, "suspend"] => ("PUT", Call::Command(OperatorCommand::Suspend(unescape(id)))),
+        ["hosts", id, "resume"] => ("PUT", Call::Command(OperatorCommand::Resume(unescape(id)))),
+        ["invoker", "drain"] => ("PUT", Call::Command(OperatorCommand::Drain)),
+        ["invoker", "activate"] => ("PUT", Call::Command(OperatorCommand::Activate)),
         _ => return Err(problem(404, "no such path")),
     };
     if method != allowed {
@@ -143,19 +147,21 @@
 }
 
 /// What is told of a call that operators made.
-fn heeded(ask: &Ask, end: Result<(), Unheeded>) -> Reply {
-    let (host, state) = match ask {
-        Ask::Suspend(host) => (Some(host), "suspended"),
-        Ask::Resume(host) => (Some(host), "resumed"),
-        Ask::Drain => (None, "drained"),
-        Ask::Activate => (None, "active"),
+fn executed(command: &OperatorCommand, end: Result<(), CommandError>) -> Reply {
+    let (host, state) = match command {
+        OperatorCommand::Suspend(host) => (Some(host), "suspended"),
+        OperatorCommand::Resume(host) => (Some(host), "resumed"),
+        OperatorCommand::Drain => (None, "drained"),
+        OperatorCommand::Activate => (None, "active"),
     };
     let (status, detail) = match end {
         Ok(()) => return Reply(200, json!({"host": host, "state": state})),
-        Err(Unheeded::Unknown) => (404, "no list ever named this host"),
-        Err(Unheeded::NoRoom) => (507, "too many hosts are suspended"),
-        Err(Unheeded::Ending) => (409, "this process is about to end"),
-        Err(Unheeded::Unwritten) => (503, "not written: what is held back holds here, nothing was lifted"),
+        Err(CommandError::Unknown) => (404, "no list ever named this host"),
+        Err(CommandError::NoRoom) => (507, "too many hosts are suspended"),
+        Err(CommandError::Ending) => (409, "this process is about to end"),
+        Err(CommandError::Unwritten) => {
+            (503, "not written: what is held back holds here, nothing was lifted")
+        }
     };
     Reply(status, json!({"host": host, "status": status, "detail": detail}))
 }
