--- a/crates/node/src/wire/workers/tests.rs
+++ b/crates/node/src/wire/workers/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::core::now_ms;
 
 /// Guards the rule on second copies: the word that gives an attempt up is out once it was written, not once it was
 /// queued behind what a worker does not read.
