--- a/crates/node/src/life/handover/files.rs
+++ b/crates/node/src/life/handover/files.rs
@@ -31,7 +31,7 @@
 
 /// The files of one invoker, with the slot that this process holds.
 pub struct SharedFiles {
-    pub(super) folder: PathBuf,
+    folder: PathBuf,
     pub(super) number: usize,
     slot: File,
     other: File,
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -152,7 +152,7 @@
         for clients in [&self.clients, &self.turned_away] {
             // Dropped after the lock on the table, which the end of a connection takes.
             let mut looked_at = Vec::new();
-            let idle = lock(clients).drain(|connection| has_unread(connection, &mut looked_at));
+            let idle = lock(clients).drain(|connection| has_unused(connection, &mut looked_at));
             idle.iter().filter_map(Weak::upgrade).for_each(|connection| connection.shut(Shutdown::Read));
         }
     }
@@ -201,7 +201,7 @@
     fn evict_idle(&self, clients: &Table) -> bool {
         // Dropped after the lock on the table, which the end of a connection takes.
         let mut looked_at = Vec::new();
-        let evicted = lock(clients).evict_idle(|connection| has_unread(connection, &mut looked_at));
+        let evicted = lock(clients).evict_idle(|connection| has_unused(connection, &mut looked_at));
         let Some(evicted) = evicted else { return false };
         if let Some(evicted) = evicted.upgrade() {
             evicted.shut(Shutdown::Read);
@@ -267,11 +267,11 @@
 
 /// Whether something stands unread on a connection, or its reader is at work on what it read or may be about to take what
 /// is asked. A connection that was looked at is kept for the caller to drop, since it may be the last to hold it.
-fn has_unread(connection: &Weak<Connection>, looked_at: &mut Vec<Arc<Connection>>) -> bool {
+fn has_unused(connection: &Weak<Connection>, looked_at: &mut Vec<Arc<Connection>>) -> bool {
     let Some(connection) = connection.upgrade() else { return false };
-    let has_unread = connection.has_unused() || connection.is_being_turned_away();
+    let has_unused = connection.has_unused() || connection.is_being_turned_away();
     looked_at.push(connection);
-    has_unread
+    has_unused
 }
 
 /// What a newcomer waits for.
--- a/crates/node/src/wire/feed/status.rs
+++ b/crates/node/src/wire/feed/status.rs
@@ -60,7 +60,7 @@
 
     /// Whether this node has a whole configuration, which only a follower may lack.
     pub fn is_ready(&self) -> bool {
-        self.follower_report().is_none_or(|report| report.is_ready())
+        is_ready(self.follower_report().as_ref())
     }
 
     /// Adds what there is to tell to a node's status.
@@ -71,13 +71,19 @@
         if let Some(report) = self.feed_report() {
             status["feed"] = feed_status(&report);
         }
-        status["ready"] = self.is_ready().into();
-        if let Some(report) = self.follower_report() {
+        let follower = self.follower_report();
+        status["ready"] = is_ready(follower.as_ref()).into();
+        if let Some(report) = follower {
             status["follow"] = follower_status(&report);
         }
     }
 }
 
+/// Whether a node has a whole configuration, by its report if it follows.
+fn is_ready(follower: Option<&FollowerReport>) -> bool {
+    follower.is_none_or(FollowerReport::is_ready)
+}
+
 fn feed_status(report: &FeedReport) -> Value {
     let counters = report.counters;
     json!({
