Incident: a keyed call is sent again behind its window once the clock is set back (failing tests)

Checked: every deadline, window and wait of the daemon is a difference of two readings of SystemTime (crates/node/src/clock.rs: now_ms). Ruled out by reading: refusals of calls that may have run (no path asks a clock).

Measured on the unchanged program: with the clock set back by 2 s a worker is sent one keyed call twice, 1.2 s apart, where the window is 0.7 s; set forward by 30 s, open calls end with 504.

--- /dev/null
+++ b/crates/node/tests/clock.rs
@@ -0,0 +1,113 @@
+//! The wall clock is stepped under the started program; the monotonic clock runs on.
+//!
+//! Incident of 2 December 2026. Symptom: on machines whose wall clock was stepped, a call of a keyed class was sent again
+//! where its class no longer allowed that, once. Sequence: a worker carries the call out, its answer is lost, the clock is
+//! set back, and the attempt's connection breaks behind the end of the class's window. Cause: the window, like every
+//! other span of the program, was the difference of two readings of the Unix clock; set back by an hour, it lasted an
+//! hour longer. What settled it: with the clock set back by 2 s the worker is sent the same call twice 1.2 s apart, where
+//! the window is 0.7 s; with a steady clock once. In the staging replay whole invokers refused each call 1 ms after it came
+//! (`refused +0.001`, all of a node's calls for seconds): their decisions held a time that lay before them.
+mod support;
+
+use serde_json::json;
+use std::io::BufReader;
+use std::time::Duration;
+use support::faults::Faults;
+use support::leaving::{Failing, HoldingWorker};
+use support::platform::{dispatch, fields, Bench, Client, Reply};
+use support::workers::{Act, Fleet};
+use support::{ask, receive, start, until, Daemon, Folder, CLASSES};
+
+/// Steps of the wall clock, in seconds.
+const STEPS: [f64; 6] = [2.0, -2.0, 30.0, -30.0, 3600.0, -3600.0];
+/// Longer than any call of these tests takes.
+const ALLOW: &str = "8000";
+const LIMITS: (u32, u32) = (1024, 192);
+
+/// The program on the platform's protocol with a window of so many milliseconds for the keyed class.
+fn platform(faults: &Faults, script: &[Act], hosts: usize, window: f64) -> Bench {
+    Bench::started(script, hosts, LIMITS, &faults.environment(), |settings| {
+        settings["classes"][1]["dedupWindowMs"] = json!(window);
+        settings["classes"][0]["giveUpMs"] = json!(8000.0);
+        settings["classes"][1]["giveUpMs"] = json!(8000.0);
+    })
+}
+
+/// A call of the keyed class that is out at a worker which answers nothing.
+fn keyed_call_out(bench: &Bench) -> (HoldingWorker, Client) {
+    let worker = HoldingWorker::new();
+    bench.channel.tell(2, "h0", worker.address, "up");
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("post", "00000000000000a1", ALLOW), b"x"));
+    until("the first attempt is out", || worker.bodies().len() == 1);
+    (worker, client)
+}
+
+#[test]
+fn a_keyed_call_is_not_repeated_behind_its_window() {
+    for step in STEPS {
+        let faults = Faults::new();
+        let bench = platform(&faults, &[Act::Serve], 0, 700.0);
+        let (worker, mut client) = keyed_call_out(&bench);
+        faults.step_clock(step);
+        std::thread::sleep(Duration::from_millis(1200));
+        worker.fail(Failing::Breaks);
+        assert_eq!(client.receive(), Some((1, Reply::Crashed)), "step {step}: it may have run");
+        assert_eq!(worker.bodies().len(), 1, "step {step}: the window is over");
+    }
+}
+
+#[test]
+fn a_keyed_call_is_repeated_within_its_window() {
+    for step in STEPS {
+        let faults = Faults::new();
+        let bench = platform(&faults, &[Act::Serve], 0, 4000.0);
+        let (worker, mut client) = keyed_call_out(&bench);
+        bench.channel.tell(3, "h1", bench.fleet.frames("h1"), "up");
+        faults.step_clock(step);
+        std::thread::sleep(Duration::from_millis(200));
+        worker.fail(Failing::Breaks);
+        let reply = client.receive();
+        assert!(matches!(reply, Some((1, Reply::Answer(_)))), "step {step}: {reply:?}");
+    }
+}
+
+/// Calls that are out, that wait for a worker, and that come behind the step: none is cut short or kept too long.
+#[test]
+fn calls_outlast_a_step_of_the_clock() {
+    for step in STEPS {
+        let (faults, folder) = (Faults::new(), Folder::new());
+        let fleet = Fleet::new(&[Act::Hold]);
+        let worker = format!("[[worker]]\nname = \"w1\"\naddress = \"{}\"\n", fleet.http("w1"));
+        let deploy =
+            format!("node = \"n\"\nlisten = \"127.0.0.1:0\"\ndata_dir = \"data\"\n{CLASSES}{worker}");
+        let daemon = Daemon::serve_with(&folder.write("d.toml", &deploy), &faults.environment());
+        let call = |number: usize, mode: &str| {
+            let class = if number.is_multiple_of(2) { "check" } else { "post" };
+            let key = format!("k{number}");
+            let headers = [("Idempotency-Key", key.as_str()), ("Prefer", mode)];
+            let headers = &headers[..if mode.is_empty() { 1 } else { 2 }];
+            start(daemon.address, "POST", &format!("/v1/functions/{class}/invocations"), headers, b"x")
+        };
+        let held: Vec<_> = (0..12).map(|number| call(number, "")).collect();
+        let deferred: Vec<_> = (12..24)
+            .map(|number| receive(&mut BufReader::new(call(number, "respond-async"))))
+            .map(|accepted| accepted.header("location").expect("a place").to_string())
+            .collect();
+        until("some are out", || !fleet.sent().is_empty());
+        std::thread::sleep(Duration::from_millis(150));
+        faults.step_clock(step);
+        std::thread::sleep(Duration::from_millis(250));
+        fleet.release();
+        for socket in held {
+            let response = receive(&mut BufReader::new(socket));
+            assert_eq!(response.status, 200, "step {step}: {}", String::from_utf8_lossy(&response.body));
+        }
+        for place in deferred {
+            let headers = [("Prefer", "wait=10")];
+            assert_eq!(ask(daemon.address, "GET", &place, &headers, b"").status, 200, "step {step}: {place}");
+        }
+        let next = receive(&mut BufReader::new(call(24, "")));
+        assert_eq!(next.status, 200, "step {step}: the next call");
+    }
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 pub mod counting;
+pub mod faults;
 pub mod late;
 pub mod leaving;
 pub mod nodes;
@@ -91,6 +92,13 @@
         Self::listening(command.arg("serve").arg(deploy))
     }
 
+    /// The same with more in its environment.
+    pub fn serve_with(deploy: &Path, environment: &[(&str, String)]) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_corkbay"));
+        command.envs(environment.iter().map(|(name, value)| (name, value)));
+        Self::listening(command.arg("serve").arg(deploy))
+    }
+
     /// The same with no more than so many descriptors.
     pub fn serve_within(deploy: &Path, descriptors: u32) -> Self {
         let mut command = Command::new("sh");
@@ -131,7 +139,12 @@
 
     /// Starts the platform's front and waits until it listens.
     pub fn platform(config: &Path, address: SocketAddr) -> Self {
-        let daemon = Self::beside(config, address, &[]);
+        Self::platform_with(config, address, &[])
+    }
+
+    /// The same with more in its environment.
+    pub fn platform_with(config: &Path, address: SocketAddr, environment: &[(&str, String)]) -> Self {
+        let daemon = Self::beside(config, address, environment);
         until("it listens", || TcpStream::connect(address).is_ok());
         daemon
     }
--- a/crates/node/tests/support/platform.rs
+++ b/crates/node/tests/support/platform.rs
@@ -103,6 +103,17 @@
         sockets: u32,
         memory_mb: u32,
         change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
+        Self::started(script, hosts, (sockets, memory_mb), &[], change)
+    }
+
+    /// With limits on descriptors and memory in MB, more in the program's environment, and changed settings.
+    pub fn started(
+        script: &[Act],
+        hosts: usize,
+        (sockets, memory_mb): (u32, u32),
+        environment: &[(&str, String)],
+        change: impl FnOnce(&mut serde_json::Value),
     ) -> Self {
         let fleet = Fleet::new(script);
         let hosts: Vec<SocketAddr> = (0..hosts).map(|number| fleet.frames(&format!("h{number}"))).collect();
@@ -133,7 +144,7 @@
         change(&mut config["settings"]);
         let folder = Folder::new();
         let path = folder.write("config.json", &config.to_string());
-        let daemon = Daemon::platform(&path, free_address());
+        let daemon = Daemon::platform_with(&path, free_address(), environment);
         Bench { daemon, fleet, channel, hosts, config, folder, admin }
     }
 
