--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -11,7 +11,7 @@
 mod notes;
 mod request;
 
-use super::{now_ms, until, Call, Workers};
+use super::{monotonic_ms, until, Call, Workers};
 use crate::memory::counters::Counters;
 use crate::memory::roster::{BanError, Directory, Listing};
 use corkbay::{Dispatcher, Event, ModelId, Ms, Names, RequestId, Settings};
@@ -133,7 +133,7 @@
     }
 
     fn admit(self: &Arc<Self>, call: Call) -> Result<Taken, NotTaken> {
-        if self.duty().refuses(now_ms()) {
+        if self.duty().refuses(monotonic_ms()) {
             return Err(NotTaken::Draining);
         }
         let held = self.ledger.reserve(Purpose::Calls, call.request.tenant, CALL + call.size());
@@ -151,7 +151,7 @@
         self.counters.taken.add();
         self.counters.body_bytes.observe(call.body.len() as f64);
         let (call, inbox) = (Arc::new(call), Inbox { notes, sender });
-        Ok(Taken { invoker: self.clone(), call, inbox, held: Mutex::new(held), since: now_ms() })
+        Ok(Taken { invoker: self.clone(), call, inbox, held: Mutex::new(held), since: monotonic_ms() })
     }
 
     /// The accounts of all that is held.
@@ -226,7 +226,7 @@
 
     /// Leaves the clients, on those terms.
     pub fn leave(&self, why: Leave, terms: Terms) {
-        lock(&self.duty).leave(why, now_ms(), terms);
+        lock(&self.duty).leave(why, monotonic_ms(), terms);
         self.duty_changed.notify_all();
     }
 
@@ -255,10 +255,10 @@
 
     /// Waits until nothing is owed; false if that took longer than the time given.
     pub fn settle(&self, within: Duration) -> bool {
-        let end = now_ms() + within.as_secs_f64() * 1000.0;
+        let end = monotonic_ms() + within.as_secs_f64() * 1000.0;
         let mut owed = lock(&self.owed);
         while *owed > 0 {
-            if now_ms() >= end {
+            if monotonic_ms() >= end {
                 return false;
             }
             owed = match self.settled.wait_timeout(owed, until(end)) {
--- a/crates/node/src/core/invoker/actions.rs
+++ b/crates/node/src/core/invoker/actions.rs
@@ -1,7 +1,7 @@
 //! Events for the dispatcher, and what becomes of the actions that it asks for.
 use super::notes::Note;
 use super::{lock, Core, Invoker};
-use crate::core::{now_ms, AttemptError};
+use crate::core::{monotonic_ms, AttemptError};
 use crate::memory::roster::Host;
 use corkbay::{Action, Event, ModelId, Ms, Outcome, WorkerId};
 use corkbay_ledger::{Purpose, Reservation};
@@ -32,7 +32,7 @@
     fn feed_one(self: &Arc<Self>, event: Event, ends: &mut VecDeque<Event>) {
         let mut actions = Vec::new();
         let mut core = lock(&self.core);
-        core.dispatcher.handle(now_ms(), event, &mut actions);
+        core.dispatcher.handle(monotonic_ms(), event, &mut actions);
         for action in actions {
             ends.extend(self.perform(&core, action));
         }
@@ -72,7 +72,7 @@
             let (outcome, copies, took) = (Outcome::Moot, 0, 0.0);
             return Some(Event::Loaded { worker, model, outcome, copies, took });
         };
-        let started = now_ms();
+        let started = monotonic_ms();
         let by = started + self.settings.order_lag;
         self.spawn(held, move |invoker| {
             let (end, copies) = match invoker.host(worker) {
@@ -84,7 +84,7 @@
                 None => (Err(AttemptError::Unconnected), 0),
             };
             let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
-            let took = now_ms() - started;
+            let took = monotonic_ms() - started;
             invoker.feed(Event::Loaded { worker, model, outcome, copies, took });
         });
         None
@@ -103,13 +103,13 @@
             return Some(Event::Probed { worker, outcome, took, report });
         };
         self.spawn(held, move |invoker| {
-            let started = now_ms();
+            let started = monotonic_ms();
             let end = match invoker.host(worker) {
                 Some(host) => invoker.workers.probe(&host, invoker.spans.probe),
                 None => Err(AttemptError::Unconnected),
             };
             let outcome = end.map_or_else(AttemptError::outcome, |()| Outcome::Ok);
-            invoker.feed(Event::Probed { worker, outcome, took: now_ms() - started, report: None });
+            invoker.feed(Event::Probed { worker, outcome, took: monotonic_ms() - started, report: None });
         });
         None
     }
--- a/crates/node/src/core/invoker/flights.rs
+++ b/crates/node/src/core/invoker/flights.rs
@@ -1,7 +1,7 @@
 //! The attempts of a request that are out.
 use super::notes::Note;
 use super::request::Taken;
-use crate::core::{now_ms, AttemptError, Cause, Exchange};
+use crate::core::{monotonic_ms, AttemptError, Cause, Exchange};
 use corkbay::{Effect, Ms, Outcome, WorkerId};
 
 /// How long after its time a request waits for the decisions' last word before it is failed here.
@@ -77,7 +77,7 @@
     pub(super) fn start(&mut self, worker: WorkerId, within: Ms) {
         let (attempt, call, invoker) = (self.asked, &self.taken.call, &self.taken.invoker);
         self.asked += 1;
-        let started = now_ms();
+        let started = monotonic_ms();
         let Some(host) = invoker.host(worker) else {
             return self.taken.finished(attempt, worker, started, Outcome::Moot, false);
         };
@@ -112,14 +112,14 @@
         if second_copies || !matches!(error, AttemptError::Unanswered(_)) {
             return self.lost(&flight, error, false);
         }
-        (flight.over, flight.until) = (Some(error), now_ms() + NOTICE_ARRIVES_MS);
+        (flight.over, flight.until) = (Some(error), monotonic_ms() + NOTICE_ARRIVES_MS);
         self.out.push(flight);
     }
 
     /// The time of an attempt is up.
     fn overdue(&mut self, at: usize) {
         let mut flight = self.out.swap_remove(at);
-        let now = now_ms();
+        let now = monotonic_ms();
         match flight.over {
             Some(error) if flight.exchange.cancel_notice().is_sent() => {
                 return self.lost(&flight, error, false)
@@ -139,7 +139,7 @@
         // An attempt that was asked for behind the note that ended the request: the decisions count it as out.
         while let Ok(note) = self.taken.inbox.notes.try_recv() {
             if let Note::Send { worker, .. } = note {
-                self.taken.finished(self.asked, worker, now_ms(), Outcome::Moot, true);
+                self.taken.finished(self.asked, worker, monotonic_ms(), Outcome::Moot, true);
                 self.asked += 1;
             }
         }
--- a/crates/node/src/core/invoker/request.rs
+++ b/crates/node/src/core/invoker/request.rs
@@ -2,7 +2,7 @@
 use super::flights::{Flights, LAST_WORD_MS};
 use super::notes::{Inbox, Note};
 use super::{lock, Invoker, CALL};
-use crate::core::{now_ms, Answer, AttemptError, Call, Failure};
+use crate::core::{monotonic_ms, Answer, AttemptError, Call, Failure};
 use crate::memory::room;
 use corkbay::{Event, Finished, Ms, Outcome, Warmth, WorkerId};
 use corkbay_ledger::Reservation;
@@ -94,7 +94,7 @@
 
     /// Ends an attempt whose time is up, or the request if its own is.
     fn time_is_up(&self, flights: &mut Flights<'_>) -> Option<Answer> {
-        let now = now_ms();
+        let now = monotonic_ms();
         if flights.end_overdue(now) || now < self.call.request.expires {
             return None;
         }
@@ -113,7 +113,7 @@
         let bytes = CALL + self.call.size() + 2 * body.capacity();
         if let Err(full) = held.resize(bytes) {
             // It must still be written in time.
-            let left = (self.call.request.expires - now_ms()) / 2.0;
+            let left = (self.call.request.expires - monotonic_ms()) / 2.0;
             room::wait(&full.account, full.asked, left.clamp(0.0, ANSWER_WAIT_MS));
             held.owe(bytes);
         }
@@ -126,7 +126,7 @@
 
     /// What is known at the end; how far the attempts had come is added when all have ended.
     fn known(&self) -> Failure {
-        Failure { may_have_run: false, late: now_ms() + LAST_CALL_MS >= self.call.request.expires }
+        Failure { may_have_run: false, late: monotonic_ms() + LAST_CALL_MS >= self.call.request.expires }
     }
 
     pub(super) fn finished(
@@ -143,7 +143,7 @@
             worker,
             closed,
             outcome,
-            took: now_ms() - started,
+            took: monotonic_ms() - started,
             warmth: Warmth::Untold,
             crowd: None,
             report: None,
@@ -154,7 +154,7 @@
 impl Drop for Taken {
     /// The place in the books ends with the request, also when its task panics.
     fn drop(&mut self) {
-        self.invoker.counters.call_seconds.observe((now_ms() - self.since) / 1000.0);
+        self.invoker.counters.call_seconds.observe((monotonic_ms() - self.since) / 1000.0);
         lock(&self.invoker.core).open.remove(&self.call.request.id);
         if std::thread::panicking() {
             self.tell_withdrawn();
--- a/crates/node/src/core/invoker/tests.rs
+++ b/crates/node/src/core/invoker/tests.rs
@@ -100,7 +100,7 @@
         serve(call, end)
     });
     let (invoker, ledger) = with_one_worker(workers, true);
-    let request = |id| Request { id: RequestId(id), expires: now_ms() + 4000.0, ..Request::default() };
+    let request = |id| Request { id: RequestId(id), expires: monotonic_ms() + 4000.0, ..Request::default() };
     let call = |id| Call { request: request(id), body: vec![7], ..Call::default() };
     let taken = invoker.take(call(1)).expect("taken");
     assert_eq!(invoker.take(call(1)).err(), Some(NotTaken::Open));
@@ -122,7 +122,7 @@
 fn an_attempt_asked_for_behind_the_end_of_its_request_holds_no_place() {
     let (invoker, _) = with_one_worker(scripted(|_, call, end| serve(call, end)), true);
     let call = |id| {
-        let request = Request { id: RequestId(id), expires: now_ms() + 1000.0, ..Request::default() };
+        let request = Request { id: RequestId(id), expires: monotonic_ms() + 1000.0, ..Request::default() };
         Call { request, body: vec![7], ..Call::default() }
     };
     for id in 1..=200 {
@@ -153,7 +153,7 @@
             serve(call, end)
         });
         let (invoker, _) = with_one_worker(workers, second_copies);
-        let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
+        let request = Request { id: RequestId(1), expires: monotonic_ms() + 4000.0, ..Request::default() };
         let taken = invoker.take(Call { request, body: vec![7], ..Call::default() }).expect("taken");
         assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
         assert_eq!(overtaken.load(Ordering::Relaxed), second_copies);
@@ -165,13 +165,13 @@
 #[test]
 fn an_answer_that_finds_no_room_is_given_all_the_same() {
     let (invoker, ledger) = with_one_worker(scripted(|_, call, end| serve(call, end)), true);
-    let request = Request { id: RequestId(1), expires: now_ms() + 4000.0, ..Request::default() };
+    let request = Request { id: RequestId(1), expires: monotonic_ms() + 4000.0, ..Request::default() };
     let taken = invoker.take(Call { request, body: vec![7; 100_000], ..Call::default() }).expect("taken");
     let calls = ledger.account(Purpose::Calls);
     let others = calls.reserve(calls.free()).expect("what is left");
     assert_eq!(taken.serve(), Answer::Served { body: vec![7; 100_000] });
     assert!(calls.used() > calls.cap(), "it is counted, over the cap");
-    let other = Request { id: RequestId(2), expires: now_ms() + 4000.0, ..Request::default() };
+    let other = Request { id: RequestId(2), expires: monotonic_ms() + 4000.0, ..Request::default() };
     let refused = invoker.take(Call { request: other, ..Call::default() }).err();
     assert!(matches!(refused, Some(NotTaken::Crowded(span)) if span > 0.0), "{refused:?}");
     drop((taken, others));
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -5,7 +5,7 @@
 mod counting;
 mod invoker;
 
-pub use crate::clock::{now_ms, until};
+pub use crate::clock::{monotonic_ms, until, UnixTime};
 pub use attempt::{AttemptError, Cause, Verdict};
 pub use call::{Answer, Call, Failure};
 pub(crate) use invoker::lock;
--- a/crates/node/src/life/accounts.rs
+++ b/crates/node/src/life/accounts.rs
@@ -1,7 +1,7 @@
 //! From the configuration to the accounts of the process.
 use super::config::ConfigError;
 use super::spawn;
-use crate::core::{now_ms, Invoker};
+use crate::core::{monotonic_ms, Invoker};
 use crate::memory::resident::resident_bytes;
 use corkbay::Settings;
 use corkbay_ledger::{Alarm, Budget, BudgetError, Purpose, Shares, TenantShare, MIB};
@@ -84,7 +84,7 @@
         loop {
             may::coroutine::sleep(LOOK);
             invoker.measure();
-            for warning in invoker.ledger().warnings(&mut alarm, now_ms()) {
+            for warning in invoker.ledger().warnings(&mut alarm, monotonic_ms()) {
                 tracing::warn!(
                     account = %warning.account, high = warning.high, cap = warning.cap, "close to its cap"
                 );
--- a/crates/node/src/life/handover.rs
+++ b/crates/node/src/life/handover.rs
@@ -9,7 +9,7 @@
 mod files;
 mod sync;
 
-use crate::core::{lock, now_ms, Invoker};
+use crate::core::{lock, monotonic_ms, Invoker};
 use corkbay_duty::{Leave, Overrides, Succession, Terms};
 use may::sync::mpsc as answers;
 use std::io;
@@ -91,7 +91,7 @@
         let Some((requests, _)) = &self.files else {
             let drained = invoker.duty().leaving() == Some(Leave::Drained);
             let mut overrides = Overrides { version: 0, drained, bans: invoker.bans() };
-            command.apply(&mut overrides, now_ms());
+            command.apply(&mut overrides, monotonic_ms());
             apply_overrides(invoker, &overrides);
             return Ok(());
         };
--- a/crates/node/src/life/handover/sync.rs
+++ b/crates/node/src/life/handover/sync.rs
@@ -1,7 +1,7 @@
 //! The thread that keeps the shared files and this process in step.
 use super::files::{RecordMark, SharedFiles};
 use super::{apply_overrides, CommandError, OperatorCommand};
-use crate::core::{lock, now_ms, Invoker};
+use crate::core::{lock, monotonic_ms, Invoker};
 use corkbay_duty::{look, Look, Overrides, Succession};
 use may::sync::{mpsc as answers, Mutex};
 use std::io;
@@ -131,7 +131,7 @@
 
     pub(super) fn execute(&mut self, command: &OperatorCommand) -> Result<(), CommandError> {
         let before = self.known.clone().unwrap_or_default();
-        let now = now_ms();
+        let now = monotonic_ms();
         let next = |mut overrides: Overrides| {
             command.apply(&mut overrides, now);
             overrides.version += 1;
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -2,7 +2,7 @@
 use super::config::{ConfigError, Platform, Source};
 use super::handover::{self, OverridesHandle, SharedFiles};
 use super::{accounts, spawn};
-use crate::core::{now_ms, Invoker};
+use crate::core::{monotonic_ms, Invoker};
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::channel::{self, Line};
 use crate::wire::frames::MAX_BODY;
@@ -250,7 +250,7 @@
 fn drain(invoker: &Invoker, acceptor: &Acceptor) {
     loop {
         invoker.wait_for_leave();
-        if invoker.duty().lets_go(now_ms()) {
+        if invoker.duty().lets_go(monotonic_ms()) {
             acceptor.drain();
         }
         may::coroutine::sleep(DRAIN_LOOK);
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -9,7 +9,7 @@
 use crate::memory::catalog::{Catalog, CatalogError, Worker};
 use crate::memory::invocations::Invocations;
 use crate::memory::seeds::SeedEntry;
-use crate::memory::store::{Store, StoreError};
+use crate::memory::store::{KeptAfterRestart, Store, StoreError};
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::feed::{self, FeedRole, Role};
 use crate::wire::http_workers::{self, HttpWorkers};
@@ -29,6 +29,20 @@
 /// What is owed ends with its deadline; this is for writing the last answers.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
 
+/// For how long an end of a deferred call can be collected behind a restart at least.
+const COLLECTED_WITHIN: Duration = Duration::from_secs(60);
+
+/// The wall clock may have been stepped while no process ran: a key is kept for its window at least, an end for long
+/// enough to be collected, and neither for longer than it could have been without a step.
+fn kept_after_restart(deploy: &Deploy) -> KeptAfterRestart {
+    let spans = deploy.classes.iter().map(|class| class.give_up_ms + class.dedup_window_ms);
+    let longest = spans.fold(0.0, f64::max);
+    KeptAfterRestart {
+        least: longest.max(COLLECTED_WITHIN.as_secs_f64() * 1000.0),
+        most: longest.max(COLLECTED_WITHIN.as_secs_f64() * 1000.0) + deploy.retention_s * 1000.0,
+    }
+}
+
 /// Serves until a signal ends it and nothing is owed; true if all was answered.
 pub fn run(deploy: &Deploy, path: &Path) -> Result<bool, ConfigError> {
     let at = |key: &'static str| move |error: &dyn Display| ConfigError::new(key, error);
@@ -40,7 +54,8 @@
         &accounts::tenants(&settings),
     ));
     let store = Arc::new(match &deploy.data_dir {
-        Some(folder) => Store::open(&deploy.node, folder, ledger.clone()).map_err(|e| at("data_dir")(&e))?,
+        Some(folder) => Store::open(&deploy.node, folder, ledger.clone(), kept_after_restart(deploy))
+            .map_err(|e| at("data_dir")(&e))?,
         None => Store::in_memory(&deploy.node, ledger.clone()),
     });
     let give_up = deploy.classes.iter().map(|class| class.give_up_ms).collect();
--- a/crates/node/src/memory/invocations.rs
+++ b/crates/node/src/memory/invocations.rs
@@ -6,7 +6,7 @@
 use super::keys::INVOCATION;
 use super::record::{Record, Text};
 use super::store::{refuse, Draft, Store, StoreError, Writers};
-use crate::core::{lock, now_ms, Answer, Failure};
+use crate::core::{lock, monotonic_ms, Answer, Failure, UnixTime};
 use corkbay::{Ms, RequestId};
 use corkbay_ledger::{Purpose, Reservation};
 use may::sync::{mpsc, Mutex};
@@ -38,7 +38,11 @@
     /// A check over the body that came with the key.
     pub body_check: u32,
     /// Until then a repeat of the key is answered from here.
-    pub repeats_until: Ms,
+    pub repeats_until: UnixTime,
+    /// For how long that is from the time at which the call was accepted, in milliseconds. After a restart the key is
+    /// kept for so long again: the wall clock may have been stepped while nobody ran.
+    #[serde(default)]
+    pub repeats_for: Ms,
     /// Its one final answer.
     pub answer: Option<Answer>,
 }
@@ -128,7 +132,12 @@
                 let end = Draft { owed: true, ..invocations.draft(&deferred, true) };
                 invocations.store.put(&mut Draft { key: &key_of(id), ..end })?;
             }
-            let Deferred { function, key, body_check, repeats_until: until, answer } = deferred;
+            let Deferred { function, key, body_check, repeats_until, repeats_for, answer } = deferred;
+            let until = match repeats_for {
+                // Written by an earlier version.
+                0.0 => repeats_until.at_start_clock(),
+                span => monotonic_ms() + span,
+            };
             // A call that never ran had freed its key.
             if let Some(key) = key.filter(|_| answer.as_ref().is_some_and(may_have_run)) {
                 let key = (function, key);
@@ -144,7 +153,7 @@
     /// Notes a call with a key, unless one is known.
     pub fn admit(&self, key: &Key, id: RequestId, body: &[u8], until: Ms, tenant: Option<usize>) -> Repeat {
         let mut keys = lock(&self.keys);
-        let now = now_ms();
+        let now = monotonic_ms();
         if now - keys.looked >= LOOK_MS {
             keys.forget(now);
         }
@@ -235,7 +244,7 @@
 
     /// The same, once it is final or that time has passed.
     pub fn wait(&self, id: RequestId, within: Duration) -> Option<(Record, Deferred)> {
-        let end = now_ms() + within.as_secs_f64() * 1000.0;
+        let end = monotonic_ms() + within.as_secs_f64() * 1000.0;
         loop {
             let (sender, news) = mpsc::channel();
             let number = {
@@ -246,7 +255,7 @@
                 number
             };
             let found = self.get(id);
-            let over = found.as_ref().is_none_or(|found| found.0.is_final || now_ms() >= end);
+            let over = found.as_ref().is_none_or(|found| found.0.is_final || monotonic_ms() >= end);
             if !over {
                 let _ = news.recv_timeout(crate::core::until(end));
             }
@@ -265,7 +274,8 @@
 
     /// What is to be kept of a call, its key aside.
     fn draft(&self, deferred: &Deferred, is_final: bool) -> Draft<'static> {
-        let expires = now_ms().max(deferred.repeats_until) + self.retention;
+        let expires =
+            UnixTime::of(monotonic_ms().max(deferred.repeats_until.at_start_clock()) + self.retention);
         Draft { is_final, expires, writers: Writers::First, ..Draft::new("", Text::of(deferred).ok()) }
     }
 }
--- a/crates/node/src/memory/invocations/tests.rs
+++ b/crates/node/src/memory/invocations/tests.rs
@@ -9,7 +9,8 @@
         function: "f".into(),
         key: Some(key.into()),
         body_check: crc32fast::hash(b"x"),
-        repeats_until: now_ms() + 60_000.0,
+        repeats_until: UnixTime::of(monotonic_ms() + 60_000.0),
+        repeats_for: 60_000.0,
         answer: None,
     }
 }
@@ -26,7 +27,7 @@
     let (record, kept) = after.get(RequestId(7)).expect("kept");
     assert!(record.is_final);
     assert_eq!(kept.answer, Some(failed.clone()));
-    let repeat = after.admit(&("f".into(), "k".into()), RequestId(8), b"x", now_ms() + 1000.0, None);
+    let repeat = after.admit(&("f".into(), "k".into()), RequestId(8), b"x", monotonic_ms() + 1000.0, None);
     assert_eq!(repeat, Repeat::Done(RequestId(7), failed));
 }
 
@@ -44,7 +45,7 @@
         before.finish(RequestId(id), Some(&key), answer, Some(promise));
     }
     let after = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
-    let repeat = after.admit(&key, RequestId(11), b"x", now_ms() + 1000.0, None);
+    let repeat = after.admit(&key, RequestId(11), b"x", monotonic_ms() + 1000.0, None);
     assert_eq!(repeat, Repeat::Done(RequestId(8), served));
 }
 
@@ -65,7 +66,8 @@
     let store = Arc::new(Store::in_memory("a", roomy()));
     let invocations = Invocations::new(store, Duration::from_secs(60), LARGEST).expect("in memory");
     let key = ("f".to_string(), "k".to_string());
-    let admit = |id, body: &[u8]| invocations.admit(&key, RequestId(id), body, now_ms() + 60_000.0, None);
+    let admit =
+        |id, body: &[u8]| invocations.admit(&key, RequestId(id), body, monotonic_ms() + 60_000.0, None);
     assert_eq!(admit(1, b"x"), Repeat::Fresh);
     assert_eq!(admit(2, b"x"), Repeat::Open(RequestId(1)));
     assert_eq!(admit(2, b"y"), Repeat::Mismatch);
@@ -113,7 +115,7 @@
 #[test]
 fn a_flood_of_keys_is_told_when_to_come_again() {
     let (invocations, ledger) = small();
-    let (key, soon) = (|at: u32| ("f".to_string(), at.to_string()), now_ms() + 400.0);
+    let (key, soon) = (|at: u32| ("f".to_string(), at.to_string()), monotonic_ms() + 400.0);
     let admit = |at| invocations.admit(&key(at), RequestId(u64::from(at)), b"x", soon, None);
     let served = Answer::Served { body: vec![7; 10] };
     let mut fresh = 0;
@@ -134,7 +136,7 @@
     std::thread::sleep(Duration::from_millis(450));
     let refused = Answer::Refused { retry_after: 0.0, known: Failure { may_have_run: false, late: false } };
     invocations.finish(RequestId(1), Some(&key(1)), &refused, None);
-    let other = invocations.admit(&key(2), RequestId(1), b"x", now_ms() + 60_000.0, None);
+    let other = invocations.admit(&key(2), RequestId(1), b"x", monotonic_ms() + 60_000.0, None);
     assert_eq!(other, Repeat::Fresh, "a key is new once its window is over");
     assert!(account.used() < before + LARGEST, "what is over has gone");
 }
--- a/crates/node/src/memory/log/tests.rs
+++ b/crates/node/src/memory/log/tests.rs
@@ -3,7 +3,14 @@
 
 fn record(key: &str, version: u64, filler: usize) -> Record {
     let value = Text::of(&"x".repeat(filler)).ok();
-    Record { key: key.into(), is_final: false, version, node: "n".into(), expires: 0.0, value }
+    Record {
+        key: key.into(),
+        is_final: false,
+        version,
+        node: "n".into(),
+        expires: crate::clock::UnixTime::NONE,
+        value,
+    }
 }
 
 fn folder(name: &str) -> PathBuf {
--- a/crates/node/src/memory/record.rs
+++ b/crates/node/src/memory/record.rs
@@ -3,7 +3,7 @@
 //! A value is held as the JSON text that it is written as, shared by all who hold the record: a tree of
 //! values takes several times the memory of its text, and the store needs the text for every comparison.
 use super::keys::INVOCATION;
-use corkbay::Ms;
+use crate::clock::UnixTime;
 use corkbay_ledger::Purpose;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -58,9 +58,9 @@
     pub version: u64,
     /// The node that wrote it.
     pub node: Arc<str>,
-    /// It may be forgotten after this time; 0 for never.
+    /// It may be forgotten after this time, or never.
     #[serde(default)]
-    pub expires: Ms,
+    pub expires: UnixTime,
     /// What stands there; nothing for what was taken away.
     pub value: Option<Text>,
 }
@@ -87,7 +87,8 @@
     /// The total order of the versions of one key: a final one is greater than any that is not, then the
     /// version counts, then the node, then the value.
     pub fn order(&self, other: &Record) -> Ordering {
-        let by_value = || self.text().cmp(other.text()).then(self.expires.total_cmp(&other.expires));
+        let by_value =
+            || self.text().cmp(other.text()).then(self.expires.as_ms().total_cmp(&other.expires.as_ms()));
         (self.is_final, self.version, &self.node)
             .cmp(&(other.is_final, other.version, &other.node))
             .then_with(by_value)
@@ -104,7 +105,7 @@
 
     /// Its stamp.
     pub fn stamp(&self) -> Stamp {
-        let check = crc32fast::hash(format!("{}{}", self.text(), self.expires).as_bytes());
+        let check = crc32fast::hash(format!("{}{}", self.text(), self.expires.as_ms()).as_bytes());
         Stamp { is_final: self.is_final, version: self.version, node: self.node.clone(), check }
     }
 
@@ -133,8 +134,8 @@
     }
 
     /// Whether it may be forgotten by then.
-    pub fn expired(&self, now: Ms) -> bool {
-        self.expires > 0.0 && self.expires <= now
+    pub fn expired(&self, now: UnixTime) -> bool {
+        !self.expires.is_none() && self.expires <= now
     }
 }
 
--- a/crates/node/src/memory/room.rs
+++ b/crates/node/src/memory/room.rs
@@ -1,5 +1,5 @@
 //! Waiting for room in an account, on the coroutine library's own timers.
-use crate::clock::now_ms;
+use crate::clock::monotonic_ms;
 use corkbay::Ms;
 use corkbay_ledger::pressure::{decide, Case, Decision};
 use corkbay_ledger::{Account, Purpose, Reservation};
@@ -12,10 +12,10 @@
 
 /// Resizes a reservation; waits for room as long as its purpose allows, and fails with [`NO_ROOM`] then.
 pub fn grow(held: &mut Reservation, purpose: Purpose, bytes: usize) -> io::Result<()> {
-    let began = now_ms();
+    let began = monotonic_ms();
     loop {
         let Err(full) = held.resize(bytes) else { return Ok(()) };
-        let (asked, cap, waited) = (full.asked, full.cap, now_ms() - began);
+        let (asked, cap, waited) = (full.asked, full.cap, monotonic_ms() - began);
         match decide(&Case { purpose, asked, cap, idle: 0, frees_in: None, waited }) {
             Decision::Wait { at_most } => wait(&full.account, asked, at_most),
             Decision::Evict { .. } | Decision::Refuse { .. } => return Err(NO_ROOM.into()),
--- a/crates/node/src/memory/store/batch.rs
+++ b/crates/node/src/memory/store/batch.rs
@@ -50,8 +50,7 @@
         for (draft, Prepared { record, held }) in drafts.iter_mut().zip(prepared) {
             let owed = || self.ledger.owe(record.purpose(), record.size());
             let held = draft.held.take().or(held).unwrap_or_else(owed);
-            expiry.note_expiry(record.expires);
-            self.apply(record, held);
+            self.apply(&mut expiry, record, held);
         }
         let listeners = lock(&self.listeners);
         for record in &records {
--- a/crates/node/src/memory/store/configuration.rs
+++ b/crates/node/src/memory/store/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration records, page by page.
 use super::Store;
-use crate::core::{lock, now_ms};
+use crate::core::{lock, UnixTime};
 use crate::memory::keys::CONFIGURATION;
 use crate::memory::record::Record;
 use std::ops::Bound;
@@ -10,7 +10,7 @@
     /// Up to `most` configuration records behind a key, tombstones included, in the order of their keys; from the
     /// first on without a key.
     pub fn configuration_after(&self, key: Option<&str>, most: usize) -> Vec<Record> {
-        let now = now_ms();
+        let now = UnixTime::steady();
         let records = lock(&self.records);
         let start = key.unwrap_or_default();
         let mut page = Vec::new();
--- a/crates/node/src/memory/store/draft.rs
+++ b/crates/node/src/memory/store/draft.rs
@@ -1,6 +1,6 @@
 //! Versions that are to be written.
+use crate::clock::UnixTime;
 use crate::memory::record::Text;
-use corkbay::Ms;
 use corkbay_ledger::Reservation;
 
 /// Who may write under a key.
@@ -20,8 +20,8 @@
     pub value: Option<Text>,
     /// No later version may follow.
     pub is_final: bool,
-    /// It may be forgotten after this time; 0 for never.
-    pub expires: Ms,
+    /// It may be forgotten after this time, or never.
+    pub expires: UnixTime,
     /// Who may write there.
     pub writers: Writers,
     /// What was reserved for it before.
@@ -33,6 +33,14 @@
 impl<'a> Draft<'a> {
     /// Anybody's next version, for as long as nobody writes another.
     pub fn new(key: &'a str, value: Option<Text>) -> Self {
-        Draft { key, value, is_final: false, expires: 0.0, writers: Writers::Any, held: None, owed: false }
+        Draft {
+            key,
+            value,
+            is_final: false,
+            expires: UnixTime::NONE,
+            writers: Writers::Any,
+            held: None,
+            owed: false,
+        }
     }
 }
--- a/crates/node/src/memory/store/expiry.rs
+++ b/crates/node/src/memory/store/expiry.rs
@@ -1,7 +1,7 @@
 //! Expired records, tombstones, and the log's compaction.
 use super::error::{refuse, StoreError};
 use super::{Store, PAGE};
-use crate::core::{lock, now_ms};
+use crate::core::{lock, monotonic_ms};
 use crate::memory::keys::is_node_local;
 use crate::memory::record::Record;
 use corkbay::Ms;
@@ -15,8 +15,8 @@
 /// What is known about records that may be forgotten.
 #[derive(Default)]
 pub(super) struct ExpiryState {
-    /// When the next record expires, as far as known; 0 where none does.
-    next_expiry: Ms,
+    /// When the next record may be forgotten, as far as known.
+    next_expiry: Option<Ms>,
     /// When expired records were last looked for because something was full.
     last_look: Ms,
     /// No tombstone of a later version was dropped: new keys begin behind it, so that a record that the
@@ -25,15 +25,15 @@
 }
 
 impl ExpiryState {
-    /// Notes when a record expires; 0 for never.
+    /// Notes until when a record is kept, on the monotonic clock; infinity for ever.
     pub(super) fn note_expiry(&mut self, at: Ms) {
-        if at > 0.0 && (self.next_expiry == 0.0 || at < self.next_expiry) {
-            self.next_expiry = at;
+        if at.is_finite() {
+            self.next_expiry = Some(self.next_expiry.map_or(at, |next| next.min(at)));
         }
     }
 
     fn has_expired_records(&self, now: Ms) -> bool {
-        self.next_expiry > 0.0 && self.next_expiry <= now
+        self.next_expiry.is_some_and(|next| next <= now)
     }
 }
 
@@ -56,7 +56,7 @@
         purpose: Purpose,
         mut reserve: impl FnMut() -> Result<T, Full>,
     ) -> Result<T, StoreError> {
-        let now = now_ms();
+        let now = monotonic_ms();
         let full = match reserve() {
             Ok(held) => return Ok(held),
             Err(full) => full,
@@ -68,14 +68,14 @@
                 return Ok(held);
             }
         }
-        let frees_in = (expiry.next_expiry > 0.0).then_some(expiry.next_expiry - now);
+        let frees_in = expiry.next_expiry.map(|next| next - now);
         Err(refuse(purpose, full, frees_in))
     }
 
     /// Forgets what has expired and has the log hold no more than what stands.
     pub fn sweep(&self) -> Result<(), StoreError> {
         let mut expiry = lock(&self.writing);
-        self.forget_expired(&mut expiry, now_ms());
+        self.forget_expired(&mut expiry, monotonic_ms());
         self.forget_tombstones(&mut expiry);
         let Some(log) = &self.log else { return Ok(()) };
         let live_bytes = lock(&self.records).values().map(|entry| entry.record.size()).sum();
@@ -101,11 +101,11 @@
 
     /// Drops expired records.
     fn forget_expired(&self, expiry: &mut ExpiryState, now: Ms) {
-        expiry.next_expiry = 0.0;
+        expiry.next_expiry = None;
         lock(&self.records).retain(|_, entry| {
-            let stays = !entry.record.expired(now);
+            let stays = entry.is_kept(now);
             if stays {
-                expiry.note_expiry(entry.record.expires);
+                expiry.note_expiry(entry.keep_until);
             }
             stays
         });
--- a/crates/node/src/memory/store/merge.rs
+++ b/crates/node/src/memory/store/merge.rs
@@ -2,10 +2,9 @@
 use super::error::{refuse, StoreError};
 use super::expiry::ExpiryState;
 use super::{Store, MAX_VALUE};
-use crate::core::{lock, now_ms};
+use crate::core::{lock, UnixTime};
 use crate::memory::keys::is_node_local;
 use crate::memory::record::{Record, Stamp, Text};
-use corkbay::Ms;
 use corkbay_ledger::{Full, Reservation};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -16,7 +15,7 @@
     /// left out, and comes again. Node-local records are never taken in.
     pub fn merge(&self, incoming: Vec<Record>) -> Result<usize, StoreError> {
         let mut expiry = lock(&self.writing);
-        let now = now_ms();
+        let now = UnixTime::steady();
         let mut news: Vec<(Record, Reservation)> = Vec::new();
         let mut left_out = 0;
         for record in incoming {
@@ -53,7 +52,7 @@
             return Err(StoreError::NotLocal(note_key.into()));
         }
         let mut expiry = lock(&self.writing);
-        let now = now_ms();
+        let now = UnixTime::steady();
         let mut news = Vec::new();
         for record in incoming {
             if record.text().len() > MAX_VALUE {
@@ -71,7 +70,7 @@
             news.iter().map(|(record, _)| record.clone()).chain([note.clone()]).collect();
         self.append_in_pages(&records)?;
         let count = self.apply_all(&mut expiry, news);
-        self.apply(note, note_held);
+        self.apply(&mut expiry, note, note_held);
         Ok(count)
     }
 
@@ -83,13 +82,13 @@
             is_final: false,
             version,
             node: self.node.clone(),
-            expires: 0.0,
+            expires: UnixTime::NONE,
             value: Some(value),
         }
     }
 
     /// Whether a record of another node would stand here.
-    fn is_news(&self, record: &Record, now: Ms) -> bool {
+    fn is_news(&self, record: &Record, now: UnixTime) -> bool {
         if is_node_local(&record.key) || record.expired(now) {
             return false;
         }
@@ -110,15 +109,14 @@
     fn apply_all(&self, expiry: &mut ExpiryState, records: Vec<(Record, Reservation)>) -> usize {
         let count = records.len();
         for (record, held) in records {
-            expiry.note_expiry(record.expires);
-            self.apply(record, held);
+            self.apply(expiry, record, held);
         }
         count
     }
 
     /// The stamps of all records but node-local ones.
     pub fn digest(&self) -> BTreeMap<Arc<str>, Stamp> {
-        let now = now_ms();
+        let now = UnixTime::steady();
         let records = lock(&self.records);
         let shared = records.values().map(|entry| &entry.record).filter(|record| is_shared(record, now));
         shared.map(|record| (record.key.clone(), record.stamp())).collect()
@@ -127,7 +125,7 @@
     /// The records that a node with that digest lacks or has in another version, up to so many bytes of
     /// them: the rest comes with its next digest.
     pub fn lacking(&self, digest: &BTreeMap<Arc<str>, Stamp>, most: usize) -> Vec<Record> {
-        let now = now_ms();
+        let now = UnixTime::steady();
         let records = lock(&self.records);
         let shared = records.values().map(|entry| &entry.record).filter(|record| is_shared(record, now));
         let differing = shared.filter(|record| digest.get(&record.key) != Some(&record.stamp()));
@@ -141,6 +139,6 @@
 }
 
 /// Whether other nodes are told of a record.
-fn is_shared(record: &Record, now: Ms) -> bool {
+fn is_shared(record: &Record, now: UnixTime) -> bool {
     !is_node_local(&record.key) && !record.expired(now)
 }
--- a/crates/node/src/memory/store/mod.rs
+++ b/crates/node/src/memory/store/mod.rs
@@ -29,7 +29,9 @@
 use super::keys::is_foreign_seed;
 use super::log::{Log, LogError};
 use super::record::Record;
-use crate::core::{lock, now_ms};
+use crate::clock::UnixTime;
+use crate::core::{lock, monotonic_ms};
+use corkbay::Ms;
 use corkbay_ledger::{Ledger, Purpose, Reservation};
 use expiry::ExpiryState;
 use listeners::Listeners;
@@ -48,9 +50,36 @@
 /// A record with what is reserved for it.
 struct Entry {
     record: Record,
+    /// Until when it is kept here, on the monotonic clock; infinity for ever.
+    keep_until: Ms,
     _held: Reservation,
 }
 
+impl Entry {
+    fn is_kept(&self, now: Ms) -> bool {
+        self.keep_until > now
+    }
+}
+
+/// For how long records that expire are kept that a process before this one wrote, in milliseconds. The wall clock may
+/// have been stepped since then, so their dates are believed within these limits.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptAfterRestart {
+    /// From the start on, at least so long.
+    pub least: Ms,
+    /// At most so long.
+    pub most: Ms,
+}
+
+impl KeptAfterRestart {
+    /// Their dates are believed as they stand.
+    pub const AS_DATED: KeptAfterRestart = KeptAfterRestart { least: 0.0, most: Ms::INFINITY };
+
+    fn keep_until(self, expires: UnixTime, now: Ms) -> Ms {
+        now + (expires.at_start_clock() - now).clamp(self.least, self.most)
+    }
+}
+
 /// The records of one node.
 pub struct Store {
     node: Arc<str>,
@@ -78,16 +107,25 @@
 
     /// A store that lasts in the log of a folder. What the log holds is owed already, whatever fits. What other
     /// nodes' deploy files said is left out: earlier versions handed such records on.
-    pub fn open(node: &str, folder: &Path, ledger: Arc<Ledger>) -> Result<Self, LogError> {
+    pub fn open(
+        node: &str,
+        folder: &Path,
+        ledger: Arc<Ledger>,
+        kept: KeptAfterRestart,
+    ) -> Result<Self, LogError> {
         let mut store = Store::in_memory(node, ledger);
         let queued = store.ledger.account(Purpose::Log).clone();
+        let now = monotonic_ms();
         let log = Log::open(folder, queued, |record| {
             if is_foreign_seed(&record.key, node) {
                 return;
             }
             let held = store.ledger.owe(record.purpose(), record.size());
-            lock(&store.writing).note_expiry(record.expires);
-            store.apply(record, held);
+            let keep_until = match record.expires {
+                never if never.is_none() => Ms::INFINITY,
+                expires => kept.keep_until(expires, now),
+            };
+            store.apply_until(&mut lock(&store.writing), record, held, keep_until);
         })?;
         store.log = Some(log);
         Ok(store)
@@ -105,17 +143,18 @@
 
     /// What stands under a key.
     pub fn get(&self, key: &str) -> Option<Record> {
-        let record = self.stored(key)?;
-        (!record.expired(now_ms())).then_some(record)
+        let now = monotonic_ms();
+        let records = lock(&self.records);
+        records.get(key).filter(|entry| entry.is_kept(now)).map(|entry| entry.record.clone())
     }
 
     /// The records whose keys begin so, tombstones left out. They share what they hold with the store.
     pub fn under(&self, prefix: &str) -> Vec<Record> {
-        let now = now_ms();
+        let now = monotonic_ms();
         let records = lock(&self.records);
         let range = records.range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
         let with_prefix = range.take_while(|(key, _)| key.starts_with(prefix));
-        let live = with_prefix.map(|(_, entry)| &entry.record).filter(|record| !record.expired(now));
+        let live = with_prefix.filter(|(_, entry)| entry.is_kept(now)).map(|(_, entry)| &entry.record);
         live.filter(|record| record.value.is_some()).cloned().collect()
     }
 
@@ -146,7 +185,13 @@
     }
 
     /// Has a record stand if it is greater than what does, and tells of it. Only whoever holds `writing` calls this.
-    fn apply(&self, mut record: Record, held: Reservation) {
+    fn apply(&self, expiry: &mut ExpiryState, record: Record, held: Reservation) {
+        let expires = record.expires;
+        let keep_until = if expires.is_none() { Ms::INFINITY } else { expires.at_start_clock() };
+        self.apply_until(expiry, record, held, keep_until);
+    }
+
+    fn apply_until(&self, expiry: &mut ExpiryState, mut record: Record, held: Reservation, keep_until: Ms) {
         if record.node == self.node {
             // Records from the log bring a copy of the name each.
             record.node = self.node.clone();
@@ -159,7 +204,9 @@
                 }
                 record.key = old.record.key.clone();
             }
-            records.insert(record.key.clone(), Entry { record: record.clone(), _held: held });
+            let entry = Entry { record: record.clone(), keep_until, _held: held };
+            records.insert(record.key.clone(), entry);
+            expiry.note_expiry(keep_until);
         }
         lock(&self.listeners).tell_change(&record);
     }
--- a/crates/node/src/memory/store/tests.rs
+++ b/crates/node/src/memory/store/tests.rs
@@ -20,7 +20,14 @@
 fn record() -> impl Strategy<Value = Record> {
     (any::<bool>(), 0u64..4, "[ab]", 0u8..3, 0u8..3).prop_map(|(is_final, version, node, value, expires)| {
         let value = (value > 0).then(|| Text::of(&value).expect("text"));
-        Record { key: "k".into(), is_final, version, node: node.into(), expires: f64::from(expires), value }
+        Record {
+            key: "k".into(),
+            is_final,
+            version,
+            node: node.into(),
+            expires: UnixTime::from_ms(f64::from(expires)),
+            value,
+        }
     })
 }
 
@@ -47,7 +54,7 @@
                                              right in proptest::collection::vec(record(), 0..6)) {
         let (one, two) = (Store::in_memory("one", roomy()), Store::in_memory("two", roomy()));
         let lasting = |mut records: Vec<Record>| {
-            records.iter_mut().for_each(|record| record.expires = 0.0);
+            records.iter_mut().for_each(|record| record.expires = UnixTime::NONE);
             records
         };
         one.merge(lasting(left)).expect("in memory");
@@ -121,7 +128,7 @@
 #[test]
 fn what_has_expired_is_neither_told_nor_taken_back() {
     let (one, two) = (Store::in_memory("one", roomy()), Store::in_memory("two", roomy()));
-    let mut draft = Draft { expires: now_ms() - 1.0, ..Draft::new("a", text(1)) };
+    let mut draft = Draft { expires: UnixTime::of(monotonic_ms() - 1.0), ..Draft::new("a", text(1)) };
     let old = one.put(&mut draft).expect("in memory");
     assert!(one.get("a").is_none() && one.digest().is_empty());
     assert_eq!(two.merge(vec![old]).expect("in memory"), 0);
@@ -174,8 +181,10 @@
     let (store, _) = small();
     store.put(&mut Draft::new("function/a", text(1))).expect("room");
     store.put(&mut Draft::new("function/a", None)).expect("taken away");
-    let expired =
-        Draft { expires: now_ms() - 1.0, ..Draft::new("function/expired", text("x".repeat(10 * KIB))) };
+    let expired = Draft {
+        expires: UnixTime::of(monotonic_ms() - 1.0),
+        ..Draft::new("function/expired", text("x".repeat(10 * KIB)))
+    };
     store.put(&mut { expired }).expect("room");
     let fill =
         |name: u32| store.put(&mut Draft::new(&format!("function/{name}"), text("x".repeat(10 * KIB))));
--- a/crates/node/src/memory/store/tests/sharing.rs
+++ b/crates/node/src/memory/store/tests/sharing.rs
@@ -27,7 +27,7 @@
 }
 
 fn open(folder: &Path) -> Result<Store, LogError> {
-    Store::open("one", folder, roomy())
+    Store::open("one", folder, roomy(), KeptAfterRestart::AS_DATED)
 }
 
 fn of_peer(key: &str, version: u64) -> Record {
@@ -36,7 +36,7 @@
         is_final: false,
         version,
         node: "peer".into(),
-        expires: 0.0,
+        expires: UnixTime::NONE,
         value: text(version),
     }
 }
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -3,7 +3,7 @@
 mod slots;
 
 use super::socket::Socket;
-use crate::core::{lock, now_ms};
+use crate::core::{lock, monotonic_ms};
 use crate::life::spawn;
 use crate::memory::clients::ClientTable;
 use crate::memory::room::wait;
@@ -132,13 +132,13 @@
 
     /// Lets in all that stand in the queue as far as there are slots for them, however late this process gets its turn.
     fn empty_queue(&self, serve: &Serve) {
-        let end = now_ms() + EMPTIED.as_secs_f64() * 1000.0;
+        let end = monotonic_ms() + EMPTIED.as_secs_f64() * 1000.0;
         for _ in 0..MOST_QUEUED {
             let Ok((stream, _)) = self.listener.inner().accept() else { return };
             let socket = stream.set_nodelay(true).and_then(|()| Socket::adopt(stream, self.limits.stall));
             if let Err(error) = socket.and_then(|socket| self.let_in(socket, serve, end)) {
                 tracing::warn!(%error, "close");
-                if now_ms() >= end {
+                if monotonic_ms() >= end {
                     return;
                 }
             }
@@ -160,10 +160,10 @@
     /// Ends it with its process: what came by now is taken up, read and answered, and connections end once nothing is owed
     /// on them. What the kernel still held would be lost. Waits for so long at most.
     pub fn wind_up(&self, within: Duration) {
-        let end = now_ms() + within.as_secs_f64() * 1000.0;
+        let end = monotonic_ms() + within.as_secs_f64() * 1000.0;
         self.close();
         self.drain();
-        while self.held() > 0 && now_ms() < end {
+        while self.held() > 0 && monotonic_ms() < end {
             may::coroutine::sleep(WIND_UP_LOOK);
             self.drain();
         }
@@ -176,7 +176,7 @@
         self.slots.take_over();
         let slot = self.slot(SlotKind::Regular, self.limits.account.owe(CONNECTION_BYTES));
         let connection = Connection::new(socket, &self.clients, slot);
-        lock(&self.clients).answered(connection.number(), now_ms());
+        lock(&self.clients).answered(connection.number(), monotonic_ms());
         Ok(connection)
     }
 
@@ -221,7 +221,7 @@
                 }
                 Err(lacks) => lacks,
             };
-            let now = now_ms();
+            let now = monotonic_ms();
             if self.evict_idle(&self.clients) {
                 if now >= until {
                     return None;
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -1,7 +1,7 @@
 //! A client's connection: what is owed on it, how it is answered, passed on and closed.
 use super::slots::{Slot, SlotKind, Slots};
 use super::Table;
-use crate::core::{lock, now_ms};
+use crate::core::{lock, monotonic_ms};
 use crate::memory::clients::ClientState;
 use crate::wire::passage::{Passage, Passed};
 use crate::wire::socket::Socket;
@@ -43,7 +43,7 @@
 impl Connection {
     pub(super) fn new(socket: Socket, clients: &Table, slot: Slot) -> Arc<Self> {
         Arc::new_cyclic(|connection| {
-            let number = lock(clients).insert(connection.clone(), now_ms());
+            let number = lock(clients).insert(connection.clone(), monotonic_ms());
             Connection {
                 socket,
                 number,
@@ -53,7 +53,7 @@
                 account: slot.memory.account().clone(),
                 slots: slot.slots.clone(),
                 kind: slot.kind,
-                let_in: now_ms(),
+                let_in: monotonic_ms(),
                 slot: Mutex::new(Some(slot)),
             }
         })
@@ -71,7 +71,7 @@
 
     /// A request on it has come to its end.
     pub fn closed(&self) {
-        if lock(&self.clients).closed(self.number, now_ms()) {
+        if lock(&self.clients).closed(self.number, monotonic_ms()) {
             self.ended.post();
         }
         if lock(&self.clients).leave(self.number) {
@@ -94,7 +94,7 @@
 
     /// Whether it was let in to be turned away, and its reader may still be about to take what it asks.
     pub(super) fn is_being_turned_away(&self) -> bool {
-        self.is_turned_away() && now_ms() < self.let_in + TURN_AWAY_MS
+        self.is_turned_away() && monotonic_ms() < self.let_in + TURN_AWAY_MS
     }
 
     /// Waits until a request has come to its end on the connection, which is drained, or for that long.
@@ -110,7 +110,7 @@
     /// Writes an answer.
     pub fn answer(&self, bytes: &[u8]) -> std::io::Result<()> {
         self.socket.write(bytes)?;
-        lock(&self.clients).answered(self.number, now_ms());
+        lock(&self.clients).answered(self.number, monotonic_ms());
         Ok(())
     }
 
@@ -171,11 +171,11 @@
     /// the answer may be lost with it. `within` is for each wait, and [`LINGER_WAITS`] times that for all.
     pub fn linger(&self, within: Duration) {
         self.shut(Shutdown::Write);
-        let end = now_ms() + (within * LINGER_WAITS).as_secs_f64() * 1000.0;
+        let end = monotonic_ms() + (within * LINGER_WAITS).as_secs_f64() * 1000.0;
         let (mut chunk, mut left) = ([0; 1024], LINGER_BYTES);
         while let Ok(size @ 1..) = self.read(&mut chunk, within) {
             left = left.saturating_sub(size);
-            if left == 0 || now_ms() > end {
+            if left == 0 || monotonic_ms() > end {
                 return;
             }
         }
--- a/crates/node/src/wire/accept/slots.rs
+++ b/crates/node/src/wire/accept/slots.rs
@@ -1,5 +1,5 @@
 //! How many connections are held at a time, and what each gives back at its end.
-use crate::core::{lock, now_ms, until};
+use crate::core::{lock, monotonic_ms, until};
 use corkbay_ledger::Reservation;
 use may::sync::{Condvar, Mutex};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -88,9 +88,9 @@
 
     /// Waits until a slot is free, for that long at most.
     pub(super) fn wait_for_free(&self, within: Duration) {
-        let end = now_ms() + within.as_secs_f64() * 1000.0;
+        let end = monotonic_ms() + within.as_secs_f64() * 1000.0;
         let mut held = lock(&self.held);
-        while self.is_full(&held) && now_ms() < end {
+        while self.is_full(&held) && monotonic_ms() < end {
             held = match self.changed.wait_timeout(held, until(end)) {
                 Ok((held, _)) => held,
                 Err(poisoned) => poisoned.into_inner().0,
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -1,11 +1,11 @@
 //! A follower's side of the feed.
 use super::records::ConfigurationRecords;
 use crate::core::lock;
+use crate::core::monotonic_ms;
 use crate::life::spawn;
 use crate::memory::log::LogError;
 use crate::memory::record::{Record, Text};
 use crate::memory::store::{Store, StoreError};
-use crate::wire::clock::monotonic_ms;
 use crate::wire::framing::{self, FramingError, Head, Received, MAX_MESSAGE};
 use crate::wire::index::{RecordIndex, Scope};
 use crate::wire::news::{News, OnNews};
--- a/crates/node/src/wire/feed/server.rs
+++ b/crates/node/src/wire/feed/server.rs
@@ -1,12 +1,11 @@
 //! A control node's side of the feed.
 use super::records::ConfigurationRecords;
 use super::session::Session;
-use crate::core::{lock, now_ms};
+use crate::core::{lock, monotonic_ms, UnixTime};
 use crate::life::spawn;
 use crate::memory::record::Record;
 use crate::memory::store::Store;
 use crate::wire::accept::{Acceptor, Connection, ConnectionLimits};
-use crate::wire::clock::monotonic_ms;
 use crate::wire::framing::{self, FramingError};
 use crate::wire::index::{RecordIndex, Scope};
 use corkbay::Ms;
@@ -153,7 +152,7 @@
             for record in first.into_iter().chain(changes.try_iter()) {
                 state.note(&record, now);
             }
-            state.index.expire(now_ms());
+            state.index.expire(UnixTime::steady());
             let State { feed, index, .. } = &mut *state;
             feed.tick(&ConfigurationRecords { store: &self.store, index }, now);
             let next = state.feed.next_wakeup().unwrap_or(Ms::MAX);
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -3,7 +3,7 @@
 use super::intake::{Intake, CHUNK};
 use super::passage::{Arrival, Passage};
 use super::thrift::{self, Fields, Malformed, Message, Reply};
-use crate::core::{lock, now_ms, until, Answer, Call, Failure, Invoker, NotTaken};
+use crate::core::{lock, monotonic_ms, until, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
 use crate::memory::clients::ClientState;
 use corkbay::{position, Effect, ModelId, Ms, Request, RequestId};
@@ -180,13 +180,15 @@
                 return Ok(End::Closed);
             }
             let end = match state {
-                ClientState::Busy if connection.is_draining() => now_ms() + DRAIN_LOOK.as_millis() as Ms,
-                ClientState::Busy => now_ms() + SILENT_MS,
+                ClientState::Busy if connection.is_draining() => {
+                    monotonic_ms() + DRAIN_LOOK.as_millis() as Ms
+                }
+                ClientState::Busy => monotonic_ms() + SILENT_MS,
                 _ if !intake.is_empty() => begun + MESSAGE_MS,
                 ClientState::Idle => since + IDLE_MS,
                 ClientState::Silent => since + SILENT_MS,
             };
-            if connection.is_draining() && invoker.duty().ends(now_ms(), last_request) {
+            if connection.is_draining() && invoker.duty().ends(monotonic_ms(), last_request) {
                 owed_here(open).into_iter().for_each(|id| invoker.end(id));
             }
             let fresh = intake.is_empty();
@@ -195,14 +197,14 @@
                 Ok(0) if connection.is_shut() => {
                     // An answer that is being written is owed as well.
                     let owes = connection.state().0 == ClientState::Busy;
-                    if !owes && (intake.is_empty() || now_ms() > end || connection.is_evicted()) {
+                    if !owes && (intake.is_empty() || monotonic_ms() > end || connection.is_evicted()) {
                         return Ok(End::Closed);
                     }
                     connection.wait_for_an_end(DRAIN_LOOK);
                 }
                 Ok(0) => return Ok(End::Closed),
                 Ok(size) => {
-                    begun = if fresh { now_ms() } else { begun };
+                    begun = if fresh { monotonic_ms() } else { begun };
                     full_chunks = if size < CHUNK { 0 } else { full_chunks + 1 };
                     if full_chunks >= TURN_CHUNKS {
                         // Reading what is there never waits, and who never waits holds up all others. A yield would not
@@ -223,7 +225,7 @@
             }
             continue;
         };
-        begun = now_ms();
+        begun = monotonic_ms();
         let usable = match thrift::read(&message) {
             Ok(Message::Dispatch { seqid, fields, body }) => {
                 last_request = begun;
@@ -403,7 +405,7 @@
             Some(text) => Some(number(text, 0.0, MOST_FIGURE).ok_or("effort is out of range")?),
             None => None,
         },
-        expires: now_ms() + allow.ok_or("allow is out of range")?,
+        expires: monotonic_ms() + allow.ok_or("allow is out of range")?,
     };
     Ok(Call { request, class_name: class_name.to_string(), function: String::new(), key, body })
 }
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -6,7 +6,7 @@
 use super::socket::Socket;
 use super::workers::{broken, PARTIAL};
 use crate::core::{
-    lock, now_ms, until, AttemptError, Call, CancelNotice, Cause, Ending, Exchange, Verdict, Workers,
+    lock, monotonic_ms, until, AttemptError, Call, CancelNotice, Cause, Ending, Exchange, Verdict, Workers,
 };
 use crate::life::spawn;
 use crate::memory::link::Link;
@@ -189,7 +189,7 @@
         mut intake: Intake,
     ) -> Result<Vec<u8>, AttemptError> {
         let socket = self.connect(host, limits.connect)?;
-        if host.barred() || now_ms() > by {
+        if host.barred() || monotonic_ms() > by {
             return Err(AttemptError::Unfinished(Cause::Barred));
         }
         if !lock(&self.link).begin(self.id) {
@@ -258,7 +258,12 @@
                 );
                 let told = Socket::connect(&host.address, limits.connect, WRITE_STALL).and_then(|socket| {
                     socket.write(request.as_bytes())?;
-                    receive(&socket, now_ms() + WRITE_STALL.as_millis() as Ms, &mut intake, limits.answer)
+                    receive(
+                        &socket,
+                        monotonic_ms() + WRITE_STALL.as_millis() as Ms,
+                        &mut intake,
+                        limits.answer,
+                    )
                 });
                 if let Err(error) = told {
                     tracing::warn!(worker = %host.name, %error, "not called off");
--- a/crates/node/src/wire/index.rs
+++ b/crates/node/src/wire/index.rs
@@ -1,10 +1,10 @@
 //! Hashes over the records of a store, kept up to date record by record.
 //!
 //! Two nodes that have the same hashes hold the same records; where they differ, the hashes tell in which buckets.
+use crate::clock::UnixTime;
 use crate::memory::keys::{is_node_local, CONFIGURATION};
 use crate::memory::record::Record;
 use crate::memory::store::Store;
-use corkbay::Ms;
 use corkbay_feed::{stable_hash, BucketHashes, BucketIndex, BucketNumber, FeedRecord, BUCKETS};
 use corkbay_ledger::{Ledger, Purpose, Reservation};
 use may::sync::mpsc;
@@ -30,7 +30,7 @@
             &[u8::from(self.is_final)],
             &self.version.to_be_bytes(),
             self.node.as_bytes(),
-            &self.expires.to_be_bytes(),
+            &self.expires.as_ms().to_be_bytes(),
             self.text().as_bytes(),
         ])
     }
@@ -73,7 +73,7 @@
     key: Arc<str>,
     hash: u64,
     version: u64,
-    expires: Ms,
+    expires: UnixTime,
     purpose: Purpose,
 }
 
@@ -86,7 +86,7 @@
 
     /// Its place among those that expire; `None` for one that does not. Times are whole milliseconds, rounded up.
     fn expiry(&self) -> Option<(u64, Arc<str>)> {
-        (self.expires > 0.0).then(|| (self.expires.ceil() as u64, self.key.clone()))
+        (!self.expires.is_none()).then(|| (self.expires.as_ms().ceil() as u64, self.key.clone()))
     }
 }
 
@@ -166,9 +166,9 @@
     }
 
     /// Leaves out what has expired.
-    pub fn expire(&mut self, now: Ms) {
+    pub fn expire(&mut self, now: UnixTime) {
         while let Some((at, _)) = self.expiries.first() {
-            if *at as Ms > now {
+            if *at as f64 > now.as_ms() {
                 return;
             }
             let Some((_, key)) = self.expiries.pop_first() else { return };
--- a/crates/node/src/wire/index/tests.rs
+++ b/crates/node/src/wire/index/tests.rs
@@ -4,9 +4,16 @@
 use crate::memory::store::Draft;
 use proptest::prelude::*;
 
-fn record(key: &str, version: u64, expires: Ms) -> Record {
+fn record(key: &str, version: u64, expires: f64) -> Record {
     let value = Text::of(&version).ok();
-    Record { key: key.into(), is_final: false, version, node: "n".into(), expires, value }
+    Record {
+        key: key.into(),
+        is_final: false,
+        version,
+        node: "n".into(),
+        expires: UnixTime::from_ms(expires),
+        value,
+    }
 }
 
 fn index_of(records: &[Record]) -> RecordIndex {
@@ -40,9 +47,9 @@
     let empty = index.root();
     index.note(&record("invocation/1", 1, 500.0));
     assert_ne!(index.root(), empty);
-    index.expire(499.0);
+    index.expire(UnixTime::from_ms(499.0));
     assert_ne!(index.root(), empty);
-    index.expire(500.0);
+    index.expire(UnixTime::from_ms(500.0));
     assert_eq!(index.root(), empty);
     assert_eq!(ledger.held(), 0);
 }
--- a/crates/node/src/wire/intake/tests.rs
+++ b/crates/node/src/wire/intake/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::core::now_ms;
+use crate::core::monotonic_ms;
 use crate::life::spawn;
 use crate::memory::room::NO_ROOM;
 
@@ -9,14 +9,14 @@
 fn growth_waits_for_room_and_gives_up_in_the_end() {
     let account = Account::root("clients", 10 * CHUNK);
     let other = account.reserve(8 * CHUNK).expect("room");
-    let (ours, began) = (account.clone(), now_ms());
+    let (ours, began) = (account.clone(), monotonic_ms());
     let task = spawn(move || {
         let mut intake = Intake::new(&ours, Purpose::Clients);
         let first = intake.make_room(4 * CHUNK).map_err(|error| error.kind());
         let again = intake.make_room(8 * CHUNK).map_err(|error| error.kind());
-        let waited = now_ms() - began;
+        let waited = monotonic_ms() - began;
         let huge = intake.make_room(1 << 30).map_err(|error| error.kind());
-        (first, again, waited, huge, now_ms() - began)
+        (first, again, waited, huge, monotonic_ms() - began)
     });
     std::thread::sleep(Duration::from_millis(50));
     drop(other);
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -15,7 +15,7 @@
 use super::feed::Role;
 use super::http::{RequestHead, Response};
 use super::intake::{Intake, CHUNK};
-use crate::core::{now_ms, Invoker};
+use crate::core::{monotonic_ms, Invoker};
 use crate::memory::catalog::Catalog;
 use crate::memory::clients::ClientState;
 use crate::memory::invocations::Invocations;
@@ -105,7 +105,7 @@
             Err(error) if error.kind() == ErrorKind::TimedOut => {
                 // While a call is held the client has nothing to say, and it may have been answered while this waited.
                 let (state, since) = connection.state();
-                if state != ClientState::Busy && now_ms() - since >= within.as_secs_f64() * 1000.0 {
+                if state != ClientState::Busy && monotonic_ms() - since >= within.as_secs_f64() * 1000.0 {
                     return Err(error);
                 }
             }
--- a/crates/node/src/wire/invoke/calls.rs
+++ b/crates/node/src/wire/invoke/calls.rs
@@ -1,7 +1,7 @@
 //! Calls of the invoke API: taken in, run and looked up, in both styles.
 use super::responses::{accepted, problem, refused, respond, unkept};
 use super::{Current, InvokeApi, Next, DEADLINE_HEADER};
-use crate::core::{now_ms, Answer, Call, Failure, NotTaken, Taken};
+use crate::core::{monotonic_ms, Answer, Call, Failure, NotTaken, Taken, UnixTime};
 use crate::life::spawn;
 use crate::memory::catalog::Function;
 use crate::memory::invocations::{Deferred, Key, Promise, Repeat};
@@ -81,7 +81,7 @@
         let class = position(&invoker.names.classes, &function.class).ok_or_else(|| {
             problem(404, "unknown-class", "the function's class is unknown here", Some(false))
         })?;
-        let expires = now_ms() + allowed(head, self.catalog.give_up(class))?;
+        let expires = monotonic_ms() + allowed(head, self.catalog.give_up(class))?;
         let (key, window) = match invoker.settings.classes[class].effect {
             Effect::Keyed(_, window) => (Some((name.to_string(), key_of(head)?)), window),
             _ => (None, 0.0),
@@ -135,7 +135,8 @@
             function: name.to_string(),
             key: key_text.clone(),
             body_check: crc32fast::hash(&body),
-            repeats_until: terms.repeats_until,
+            repeats_until: UnixTime::of(terms.repeats_until),
+            repeats_for: terms.repeats_until - monotonic_ms(),
             answer: None,
         });
         let request = Request {
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -1,7 +1,6 @@
 //! What is spoken on the wire. Codecs are pure and bounded; each has its sockets in a module beside it.
 pub mod accept;
 pub mod channel;
-pub mod clock;
 pub mod feed;
 pub mod frames;
 pub mod framing;
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -2,7 +2,7 @@
 use super::accept::Connection;
 use super::http::{BadHttp, RequestHead, Response};
 use super::intake::{Intake, CHUNK};
-use crate::core::{now_ms, until, Invoker};
+use crate::core::{monotonic_ms, until, Invoker};
 use crate::life::handover::{CommandError, OperatorCommand, OverridesHandle};
 use corkbay::Ms;
 use corkbay_duty::Leave;
@@ -65,9 +65,9 @@
     connection: &Arc<Connection>,
 ) -> Option<Response> {
     let (mut raw, mut chunk) = (Intake::new(connection.account(), Purpose::Operators), vec![0; CHUNK]);
-    let end = now_ms() + CALL_MS;
+    let end = monotonic_ms() + CALL_MS;
     let mut fill = |raw: &mut Intake| match raw.fill(connection, &mut chunk, until(end)) {
-        Ok(1..) if now_ms() < end => Some(()),
+        Ok(1..) if monotonic_ms() < end => Some(()),
         _ => None,
     };
     let mut head = loop {
--- a/crates/node/src/wire/replicate/mesh.rs
+++ b/crates/node/src/wire/replicate/mesh.rs
@@ -2,10 +2,9 @@
 use super::agreements::Agreements;
 use super::error::ReplicationError;
 use super::messages::Held;
-use crate::core::{lock, now_ms};
+use crate::core::{lock, monotonic_ms, UnixTime};
 use crate::memory::record::Record;
 use crate::memory::store::Store;
-use crate::wire::clock::monotonic_ms;
 use crate::wire::framing::{self, Received, MAX_MESSAGE};
 use crate::wire::index::{RecordIndex, Scope};
 use crate::wire::news::{News, OnNews};
@@ -67,14 +66,14 @@
     /// The hash over all records.
     pub fn root(&self) -> u64 {
         let mut index = lock(&self.index);
-        index.expire(now_ms());
+        index.expire(UnixTime::steady());
         index.root()
     }
 
     /// The hashes of the buckets.
     pub fn hashes(&self) -> BucketHashes {
         let mut index = lock(&self.index);
-        index.expire(now_ms());
+        index.expire(UnixTime::steady());
         index.hashes()
     }
 
--- a/crates/node/src/wire/workers/connection.rs
+++ b/crates/node/src/wire/workers/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a worker: a task that makes it and writes, and one that reads.
 use super::Limits;
-use crate::core::{lock, now_ms, AttemptError, CancelNotice, Cause};
+use crate::core::{lock, monotonic_ms, AttemptError, CancelNotice, Cause};
 use crate::life::spawn;
 use crate::memory::counters::Dials;
 use crate::memory::link::{Link, Stage};
@@ -97,7 +97,7 @@
     /// Whether the worker owes something here and has been silent for too long.
     pub fn is_suspect(&self) -> bool {
         let since = self.quiet_since.load(Ordering::Relaxed);
-        since > 0 && now_ms() - since as Ms > SUSPECT_MS
+        since > 0 && monotonic_ms() - since as Ms > SUSPECT_MS
     }
 
     /// One that is not made yet, whose frames come to the queue.
@@ -143,7 +143,7 @@
                 Err(RecvTimeoutError::Timeout) => continue,
             };
             let id = out.frame.id;
-            if out.recipients.excludes(host) || now_ms() > out.by {
+            if out.recipients.excludes(host) || monotonic_ms() > out.by {
                 // Told so while the frame waited, or it waited too long: it must not go out any more.
                 let given_up = if out.is_tracked { lock(&self.link).give_up(id) } else { None };
                 if let Some((_, waiter)) = given_up {
@@ -157,7 +157,7 @@
             if out.is_tracked {
                 // Before the first byte, so that no answer can come sooner.
                 let relaxed = Ordering::Relaxed;
-                let _ = self.quiet_since.compare_exchange(0, now_ms() as u64, relaxed, relaxed);
+                let _ = self.quiet_since.compare_exchange(0, monotonic_ms() as u64, relaxed, relaxed);
             }
             if socket.write(&out.frame.encode()).is_err() {
                 let torn = if out.is_tracked { lock(&self.link).give_up(id) } else { None };
@@ -185,7 +185,7 @@
                         let mut link = lock(&self.link);
                         (link.answered(frame.id), link.is_idle())
                     };
-                    self.quiet_since.store(if idle { 0 } else { now_ms() as u64 }, Ordering::Relaxed);
+                    self.quiet_since.store(if idle { 0 } else { monotonic_ms() as u64 }, Ordering::Relaxed);
                     if let Some(waiter) = waiter {
                         waiter(Ok(frame));
                     }
--- a/crates/node/src/wire/workers/tests.rs
+++ b/crates/node/src/wire/workers/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::core::now_ms;
+use crate::core::monotonic_ms;
 
 /// Guards the rule on second copies: the word that gives an attempt up is out once it was written, not once it was
 /// queued behind what a worker does not read.
@@ -21,20 +21,21 @@
         let request = corkbay::Request { id: corkbay::RequestId(id), ..Default::default() };
         Arc::new(Call { request, body: vec![7; size], ..Call::default() })
     };
-    let mut first = workers.send(&host, &call(1, 1), now_ms() + 30_000.0, f64::INFINITY, Box::new(|_| ()));
+    let mut first =
+        workers.send(&host, &call(1, 1), monotonic_ms() + 30_000.0, f64::INFINITY, Box::new(|_| ()));
     let (mut socket, _) = listener.accept().expect("dialled");
     let mut head = [0; 18];
     std::io::Read::read_exact(&mut socket, &mut head).expect("the first call");
     // More than buffers hold: the writer is stuck in it.
     let _second =
-        workers.send(&host, &call(2, 32 << 20), now_ms() + 30_000.0, f64::INFINITY, Box::new(|_| ()));
+        workers.send(&host, &call(2, 32 << 20), monotonic_ms() + 30_000.0, f64::INFINITY, Box::new(|_| ()));
     assert_eq!(first.give_up(Cause::GivenUp), Some(AttemptError::Unanswered(Cause::GivenUp)));
     std::thread::sleep(Duration::from_millis(100));
     assert!(!first.cancel_notice().is_sent(), "it waits behind the second call");
     std::thread::spawn(move || std::io::copy(&mut socket, &mut std::io::sink()));
-    let end = now_ms() + 20_000.0;
+    let end = monotonic_ms() + 20_000.0;
     while !first.cancel_notice().is_sent() {
-        assert!(now_ms() < end, "it is written at last");
+        assert!(monotonic_ms() < end, "it is written at last");
         std::thread::sleep(Duration::from_millis(5));
     }
 }
--- a/crates/node/tests/frames.rs
+++ b/crates/node/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Worker connections against a stand-in that a test plays frame by frame.
 use corkbay::{ModelId, Outcome, Request, RequestId, WorkerId};
-use corkbay_node::core::{now_ms, AttemptError, Call, Cause, Exchange, Verdict, Workers};
+use corkbay_node::core::{monotonic_ms, AttemptError, Call, Cause, Exchange, Verdict, Workers};
 use corkbay_node::memory::roster::Host;
 use corkbay_node::wire::frames::{code, Frame, FROM_INVOKER, FROM_WORKER};
 use corkbay_node::wire::workers::{FrameWorkers, Limits};
@@ -56,7 +56,10 @@
         let call = Call { request, class_name: "check".into(), body, ..Call::default() };
         let (told, end) = channel();
         let ending = Box::new(move |end| _ = told.send(end));
-        (self.workers.send(&self.host, &Arc::new(call), now_ms() + 60_000.0, f64::INFINITY, ending), end)
+        (
+            self.workers.send(&self.host, &Arc::new(call), monotonic_ms() + 60_000.0, f64::INFINITY, ending),
+            end,
+        )
     }
 
     fn peer(&self) -> Peer {
@@ -233,7 +236,7 @@
 #[test]
 fn an_order_that_is_too_late_is_not_written() {
     let bench = Bench::new();
-    let (order, copies) = bench.workers.load(&bench.host, ModelId(5), 1, now_ms() - 1.0, PATIENCE);
+    let (order, copies) = bench.workers.load(&bench.host, ModelId(5), 1, monotonic_ms() - 1.0, PATIENCE);
     assert_eq!((order, copies), (Err(AttemptError::Unfinished(Cause::Barred)), 0));
     bench.workers.evict(&bench.host, ModelId(6));
     assert_eq!(bench.peer().next().code, code::EVICT, "nothing went before it");
--- a/crates/rig/src/scale/feed/hollow.rs
+++ b/crates/rig/src/scale/feed/hollow.rs
@@ -3,11 +3,11 @@
 use crate::scale::ScaleError;
 use corkbay_feed::FollowerState;
 use corkbay_ledger::{Ledger, Purpose};
-use corkbay_node::core::{now_ms, Invoker};
+use corkbay_node::core::{monotonic_ms, Invoker};
 use corkbay_node::life::deploy::Deploy;
 use corkbay_node::life::{accounts, logs, platform, spawn};
 use corkbay_node::memory::catalog::Catalog;
-use corkbay_node::memory::store::Store;
+use corkbay_node::memory::store::{KeptAfterRestart, Store};
 use corkbay_node::wire::feed::{follow, FollowerHandle};
 use corkbay_node::wire::http_workers::{HttpWorkers, Limits, Style};
 use corkbay_node::wire::news::OnNews;
@@ -67,7 +67,7 @@
     memory_mb: f64,
     limit_ms: f64,
 ) -> Vec<Option<f64>> {
-    let until = now_ms() + limit_ms;
+    let until = monotonic_ms() + limit_ms;
     let mut held_since: Vec<Option<f64>> = vec![None; followers.len()];
     // How many of the functions each follower was seen to hold.
     let mut held: Vec<usize> = vec![0; followers.len()];
@@ -79,10 +79,10 @@
                 held[number] += 1;
             }
             if held[number] == functions.len() && held_since[number].is_none() {
-                held_since[number] = Some(now_ms());
+                held_since[number] = Some(monotonic_ms());
             }
         }
-        if held_since.iter().all(Option::is_some) || now_ms() > until {
+        if held_since.iter().all(Option::is_some) || monotonic_ms() > until {
             return held_since;
         }
         std::thread::sleep(POLL);
@@ -104,7 +104,9 @@
         let budget = accounts::deploy_budget(&deploy.memory_settings(), base_bytes).map_err(failed)?;
         let ledger = Arc::new(Ledger::new(&budget, &accounts::tenants(&settings)));
         let folder = deploy.data_dir.as_deref().ok_or_else(|| failed("a follower without data_dir"))?;
-        let store = Arc::new(Store::open(&deploy.node, folder, ledger.clone()).map_err(failed)?);
+        let store = Arc::new(
+            Store::open(&deploy.node, folder, ledger.clone(), KeptAfterRestart::AS_DATED).map_err(failed)?,
+        );
         let give_up = deploy.classes.iter().map(|class| class.give_up_ms).collect();
         let catalog = Arc::new(Catalog::new(store.clone(), give_up));
         let connect = Duration::from_secs_f64(deploy.limits.connect_timeout_ms / 1000.0);
