Starts, returns and keys are dated so that no step of a clock makes a worker older

Cause: since_ms of the command channel and the record of operators' overrides were compared with the Unix clock, so a step of ours, or a sender whose clock is off, made a cold worker look warm (slow start) or a warm one cold.

Change: memory/starts.rs understands a date by the wall clock at the start of the process and as it stands, takes the younger reading, and bounds it by what was heard; the overrides record carries the machine's monotonic clock beside the date.

--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -16,10 +16,10 @@
 
 pub use bans::{Bans, Stay};
 pub use duty::{Duty, Leave, Terms};
-pub use overrides::{look, BadRecord, Look, Overrides, MOST};
+pub use overrides::{look, BadRecord, Clocks, Look, Overrides, MOST};
 pub use passage::{BadMessage, Head, Message, HEAD, MOST_BODY};
 pub use redial::Redial;
 pub use succession::{Other, Seen, Succession};
 
-/// Milliseconds: points in time on the Unix clock, and spans.
+/// Milliseconds: points in time on the process's monotonic clock, and spans.
 pub type Ms = f64;
--- a/crates/duty/src/overrides.rs
+++ b/crates/duty/src/overrides.rs
@@ -1,5 +1,5 @@
 //! What operators have asked for as it passes from process to process: one record with a version and a check.
-use crate::{Bans, Stay};
+use crate::{Bans, Ms, Stay};
 use serde::{Deserialize, Serialize};
 
 /// First word of the record, with the version of its form.
@@ -7,6 +7,31 @@
 /// Largest record that is read, in bytes: some thousands of hosts.
 pub const MOST: usize = 1 << 20;
 
+/// The clocks by which two processes of one machine can date what they share, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Clocks {
+    /// Now on the process's own monotonic clock, by which overrides are dated in memory.
+    pub now: Ms,
+    /// How far the machine's monotonic clock is ahead of it, which all processes share until the machine is started
+    /// anew.
+    pub machine_ahead: Ms,
+    /// How far the wall clock was ahead of it when the process began.
+    pub wall_ahead: Ms,
+}
+
+impl Clocks {
+    /// A date of the record on the process's clock. What seems to lie ahead was dated before the machine was started
+    /// anew, or before the wall clock was set back: it counts as now, so that a host that came back is cold.
+    fn to_process(self, host: &Host) -> Ms {
+        let at = match host.since_machine_ms {
+            Some(at) => at - self.machine_ahead,
+            // Written by an earlier version.
+            None => host.since_ms - self.wall_ahead,
+        };
+        at.min(self.now)
+    }
+}
+
 /// What operators have asked for and not taken back.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Overrides {
@@ -40,16 +65,32 @@
 struct Host {
     name: String,
     out: bool,
+    /// By the wall clock, for earlier versions.
     since_ms: f64,
+    /// By the machine's monotonic clock.
+    #[serde(default)]
+    since_machine_ms: Option<f64>,
+}
+
+impl Host {
+    fn new(name: &str, stay: Stay, clocks: Clocks) -> Self {
+        let (out, at) = match stay {
+            Stay::Out(at) => (true, at),
+            Stay::Back(at) => (false, at),
+        };
+        Host {
+            name: name.to_string(),
+            out,
+            since_ms: at + clocks.wall_ahead,
+            since_machine_ms: Some(at + clocks.machine_ahead),
+        }
+    }
 }
 
 impl Overrides {
     /// Its bytes: the head, the check in hex, a line end, and the record as JSON.
-    pub fn encode(&self) -> Vec<u8> {
-        let hosts = self.bans.stays().map(|(name, stay)| match stay {
-            Stay::Out(since_ms) => Host { name: name.to_string(), out: true, since_ms },
-            Stay::Back(since_ms) => Host { name: name.to_string(), out: false, since_ms },
-        });
+    pub fn encode(&self, clocks: Clocks) -> Vec<u8> {
+        let hosts = self.bans.stays().map(|(name, stay)| Host::new(name, stay, clocks));
         let text = Text { version: self.version, drained: self.drained, hosts: hosts.collect() };
         // Texts, numbers and flags: none of it fails to be written.
         let text = serde_json::to_string(&text).unwrap_or_default();
@@ -57,7 +98,7 @@
     }
 
     /// Reads it back; what is damaged in any place is told as such.
-    pub fn decode(bytes: &[u8]) -> Result<Overrides, BadRecord> {
+    pub fn decode(bytes: &[u8], clocks: Clocks) -> Result<Overrides, BadRecord> {
         let text = std::str::from_utf8(bytes).map_err(|_| BadRecord::Form)?;
         let (head, text) = text.split_once('\n').ok_or(BadRecord::Form)?;
         let check = head.strip_prefix(HEAD).and_then(|rest| rest.strip_prefix(' ')).ok_or(BadRecord::Form)?;
@@ -66,7 +107,8 @@
         }
         let text: Text = serde_json::from_str(text).map_err(|_| BadRecord::Form)?;
         let stays = text.hosts.into_iter().map(|host| {
-            (host.name, if host.out { Stay::Out(host.since_ms) } else { Stay::Back(host.since_ms) })
+            let at = clocks.to_process(&host);
+            (host.name, if host.out { Stay::Out(at) } else { Stay::Back(at) })
         });
         Ok(Overrides { version: text.version, drained: text.drained, bans: Bans::from_stays(stays) })
     }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -6,6 +6,7 @@
 //! is a date: starts told by the command channel, records that outlive the process, log lines. The two are two types, so
 //! that a date is never mixed into a span.
 use corkbay::Ms;
+use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -14,15 +15,20 @@
 /// before the start of the process is still above zero.
 const LEAST_START_MS: Ms = 86_400_000.0;
 
-/// One instant on both clocks.
+/// One instant on all clocks.
 struct Start {
     monotonic: Instant,
+    machine_ms: Ms,
     unix_ms: Ms,
 }
 
 fn start() -> &'static Start {
     static START: OnceLock<Start> = OnceLock::new();
-    START.get_or_init(|| Start { monotonic: Instant::now(), unix_ms: wall_clock_ms().max(LEAST_START_MS) })
+    START.get_or_init(|| Start {
+        monotonic: Instant::now(),
+        machine_ms: machine_clock_ms(),
+        unix_ms: wall_clock_ms().max(LEAST_START_MS),
+    })
 }
 
 fn wall_clock_ms() -> Ms {
@@ -36,6 +42,17 @@
     start.unix_ms + start.monotonic.elapsed().as_secs_f64() * 1000.0
 }
 
+/// How far the machine's monotonic clock, which all its processes share until it is started anew, is ahead of
+/// [`monotonic_ms`]; the same for as long as the process lives.
+pub fn machine_clock_ahead_ms() -> Ms {
+    start().machine_ms - start().unix_ms
+}
+
+fn machine_clock_ms() -> Ms {
+    let now = clock_gettime(ClockId::Monotonic);
+    now.tv_sec as Ms * 1000.0 + now.tv_nsec as Ms / 1e6
+}
+
 /// The span from now to a point on the monotonic clock; zero once it has passed.
 pub fn until(at: Ms) -> Duration {
     Duration::from_secs_f64((at - monotonic_ms()).clamp(0.0, 1e9) / 1000.0)
--- a/crates/node/src/life/handover/files.rs
+++ b/crates/node/src/life/handover/files.rs
@@ -2,7 +2,8 @@
 //!
 //! The overrides are one record, replaced by rename under a lock. Each process holds one of two slots by a lock for as long
 //! as it lives, and notes there that it serves. All files are met on one thread: coroutines must not wait for a disk.
-use corkbay_duty::{BadRecord, Overrides, Seen, Succession, MOST};
+use crate::clock::{machine_clock_ahead_ms, monotonic_ms, UnixTime};
+use corkbay_duty::{BadRecord, Clocks, Overrides, Seen, Succession, MOST};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, Write};
 use std::os::unix::fs::MetadataExt;
@@ -106,7 +107,7 @@
         };
         let mut bytes = Vec::new();
         match file.take(MOST as u64).read_to_end(&mut bytes) {
-            Ok(_) => Some(Overrides::decode(&bytes)),
+            Ok(_) => Some(Overrides::decode(&bytes, shared_clocks())),
             Err(_) => Some(Err(BadRecord::Form)),
         }
     }
@@ -138,7 +139,7 @@
     pub(super) fn write(&self, overrides: &Overrides) -> io::Result<()> {
         let fresh = self.folder.join(format!("{OVERRIDES_FILE}.{}", self.number));
         let mut file = File::create(&fresh)?;
-        file.write_all(&overrides.encode())?;
+        file.write_all(&overrides.encode(shared_clocks()))?;
         file.sync_data()?;
         std::fs::rename(&fresh, self.folder.join(OVERRIDES_FILE))
     }
@@ -162,6 +163,12 @@
     }
 }
 
+/// The clocks by which two processes can date what they share.
+fn shared_clocks() -> Clocks {
+    let now = monotonic_ms();
+    Clocks { now, machine_ahead: machine_clock_ahead_ms(), wall_ahead: UnixTime::of(now).as_ms() - now }
+}
+
 fn write_slot(slot: &mut File, text: &[u8]) -> io::Result<()> {
     slot.set_len(0)?;
     slot.rewind()?;
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -126,7 +126,7 @@
     let invoker = Invoker::new(&config.settings, config.seed, workers.clone(), ledger.clone());
     accounts::watch(&invoker);
     for news in config.known {
-        news.tell(&invoker, true);
+        news.remember(&invoker);
     }
     let limits = Arc::new(Limits {
         memory_mb: AtomicU64::new(config.memory_mb),
--- a/crates/node/src/memory/catalog.rs
+++ b/crates/node/src/memory/catalog.rs
@@ -4,6 +4,7 @@
 use super::record::{Record, Text};
 use super::roster::Listing;
 use super::store::{Draft, Store, StoreError};
+use crate::clock::UnixTime;
 use crate::core::Invoker;
 use corkbay::{ModelId, Ms, Standing};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
@@ -200,7 +201,8 @@
                 State::Removed => Standing::Gone,
             },
             weight: worker.weight,
-            born: 0.0,
+            since: UnixTime::NONE,
+            heard_without: Ms::NEG_INFINITY,
         };
         invoker.news(self.workers().into_iter().map(listing).collect(), true, false);
     }
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -12,6 +12,7 @@
 pub mod room;
 pub mod roster;
 pub mod seeds;
+pub mod starts;
 pub mod store;
 
 /// Accounts with room for all that a test holds.
--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -1,5 +1,7 @@
 //! The workers as the command channel names them and as the operators hold them out, folded into what the decisions
 //! hear and what may still be sent there.
+use super::starts::{HeardAt, Readings, ToldStart};
+use crate::clock::{monotonic_ms, UnixTime};
 use corkbay::{position, Ms, Names, Roster, RosterEntry, Standing, WorkerId};
 use corkbay_duty::Bans;
 use corkbay_ledger::pressure::{decide, Case, Decision};
@@ -27,8 +29,10 @@
     pub standing: Standing,
     /// Size in relation to the others.
     pub weight: f64,
-    /// When it last started; 0 for long ago.
-    pub born: Ms,
+    /// When it last started, by its sender's clock; none for long ago.
+    pub since: UnixTime,
+    /// When the sender was last heard without this word, on the monotonic clock; minus infinity where it was not.
+    pub heard_without: Ms,
 }
 
 /// One worker. A new name at an old address is another worker, with connections of its own.
@@ -76,6 +80,7 @@
 struct Known {
     host: Arc<Host>,
     listed: RosterEntry,
+    start: ToldStart,
 }
 
 impl Known {
@@ -257,6 +262,9 @@
             self.next += 1;
             WorkerId(self.next - 1)
         });
+        let heard = HeardAt { now: monotonic_ms(), heard_without: listing.heard_without };
+        let before = self.hosts.get(&number).map(|known| known.start);
+        let start = ToldStart::understand(listing.since, Readings::of(listing.since), heard, before);
         let listed = RosterEntry {
             worker: number,
             zone: position(&self.zones, &listing.zone).unwrap_or(usize::MAX),
@@ -265,7 +273,7 @@
             cell: listing.cell,
             standing: listing.standing,
             weight: listing.weight,
-            born: listing.born,
+            born: start.started,
         };
         let host = match self.hosts.remove(&number).map(|known| known.host) {
             Some(host) if host.address == listing.address => host,
@@ -275,7 +283,7 @@
                 Host::new(number, &listed.name, listing.address)
             }
         };
-        let known = self.hosts.entry(number).or_insert(Known { host, listed });
+        let known = self.hosts.entry(number).or_insert(Known { host, listed, start });
         Some(known.fold(&self.bans))
     }
 }
--- a/crates/node/src/memory/roster/tests.rs
+++ b/crates/node/src/memory/roster/tests.rs
@@ -5,7 +5,9 @@
 fn listing(name: usize, standing: Standing) -> Listing {
     let (zone, kind) = (String::new(), String::new());
     let address = "127.0.0.1:1".parse().expect("address");
-    Listing { name: format!("w{name}"), address, zone, kind, cell: 0, standing, weight: 1.0, born: 0.0 }
+    let (since, heard_without) = (UnixTime::NONE, Ms::NEG_INFINITY);
+    let name = format!("w{name}");
+    Listing { name, address, zone, kind, cell: 0, standing, weight: 1.0, since, heard_without }
 }
 
 /// Guards memory on days on which hosts are replaced by new ones all the time.
--- /dev/null
+++ b/crates/node/src/memory/starts/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+
+const NOW: Ms = 1_000_000.0;
+const HOUR_MS: Ms = 3_600_000.0;
+
+fn heard(now: Ms, heard_without: Ms) -> HeardAt {
+    HeardAt { now, heard_without }
+}
+
+/// A start told with its age by the clock as it stood at the start of the process and as it stands now.
+fn told(age_at_start_clock: Ms, age_at_present_clock: Ms, heard_without: Ms) -> Ms {
+    let readings =
+        Readings { at_start_clock: NOW - age_at_start_clock, at_present_clock: NOW - age_at_present_clock };
+    let start = ToldStart::understand(UnixTime::from_ms(5.0), readings, heard(NOW, heard_without), None);
+    NOW - start.started
+}
+
+#[test]
+fn a_right_clock_is_believed() {
+    assert_eq!(told(2500.0, 2500.0, NOW - 1000.0), 2500.0);
+    assert_eq!(told(90_000.0, 90_000.0, Ms::NEG_INFINITY), 90_000.0, "known before the channel was heard");
+}
+
+/// Guards slow start: no step of our clock makes a worker older than it is.
+#[test]
+fn a_step_of_our_clock_makes_no_worker_older() {
+    for step in [2000.0, 30_000.0, HOUR_MS] {
+        assert_eq!(told(2500.0, 2500.0 + step, NOW - 1000.0), 2500.0, "set forward");
+        assert_eq!(told(2500.0 + step, 2500.0, NOW - 1000.0), 2500.0, "set right after it was ahead");
+        assert!(told(2500.0, 2500.0 - step, NOW - 1000.0) <= 2500.0, "set back");
+    }
+}
+
+/// Guards slow start where the sender's clock, or ours from the start on, is off.
+#[test]
+fn a_start_lies_between_the_last_word_without_it_and_now() {
+    for wrong in [30_000.0, HOUR_MS] {
+        assert_eq!(told(wrong, wrong, NOW - 1000.0), 0.0, "too long ago to be told only now");
+        assert_eq!(told(-wrong, -wrong, NOW - 1000.0), 0.0, "not yet");
+    }
+    assert_eq!(told(20_000.0, 20_000.0, NOW - 8000.0), 20_000.0, "told behind a silence");
+}
+
+#[test]
+fn the_same_date_is_the_same_start_and_another_is_a_later_one() {
+    let readings = |at| Readings { at_start_clock: at, at_present_clock: at };
+    let understand = |since, at, now, before| {
+        ToldStart::understand(UnixTime::from_ms(since), readings(at), heard(now, now - 1000.0), before)
+    };
+    let first = understand(5.0, NOW - 2000.0, NOW, None);
+    assert_eq!(understand(5.0, NOW + HOUR_MS, NOW + 9000.0, Some(first)), first, "told again behind a step");
+    let second = understand(6.0, NOW - HOUR_MS, NOW, Some(first));
+    assert_eq!(second.started, NOW, "a date that can't be is no older start");
+    assert!(
+        understand(4.0, NOW - 2500.0, NOW, Some(first)).started > first.started,
+        "the sender's clock went back"
+    );
+    assert_eq!(understand(0.0, 0.0, NOW, Some(first)).started, 0.0, "long ago");
+}
+
+#[test]
+fn what_was_missed_during_a_silence_may_be_as_old_as_the_silence() {
+    let mut contact = Contact::default();
+    assert_eq!(contact.heard_without(), Ms::NEG_INFINITY);
+    contact.heard(0.0);
+    assert_eq!(contact.heard_without(), Ms::NEG_INFINITY, "the first list may tell anything");
+    for second in 1..=10 {
+        contact.heard(f64::from(second) * 1000.0);
+    }
+    assert_eq!(contact.heard_without(), 9000.0);
+    contact.heard(19_000.0);
+    contact.heard(19_001.0);
+    assert_eq!(contact.heard_without(), 10_000.0, "the channel was down");
+    contact.heard(20_000.0);
+    contact.heard(21_000.0);
+    contact.heard(22_000.0);
+    contact.heard(23_000.0);
+    contact.heard(24_000.0);
+    assert_eq!(contact.heard_without(), 23_000.0, "caught up");
+}
--- a/crates/node/src/wire/channel.rs
+++ b/crates/node/src/wire/channel.rs
@@ -1,9 +1,10 @@
 //! The command channel: news of the workers as numbered events.
 use super::socket::Socket;
 use super::sse::Stream;
-use crate::core::{lock, Invoker};
+use crate::core::{lock, monotonic_ms, Invoker, UnixTime};
 use crate::memory::roster::Listing;
-use corkbay::Standing;
+use crate::memory::starts::Contact;
+use corkbay::{Ms, Standing};
 use corkbay_duty::Redial;
 use may::sync::Mutex;
 use serde::Deserialize;
@@ -73,8 +74,10 @@
     1.0
 }
 
-impl From<Endpoint> for Listing {
-    fn from(endpoint: Endpoint) -> Self {
+impl Endpoint {
+    /// What it says, on a channel that was last heard without it at that time.
+    fn listing(self, heard_without: Ms) -> Listing {
+        let endpoint = self;
         Listing {
             name: endpoint.name,
             address: endpoint.address,
@@ -87,17 +90,24 @@
                 Status::Removed => Standing::Gone,
             },
             weight: endpoint.weight,
-            born: endpoint.since_ms,
+            since: UnixTime::from_ms(endpoint.since_ms),
+            heard_without,
         }
     }
 }
 
 impl News {
-    /// Passes the event on; `remembered` where it was known at the start.
-    pub fn tell(self, invoker: &Arc<Invoker>, remembered: bool) {
+    /// Passes on an event that was known at the start.
+    pub fn remember(self, invoker: &Arc<Invoker>) {
+        self.tell(invoker, Ms::NEG_INFINITY, true);
+    }
+
+    /// Passes the event on, told on a channel that was last heard without it at that time; `remembered` where it was
+    /// known at the start.
+    fn tell(self, invoker: &Arc<Invoker>, heard_without: Ms, remembered: bool) {
         if let Some(nodes) = self.nodes {
             let read = |entry: Value| match Endpoint::deserialize(&entry) {
-                Ok(endpoint) => Some(Listing::from(endpoint)),
+                Ok(endpoint) => Some(endpoint.listing(heard_without)),
                 Err(error) => {
                     invoker.counters.channel_odd.add();
                     tracing::warn!(%entry, %error, "command channel: an entry was left out");
@@ -157,11 +167,11 @@
 /// Reads the channel for as long as the process lives: each time it ends it is called again, at once where it brought
 /// news.
 pub fn follow(invoker: &Arc<Invoker>, line: &Line, mut cursor: u64) {
-    let mut redial = Redial::default();
+    let (mut redial, mut contact) = (Redial::default(), Contact::default());
     loop {
         let (before, address) = (cursor, line.address());
         invoker.counters.channel_calls.add();
-        if let Err(error) = listen(invoker, line, address, &mut cursor) {
+        if let Err(error) = listen(invoker, line, address, &mut cursor, &mut contact) {
             tracing::warn!(%error, "command channel");
         }
         if cursor == before && line.address() == address {
@@ -173,7 +183,13 @@
     }
 }
 
-fn listen(invoker: &Arc<Invoker>, line: &Line, address: SocketAddr, cursor: &mut u64) -> io::Result<()> {
+fn listen(
+    invoker: &Arc<Invoker>,
+    line: &Line,
+    address: SocketAddr,
+    cursor: &mut u64,
+    contact: &mut Contact,
+) -> io::Result<()> {
     let socket = Arc::new(Socket::connect(&address, CONNECT, SILENCE)?);
     if !line.reads(address, &socket) {
         return Ok(());
@@ -190,6 +206,7 @@
         }
         let events = stream.feed(&chunk[..size]).map_err(io::Error::other)?;
         line.heard.store(true, Ordering::Release);
+        contact.heard(monotonic_ms());
         for event in events {
             let news: Result<News, _> = serde_json::from_str(&event.data);
             let number = event.id.and_then(|id| id.parse().ok());
@@ -200,7 +217,7 @@
             }
             *cursor = number;
             match news {
-                Ok(news) => news.tell(invoker, false),
+                Ok(news) => news.tell(invoker, contact.heard_without(), false),
                 // Asked for again it would read no better, and what follows it must be heard.
                 Err(error) => {
                     invoker.counters.channel_odd.add();
--- a/crates/rig/src/scale/worker_list.rs
+++ b/crates/rig/src/scale/worker_list.rs
@@ -5,6 +5,7 @@
 use clap::Args;
 use corkbay::{ModelId, Ms, Names, Standing};
 use corkbay_ledger::{Budget, Ledger, Purpose, Shares, MIB};
+use corkbay_node::core::UnixTime;
 use corkbay_node::core::{AttemptError, Call, Ending, Exchange, Invoker, Workers};
 use corkbay_node::memory::catalog::{Catalog, State, Worker};
 use corkbay_node::memory::roster::{Directory, Host, Listing};
@@ -195,7 +196,7 @@
     let event = events.first().ok_or_else(|| ScaleError::Failed("the event did not come out".into()))?;
     let news: News = serde_json::from_str(&event.data).map_err(failed)?;
     let parsed = thread_cpu();
-    news.tell(invoker, false);
+    news.remember(invoker);
     let told = thread_cpu();
     Ok(Reading { stream: streamed - began, json: parsed - streamed, tell: told - parsed })
 }
@@ -224,7 +225,8 @@
         cell: cell(number, options),
         standing: Standing::Ready,
         weight: 1.0,
-        born: 0.0,
+        since: UnixTime::NONE,
+        heard_without: f64::NEG_INFINITY,
     }
 }
 
