Log and counters tell why a request ended unserved and why it was tried again

Change: the decisions give a reason with each refusal and failure (EndReason), the core adds its own (expired, process ends, withdrawn); a line with request id, attempts, time left and reason, 20 lines a second at most, and counters unserved_* and retried. No decision changes.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -11,7 +11,7 @@
 mod notes;
 mod request;
 
-use super::{monotonic_ms, until, Call, Workers};
+use super::{monotonic_ms, until, Call, LineBudget, Workers};
 use crate::memory::counters::Counters;
 use crate::memory::roster::{BanError, Directory, Listing};
 use corkbay::{Dispatcher, Event, ModelId, Ms, Names, RequestId, Settings};
@@ -81,6 +81,8 @@
     pub give_up: Vec<Ms>,
     /// What was taken, sent and answered.
     pub counters: Counters,
+    /// For log lines on single requests.
+    pub(crate) lines: LineBudget,
 }
 
 impl Invoker {
@@ -124,6 +126,7 @@
             settings,
             give_up,
             counters,
+            lines: LineBudget::default(),
         })
     }
 
--- a/crates/node/src/core/invoker/actions.rs
+++ b/crates/node/src/core/invoker/actions.rs
@@ -43,8 +43,8 @@
         match action {
             Action::Send { id, worker, within } => core.note(id, Note::Send { worker, within }),
             Action::Cancel { id, attempt } => core.note(id, Note::Cancel { attempt }),
-            Action::Refuse { id, retry_after } => core.note(id, Note::Refuse { retry_after }),
-            Action::Fail { id } => core.note(id, Note::Fail),
+            Action::Refuse { id, retry_after, reason } => core.note(id, Note::Refuse { retry_after, reason }),
+            Action::Fail { id, reason } => core.note(id, Note::Fail { reason }),
             Action::Timer { token, delay } => self.start_timer(token, delay),
             Action::Load { worker, model, copies } => return self.order_load(worker, model, copies),
             // At once, so that it goes out before the load that wants the room.
--- a/crates/node/src/core/invoker/flights.rs
+++ b/crates/node/src/core/invoker/flights.rs
@@ -1,6 +1,7 @@
 //! The attempts of a request that are out.
 use super::notes::Note;
 use super::request::Taken;
+use crate::core::unserved::hex;
 use crate::core::{monotonic_ms, AttemptError, Cause, Exchange};
 use corkbay::{Effect, Ms, Outcome, WorkerId};
 
@@ -32,11 +33,13 @@
     asked: u32,
     /// Attempts that went to a worker and are not proved never to have run, with the time of each, in order.
     ran: Vec<(u32, Ms)>,
+    /// How the last one ended that brought nothing.
+    last_lost: Option<Outcome>,
 }
 
 impl<'a> Flights<'a> {
     pub(super) fn new(taken: &'a Taken) -> Self {
-        Flights { taken, out: Vec::new(), asked: 0, ran: Vec::new() }
+        Flights { taken, out: Vec::new(), asked: 0, ran: Vec::new(), last_lost: None }
     }
 
     /// When the time of the next attempt is up, or that time.
@@ -49,6 +52,11 @@
         !self.ran.is_empty()
     }
 
+    /// Attempts that were asked for so far.
+    pub(super) fn asked(&self) -> u32 {
+        self.asked
+    }
+
     fn position(&self, attempt: u32) -> Option<usize> {
         self.out.iter().position(|flight| flight.attempt == attempt)
     }
@@ -88,6 +96,7 @@
             _ => None,
         };
         let by = window.unwrap_or(until).min(until);
+        self.note_retry(attempt, &host.name);
         self.ran.push((attempt, started));
         let sender = self.taken.inbox.sender.clone();
         let end = Box::new(move |end| _ = sender.send(Note::Ended { attempt, end }));
@@ -96,9 +105,22 @@
         self.out.push(Flight { attempt, worker, started, until, exchange, over: None });
     }
 
+    /// Counts and logs an attempt behind the first: where it goes, and how the one before it ended.
+    fn note_retry(&self, attempt: u32, host: &str) {
+        let invoker = &self.taken.invoker;
+        let Some(last) = self.last_lost else { return };
+        invoker.counters.retried.add();
+        // What never ran is tried elsewhere all the time; what may have run is worth a line.
+        if !last.proves_not_run() && invoker.lines.take() {
+            let request = hex(self.taken.call.request.id);
+            tracing::info!(%request, attempt, host, last = ?last, "retry");
+        }
+    }
+
     /// Tells of an attempt that brought nothing.
     fn lost(&mut self, flight: &Flight, error: AttemptError, closed: bool) {
         let outcome = error.outcome();
+        self.last_lost = Some(outcome);
         self.taken.invoker.counters.lost(outcome);
         self.taken.finished(flight.attempt, flight.worker, flight.started, outcome, closed);
         if outcome.proves_not_run() {
--- a/crates/node/src/core/invoker/notes.rs
+++ b/crates/node/src/core/invoker/notes.rs
@@ -1,6 +1,6 @@
 //! What reaches the task of a request, and the mailbox that it comes to.
 use crate::core::{until, AttemptError};
-use corkbay::{Ms, WorkerId};
+use corkbay::{EndReason, Ms, WorkerId};
 use may::sync::mpsc;
 
 /// What reaches the task of a request.
@@ -15,8 +15,11 @@
     },
     Refuse {
         retry_after: Ms,
+        reason: EndReason,
+    },
+    Fail {
+        reason: EndReason,
     },
-    Fail,
     Withdrawn,
     /// There is no more time for it.
     Close,
--- a/crates/node/src/core/invoker/request.rs
+++ b/crates/node/src/core/invoker/request.rs
@@ -2,9 +2,10 @@
 use super::flights::{Flights, LAST_WORD_MS};
 use super::notes::{Inbox, Note};
 use super::{lock, Invoker, CALL};
-use crate::core::{monotonic_ms, Answer, AttemptError, Call, Failure};
+use crate::core::unserved::hex;
+use crate::core::{monotonic_ms, Answer, AttemptError, Call, Failure, Unserved};
 use crate::memory::room;
-use corkbay::{Event, Finished, Ms, Outcome, Warmth, WorkerId};
+use corkbay::{Event, Finished, Ms, Outcome, Request, Warmth, WorkerId};
 use corkbay_ledger::Reservation;
 use may::sync::Mutex;
 use std::sync::Arc;
@@ -49,12 +50,17 @@
             Note::Send { worker, within } => flights.start(worker, within),
             Note::Ended { attempt, end } => return self.attempt_ended(flights, attempt, end),
             Note::Cancel { attempt } => flights.cancel(attempt),
-            Note::Refuse { retry_after } => {
-                return Some(Answer::Refused { retry_after, known: self.known() })
+            Note::Refuse { retry_after, reason } => {
+                self.unserved(flights, Unserved::Decided(reason));
+                return Some(Answer::Refused { retry_after, known: self.known() });
+            }
+            Note::Fail { reason } => {
+                self.unserved(flights, Unserved::Decided(reason));
+                return Some(Answer::Failed(self.known()));
             }
-            Note::Fail => return Some(Answer::Failed(self.known())),
             Note::Close => return Some(self.close(flights)),
             Note::Withdrawn => {
+                self.unserved(flights, Unserved::Withdrawn);
                 self.tell_withdrawn();
                 return Some(Answer::Withdrawn);
             }
@@ -84,6 +90,7 @@
 
     /// The process has no more time for it.
     fn close(&self, flights: &Flights<'_>) -> Answer {
+        self.unserved(flights, Unserved::ProcessEnds);
         self.tell_withdrawn();
         if flights.may_have_run() {
             return Answer::Failed(self.known());
@@ -98,10 +105,22 @@
         if flights.end_overdue(now) || now < self.call.request.expires {
             return None;
         }
+        self.unserved(flights, Unserved::Expired);
         self.tell_withdrawn();
         Some(Answer::Failed(self.known()))
     }
 
+    /// Counts and logs why it ends without an answer of a worker.
+    fn unserved(&self, flights: &Flights<'_>, reason: Unserved) {
+        self.invoker.counters.unserved(reason);
+        if self.invoker.lines.take() {
+            let Request { id, class, expires, .. } = self.call.request;
+            let left_ms = (expires - monotonic_ms()).round();
+            let (attempts, may_have_run) = (flights.asked(), flights.may_have_run());
+            tracing::info!(request = %hex(id), class, attempts, may_have_run, left_ms, reason = reason.name(), "unserved");
+        }
+    }
+
     fn tell_withdrawn(&self) {
         self.invoker.feed(Event::Withdrawn { id: self.call.request.id });
     }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod counting;
 mod invoker;
+mod unserved;
 
 pub use crate::clock::{monotonic_ms, until, UnixTime};
 pub use attempt::{AttemptError, Cause, Verdict};
@@ -11,6 +12,8 @@
 pub(crate) use invoker::lock;
 pub use invoker::{Inbox, Invoker, NotTaken, Taken};
 
+pub use unserved::{LineBudget, Unserved};
+
 use crate::memory::counters::Dials;
 use crate::memory::roster::Host;
 use corkbay::{ModelId, Ms};
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -1,4 +1,5 @@
 //! Counters of what is taken in, sent and answered.
+use crate::core::Unserved;
 use corkbay::Outcome;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use std::fmt;
@@ -71,8 +72,12 @@
     pub passed_on: Counter,
     /// Connections of clients that came from the process before.
     pub taken_over: Counter,
+    /// Attempts behind the first of their request.
+    pub retried: Counter,
     /// Attempts that brought nothing, by outcome.
     lost: [Counter; 9],
+    /// Requests that ended without an answer of a worker, by [`Unserved::position`].
+    unserved: Vec<Counter>,
     /// Bodies of calls that were taken, in bytes.
     pub body_bytes: Histogram,
     /// Times from taking a call to its end, in seconds.
@@ -103,7 +108,9 @@
             operators: Default::default(),
             passed_on: counter(),
             taken_over: counter(),
+            retried: counter(),
             lost: Default::default(),
+            unserved: Unserved::names().map(|_| counter()).collect(),
             body_bytes: Histogram::new(exponential_buckets(64.0, 4.0, 6)),
             call_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 11)),
         }
@@ -126,6 +133,13 @@
 ];
 
 impl Counters {
+    /// A request ended without an answer of a worker.
+    pub fn unserved(&self, reason: Unserved) {
+        if let Some(counter) = self.unserved.get(reason.position()) {
+            counter.add();
+        }
+    }
+
     /// An attempt brought nothing.
     pub fn lost(&self, outcome: Outcome) {
         if let Some(place) = OUTCOMES.iter().position(|known| known.0 == outcome) {
@@ -157,13 +171,17 @@
             ("operators_no", &self.operators_no),
             ("passed_on", &self.passed_on),
             ("taken_over", &self.taken_over),
+            ("retried", &self.retried),
         ];
         let calls = OPERATORS.iter().zip(&self.operators).flat_map(|(name, [yes, no])| {
             [(format!("operators_{name}_yes"), yes.get()), (format!("operators_{name}_no"), no.get())]
         });
         let lost = OUTCOMES.iter().zip(&self.lost).skip(1);
         let lost = lost.map(|((_, name), counter)| (format!("lost_{name}"), counter.get()));
-        named.into_iter().map(|(name, counter)| (name.to_string(), counter.get())).chain(calls).chain(lost)
+        let unserved = Unserved::names().zip(&self.unserved);
+        let unserved = unserved.map(|(name, counter)| (format!("unserved_{name}"), counter.get()));
+        let named = named.into_iter().map(|(name, counter)| (name.to_string(), counter.get()));
+        named.chain(calls).chain(lost).chain(unserved)
     }
 }
 
--- a/crates/node/tests/clock.rs
+++ b/crates/node/tests/clock.rs
@@ -54,6 +54,10 @@
         worker.fail(Failing::Breaks);
         assert_eq!(client.receive(), Some((1, Reply::Crashed)), "step {step}: it may have run");
         assert_eq!(worker.bodies().len(), 1, "step {step}: the window is over");
+        until("the log tells why", || {
+            let log = bench.daemon.errors();
+            log.lines().any(|line| line.contains("00000000000000a1") && line.contains("may_not_repeat"))
+        });
     }
 }
 
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -361,10 +361,10 @@
             Action::Send { id, worker, within } => {
                 writeln!(text, "DISPATCH id={:016x} withinMs={within:.3} worker={}", id.0, self.name(*worker))
             }
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, .. } => {
                 writeln!(text, "SAY_NO id={:016x} comeBackMs={retry_after:.3}", id.0)
             }
-            Action::Fail { id } => writeln!(text, "ERROR id={:016x}", id.0),
+            Action::Fail { id, .. } => writeln!(text, "ERROR id={:016x}", id.0),
             Action::Cancel { id, attempt } => writeln!(text, "REVOKE id={:016x} hop={attempt}", id.0),
             Action::Probe { worker } => writeln!(text, "TOUCH worker={}", self.name(*worker)),
             Action::Load { worker, model, copies } => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -346,7 +346,7 @@
             return None;
         }
         if request.class >= self.set.classes.len() {
-            act.push(self.refusal(id));
+            act.push(self.refusal(id, EndReason::UnknownClass));
             return None;
         }
         let model = self.models.entry(name).or_default();
@@ -373,7 +373,7 @@
         let below = (0..self.set.classes.len()).filter(|class| self.value(*class) < value).count();
         let shed = (self.shed - below as f64).min(MOST_SHED);
         if shed > 0.0 && self.rng.random::<f64>() < shed {
-            act.push(self.refusal(id));
+            act.push(self.refusal(id, EndReason::Shed));
             return None;
         }
         self.models.entry(name).or_default().waiting.push(id);
@@ -389,13 +389,13 @@
     }
 
     /// Ends a request: refused where another try is harmless, failed where it may not be.
-    fn end(&mut self, id: RequestId, act: &mut Vec<Action>) {
+    fn end(&mut self, id: RequestId, reason: EndReason, act: &mut Vec<Action>) {
         let Some(pending) = self.pending.remove(&id) else { return };
         let harmless = match self.set.classes[pending.request.class].effect {
             Effect::Repeatable | Effect::Keyed(Group::All, _) => true,
             _ => pending.ran.is_empty(),
         };
-        act.push(if harmless { self.refusal(id) } else { Action::Fail { id } });
+        act.push(if harmless { self.refusal(id, reason) } else { Action::Fail { id, reason } });
         self.call_off(id, self.late(&pending), act);
     }
 
@@ -405,8 +405,9 @@
 
     /// A refusal tells when to come back: what is short is short for longer than a client's pause, and
     /// those who heed the advice stay away as long as it may keep them.
-    fn refusal(&self, id: RequestId) -> Action {
-        Action::Refuse { id, retry_after: if self.set.retry_after { self.set.max_retry_after } else { 0.0 } }
+    fn refusal(&self, id: RequestId, reason: EndReason) -> Action {
+        let retry_after = if self.set.retry_after { self.set.max_retry_after } else { 0.0 };
+        Action::Refuse { id, retry_after, reason }
     }
 
     /// Stops the work for a request that nobody waits for any more. One that waited past its aim counts as
@@ -454,8 +455,15 @@
         let free = unharmed || outcome == Outcome::Error && !proven;
         let paid = free || self.retries >= 1.0;
         let over = pending.request.expires <= self.now + 2.0 * self.set.tick;
-        if over || !may_repeat || !paid || pending.attempts >= self.set.max_attempts {
-            self.end(id, act);
+        let reason = match () {
+            _ if over => Some(EndReason::NoTime),
+            _ if !may_repeat => Some(EndReason::MayNotRepeat),
+            _ if !paid => Some(EndReason::RetryBudget),
+            _ if pending.attempts >= self.set.max_attempts => Some(EndReason::NoAttempts),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            self.end(id, reason, act);
         } else {
             self.retries -= if free { 0.0 } else { 1.0 };
             self.hungry.insert(pending.request.model);
@@ -661,10 +669,16 @@
         let (name, class, now) = (pending.request.model, pending.request.class, self.now);
         // Work that cannot be answered in time is wasted, and where nothing stops it, so is the worker.
         let usual = self.usual[class];
-        let unknown = self.models.get(&name).is_some_and(|model| model.unknown_until > now);
-        let spent = pending.attempts >= self.set.max_attempts || pending.request.expires - now < usual;
-        if unknown || spent {
-            self.end(id, act);
+        let reason = match () {
+            _ if self.models.get(&name).is_some_and(|model| model.unknown_until > now) => {
+                Some(EndReason::UnknownModel)
+            }
+            _ if pending.attempts >= self.set.max_attempts => Some(EndReason::NoAttempts),
+            _ if pending.request.expires - now < usual => Some(EndReason::NoTime),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            self.end(id, reason, act);
             return true;
         }
         let Some(mut found) = self.survey(pending, may_order) else { return false };
@@ -939,7 +953,9 @@
         while self.agenda.first().is_some_and(|entry| entry.0 <= until) {
             let Some((_, due)) = self.agenda.pop_first() else { return };
             match due {
-                Due::Expiry(id) if self.pending.get(&id).is_some_and(|p| !p.streaming) => self.end(id, act),
+                Due::Expiry(id) if self.pending.get(&id).is_some_and(|p| !p.streaming) => {
+                    self.end(id, EndReason::NoTime, act);
+                }
                 Due::Answer(id, attempt) => self.overdue(id, attempt, act),
                 // An order that is long overdue is counted as lost; the load may go elsewhere.
                 Due::Order(model, at) if self.loads.remove(&(model, at)) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -333,6 +333,51 @@
     },
 }
 
+/// Why a request is ended unserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// Its class is not among the settings.
+    UnknownClass,
+    /// Too many answers are late, and its class is worth least.
+    Shed,
+    /// No worker knows its model.
+    UnknownModel,
+    /// What is left of its time is too short for an answer.
+    NoTime,
+    /// It has had as many attempts as it may have.
+    NoAttempts,
+    /// An attempt may have run, and its class does not allow another.
+    MayNotRepeat,
+    /// An attempt may have run, and there are too many retries already.
+    RetryBudget,
+}
+
+impl EndReason {
+    /// All of them.
+    pub const ALL: [EndReason; 7] = [
+        EndReason::UnknownClass,
+        EndReason::Shed,
+        EndReason::UnknownModel,
+        EndReason::NoTime,
+        EndReason::NoAttempts,
+        EndReason::MayNotRepeat,
+        EndReason::RetryBudget,
+    ];
+
+    /// Its name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndReason::UnknownClass => "unknown_class",
+            EndReason::Shed => "shed",
+            EndReason::UnknownModel => "unknown_model",
+            EndReason::NoTime => "no_time",
+            EndReason::NoAttempts => "no_attempts",
+            EndReason::MayNotRepeat => "may_not_repeat",
+            EndReason::RetryBudget => "retry_budget",
+        }
+    }
+}
+
 /// What the dispatcher asks of the host.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -351,11 +396,15 @@
         id: RequestId,
         /// Advice when to come again; 0 for none.
         retry_after: Ms,
+        /// Why.
+        reason: EndReason,
     },
     /// End it with an error that promises nothing.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why.
+        reason: EndReason,
     },
     /// Call an attempt off.
     Cancel {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -532,7 +532,7 @@
                     let class = id.0 % 4;
                     assert!(!ran || class == 0 || class == 3, "refused though it may have run");
                 }
-                Action::Fail { id } => assert!(open.remove(&id.0).is_some(), "ended twice"),
+                Action::Fail { id, .. } => assert!(open.remove(&id.0).is_some(), "ended twice"),
                 Action::Load { worker, model, copies } => {
                     assert!(orders, "an order where none is allowed");
                     questions.push_back((worker.0, model.0));
@@ -603,7 +603,7 @@
         let mut front = Front::new(Settings { retry_after, ..settings() }, vec![]);
         let mut act = front.ask(call(1, 0, 5, front.now + 2000.0));
         act.extend(front.wait(2000.0));
-        let refused = Action::Refuse { id: RequestId(1), retry_after: advice };
+        let refused = Action::Refuse { id: RequestId(1), retry_after: advice, reason: EndReason::NoAttempts };
         assert!(act.contains(&refused), "{act:?}");
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -162,7 +162,7 @@
     act.iter()
         .filter_map(|action| match action {
             Action::Refuse { id, .. } => Some((id.0, true)),
-            Action::Fail { id } => Some((id.0, false)),
+            Action::Fail { id, .. } => Some((id.0, false)),
             _ => None,
         })
         .collect()
