--- a/crates/node/src/core/invoker/tests.rs
+++ b/crates/node/src/core/invoker/tests.rs
@@ -154,7 +154,8 @@
             serve(call, end)
         });
         let (invoker, _) = with_one_worker(workers, second_copies);
-        let request = Request { id: RequestId(1), expires: monotonic_ms() + 4000.0, ..Request::default() };
+        // A stall of the machine makes the decisions more patient with the worker, once and again.
+        let request = Request { id: RequestId(1), expires: monotonic_ms() + 20_000.0, ..Request::default() };
         let taken = invoker.take(Call { request, body: vec![7], ..Call::default() }).expect("taken");
         assert_eq!(taken.serve(), Answer::Served { body: vec![7] });
         assert_eq!(overtaken.load(Ordering::Relaxed), second_copies);
