What was accepted lasts where a failed write of the log can't be cut off, or its folder not synced

Cause: a write whose sync failed was cut off with ftruncate; where that failed too, its bytes stayed and the size that is believed was short, so that the next cut took an accepted record away. After a compaction whose folder could not be synced the program went on writing to the old file, which has no name any more.

Change: the log remembers what a failure left and mends it before anything else is acknowledged.

--- a/crates/node/src/memory/log.rs
+++ b/crates/node/src/memory/log.rs
@@ -71,7 +71,8 @@
         file.sync_all()?;
         let (jobs, queue) = mpsc::channel();
         let size = Arc::new(AtomicU64::new(whole));
-        let mut keeper = Keeper { path, file, size: size.clone(), fresh: None };
+        let mut keeper =
+            Keeper { path, file, size: size.clone(), fresh: None, has_tail: false, name_may_be_lost: false };
         std::thread::Builder::new().name("log".into()).spawn(move || keeper.run(&queue))?;
         Ok(Log { jobs, queued, size })
     }
@@ -166,6 +167,10 @@
     size: Arc<AtomicU64>,
     /// The new log while one is written.
     fresh: Option<BufWriter<File>>,
+    /// Behind what was acknowledged the file may hold the rest of a write that failed.
+    has_tail: bool,
+    /// A crash may still bring the old log back in this file's place.
+    name_may_be_lost: bool,
 }
 
 impl Keeper {
@@ -182,15 +187,32 @@
     }
 
     fn append(&mut self, bytes: &[u8]) -> Result<(), LogError> {
+        self.mend()?;
         let written = self.file.write_all(bytes).and_then(|()| self.file.sync_data());
         if let Err(error) = written {
-            // What was half written must not stand before what comes next.
+            self.has_tail = true;
+            if let Err(error) = self.mend() {
+                tracing::error!(%error, "log: a failed write can't be cut off yet");
+            }
+            return Err(error.into());
+        }
+        self.size.fetch_add(bytes.len() as u64, Relaxed);
+        Ok(())
+    }
+
+    /// Undoes what a failure left. Until that is done nothing may be acknowledged: it would stand behind the rest of a
+    /// failed write, or in a file that has no lasting name.
+    fn mend(&mut self) -> io::Result<()> {
+        if self.name_may_be_lost {
+            sync_folder_of(&self.path)?;
+            self.name_may_be_lost = false;
+        }
+        if self.has_tail {
             let size = self.size.load(Relaxed);
             self.file.set_len(size)?;
             self.file.seek(SeekFrom::Start(size))?;
-            return Err(error.into());
+            self.has_tail = false;
         }
-        self.size.fetch_add(bytes.len() as u64, Relaxed);
         Ok(())
     }
 
@@ -209,16 +231,19 @@
         let fresh = self.fresh.take().ok_or_else(|| LogError::Io("no new log was begun".into()))?;
         let mut file = fresh.into_inner().map_err(|error| LogError::Io(error.to_string()))?;
         file.sync_all()?;
+        let size = file.stream_position()?;
         fs::rename(self.path.with_extension("new"), &self.path)?;
-        if let Some(folder) = self.path.parent() {
-            File::open(folder)?.sync_all()?;
-        }
-        self.size.store(file.stream_position()?, Relaxed);
-        self.file = file;
-        Ok(())
+        // From here on the old file has no name, whatever fails.
+        self.size.store(size, Relaxed);
+        (self.file, self.has_tail, self.name_may_be_lost) = (file, false, true);
+        Ok(self.mend()?)
     }
 }
 
+fn sync_folder_of(path: &Path) -> io::Result<()> {
+    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
+}
+
 #[cfg(test)]
 impl Log {
     /// A log whose disk stands still until the returned closure is called.
