A worker is told what is left of the client's time as the request goes out

Cause: the time was written into the request when its attempt was decided on; a connection that came up late (or a process that stood still) passed on more than the client had left. Seen: told 3.499 s where 2.467 s were left, 1 s behind the decision. Change: the writer of the connection adds it as the request goes out.

--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -3,7 +3,7 @@
 
 use super::frames::{code, Frame};
 use super::intake::Intake;
-use crate::core::{lock, until, AttemptError, Call, CancelNotice, Cause, Ending, Exchange, Verdict, Workers};
+use crate::core::{lock, AttemptError, Call, CancelNotice, Cause, Ending, Exchange, Verdict, Workers};
 use crate::life::spawn;
 use crate::memory::counters::Dials;
 use crate::memory::link::Stage;
@@ -92,6 +92,7 @@
         frame: Frame,
         recipients: Recipients,
         by: Ms,
+        expires: Option<Ms>,
         mut waiter: Option<Waiter>,
     ) -> Option<Arc<Connection>> {
         let is_tracked = waiter.is_some();
@@ -132,6 +133,7 @@
                     is_tracked,
                     recipients,
                     by,
+                    expires,
                     notice: None,
                 }));
             }
@@ -170,7 +172,7 @@
         let id = frame.id;
         let (sender, answer) = channel();
         let waiter: Waiter = Box::new(move |end| _ = sender.send(end));
-        let connection = self.open(host, frame, recipients, by, Some(waiter));
+        let connection = self.open(host, frame, recipients, by, None, Some(waiter));
         match answer.recv_timeout(within) {
             Ok(end) => end,
             Err(_) => {
@@ -219,6 +221,7 @@
                 is_tracked: false,
                 recipients: Recipients::GiveUp,
                 by: Ms::INFINITY,
+                expires: None,
                 notice: Some(self.notice.clone()),
             }));
         }
@@ -239,12 +242,7 @@
         by: Ms,
         end: Ending,
     ) -> Box<dyn Exchange> {
-        let mut fields = format!(
-            "kind={},obj={:016x},ms={}",
-            call.class_name,
-            call.request.model.0,
-            until(expires).as_millis().max(1)
-        );
+        let mut fields = format!("kind={},obj={:016x}", call.class_name, call.request.model.0);
         if let Some(key) = &call.key {
             fields.push_str(",token=");
             fields.push_str(key);
@@ -253,7 +251,7 @@
         let waiter: Waiter = Box::new(move |answer| {
             end(answer.and_then(|frame| verdict(frame, code::OK)).map(|frame| frame.body))
         });
-        let connection = self.open(host, frame, Recipients::Work, by, Some(waiter));
+        let connection = self.open(host, frame, Recipients::Work, by, Some(expires), Some(waiter));
         let (id, cancels) = (call.request.id.0, self.limits.cancels);
         Box::new(FrameExchange { connection, id, cancels, notice: CancelNotice::default() })
     }
@@ -282,7 +280,7 @@
 
     fn evict(&self, host: &Arc<Host>, model: ModelId) {
         let frame = Frame::command(code::EVICT, model.0, String::new(), Vec::new());
-        self.open(host, frame, Recipients::Query, Ms::INFINITY, None);
+        self.open(host, frame, Recipients::Query, Ms::INFINITY, None, None);
     }
 
     fn dials(&self) -> Arc<Dials> {
--- a/crates/node/src/wire/workers/connection.rs
+++ b/crates/node/src/wire/workers/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a worker: a task that makes it and writes, and one that reads.
 use super::Limits;
-use crate::core::{lock, monotonic_ms, AttemptError, CancelNotice, Cause};
+use crate::core::{lock, monotonic_ms, until, AttemptError, CancelNotice, Cause};
 use crate::life::spawn;
 use crate::memory::counters::Dials;
 use crate::memory::link::{Link, Stage};
@@ -62,6 +62,8 @@
     pub recipients: Recipients,
     /// It goes out by then or not at all.
     pub by: Ms,
+    /// For a request, when its client stops waiting: its worker is told what is left of that as it goes out.
+    pub expires: Option<Ms>,
     /// What else it carries, until it is written or lost.
     pub notice: Option<CancelNotice>,
 }
@@ -136,7 +138,7 @@
 
     fn write(&self, socket: &Socket, host: &Host, idle: Duration, queue: &Receiver<Out>) {
         loop {
-            let out = match queue.recv_timeout(idle) {
+            let mut out = match queue.recv_timeout(idle) {
                 Ok(Out::Frame(out)) => out,
                 Ok(Out::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) if lock(&self.link).close_idle() => return,
@@ -159,6 +161,9 @@
                 let relaxed = Ordering::Relaxed;
                 let _ = self.quiet_since.compare_exchange(0, monotonic_ms() as u64, relaxed, relaxed);
             }
+            if let Some(expires) = out.expires {
+                out.frame.fields.push_str(&format!(",ms={}", until(expires).as_millis().max(1)));
+            }
             if socket.write(&out.frame.encode()).is_err() {
                 let torn = if out.is_tracked { lock(&self.link).give_up(id) } else { None };
                 if let Some((_, waiter)) = torn {
--- a/crates/node/tests/support/late.rs
+++ b/crates/node/tests/support/late.rs
@@ -43,19 +43,24 @@
     }
 }
 
-/// The requests that come whole on a connection until it ends or nothing more comes for that long.
-pub fn requests(mut socket: &TcpStream, within: Duration) -> Vec<u64> {
+/// The ids of the requests that come whole on a connection until it ends or nothing more comes for that long.
+pub fn requests(socket: &TcpStream, within: Duration) -> Vec<u64> {
+    request_frames(socket, within).iter().map(|frame| frame.id).collect()
+}
+
+/// The same with all that they say.
+pub fn request_frames(mut socket: &TcpStream, within: Duration) -> Vec<Frame> {
     socket.set_read_timeout(Some(within)).expect("set");
-    let (mut buffer, mut chunk, mut ids) = (Vec::new(), [0; 4096], Vec::new());
+    let (mut buffer, mut chunk, mut frames) = (Vec::new(), [0; 4096], Vec::new());
     loop {
         while let Some(frame) = Frame::decode(&mut buffer, FROM_INVOKER).expect("a good frame") {
             if frame.code == code::REQUEST {
-                ids.push(frame.id);
+                frames.push(frame);
             }
         }
         match socket.read(&mut chunk) {
             Ok(size @ 1..) => buffer.extend(&chunk[..size]),
-            _ => return ids,
+            _ => return frames,
         }
     }
 }
--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -6,7 +6,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
-use support::late::LateListener;
+use support::late::{request_frames, LateListener};
 use support::leaving::{Failing, Front, HoldingWorker, Leaver, Leaving, Site};
 use support::platform::{dispatch, fields, nodes, Bench, Channel, Client, Reply};
 use support::workers::Act;
@@ -466,3 +466,29 @@
         assert_eq!(receive(&mut BufReader::new(socket)).status, 200, "{at}");
     }
 }
+
+/// What a worker may be told to have left beyond what its client has.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+
+/// Guards the deadline that is passed on: it is what is left when the request goes out, not when it was decided on.
+#[test]
+fn a_worker_is_told_no_more_time_than_the_client_has_left() {
+    let worker = LateListener::new();
+    let bench = Bench::changed(&[Act::Serve], 0, 1024, 192, |settings| {
+        settings["ceilings"]["connectTimeoutMs"] = json!(3000.0);
+    });
+    let _full = worker.fill();
+    bench.channel.tell(2, "h0", worker.address, "up");
+    let mut client = bench.client();
+    let allowed = Duration::from_millis(3500);
+    let asked = Instant::now();
+    client.send(&dispatch(1, &fields("check", "00000000000000a1", "3500"), b"x"));
+    std::thread::sleep(LONG_ENOUGH);
+    worker.accept(PATIENCE).expect("what filled the queue");
+    let late = worker.accept(PATIENCE).expect("it comes up, a second late");
+    let frames = request_frames(&late, LONG_ENOUGH);
+    let left = allowed.saturating_sub(asked.elapsed() - LONG_ENOUGH);
+    let told = frames.first().and_then(|frame| frame.field("ms")).and_then(|ms| ms.parse().ok());
+    let told = Duration::from_millis(told.expect("a request with its time"));
+    assert!(told <= left + DEADLINE_SLACK, "told {told:?}, left {left:?}");
+}
