A crowd beyond what the connections turn over is told at once that there is no room

Ruled out: requests that were read and left open (the log has an end for each).

Change: the span ends only when nobody stands in the queue any more.

Measured: the new test of crowd.rs: 133 and 163 of 612 unanswered, 21 s at the longest before; 0, 0.70 s after.

--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -12,6 +12,7 @@
 use corkbay_ledger::{Account, Reservation};
 use may::net::TcpListener;
 use may::sync::Mutex;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use slots::{Slot, SlotKind, Slots};
 use socket2::SockRef;
 use std::io::ErrorKind;
@@ -57,7 +58,7 @@
     /// Those that were let in beyond the limit, to be told that there is no room.
     turned_away: Table,
     slots: Arc<Slots>,
-    /// Since when no newcomer was let in because all connections were busy.
+    /// Since when newcomers have had to wait because all connections were busy, with others waiting behind them.
     crowded_since: Mutex<Option<Ms>>,
     closed: AtomicBool,
     /// What becomes of a client.
@@ -216,7 +217,10 @@
             let seen = self.slots.changes();
             let lacks = match self.regular_slot() {
                 Ok(slot) => {
-                    *lock(&self.crowded_since) = None;
+                    // Connections that become free are too few as long as others still wait.
+                    if !self.has_waiting() {
+                        *lock(&self.crowded_since) = None;
+                    }
                     return Some(slot);
                 }
                 Err(lacks) => lacks,
@@ -251,6 +255,13 @@
         }
     }
 
+    /// Whether somebody stands in the listener's queue.
+    fn has_waiting(&self) -> bool {
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let mut listener = [PollFd::new(self.listener.inner(), PollFlags::IN)];
+        poll(&mut listener, Some(&at_once)).is_ok_and(|ready| ready > 0)
+    }
+
     /// A slot within the limit, with the memory that its connection takes.
     fn regular_slot(&self) -> Result<Slot, Lacks> {
         if !self.slots.take() {
--- a/crates/node/tests/crowd.rs
+++ b/crates/node/tests/crowd.rs
@@ -215,3 +215,43 @@
     std::thread::sleep(LONG_ENOUGH);
     assert!(fleet.sent().is_empty());
 }
+
+/// Newcomers a second, several times what the connections turn over, and for how long they come.
+const CROWD_RATE: u32 = 300;
+const CROWD_SPAN: Duration = Duration::from_secs(2);
+/// A request that is answered later holds its connection for so long.
+const HELD: Duration = Duration::from_millis(150);
+
+/// Guards newcomers in a crowd that never ends: connections become free all the time, but fewer than clients come, so that
+/// the listener's queue grows without bound unless more than that are told at once that there is no room.
+#[test]
+fn a_crowd_beyond_what_the_connections_turn_over_is_answered_in_its_time() {
+    let bench = Bench::within(&[Act::Late], 4, LEAST);
+    let address = bench.daemon.address;
+    let ask = |id: u64| {
+        std::thread::spawn(move || {
+            let asked = Instant::now();
+            let mut client = Client::new(address);
+            client.send(&check(1, id));
+            (client.receive().is_some(), asked.elapsed())
+        })
+    };
+    // The first come one after the other, so that connections become free one after the other, too.
+    let mut newcomers = Vec::new();
+    for id in 0..HTTP_CLIENTS as u32 {
+        newcomers.push(ask(u64::from(id) + 1));
+        std::thread::sleep(HELD / HTTP_CLIENTS as u32);
+    }
+    let began = Instant::now();
+    for number in 0..CROWD_RATE * CROWD_SPAN.as_secs() as u32 {
+        let at = began + number * Duration::from_secs(1) / CROWD_RATE;
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        newcomers.push(ask(u64::from(number) + 100));
+    }
+    let ends: Vec<_> = newcomers.into_iter().map(|newcomer| newcomer.join().expect("asked")).collect();
+    let unanswered = ends.iter().filter(|end| !end.0).count();
+    let longest = ends.iter().map(|end| end.1).max().expect("some came");
+    println!("{} newcomers, {unanswered} unanswered, {longest:?} at the longest", ends.len());
+    assert_eq!(unanswered, 0);
+    assert!(longest < Duration::from_millis(1000), "one waited {longest:?}");
+}
