Rig: a seeded soak under faults on the platform's front, judged from clients' and workers' records

Need: the operators' terms under series of signals, clock steps, failing system calls, pauses, silent and replaced workers, crowds.

--- /dev/null
+++ b/crates/rig/src/faults/log.rs
@@ -0,0 +1,37 @@
+//! What all parts of a soak write to.
+use super::records::{At, Records};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+/// The records of a soak, with its clock.
+#[derive(Clone)]
+pub struct Log {
+    began: Instant,
+    records: Arc<Mutex<Records>>,
+}
+
+impl Log {
+    /// A soak that begins now.
+    pub fn new(window: At) -> Self {
+        let records = Records { window, ..Records::default() };
+        Log { began: Instant::now(), records: Arc::new(Mutex::new(records)) }
+    }
+
+    /// Milliseconds from its beginning.
+    pub fn now(&self) -> At {
+        self.began.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// The records.
+    pub fn records(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+/// A draw between 0 and 1 that follows from two numbers.
+pub fn draw(seed: u64, number: u64) -> f64 {
+    let mut mixed = seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod compare;
 pub mod daemon;
 pub mod fault_schedule;
+pub mod faults;
 pub mod fleet;
 pub mod load;
 pub mod plan;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 use corkbay_rig::client::Client;
 use corkbay_rig::daemon::{beside, Daemon, Deployment};
 use corkbay_rig::fault_schedule::FaultSchedule;
+use corkbay_rig::faults::{self, Places, Scenario};
 use corkbay_rig::fleet::{Fleet, Kind};
 use corkbay_rig::plan::{Offer, Plan};
 use corkbay_rig::scale::feed::hollow;
@@ -94,6 +95,19 @@
         #[arg(long, default_value_t = 1000)]
         calls: usize,
     },
+    /// Several daemons on the platform's front under faults drawn from the seed, run after run; fails where a rule is
+    /// broken.
+    Faults {
+        /// How many seeds, from the one given on.
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+        /// How long clients send in a run, in seconds.
+        #[arg(long, default_value_t = 15)]
+        seconds: u64,
+        /// The library that steps clocks and fails system calls.
+        #[arg(long, default_value = "target/debug/libcorkbay_shim.so")]
+        shim: PathBuf,
+    },
     /// An hour's turnover in a few minutes; fails unless memory stays flat.
     Soak {
         /// How many minutes.
@@ -191,6 +205,17 @@
             println!("{}", if flat { "memory stayed flat" } else { "memory did not stay flat" });
             Ok(flat)
         }
+        Task::Faults { runs, seconds, shim } => {
+            let shim = std::fs::canonicalize(shim)?;
+            let mut are_kept = true;
+            for seed in seed..seed + runs {
+                let folder = std::path::absolute(out)?.join(format!("faults-{seed}"));
+                let places = Places { program: program()?, shim: shim.clone(), folder };
+                let scenario = Scenario::draw(seed, Duration::from_secs(*seconds));
+                are_kept &= tell_faults(seed, &faults::play(scenario, seed, &places)?);
+            }
+            Ok(are_kept)
+        }
         Task::Scale { experiment } => {
             let context = ScaleContext { program: program()?, out: out.clone(), seed };
             scale::run(&context, experiment)?;
@@ -203,6 +228,21 @@
     }
 }
 
+/// Prints what came of a soak under faults; whether all rules were kept.
+fn tell_faults(seed: u64, outcome: &faults::Outcome) -> bool {
+    let [check, post, once] = outcome.served;
+    println!(
+        "seed {seed}: asked {} arrived {} served check {check:.2} post {post:.2} once {once:.2} resident {:.1} MB descriptors {} breaks {}",
+        outcome.asked,
+        outcome.arrivals,
+        outcome.peaks.0 as f64 / 1e6,
+        outcome.peaks.1,
+        outcome.breaks.len()
+    );
+    outcome.breaks.iter().for_each(|found| println!("seed {seed}: {found}"));
+    outcome.breaks.is_empty() && outcome.within_limits
+}
+
 fn small(fleet: &Fleet) -> Deployment {
     Deployment { head: String::new(), protocol: "http", workers: fleet.addresses(), functions: 4 }
 }
