Deadlines count from when a request can have come; signals and moments without sockets end nothing

Change: a heartbeat of 50 ms tells when the process stood still, the acceptor how long its queue was not empty; a request's time begins at the earliest time at which it can have come. Interrupted waits go on. A listener is tried for 5 s.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -11,7 +11,7 @@
 mod notes;
 mod request;
 
-use super::{monotonic_ms, until, Call, LineBudget, Workers};
+use super::{monotonic_ms, until, Call, LineBudget, StallWatch, Workers, HEARTBEAT};
 use crate::memory::counters::Counters;
 use crate::memory::roster::{BanError, Directory, Listing};
 use corkbay::{Dispatcher, Event, ModelId, Ms, Names, RequestId, Settings};
@@ -83,6 +83,7 @@
     pub counters: Counters,
     /// For log lines on single requests.
     pub(crate) lines: LineBudget,
+    stalls: StallWatch,
 }
 
 impl Invoker {
@@ -127,6 +128,7 @@
             give_up,
             counters,
             lines: LineBudget::default(),
+            stalls: StallWatch::default(),
         })
     }
 
@@ -157,6 +159,20 @@
         Ok(Taken { invoker: self.clone(), call, inbox, held: Mutex::new(held), since: monotonic_ms() })
     }
 
+    /// Notes from now on that this process runs, for as long as it does.
+    pub fn watch_for_stalls(self: &Arc<Self>) {
+        let invoker = self.clone();
+        crate::life::spawn(move || loop {
+            invoker.stalls.beat(monotonic_ms());
+            may::coroutine::sleep(HEARTBEAT);
+        });
+    }
+
+    /// The earliest time at which what is read now can have come: a client's time began then.
+    pub fn came_at(&self) -> Ms {
+        self.stalls.came_at(monotonic_ms())
+    }
+
     /// The accounts of all that is held.
     pub fn ledger(&self) -> &Arc<Ledger> {
         &self.ledger
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod counting;
 mod invoker;
+mod stall;
 mod unserved;
 
 pub use crate::clock::{monotonic_ms, until, UnixTime};
@@ -12,6 +13,7 @@
 pub(crate) use invoker::lock;
 pub use invoker::{Inbox, Invoker, NotTaken, Taken};
 
+pub use stall::{StallWatch, HEARTBEAT};
 pub use unserved::{LineBudget, Unserved};
 
 use crate::memory::counters::Dials;
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -125,6 +125,7 @@
     let workers = Arc::new(FrameWorkers::new(to_workers, ledger.account(Purpose::Workers).clone()));
     let invoker = Invoker::new(&config.settings, config.seed, workers.clone(), ledger.clone());
     accounts::watch(&invoker);
+    invoker.watch_for_stalls();
     for news in config.known {
         news.remember(&invoker);
     }
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -72,6 +72,7 @@
     let workers = workers(deploy, &settings, to_workers, ledger.account(Purpose::Workers));
     let invoker = Invoker::new(&settings, rand::random(), workers, ledger.clone());
     accounts::watch(&invoker);
+    invoker.watch_for_stalls();
     catalog.announce(&invoker);
     let parts =
         Parts { invoker: invoker.clone(), catalog: Arc::new(catalog), invocations: Arc::new(invocations) };
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -13,6 +13,7 @@
 use may::net::TcpListener;
 use may::sync::Mutex;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
 use slots::{Slot, SlotKind, Slots};
 use socket2::SockRef;
 use std::io::ErrorKind;
@@ -21,6 +22,10 @@
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
 
+/// How long a listener that can't be had for want of descriptors or buffers is tried for, in milliseconds, and the pause
+/// between two tries.
+const BIND_FOR_MS: Ms = 5000.0;
+const BIND_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after an accept that failed, for want of descriptors above all.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long a newcomer waits for an evicted connection to close before another one is evicted, and for how long all
@@ -32,6 +37,9 @@
 
 /// Longest wait for slots for those that stand in the queue, before the listener is closed.
 const EMPTIED: Duration = Duration::from_millis(100);
+/// A newcomer has stood in the queue for so long at most, as far as its client's time goes, in milliseconds: where it never
+/// empties, how long is not known.
+const LONGEST_QUEUED_MS: Ms = 500.0;
 /// Most connections that are taken up then: more than a queue holds, so that callers without end don't hold up the close.
 const MOST_QUEUED: usize = 4096;
 
@@ -70,7 +78,7 @@
 impl Acceptor {
     /// Listens at an address; others of the same user may listen there, too.
     pub fn open(address: SocketAddr, limits: ConnectionLimits) -> std::io::Result<Arc<Self>> {
-        let listener = TcpListener::bind(address)?;
+        let listener = bind(address)?;
         let slots = Arc::new(Slots::new(limits.most));
         Ok(Arc::new(Acceptor {
             listener,
@@ -94,10 +102,15 @@
     /// are read, and what they ask is refused, since what waits in the listener's queue has no answer in its time.
     pub fn accept(&self, serve: impl Fn(Arc<Connection>) + Send + Sync + 'static) {
         let serve = self.serve.get_or_init(|| Arc::new(serve));
+        let mut last_empty = monotonic_ms();
         while !self.closed.load(Ordering::Acquire) {
+            let was_empty = !self.has_waiting();
             let accepted =
                 self.listener.accept().and_then(|(stream, _)| Socket::new(stream, self.limits.stall));
-            match accepted.and_then(|socket| self.let_in(socket, serve, Ms::INFINITY)) {
+            let now = monotonic_ms();
+            last_empty = if was_empty { now } else { last_empty };
+            let queued_since = last_empty.max(now - LONGEST_QUEUED_MS);
+            match accepted.and_then(|socket| self.let_in(socket, serve, queued_since, Ms::INFINITY)) {
                 Ok(()) => {}
                 Err(_) if self.closed.load(Ordering::Acquire) => return,
                 Err(error) => {
@@ -108,11 +121,11 @@
         }
     }
 
-    /// Serves a client, once there is a slot for it until then.
-    fn let_in(&self, socket: Socket, serve: &Serve, until: Ms) -> std::io::Result<()> {
+    /// Serves a client that may have come to the queue at the time given, once there is a slot for it until then.
+    fn let_in(&self, socket: Socket, serve: &Serve, queued_since: Ms, until: Ms) -> std::io::Result<()> {
         let slot = self.make_way(until).ok_or(ErrorKind::TimedOut)?;
         let clients = if slot.kind == SlotKind::Spare { &self.turned_away } else { &self.clients };
-        let (connection, serve) = (Connection::new(socket, clients, slot), serve.clone());
+        let (connection, serve) = (Connection::new(socket, clients, slot, queued_since), serve.clone());
         spawn(move || serve(connection));
         Ok(())
     }
@@ -137,7 +150,7 @@
         for _ in 0..MOST_QUEUED {
             let Ok((stream, _)) = self.listener.inner().accept() else { return };
             let socket = stream.set_nodelay(true).and_then(|()| Socket::adopt(stream, self.limits.stall));
-            if let Err(error) = socket.and_then(|socket| self.let_in(socket, serve, end)) {
+            if let Err(error) = socket.and_then(|socket| self.let_in(socket, serve, monotonic_ms(), end)) {
                 tracing::warn!(%error, "close");
                 if monotonic_ms() >= end {
                     return;
@@ -176,7 +189,7 @@
         let socket = Socket::adopt(stream, self.limits.stall)?;
         self.slots.take_over();
         let slot = self.slot(SlotKind::Regular, self.limits.account.owe(CONNECTION_BYTES));
-        let connection = Connection::new(socket, &self.clients, slot);
+        let connection = Connection::new(socket, &self.clients, slot, monotonic_ms());
         lock(&self.clients).answered(connection.number(), monotonic_ms());
         Ok(connection)
     }
@@ -285,6 +298,30 @@
     has_unused
 }
 
+/// Listens at an address; what fails for want of descriptors or buffers is tried again for a while, since others on the
+/// machine may give some back.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let began = monotonic_ms();
+    loop {
+        match TcpListener::bind(address) {
+            Err(error) if is_momentary(&error) && monotonic_ms() - began < BIND_FOR_MS => {
+                tracing::warn!(%error, %address, "listen");
+                std::thread::sleep(BIND_PAUSE);
+            }
+            end => return end,
+        }
+    }
+}
+
+/// Whether a call for a socket failed for want of something that may be there again in a moment.
+fn is_momentary(error: &std::io::Error) -> bool {
+    let errno = Errno::from_io_error(error);
+    matches!(
+        errno,
+        Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM | Errno::INTR | Errno::AGAIN)
+    )
+}
+
 /// What a newcomer waits for.
 enum Lacks {
     Slot,
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -36,12 +36,14 @@
     slots: Arc<Slots>,
     kind: SlotKind,
     let_in: Ms,
+    /// The earliest time at which it can have come to the listener's queue.
+    queued_since: Ms,
     /// Given back when it is passed on, or last, after the descriptor.
     slot: Mutex<Option<Slot>>,
 }
 
 impl Connection {
-    pub(super) fn new(socket: Socket, clients: &Table, slot: Slot) -> Arc<Self> {
+    pub(super) fn new(socket: Socket, clients: &Table, slot: Slot, queued_since: Ms) -> Arc<Self> {
         Arc::new_cyclic(|connection| {
             let number = lock(clients).insert(connection.clone(), monotonic_ms());
             Connection {
@@ -54,6 +56,7 @@
                 slots: slot.slots.clone(),
                 kind: slot.kind,
                 let_in: monotonic_ms(),
+                queued_since,
                 slot: Mutex::new(Some(slot)),
             }
         })
@@ -97,6 +100,17 @@
         self.is_turned_away() && monotonic_ms() < self.let_in + TURN_AWAY_MS
     }
 
+    /// The earliest time at which what is read on it now can have come.
+    pub fn came_at(&self) -> Ms {
+        let now = monotonic_ms();
+        // What it brought along from the queue is read at once.
+        if now < self.let_in + TURN_AWAY_MS {
+            self.queued_since.min(now)
+        } else {
+            now
+        }
+    }
+
     /// Waits until a request has come to its end on the connection, which is drained, or for that long.
     pub fn wait_for_an_end(&self, within: Duration) {
         self.ended.wait_timeout(within);
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -300,7 +300,8 @@
         answer_now(rejected(CROWDED_MS));
         return Ok(());
     }
-    let taken = call(invoker, fields, body).map(|call| {
+    let came_at = invoker.came_at().min(connection.came_at());
+    let taken = call(invoker, came_at, fields, body).map(|call| {
         let id = call.request.id;
         let taken = invoker.take(call);
         if taken.is_ok() {
@@ -355,9 +356,9 @@
     let _ = connection.answer(bytes);
 }
 
-/// Makes a call of a request's fields. All of it is checked here: what a worker could not use, or would
+/// Makes a call of the fields of a request that came then. All of it is checked here: what a worker could not use, or would
 /// close a shared connection over, goes no further.
-fn call(invoker: &Invoker, fields: &Fields, body: Vec<u8>) -> Result<Call, &'static str> {
+fn call(invoker: &Invoker, came_at: Ms, fields: &Fields, body: Vec<u8>) -> Result<Call, &'static str> {
     let field = |name: &str| fields.get(name).map(String::as_str);
     let hex = |name: &str| {
         let plain = |text: &&str| text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
@@ -405,7 +406,7 @@
             Some(text) => Some(number(text, 0.0, MOST_FIGURE).ok_or("effort is out of range")?),
             None => None,
         },
-        expires: monotonic_ms() + allow.ok_or("allow is out of range")?,
+        expires: came_at + allow.ok_or("allow is out of range")?,
     };
     Ok(Call { request, class_name: class_name.to_string(), function: String::new(), key, body })
 }
--- a/crates/node/src/wire/invoke/calls.rs
+++ b/crates/node/src/wire/invoke/calls.rs
@@ -81,7 +81,7 @@
         let class = position(&invoker.names.classes, &function.class).ok_or_else(|| {
             problem(404, "unknown-class", "the function's class is unknown here", Some(false))
         })?;
-        let expires = monotonic_ms() + allowed(head, self.catalog.give_up(class))?;
+        let expires = invoker.came_at() + allowed(head, self.catalog.give_up(class))?;
         let (key, window) = match invoker.settings.classes[class].effect {
             Effect::Keyed(_, window) => (Some((name.to_string(), key_of(head)?)), window),
             _ => (None, 0.0),
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -105,7 +105,7 @@
 
     /// Whether bytes have come that were not read yet.
     pub fn has_unread(&self) -> bool {
-        self.stream.inner().peek(&mut [0; 1]).is_ok_and(|size| size > 0)
+        uninterrupted(|| self.stream.inner().peek(&mut [0; 1])).is_ok_and(|size| size > 0)
     }
 
     /// Whether bytes have come that were not read yet, or the reader is at work on what it read.
@@ -136,11 +136,15 @@
                     match waited {
                         // What came just as the time was up has come.
                         Err(error) if error.kind() == ErrorKind::TimedOut => {
-                            return self.stream.inner().read(buffer).map_err(|late| match late.kind() {
-                                ErrorKind::WouldBlock => error,
-                                _ => late,
+                            return uninterrupted(|| self.stream.inner().read(buffer)).map_err(|late| {
+                                match late.kind() {
+                                    ErrorKind::WouldBlock => error,
+                                    _ => late,
+                                }
                             });
                         }
+                        // A signal came; nothing is amiss. Others have their turn before the next look.
+                        Err(error) if error.kind() == ErrorKind::Interrupted => may::coroutine::sleep(LEAST),
                         waited => waited?,
                     }
                 }
@@ -192,6 +196,16 @@
     }
 }
 
+/// Does something that a signal may interrupt, until none does.
+fn uninterrupted<T>(mut task: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match task() {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            end => return end,
+        }
+    }
+}
+
 /// A socket as [`Read`] and [`Write`], with a limit for each wait.
 pub struct Patient<'a> {
     socket: &'a Socket,
--- a/crates/node/tests/support/faults.rs
+++ b/crates/node/tests/support/faults.rs
@@ -82,6 +82,11 @@
         self.set(first, period);
     }
 
+    /// Failures of a call that are still to come, of those set at first.
+    pub fn left(&self, call: Call) -> u64 {
+        self.get(FIRST_FAULT + call as u64 * WORDS_PER_FAULT + 2)
+    }
+
     /// Calls of that kind pass from now on.
     pub fn mend(&self, call: Call) {
         self.set(FIRST_FAULT + call as u64 * WORDS_PER_FAULT, 0);
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -5,12 +5,17 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use support::faults::{Call, Faults};
+use support::platform::{dispatch, fields, Bench, Reply};
 use support::workers::{Act, Fleet};
 use support::{ask, until, Daemon, Folder, Response, CLASSES};
 
 /// Error numbers as Linux has them.
+const EINTR: i32 = 4;
 const EIO: i32 = 5;
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
 const ENOSPC: i32 = 28;
+const ENOBUFS: i32 = 105;
 /// Longer than the program takes to look at its log again.
 const SWEPT: Duration = Duration::from_secs(8);
 
@@ -130,3 +135,48 @@
     node.kill_and_start();
     assert_eq!(node.end(&accepted), 200);
 }
+
+/// Guards the start against a shortage on the machine that passes.
+#[test]
+fn a_start_outlasts_a_moment_without_sockets() {
+    for error in [EINTR, ENFILE, EMFILE, ENOBUFS] {
+        let faults = Faults::new();
+        faults.fail(Call::Socket, 1, error, 5);
+        let bench = Bench::started(&[Act::Serve], 1, (1024, 192), &faults.environment(), |_| {});
+        let mut client = bench.client();
+        client.send(&dispatch(1, &fields("check", "00000000000000a1", "4000"), b"x"));
+        let reply = client.receive();
+        assert!(matches!(reply, Some((1, Reply::Answer(_)))), "{error}: {reply:?}");
+        assert_eq!(faults.left(Call::Socket), 0);
+    }
+}
+
+/// Requests of the test of reads.
+const REQUESTS: i32 = 120;
+
+/// Guards connections against signals and short counts: neither ends one, nor costs a request its answer.
+#[test]
+fn interrupted_and_short_transfers_cost_no_request() {
+    for (call, error) in [
+        (Call::Receive, EINTR),
+        (Call::Receive, 0),
+        (Call::Send, EINTR),
+        (Call::Send, 0),
+        (Call::Wait, EINTR),
+    ] {
+        let faults = Faults::new();
+        let bench = Bench::started(&[Act::Serve], 2, (1024, 192), &faults.environment(), |_| {});
+        let mut client = bench.client();
+        faults.fail(call, 2, error, u64::MAX);
+        for seqid in 1..=REQUESTS {
+            client.send(&dispatch(seqid, &fields("check", &format!("{seqid:016x}"), "4000"), b"x"));
+            if seqid % 3 == 0 {
+                // The reader waits, is interrupted, and goes on.
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        for _ in 0..REQUESTS {
+            assert!(client.receive().is_some(), "{call:?} {error}: the connection ended");
+        }
+    }
+}
--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -492,3 +492,25 @@
     let told = Duration::from_millis(told.expect("a request with its time"));
     assert!(told <= left + DEADLINE_SLACK, "told {told:?}, left {left:?}");
 }
+
+/// Guards the same where the program stood still while the request lay unread.
+#[test]
+fn a_worker_is_told_no_more_time_than_is_left_behind_a_stopped_process() {
+    let worker = LateListener::new();
+    let bench = Bench::new(&[Act::Serve], 0);
+    bench.channel.tell(2, "h0", worker.address, "up");
+    let mut client = bench.client();
+    client.send(&dispatch(1, &fields("check", "00000000000000a1", "4000"), b"x"));
+    let connection = worker.accept(PATIENCE).expect("the first request");
+    assert_eq!(request_frames(&connection, LONG_ENOUGH / 2).len(), 1);
+    bench.daemon.signal("STOP");
+    let asked = Instant::now();
+    client.send(&dispatch(2, &fields("check", "00000000000000a2", "3000"), b"x"));
+    std::thread::sleep(2 * LONG_ENOUGH);
+    bench.daemon.signal("CONT");
+    let frames = request_frames(&connection, LONG_ENOUGH);
+    let left = Duration::from_millis(3000).saturating_sub(asked.elapsed() - LONG_ENOUGH);
+    let told = frames.first().and_then(|frame| frame.field("ms")).and_then(|ms| ms.parse().ok());
+    let told = Duration::from_millis(told.expect("a request with its time"));
+    assert!(told <= left + DEADLINE_SLACK, "told {told:?}, left {left:?}");
+}
