--- a/crates/node/tests/clock.rs
+++ b/crates/node/tests/clock.rs
@@ -168,3 +168,34 @@
         assert_eq!(count(b"x"), 5, "step {step}: four calls, and the one that may be repeated");
     }
 }
+
+/// Guards the rule behind all of this: spans are measured on the monotonic clock, and the wall clock is read in one file.
+#[test]
+fn the_wall_clock_is_read_in_one_file() {
+    let crates = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the packages");
+    let mut folders: Vec<_> = std::fs::read_dir(crates)
+        .expect("the packages")
+        .map(|entry| entry.expect("an entry").path().join("src"))
+        // The rig plays other machines' clocks, the shim this one's.
+        .filter(|path| !["rig/src", "shim/src"].iter().any(|other| path.ends_with(other)))
+        .collect();
+    folders.push(crates.parent().expect("the root").join("src"));
+    let (mut reading, mut files) = (Vec::new(), 0);
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(&folder).into_iter().flatten() {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|extension| extension == "rs") {
+                files += 1;
+                let text = std::fs::read_to_string(&path).expect("text");
+                if ["SystemTime", "ClockId::Realtime", "UNIX_EPOCH"].iter().any(|clock| text.contains(clock))
+                {
+                    reading.push(path);
+                }
+            }
+        }
+    }
+    assert!(files > 100, "{files} files");
+    assert_eq!(reading, [crates.join("node/src/clock.rs")]);
+}
