--- a/crates/rig/src/faults/process.rs
+++ b/crates/rig/src/faults/process.rs
@@ -46,6 +46,8 @@
     control: File,
     longest: Duration,
     log: Log,
+    channel: Channel,
+    config: serde_json::Value,
     /// Held by whoever ends it.
     child: Mutex<Child>,
     peaks: Mutex<Peaks>,
@@ -93,7 +95,7 @@
             .open(folder.join("control"))?;
         control.set_len(PAGE)?;
         let config = configuration(number, scenario, channel);
-        std::fs::write(folder.join("config.json"), config.to_string())?;
+        write_config(&folder, &config, channel)?;
         let address = free_address(number)?;
         let child = spawn(program, shim, &folder, address)?;
         let process = Process {
@@ -106,6 +108,8 @@
             control,
             longest: Duration::from_millis(scenario.allowed_ms).min(LONGEST_COUNTED),
             log: log.clone(),
+            channel: channel.clone(),
+            config,
             child: Mutex::new(child),
             peaks: Mutex::default(),
         };
@@ -187,6 +191,8 @@
 
     fn replace(&self, child: &mut Child) -> io::Result<()> {
         child.wait()?;
+        // A new process is given what the channel has told by now.
+        write_config(&self.folder, &self.config, &self.channel)?;
         *child = spawn(&self.program, &self.shim, &self.folder, self.address)?;
         self.wait_until_ready()?;
         self.is_open.store(true, Ordering::Relaxed);
@@ -246,6 +252,12 @@
         .spawn()
 }
 
+fn write_config(folder: &Path, config: &serde_json::Value, channel: &Channel) -> io::Result<()> {
+    let mut config = config.clone();
+    config["known"] = channel.known();
+    std::fs::write(folder.join("config.json"), config.to_string())
+}
+
 fn configuration(number: usize, scenario: &Scenario, channel: &Channel) -> serde_json::Value {
     let (allowed, window) = (scenario.allowed_ms as f64, scenario.window_ms as f64);
     let class = |name: &str, effect: &str| {
