--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -34,7 +34,6 @@
 /// How often idle connections are looked for while there are none.
 const EVICT_LOOK: Duration = Duration::from_millis(2);
 const GIVE_WAY_MS: Ms = GIVE_WAY.as_millis() as Ms;
-const EVICT_LOOK_MS: Ms = EVICT_LOOK.as_millis() as Ms;
 
 /// Longest wait for slots for those that stand in the queue, before the listener is closed.
 const EMPTIED: Duration = Duration::from_millis(100);
@@ -227,8 +226,6 @@
     /// A slot for a newcomer, taken from an idle connection where none is free; a spare one where all others have been
     /// busy for some time; none where that time has come before.
     fn make_way(&self, until: Ms) -> Option<Slot> {
-        // Readers have one turn at least: a connection that seems busy may be owed nothing.
-        let least_wait_ends = monotonic_ms() + EVICT_LOOK_MS;
         loop {
             let seen = self.slots.changes();
             let lacks = match self.regular_slot() {
@@ -253,7 +250,7 @@
                 continue;
             }
             let crowded_since = *lock(&self.crowded_since).get_or_insert(now);
-            let patience_ends = (crowded_since + GIVE_WAY_MS).max(least_wait_ends);
+            let patience_ends = crowded_since + GIVE_WAY_MS;
             if now >= patience_ends.min(until) {
                 if self.slots.take_spare() {
                     return Some(self.slot(SlotKind::Spare, self.limits.account.owe(CONNECTION_BYTES)));
@@ -266,7 +263,7 @@
             // Readers have their turn meanwhile, and what stood unread was read.
             match lacks {
                 Lacks::Slot => self.slots.wait_for_change(seen, EVICT_LOOK),
-                Lacks::Memory(account) => wait(&account, CONNECTION_BYTES, EVICT_LOOK_MS),
+                Lacks::Memory(account) => wait(&account, CONNECTION_BYTES, EVICT_LOOK.as_millis() as Ms),
             }
         }
     }
