--- a/crates/rig/src/faults/channel.rs
+++ b/crates/rig/src/faults/channel.rs
@@ -2,6 +2,7 @@
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     events: Arc<Mutex<Vec<Value>>>,
+    is_silent: Arc<AtomicBool>,
+    bytes_told: Arc<AtomicU64>,
 }
 
 /// One line of the list of workers.
@@ -26,7 +29,12 @@
     /// Listens; the first event holds the whole list.
     pub fn start(endpoints: &[Value]) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let channel = Channel { address: listener.local_addr()?, events: Arc::default() };
+        let channel = Channel {
+            address: listener.local_addr()?,
+            events: Arc::default(),
+            is_silent: Arc::default(),
+            bytes_told: Arc::default(),
+        };
         channel.push(endpoints, true);
         let ours = channel.clone();
         std::thread::spawn(move || {
@@ -50,6 +58,16 @@
         self.push(endpoints, false);
     }
 
+    /// Ends its connections and tells nothing until it is told otherwise.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+
+    /// Bytes that callers were told.
+    pub fn bytes_told(&self) -> u64 {
+        self.bytes_told.load(Ordering::Relaxed)
+    }
+
     fn push(&self, endpoints: &[Value], whole: bool) {
         let mut events = self.events();
         let cursor = events.len() + 1;
@@ -74,11 +92,13 @@
         }
         socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
         let mut spoke = Instant::now();
-        loop {
+        while !self.is_silent.load(Ordering::Relaxed) {
             let fresh: Vec<Value> = self.events().iter().skip(told).cloned().collect();
             for event in fresh {
                 told += 1;
-                socket.write_all(format!("id: {told}\ndata: {event}\n\n").as_bytes())?;
+                let text = format!("id: {told}\ndata: {event}\n\n");
+                socket.write_all(text.as_bytes())?;
+                self.bytes_told.fetch_add(text.len() as u64, Ordering::Relaxed);
                 spoke = Instant::now();
             }
             if spoke.elapsed() >= COMMENT {
@@ -87,5 +107,6 @@
             }
             std::thread::sleep(LOOK);
         }
+        Ok(())
     }
 }
--- a/crates/rig/src/faults/client.rs
+++ b/crates/rig/src/faults/client.rs
@@ -14,6 +14,11 @@
 /// Parts of the requests that are taken back, and with which their client closes its connection.
 const TAKEN_BACK_PART: f64 = 0.05;
 const LEAVES_PART: f64 = 0.01;
+/// The part of the calls that the hot function gets.
+const HOT_PART: f64 = 0.6;
+/// Keep draws of different things apart.
+const HOT_DRAW: u64 = 0x5eed_0001;
+const FUNCTION_DRAW: u64 = 0x5eed_0002;
 const RECONNECT: Duration = Duration::from_millis(50);
 /// How long what was asked in a crowd is waited for while its connection stays.
 const CROWD_STAYS: Duration = Duration::from_secs(2);
@@ -33,6 +38,38 @@
     pub is_open: Arc<AtomicBool>,
     /// Clients go on.
     pub is_running: Arc<AtomicBool>,
+    /// What they call.
+    pub functions: FunctionMix,
+}
+
+/// Which functions are called how often.
+#[derive(Clone)]
+pub struct FunctionMix {
+    /// How many there are.
+    pub count: u64,
+    /// Some are called far more often than others; else one after the other.
+    pub is_skewed: bool,
+    /// More than half of the calls are of one.
+    pub is_hot: Arc<AtomicBool>,
+}
+
+impl FunctionMix {
+    /// All alike.
+    pub fn even(count: u64) -> Self {
+        FunctionMix { count, is_skewed: false, is_hot: Arc::default() }
+    }
+
+    /// The function of a request.
+    fn draw(&self, id: u64, seed: u64) -> u64 {
+        let is_hot = self.is_hot.load(Ordering::Relaxed);
+        if is_hot && draw(seed ^ HOT_DRAW, id) < HOT_PART {
+            return 1;
+        }
+        if self.is_skewed {
+            return ((self.count + 1) as f64).powf(draw(seed ^ FUNCTION_DRAW, id)) as u64;
+        }
+        id % self.count + 1
+    }
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -125,7 +162,10 @@
         let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let class = (draw(id, self.target.seed) * CLASSES.len() as f64) as usize;
         let (hex, key) = (format!("{id:016x}"), format!("{id:032x}"));
-        let (allow, model) = (self.target.allowed_ms.to_string(), format!("{:016x}", id % 7 + 1));
+        let (allow, model) = (
+            self.target.allowed_ms.to_string(),
+            format!("{:016x}", self.target.functions.draw(id, self.target.seed)),
+        );
         let fields = [
             ("service", CLASSES[class].0),
             ("ref", &hex),
--- a/crates/rig/src/faults/mod.rs
+++ b/crates/rig/src/faults/mod.rs
@@ -8,9 +8,9 @@
 //! | `verdict` | the operators' rules on it |
 //! | `process` | a daemon with its faults |
 //! | `client`, `worker`, `channel`, `thrift` | its surroundings |
-mod channel;
-mod client;
-mod log;
+pub(crate) mod channel;
+pub(crate) mod client;
+pub(crate) mod log;
 mod process;
 pub mod records;
 mod scenario;
@@ -19,7 +19,7 @@
 mod worker;
 
 use channel::{endpoint, Channel};
-use client::Target;
+use client::{FunctionMix, Target};
 use log::Log;
 use process::Process;
 use records::{At, Drained, End, Records, CLASSES};
@@ -33,6 +33,8 @@
 use verdict::{judge, Break};
 use worker::Worker;
 
+/// Functions that are called.
+const FUNCTIONS: u64 = 7;
 /// Clients of a daemon that stay.
 const CLIENTS: usize = 3;
 /// Connections a second of a crowd at each daemon.
@@ -155,6 +157,7 @@
                 seed: self.seed,
                 is_open: daemon.is_open.clone(),
                 is_running: is_running.clone(),
+                functions: FunctionMix::even(FUNCTIONS),
             };
             let rate = self.scenario.rate / CLIENTS as f64;
             for _ in 0..CLIENTS {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 use corkbay_rig::fault_schedule::FaultSchedule;
 use corkbay_rig::faults::{self, Places, Scenario};
 use corkbay_rig::fleet::{Fleet, Kind};
+use corkbay_rig::grow;
 use corkbay_rig::plan::{Offer, Plan};
 use corkbay_rig::scale::feed::hollow;
 use corkbay_rig::scale::{self, Experiment, ScaleContext};
@@ -20,6 +21,9 @@
 #[global_allocator]
 static HEAP: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
 
+/// Broken rules of a day that are printed.
+const SHOWN_BREAKS: usize = 5;
+
 /// Emulated workers and loads for corkbay, on loopback and for a bounded time.
 #[derive(Parser)]
 #[command(version)]
@@ -123,6 +127,8 @@
         #[command(subcommand)]
         experiment: Experiment,
     },
+    /// Plays the same day before fleets of several sizes; fails where a rule is broken or a need grows too far.
+    Grow(grow::Options),
     /// A process of hollow followers, as the experiments start it.
     #[command(hide = true)]
     FollowerHost {
@@ -221,6 +227,7 @@
             scale::run(&context, experiment)?;
             Ok(true)
         }
+        Task::Grow(options) => tell_growth(&grow::run(options, &program()?, out, seed)?, out),
         Task::FollowerHost { config } => {
             hollow::serve(&serde_json::from_slice(&std::fs::read(config)?)?)?;
             Ok(true)
@@ -228,6 +235,25 @@
     }
 }
 
+/// Prints what days of several sizes showed; whether all rules and bounds were kept.
+fn tell_growth(readings: &[grow::Reading], out: &std::path::Path) -> Result<bool, Box<dyn Error>> {
+    for reading in readings {
+        let grow::Reading { workers, asked, served, cpu_s, .. } = reading;
+        let ready_ms = reading.ready_after.as_millis();
+        let breaks = reading.breaks.len();
+        println!("{workers} workers: ready after {ready_ms} ms, {asked} asked, served {served:.3}, CPU {cpu_s:.2} s, breaks {breaks}");
+        reading.breaks.iter().take(SHOWN_BREAKS).for_each(|found| println!("{workers} workers: {found}"));
+    }
+    let rows = grow::growth(readings);
+    for row in &rows {
+        let grow::Row { figure, unit, workers, before, value, ratio, bound, is_kept } = row;
+        let verdict = if *is_kept { "within" } else { "OVER" };
+        println!("{figure:28} {workers:>5} workers {value:>14.3} {unit}, {ratio:.2} times {before:.3}, bound {bound:.3}: {verdict}");
+    }
+    grow::write(out, &rows)?;
+    Ok(rows.iter().all(|row| row.is_kept) && readings.iter().all(|reading| reading.breaks.is_empty()))
+}
+
 /// Prints what came of a soak under faults; whether all rules were kept.
 fn tell_faults(seed: u64, outcome: &faults::Outcome) -> bool {
     let [check, post, once] = outcome.served;
--- /dev/null
+++ b/crates/rig/tests/grow.rs
@@ -0,0 +1,46 @@
+//! A daemon before thousands of workers: its requests keep their rules, and its needs the operators' bounds of growth.
+use corkbay_rig::grow::{Day, Phase, Reading};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The usual number of workers, and the most that the operators name.
+const USUAL: usize = 200;
+const MOST: usize = 3200;
+/// About twice what the unoptimised program needs for the traffic before the usual number of workers.
+const CORE_SHARE: f64 = 0.2;
+
+fn program() -> PathBuf {
+    let tests = std::env::current_exe().expect("this test");
+    let program = tests.ancestors().nth(2).expect("a target folder").join("corkbay");
+    assert!(program.exists(), "{} is built by cargo test --workspace", program.display());
+    program
+}
+
+fn play(name: &str, workers: usize, phases: &[Phase], core_share: Option<f64>) -> Reading {
+    let folder = std::env::temp_dir().join(format!("corkbay-grow-{}-{name}-{workers}", std::process::id()));
+    let day = Day {
+        workers,
+        phases: phases.to_vec(),
+        phase: Duration::from_secs(8),
+        rate: 40.0,
+        allowed_ms: 2000,
+        core_share,
+        seed: 1,
+        program: program(),
+        folder: folder.clone(),
+    };
+    let reading = day.play().expect("plays");
+    let breaks: Vec<String> = reading.breaks.iter().take(5).map(ToString::to_string).collect();
+    let count = reading.breaks.len();
+    assert!(breaks.is_empty(), "{workers} workers, files in {}, {count}: {breaks:#?}", folder.display());
+    let _ = std::fs::remove_dir_all(&folder);
+    reading
+}
+
+/// With 16 times the workers, requests had no final answer where the processor's share was that of an invoker.
+#[test]
+fn requests_lost_before_thousands_of_workers() {
+    let usual = play("lost", USUAL, &[Phase::Steady], Some(CORE_SHARE));
+    let most = play("lost", MOST, &[Phase::Steady], Some(CORE_SHARE));
+    assert!(most.served >= 0.85 * usual.served, "served {} and {}", usual.served, most.served);
+}
