Requests lost with thousands of workers: the decisions' work followed the fleet, not the call

What callers saw: from 2 s on answers came late or never, attempts left up to 1.4 s after their request, some after the client had gone. Cause: each call placed walked all ready workers (`survey`, again for each lost draw), each function called in a second hashed and sorted all of them (`homes`), each tick and each "full" summed over all, and each list ranked everything anew; pumping did this for each waiting call, so that load fed itself. With an invoker's share of a core the loop fell behind, and answers, deadlines and clients' leaving lay unread behind new calls. Class: work of an event that grows with the fleet. Ruled out: connections (174 of 544 descriptors), the list's account (no refusal), lists read in one go (none is told before the losses).

Change: `src/fleet.rs` keeps the ready workers, their sums and the cold ones by difference, with a log of who changed; `src/homes.rs` keeps for each model the first 24 of the own zone and 40 of the others in the same order as before (weighted rendezvous hashing), touched only by workers that change, found by one pass without logarithms for all but the first, and goes four times further down, once a second and up to 256 each, where nothing is open. `policy/survey.rs` looks down the order until somebody answers, and at who holds a copy. Sums are closed forms; a list is applied by what differs. Where more than the first 64 are shut in a call's way it may choose another worker than the full scan did, and asks zones that no home named so far lies in later.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod fleet;
+mod homes;
 mod interface;
 mod policy;
 mod settings;
--- a/src/policy/loading.rs
+++ b/src/policy/loading.rs
@@ -12,7 +12,7 @@
         }
         (model.asked_at, model.asking) = (now, 0);
         let mut zones = BTreeSet::new();
-        for &at in &model.homes {
+        for at in model.homes.iter() {
             let Some(worker) = self.workers.get_mut(&at) else { continue };
             let broke = worker.broke > 0.0 && now < worker.broke + self.set.fall_span;
             let lacks = model.holders.get(&at).is_some_and(|line| line.lacks > now);
@@ -53,9 +53,14 @@
                 || self.spares(pending, worker, *id)
         };
         let key = |worker: &Worker| (self.odds(worker, class) >= 1.0, worker.zone != self.set.zone);
-        let homes = model.homes.iter().filter_map(|id| self.workers.get(id).map(|worker| (*id, worker)));
+        let homes = model.homes.iter().filter_map(|id| self.workers.get(&id).map(|worker| (id, worker)));
         let open = homes.filter(|(id, worker)| !shut(id, worker));
-        let Some((worker, _)) = open.min_by_key(|home| key(home.1)) else { return };
+        let Some((worker, _)) = open.min_by_key(|home| key(home.1)) else {
+            if self.widen_homes(name) {
+                self.order(id, name, act);
+            }
+            return;
+        };
         if !self.admitted(id, worker) {
             return self.order(id, name, act);
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 //! | --- | --- |
 //! | `requests` | requests taken in, shed and ended unserved |
 //! | `routing` | which worker gets a call |
+//! | `survey` | the look over the workers that a call may go to |
 //! | `slow_start` | what workers that have just started are spared |
 //! | `loading` | where a missing model is loaded, and what gives way |
 //! | `outcomes` | the ends of attempts and orders |
@@ -22,8 +23,11 @@
 mod roster;
 mod routing;
 mod slow_start;
+mod survey;
 mod timers;
 
+use crate::fleet::{ColdWorkers, Fleet, RankedWorker, Side, SIDES};
+use crate::homes::{self, WorkerWarmth};
 use crate::interface::*;
 use crate::state::*;
 use rand::{rngs::SmallRng, seq::IndexedRandom, Rng, SeedableRng};
@@ -56,10 +60,14 @@
     awake: Ms,
     seq: u64,
     workers: BTreeMap<WorkerId, Worker>,
-    /// Ready workers, their mean weight, and the number of the roster.
-    ready: usize,
-    weight: f64,
-    roster_of: u64,
+    /// The ready workers.
+    fleet: Fleet,
+    /// Those of them that are cold.
+    cold: ColdWorkers,
+    /// Those of them that have come back and were not tried since.
+    returned: BTreeSet<WorkerId>,
+    /// Those of them that said that they are full, and until when that counts.
+    full: BTreeMap<WorkerId, Ms>,
     models: BTreeMap<ModelId, Model>,
     hungry: BTreeSet<ModelId>,
     pending: BTreeMap<RequestId, Pending>,
@@ -110,9 +118,10 @@
             awake: 0.0,
             seq: 0,
             workers: BTreeMap::new(),
-            ready: 0,
-            weight: 1.0,
-            roster_of: 0,
+            fleet: Fleet::default(),
+            cold: ColdWorkers::default(),
+            returned: BTreeSet::new(),
+            full: BTreeMap::new(),
             models: BTreeMap::new(),
             hungry: BTreeSet::new(),
             pending: BTreeMap::new(),
@@ -169,8 +178,7 @@
         if self.ticking <= self.now {
             self.ticking = self.now + period;
             act.push(Action::Timer { token: 0, delay: period });
-            let part = |worker: &Worker| worker.warmth(self.now, &self.set) * worker.weight / self.weight;
-            let whole = self.workers.values().filter(|worker| worker.ready).map(part).sum();
+            let whole = self.whole_workers();
             self.whole.note(self.now, whole, self.set.keep);
             if self.set.roster_on_request && self.now - self.last_watch > self.set.ask_within / 4.0 {
                 self.last_watch = self.now;
@@ -185,12 +193,12 @@
 
     /// What is remembered, for a monitor.
     pub fn remembered(&self) -> Tables {
-        Tables::of(&self.models, &self.workers, self.agenda.len())
+        Tables::of(&self.models, &self.workers, &self.fleet, self.agenda.len())
     }
 
     /// What a call of the model adds to that, in bytes: nothing where the model is known.
     pub fn adds(&self, model: ModelId) -> usize {
-        self.models.get(&model).map_or(Model::cost(self.ready), |_| 0)
+        self.models.get(&model).map_or(Model::cost(self.fleet.len()), |_| 0)
     }
 
     fn period(&self) -> Ms {
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -103,9 +103,12 @@
             Outcome::Full => {
                 worker.full_until = now + *usual;
                 worker.narrow(now, *usual);
+                if worker.ready {
+                    self.full.insert(flight.worker, worker.full_until);
+                }
                 // Others may have room: only where most are full is there too much to do.
-                let full = self.workers.values().filter(|worker| worker.ready && worker.full_until > now);
-                shed = if 2 * full.count() > self.ready { SHED * (1.0 - LATE) } else { 0.0 };
+                self.full.retain(|_, until| *until > now);
+                shed = if 2 * self.full.len() > self.fleet.len() { SHED * (1.0 - LATE) } else { 0.0 };
             }
             _ if warmth == Warmth::LoadFailed => holder.copies = 0,
             _ => {}
@@ -129,6 +132,7 @@
             let holder = self.models.get_mut(model).and_then(|model| model.holders.get_mut(&id));
             holder.into_iter().for_each(|holder| holder.copies = 0);
         }
+        self.enlist(id);
     }
 
     pub(super) fn loaded(&mut self, id: WorkerId, name: ModelId, outcome: Outcome, copies: u32, took: Ms) {
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -3,20 +3,6 @@
 
 /// Time after which the homes of models are ranked anew, as cold workers grow warm.
 const STEP: Ms = 1000.0;
-/// Part of the aim for which a queue at an instance may keep a call.
-const QUEUE: f64 = 0.5;
-
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// Place of a worker among the homes of a model, lowest first: the same at every front end.
-fn rank(worker: &Worker, model: ModelId, warmth: f64) -> f64 {
-    let draw = mix(worker.hash ^ mix(model.0)) as f64 / u64::MAX as f64;
-    -draw.max(1e-12).ln() / (worker.weight * warmth).max(0.01)
-}
 
 impl Dispatcher {
     /// Gives waiting calls of these models to workers, the worthiest first, those past their aim last.
@@ -30,7 +16,7 @@
                 }
             }
             self.hungry.remove(&name);
-            self.homes(name);
+            self.rank_homes(name);
         }
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         // What one call of a model found shut is shut to its like behind it.
@@ -115,6 +101,9 @@
             return true;
         }
         let Some(mut found) = self.survey(pending, may_order) else { return false };
+        if found.is_blind && self.widen_homes(name) {
+            found = self.pending.get(&id).and_then(|call| self.survey(call, may_order)).unwrap_or_default();
+        }
         while found.best.is_some_and(|best| !self.admitted(id, best.1)) {
             found = self.pending.get(&id).and_then(|call| self.survey(call, may_order)).unwrap_or_default();
         }
@@ -135,63 +124,6 @@
         self.set.lacking == Lacking::Misses && 2.0 * self.set.price_probe > self.set.price_cross
     }
 
-    /// Looks for the best worker for a call: the likeliest home and what else is believed to stand; cold ones
-    /// left out where they are spared.
-    pub(super) fn survey(&self, pending: &Pending, may_order: bool) -> Option<Found> {
-        let (name, class, now) = (pending.request.model, pending.request.class, self.now);
-        let (model, &Class { aim, effect, .. }) = (self.models.get(&name)?, &self.set.classes[class]);
-        let crossing_pays = |zone: usize| {
-            let own = self.zone_ms.get(&self.set.zone).copied().unwrap_or(0.0);
-            let there = self.zone_ms.get(&zone).copied().unwrap_or(own);
-            let crossing = self.set.price_cross + (there - own).max(0.0) / self.aim;
-            crossing <= self.set.price_fetch + self.load_ms / self.aim
-        };
-        // A call goes and looks itself where that proves harmless, or no order may be given.
-        let misses = self.set.lacking == Lacking::Misses;
-        let look = misses && pending.attempts + 1 < self.set.max_attempts || !may_order;
-        // Unsafe calls are no bait: not sent where they rather fail than not, unless they do everywhere.
-        let doubt = self.doubt[class] / (1.0 - self.doubt[class]).max(0.01);
-        let (roams, mut zones, mut found) = (self.roams(), BTreeSet::new(), Found::default());
-        for &at in &model.homes {
-            let line = model.holders.get(&at);
-            let stands = line.is_some_and(|line| line.stands(now, self.set.keep));
-            let Some(worker) = self.workers.get(&at) else { continue };
-            let cold = worker.cold(now, &self.set);
-            // A cold worker that is far holds little yet, and has no calls to spare.
-            let near = zones.is_empty() || roams && !cold && !zones.contains(&worker.zone);
-            // One that has come back is looked at once, whatever stands elsewhere.
-            let back = cold && worker.life > 1 && pending.attempts == 0 && worker.untried(&self.set);
-            if !(stands || near || back) || self.spares(pending, worker, at) || !self.open(worker, pending) {
-                continue;
-            }
-            let odds = self.odds(worker, class);
-            zones.extend((odds < 1.0).then_some(worker.zone));
-            if effect == Effect::Unsafe && odds > 1.0 + doubt {
-                continue;
-            }
-            if back {
-                return Some(Found { best: Some(((false, false, 0.0), at)), known: true });
-            }
-            let clear = line.is_none_or(|line| line.lacks <= now) && !self.loads.contains(&(name, at));
-            let presumed = near && look && (clear || !may_order);
-            if !stands && !presumed {
-                continue;
-            }
-            found.known |= stands;
-            let foreign = worker.zone != self.set.zone;
-            let (cost, queue) = self.cost(worker, line, pending, model.lanes);
-            // A queue there is worth joining while it is cleared well within the aim.
-            let fits = if foreign { queue <= 0.0 && crossing_pays(worker.zone) } else { queue < QUEUE * aim };
-            // Where it may have run without an answer it is tried again last.
-            let cost = cost + if pending.ran.iter().any(|ran| ran.1 == at) { aim } else { 0.0 };
-            let key = (foreign, foreign && roams && !stands, cost);
-            if fits && found.best.is_none_or(|best| key < best.0) {
-                found.best = Some((key, at));
-            }
-        }
-        Some(found)
-    }
-
     pub(super) fn send(&mut self, id: RequestId, at: WorkerId, act: &mut Vec<Action>) -> bool {
         let (now, keep) = (self.now, self.set.keep);
         let (Some(pending), Some(worker)) = (self.pending.get_mut(&id), self.workers.get_mut(&at)) else {
@@ -217,21 +149,34 @@
         PATIENCE * self.usual[flight.class].max(1.0) + if flight.warm { 0.0 } else { self.load_ms }
     }
 
-    /// Ranks the homes of a model, own zone first, and there in the order that every front end would
-    /// name (highest random weight), so that copies are shared without a word between them.
-    pub(super) fn homes(&mut self, name: ModelId) {
+    /// Ranks the homes of a model by what has changed since it was last looked at.
+    pub(super) fn rank_homes(&mut self, name: ModelId) {
+        let step = (self.now / STEP) as u64;
+        let of_worker = warmth_in(step, &self.workers, &self.set);
+        let warmth = WorkerWarmth { of_worker: (!self.cold.is_empty()).then_some(&of_worker) };
         let Some(model) = self.models.get_mut(&name) else { return };
-        // By the same clock, so that all see cold workers grow in the same steps.
-        let now = (self.now / STEP).floor() * STEP;
-        if model.homes_of != (self.roster_of, now) {
-            let key = |(id, worker): (&WorkerId, &Worker)| {
-                let warmth = if worker.untried(&self.set) { 1.0 } else { worker.warmth(now, &self.set) };
-                (worker.zone != self.set.zone, rank(worker, name, warmth), *id)
-            };
-            let mut ranked: Vec<_> = self.workers.iter().filter(|entry| entry.1.ready).map(key).collect();
-            ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            model.homes = ranked.into_iter().map(|entry| entry.2).collect();
-            model.homes_of = (self.roster_of, now);
-        }
+        model.homes.refresh(&self.fleet, name, step, &warmth);
+    }
+
+    /// Goes on down the order of a model's homes, where none that is named so far was of use.
+    pub(super) fn widen_homes(&mut self, name: ModelId) -> bool {
+        let step = (self.now / STEP) as u64;
+        let of_worker = warmth_in(step, &self.workers, &self.set);
+        let warmth = WorkerWarmth { of_worker: (!self.cold.is_empty()).then_some(&of_worker) };
+        let Some(model) = self.models.get_mut(&name) else { return false };
+        model.homes.widen(&self.fleet, name, &warmth)
+    }
+}
+
+/// How warm workers are at the beginning of a step: by the same clock, so that all front ends see cold ones
+/// grow in the same steps.
+fn warmth_in<'a>(
+    step: u64,
+    workers: &'a BTreeMap<WorkerId, Worker>,
+    set: &'a Settings,
+) -> impl Fn(WorkerId) -> f64 + 'a {
+    move |id| match workers.get(&id) {
+        Some(worker) if !worker.untried(set) => worker.warmth(step as f64 * STEP, set),
+        _ => 1.0,
     }
 }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -14,9 +14,10 @@
     /// and what it proved by answers of its own, less than what would fell one of the usual speed.
     pub(super) fn bears(&self, worker: &Worker) -> f64 {
         let [taken, served] = [&self.taking, &self.served].map(|calls| calls.at(self.now, self.set.keep));
-        let asked = (taken - UNSERVED * served) / self.ready.max(1) as f64;
+        let asked = (taken - UNSERVED * served) / self.fleet.len().max(1) as f64;
         let rate = (served / self.whole.value.max(1.0)).max(asked) / self.set.keep;
-        let share = worker.warmth(self.now, &self.set) * worker.weight / self.weight * rate * self.half;
+        let share =
+            worker.warmth(self.now, &self.set) * worker.weight / self.fleet.mean_weight() * rate * self.half;
         let proved = (self.set.fall_multiple - 1.0) * worker.answered.at(self.now, self.half);
         (share + proved).min(self.set.fall_multiple * share)
     }
@@ -45,6 +46,7 @@
             return met.1;
         }
         let wanted = worker.wanted.add(now, self.half);
+        self.returned.remove(&at);
         let part = if left < 1.0 { left / wanted } else { 1.0 };
         let least = if wanted <= 1.0 { FIRST_CALLS / f64::from(set.front_ends) } else { 0.0 };
         let drawn = self.rng.random::<f64>() < part.max(least);
--- a/src/policy/timers.rs
+++ b/src/policy/timers.rs
@@ -60,6 +60,7 @@
         self.plan(now + keep + 4.0 * (self.period() + self.set.tick), Due::Sweep);
         self.workers.retain(|_, worker| !worker.gone || worker.out > 0);
         for (name, model) in &mut self.models {
+            model.homes.narrow();
             model.holders.retain(|at, line| {
                 let loading = self.loads.contains(&(*name, *at));
                 let used = line.out > 0 || loading || now - line.seen < FORGET_KEEPS * keep;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,7 @@
 //! What a dispatcher remembers, and how much memory that takes. What it means and when it changes is in
 //! `src/policy/`.
+use crate::fleet::Fleet;
+use crate::homes::Homes;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -151,9 +153,7 @@
     pub lanes: f64,
     /// Calls of it.
     pub used: Fading,
-    /// Workers, the likeliest home first, as of that roster and time.
-    pub homes: Vec<WorkerId>,
-    pub homes_of: (u64, Ms),
+    pub homes: Homes,
     pub retry_at: Ms,
     /// A copy of it stood somewhere, or a call of it was served.
     pub proven: bool,
@@ -190,6 +190,8 @@
     pub best: Option<((bool, bool, f64), WorkerId)>,
     /// Whether a copy is known.
     pub known: bool,
+    /// No worker was met that would rather answer than fail.
+    pub is_blind: bool,
 }
 
 /// An attempt that has no outcome yet.
@@ -251,7 +253,7 @@
     /// What it takes, in bytes.
     pub fn bytes(&self) -> usize {
         entry::<ModelId, Model>()
-            + list(&self.homes)
+            + self.homes.bytes()
             + list(&self.waiting)
             + map::<WorkerId, Holder>(self.holders.len())
             + self.holders.len() * entry::<ModelId, ()>()
@@ -260,7 +262,7 @@
     /// What one will take when it is first called, with so many workers that are ready, in bytes.
     pub fn cost(ready: usize) -> usize {
         entry::<ModelId, Model>()
-            + ready * std::mem::size_of::<WorkerId>()
+            + Homes::cost(ready)
             + Model::FIRST_CALLS * std::mem::size_of::<RequestId>()
             + map::<WorkerId, Holder>(Model::FIRST_LINES)
             + Model::FIRST_LINES * entry::<ModelId, ()>()
@@ -291,6 +293,7 @@
     pub(crate) fn of(
         models: &BTreeMap<ModelId, Model>,
         workers: &BTreeMap<WorkerId, Worker>,
+        fleet: &Fleet,
         planned: usize,
     ) -> Self {
         Tables {
@@ -299,6 +302,7 @@
             lines: models.values().map(|model| model.holders.len()).sum(),
             bytes: models.values().map(Model::bytes).sum::<usize>()
                 + workers.values().map(Worker::bytes).sum::<usize>()
+                + fleet.bytes()
                 + planned * entry::<(u64, Due), ()>(),
         }
     }
