A long event of the command channel was searched from its beginning with each chunk

Cause: Stream::feed looked for the end of the line from the first byte on, and copied each line twice. Now what was searched is not searched again and lines are read in place. Events cut at each byte come out as before (sse tests).

--- a/crates/node/src/wire/sse.rs
+++ b/crates/node/src/wire/sse.rs
@@ -48,6 +48,8 @@
     body: Option<Body>,
     raw: Vec<u8>,
     text: Vec<u8>,
+    /// Bytes of the text, from its beginning, that hold no end of a line.
+    searched: usize,
     event: Event,
     has_data: bool,
 }
@@ -67,11 +69,18 @@
             body.feed(&mut self.raw, &mut self.text, MAX_EVENT)?;
         }
         let mut events = Vec::new();
-        while let Some(end) = self.text.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = self.text.drain(..=end).collect();
-            let line = String::from_utf8_lossy(&line[..end]).into_owned();
+        let text = std::mem::take(&mut self.text);
+        let mut begin = 0;
+        while let Some(size) = text[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let end = self.searched + size;
+            let line = String::from_utf8_lossy(&text[begin..end]);
             self.line(line.trim_end_matches('\r'), &mut events);
+            begin = end + 1;
+            self.searched = begin;
         }
+        self.text = text;
+        self.text.drain(..begin);
+        self.searched = self.text.len();
         if self.text.len() + self.event.data.len() > MAX_EVENT {
             return Err(BadStream::Long);
         }
