A whole list compared each known worker with each listed one

Cause: Directory::apply looked every host up in a vector of the listed ones, and each change against all that had gone; found by reading behind the incident (same class: work that grows with the fleet, here with its square).

--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -6,7 +6,7 @@
 use corkbay_duty::Bans;
 use corkbay_ledger::pressure::{decide, Case, Decision};
 use corkbay_ledger::{Account, Purpose, Reservation};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -188,12 +188,6 @@
 
     /// Takes in news and puts it in the decisions' words. Whom a whole list leaves out has gone.
     pub fn apply(&mut self, listings: Vec<Listing>, whole: bool, remembered: bool) -> Roster {
-        if whole {
-            for known in self.hosts.values_mut() {
-                known.listed.standing = Standing::Gone;
-                known.host.bar(true);
-            }
-        }
         let count = listings.len();
         let entries: Vec<RosterEntry> =
             listings.into_iter().filter_map(|listing| self.entry(listing)).collect();
@@ -203,18 +197,13 @@
                 "there is no room for all workers that are listed"
             );
         }
-        let standing = |standing: Standing| {
-            entries.iter().filter(move |entry| entry.standing == standing).map(|entry| entry.worker)
-        };
+        let listed: HashSet<WorkerId> = entries.iter().map(|entry| entry.worker).collect();
+        self.gone.retain(|id| !listed.contains(id));
         if whole {
-            let listed: Vec<WorkerId> = entries.iter().map(|entry| entry.worker).collect();
-            let mut missing: Vec<_> = self.hosts.keys().filter(|id| !listed.contains(id)).copied().collect();
-            missing.sort_unstable();
-            self.gone.retain(|id| !missing.contains(id));
-            self.gone.extend(missing);
+            self.leave_out(&listed);
         }
-        self.gone.retain(|id| !entries.iter().any(|entry| entry.worker == *id));
-        self.gone.extend(standing(Standing::Gone));
+        let gone = entries.iter().filter(|entry| entry.standing == Standing::Gone);
+        self.gone.extend(gone.map(|entry| entry.worker));
         while self.gone.len() > GONE {
             self.forget_longest_gone();
         }
@@ -225,6 +214,20 @@
         }
     }
 
+    /// Whom a whole list does not name has gone.
+    fn leave_out(&mut self, listed: &HashSet<WorkerId>) {
+        let mut missing = Vec::new();
+        for (id, known) in &mut self.hosts {
+            if !listed.contains(id) && known.listed.standing != Standing::Gone {
+                known.listed.standing = Standing::Gone;
+                known.host.bar(true);
+                missing.push(*id);
+            }
+        }
+        missing.sort_unstable();
+        self.gone.extend(missing);
+    }
+
     fn forget_longest_gone(&mut self) {
         let forgotten = self.gone.pop_front().and_then(|id| self.hosts.remove(&id));
         let Some(Known { host, .. }) = forgotten else { return };
