A process that is behind turns new requests away and dates what it reads late

Cause: the catching up behind a stall was counted as 50 ms, however long it took, a process late again and again was taken for one that runs, and everything that came was taken in. Now what is read behind a late heartbeat may have come since the one before it, until heartbeats come in time (25 ms, late from 60 ms on), and after two that are 100 ms late new requests are refused at once with advice; log lines behind and caught up, counters fell_behind and turned_away_behind. A single pause turns nobody away. Unit tests: the new ones fail with the watch as it was.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -11,7 +11,7 @@
 mod notes;
 mod request;
 
-use super::{monotonic_ms, until, Call, LineBudget, StallWatch, Workers, HEARTBEAT};
+use super::{monotonic_ms, until, Call, LineBudget, StallWatch, Turn, Workers, HEARTBEAT};
 use crate::memory::counters::Counters;
 use crate::memory::roster::{BanError, Directory, Listing};
 use corkbay::{Dispatcher, Event, ModelId, Ms, Names, RequestId, Settings};
@@ -39,7 +39,7 @@
 pub enum NotTaken {
     /// Its id is open already.
     Open,
-    /// There is no room for it; come again after so many milliseconds.
+    /// There is no room or no time for it; come again after so many milliseconds.
     Crowded(Ms),
     /// No requests are taken any more.
     Draining,
@@ -141,6 +141,10 @@
         if self.duty().refuses(monotonic_ms()) {
             return Err(NotTaken::Draining);
         }
+        if self.stalls.is_behind(monotonic_ms()) {
+            self.counters.turned_away_behind.add();
+            return Err(NotTaken::Crowded(self.settings.max_retry_after));
+        }
         let held = self.ledger.reserve(Purpose::Calls, call.request.tenant, CALL + call.size());
         let held = held.map_err(|full| crowded(Purpose::Calls, &full))?;
         let (sender, notes) = mpsc::channel();
@@ -163,7 +167,14 @@
     pub fn watch_for_stalls(self: &Arc<Self>) {
         let invoker = self.clone();
         crate::life::spawn(move || loop {
-            invoker.stalls.beat(monotonic_ms());
+            match invoker.stalls.beat(monotonic_ms()) {
+                Some(Turn::FellBehind(late_ms)) => {
+                    invoker.counters.fell_behind.add();
+                    tracing::warn!(late_ms = late_ms.round(), "behind: new requests are turned away");
+                }
+                Some(Turn::CaughtUp) => tracing::info!("caught up"),
+                None => {}
+            }
             may::coroutine::sleep(HEARTBEAT);
         });
     }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use invoker::lock;
 pub use invoker::{Inbox, Invoker, NotTaken, Taken};
 
-pub use stall::{StallWatch, HEARTBEAT};
+pub use stall::{StallWatch, Turn, HEARTBEAT};
 pub use unserved::{LineBudget, Unserved};
 
 use crate::memory::counters::Dials;
--- a/crates/node/src/core/stall/tests.rs
+++ b/crates/node/src/core/stall/tests.rs
@@ -14,3 +14,32 @@
     watch.beat(6501.0);
     assert_eq!(watch.came_at(6502.0), 6502.0, "what is read from here on has come since");
 }
+
+#[test]
+fn what_is_read_while_late_again_and_again_may_have_come_before_the_last_heartbeat() {
+    let watch = StallWatch::default();
+    for beat in [1000.0, 1050.0, 1350.0, 1700.0] {
+        watch.beat(beat);
+    }
+    assert_eq!(watch.came_at(1720.0), 1350.0, "it is catching up");
+    assert_eq!(watch.came_at(2000.0), 1350.0, "it is late once more");
+    watch.beat(1750.0);
+    assert_eq!(watch.came_at(1751.0), 1751.0);
+}
+
+#[test]
+fn a_pause_alone_is_no_falling_behind() {
+    let watch = StallWatch::default();
+    watch.beat(1000.0);
+    assert_eq!(watch.beat(1050.0), None);
+    assert_eq!(watch.beat(1400.0), None, "it was stopped");
+    assert!(!watch.is_behind(1440.0));
+    assert_eq!(watch.beat(1450.0), None);
+    assert_eq!(watch.beat(1750.0), None);
+    assert!(!watch.is_behind(1800.0) && watch.is_behind(1900.0), "late once more");
+    assert_eq!(watch.beat(2050.0), Some(Turn::FellBehind(275.0)));
+    assert!(watch.is_behind(2060.0));
+    assert_eq!(watch.beat(2300.0), None);
+    assert_eq!(watch.beat(2350.0), Some(Turn::CaughtUp));
+    assert!(!watch.is_behind(2351.0));
+}
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -62,6 +62,10 @@
     pub malformed: Counter,
     /// Requests that were not taken, for crowding or a drain.
     pub turned_away: Counter,
+    /// Of these, those that came while the process was behind.
+    pub turned_away_behind: Counter,
+    /// Times that the process fell behind.
+    pub fell_behind: Counter,
     /// Operators' calls that were answered with yes.
     pub operators_yes: Counter,
     /// Operators' calls that were answered with no.
@@ -103,6 +107,8 @@
             withdrawn: counter(),
             malformed: counter(),
             turned_away: counter(),
+            turned_away_behind: counter(),
+            fell_behind: counter(),
             operators_yes: counter(),
             operators_no: counter(),
             operators: Default::default(),
@@ -167,6 +173,8 @@
             ("withdrawn", &self.withdrawn),
             ("malformed", &self.malformed),
             ("turned_away", &self.turned_away),
+            ("turned_away_behind", &self.turned_away_behind),
+            ("fell_behind", &self.fell_behind),
             ("operators_yes", &self.operators_yes),
             ("operators_no", &self.operators_no),
             ("passed_on", &self.passed_on),
