--- a/crates/rig/src/grow/daemon.rs
+++ b/crates/rig/src/grow/daemon.rs
@@ -5,15 +5,14 @@
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// What the configuration allows.
-const MEMORY_MB: u64 = 64;
+/// Descriptors that the configuration allows.
 const DESCRIPTORS: u64 = 544;
 /// Invokers that the fleet is said to serve.
 const INVOKERS: u32 = 300;
@@ -28,6 +27,7 @@
     child: Arc<OwnedChild>,
     /// Where its clients come.
     pub address: SocketAddr,
+    log: PathBuf,
     /// From its start until it took connections.
     pub ready_after: Duration,
     is_running: Arc<AtomicBool>,
@@ -48,6 +48,8 @@
     pub window_ms: u64,
     /// The share of a core that it gets; all it wants without.
     pub core_share: Option<f64>,
+    /// The memory that it may take.
+    pub memory_mb: u64,
 }
 
 impl Daemon {
@@ -56,7 +58,8 @@
         std::fs::create_dir_all(setup.folder)?;
         let config = setup.folder.join("config.json");
         std::fs::write(&config, configuration(setup, channel).to_string())?;
-        let log = OpenOptions::new().create(true).append(true).open(setup.folder.join("log"))?;
+        let log_path = setup.folder.join("log");
+        let log = OpenOptions::new().write(true).create(true).truncate(true).open(&log_path)?;
         let address = free_address()?;
         let child = Arc::new(spawn(setup, &config, address, log)?);
         let is_running = Arc::new(AtomicBool::new(true));
@@ -65,7 +68,8 @@
             std::thread::spawn(move || throttle(&child, share, &is_running))
         });
         let began = Instant::now();
-        let mut daemon = Daemon { child, address, ready_after: Duration::ZERO, is_running, throttle };
+        let mut daemon =
+            Daemon { child, address, log: log_path, ready_after: Duration::ZERO, is_running, throttle };
         while TcpStream::connect(address).is_err() {
             if began.elapsed() > READY_WITHIN {
                 return Err(io::Error::other("the daemon is not ready in its time"));
@@ -81,6 +85,16 @@
         self.child.usage()
     }
 
+    /// What it has logged.
+    pub fn log(&self) -> io::Result<String> {
+        std::fs::read_to_string(&self.log)
+    }
+
+    /// Has it log its counters and accounts.
+    pub fn log_counters(&self) -> io::Result<()> {
+        self.child.log_counters()
+    }
+
     /// Descriptors that it holds open.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
@@ -138,7 +152,7 @@
     };
     json!({
         "name": "n0", "listen": "127.0.0.1:1", "seed": "0000000000000001",
-        "limits": {"cores": setup.core_share.unwrap_or(1.0), "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
+        "limits": {"cores": setup.core_share.unwrap_or(1.0), "memory_mb": setup.memory_mb, "sockets": DESCRIPTORS},
         "channel": channel.address.to_string(), "known": channel.known(),
         "settings": {
             "balancers": INVOKERS, "periodMs": 4.0, "zones": setup.zones, "myZone": setup.zones[0],
--- a/crates/rig/src/grow/day.rs
+++ b/crates/rig/src/grow/day.rs
@@ -5,8 +5,9 @@
 use crate::faults::client::{self, FunctionMix, Target};
 use crate::faults::log::Log;
 use crate::faults::records::{At, Drained, End, Records};
-use crate::faults::verdict::{judge, Break};
+use crate::faults::verdict::{judge, Break, Rule};
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -24,6 +25,8 @@
 /// How long a zone that was lost stays away, and how long discovery is silent, as parts of a phase.
 const ZONE_AWAY: f64 = 0.6;
 const SILENCE: f64 = 0.6;
+/// What a daemon logs that has no room for all workers.
+const LEFT_OUT: &str = "there is no room for all workers";
 const LOOK: Duration = Duration::from_millis(20);
 /// What is still owed at the end has its time and a little more.
 const LAST_ANSWERS: Duration = Duration::from_millis(1000);
@@ -62,6 +65,8 @@
     pub allowed_ms: u64,
     /// The share of a core that the daemon gets; all it wants without.
     pub core_share: Option<f64>,
+    /// The memory that the daemon may take.
+    pub memory_mb: u64,
     /// What draws follow from.
     pub seed: u64,
     /// The daemon's program.
@@ -91,10 +96,21 @@
     pub asked: usize,
     /// The part of them that was served.
     pub served: f64,
+    /// Workers were listed that the daemon had no room for.
+    pub left_workers_out: bool,
     /// Rules that were broken.
     pub breaks: Vec<Break>,
 }
 
+impl Reading {
+    /// How often each rule was broken.
+    pub fn breaks_by_rule(&self) -> BTreeMap<Rule, usize> {
+        let mut counts = BTreeMap::new();
+        self.breaks.iter().for_each(|found| *counts.entry(found.rule).or_default() += 1);
+        counts
+    }
+}
+
 impl Day {
     /// Plays the day.
     pub fn play(&self) -> io::Result<Reading> {
@@ -106,6 +122,7 @@
             allowed_ms: self.allowed_ms,
             window_ms: WINDOW_MS,
             core_share: self.core_share,
+            memory_mb: self.memory_mb,
         };
         let daemon = Daemon::start(&setup, &fleet.channel)?;
         let flags = Flags::default();
@@ -129,6 +146,7 @@
             fleet.play(*phase, self.phase, &flags, || peaks.look(&daemon))?;
         }
         flags.is_running.store(false, Ordering::Relaxed);
+        daemon.log_counters()?;
         clients.into_iter().for_each(|client| _ = client.join());
         wait(Duration::from_millis(self.allowed_ms) + LAST_ANSWERS, || peaks.look(&daemon))?;
         let records = fleet.records();
@@ -142,6 +160,7 @@
             list_bytes: fleet.channel.bytes_told() as f64,
             asked: records.asked.len(),
             served: served(&records),
+            left_workers_out: daemon.log()?.contains(LEFT_OUT),
             breaks: judge(&records),
         })
     }
--- a/crates/rig/src/grow/mod.rs
+++ b/crates/rig/src/grow/mod.rs
@@ -42,6 +42,9 @@
     /// The share of a core that the daemon gets; all it wants without.
     #[arg(long)]
     pub core_share: Option<f64>,
+    /// The memory that the daemon may take, in MB.
+    #[arg(long, default_value_t = 32)]
+    pub memory_mb: u64,
 }
 
 /// Plays the day at each size.
@@ -53,6 +56,7 @@
         rate: options.rate,
         allowed_ms: options.allowed_ms,
         core_share: options.core_share,
+        memory_mb: options.memory_mb,
         seed,
         program: program.to_path_buf(),
         folder: out.join(format!("grow-{workers}")),
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -240,8 +240,13 @@
     for reading in readings {
         let grow::Reading { workers, asked, served, cpu_s, .. } = reading;
         let ready_ms = reading.ready_after.as_millis();
-        let breaks = reading.breaks.len();
-        println!("{workers} workers: ready after {ready_ms} ms, {asked} asked, served {served:.3}, CPU {cpu_s:.2} s, breaks {breaks}");
+        println!("{workers} workers: ready after {ready_ms} ms, {asked} asked, served {served:.3}, CPU {cpu_s:.2} s");
+        if reading.left_workers_out {
+            println!("{workers} workers: there was no room for all of them");
+        }
+        for (rule, count) in reading.breaks_by_rule() {
+            println!("{workers} workers: {rule:?} broken {count} times");
+        }
         reading.breaks.iter().take(SHOWN_BREAKS).for_each(|found| println!("{workers} workers: {found}"));
     }
     let rows = grow::growth(readings);
@@ -251,7 +256,8 @@
         println!("{figure:28} {workers:>5} workers {value:>14.3} {unit}, {ratio:.2} times {before:.3}, bound {bound:.3}: {verdict}");
     }
     grow::write(out, &rows)?;
-    Ok(rows.iter().all(|row| row.is_kept) && readings.iter().all(|reading| reading.breaks.is_empty()))
+    Ok(rows.iter().all(|row| row.is_kept)
+        && readings.iter().all(|reading| reading.breaks.is_empty() && !reading.left_workers_out))
 }
 
 /// Prints what came of a soak under faults; whether all rules were kept.
--- a/crates/rig/src/scale/process.rs
+++ b/crates/rig/src/scale/process.rs
@@ -77,6 +77,11 @@
         self.signal(Signal::CONT)
     }
 
+    /// Has a daemon log its counters and accounts.
+    pub fn log_counters(&self) -> io::Result<()> {
+        self.signal(Signal::USR1)
+    }
+
     /// What it has used so far.
     pub fn usage(&self) -> io::Result<Usage> {
         usage(self.id())
--- a/crates/rig/tests/grow.rs
+++ b/crates/rig/tests/grow.rs
@@ -9,6 +9,8 @@
 /// About twice what the unoptimised program needs for the traffic before the usual number of workers.
 const CORE_SHARE: f64 = 0.2;
 
+/// The least that invokers of this language get on short days.
+const MEMORY_MB: u64 = 32;
 const PHASE: Duration = Duration::from_secs(6);
 
 fn program() -> PathBuf {
@@ -27,6 +29,7 @@
         rate: 40.0,
         allowed_ms: 2000,
         core_share,
+        memory_mb: MEMORY_MB,
         seed: 1,
         program: program(),
         folder: folder.clone(),
@@ -35,6 +38,7 @@
     let breaks: Vec<String> = reading.breaks.iter().take(5).map(ToString::to_string).collect();
     let count = reading.breaks.len();
     assert!(breaks.is_empty(), "{workers} workers, files in {}, {count}: {breaks:#?}", folder.display());
+    assert!(!reading.left_workers_out, "there is no room for {workers} workers");
     let _ = std::fs::remove_dir_all(&folder);
     reading
 }
