Idle connections to workers kept others from being reached, and orders from being given

Cause: connections rest for 10 s and hold descriptors and 22 KB each; once the budget is full, a worker without one can't be dialled, and orders and questions, which draw on the same account, end as moot. It grows with the fleet, as more workers are met. Now the connection that is idle for longest ends for a new one, at most 16 at a time beyond the budget, and idle ones leave an eighth of the account to orders and answers; each send looks at its own worker's pool alone. What is on its way out goes out first. Test: fails before with Unfinished(Barred) for the third worker.

--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -43,15 +43,27 @@
     pub cancels: bool,
 }
 
+/// Connections at a time that end to make room for others, beyond the budgets: what they hold is free once they have
+/// ended.
+const MOST_ENDING: usize = 16;
+
+/// One part in so many of the account is kept from idle connections for orders and answers.
+const KEPT_PART: usize = 8;
+
 /// The connections to one worker.
 type Pool = Vec<Arc<Connection>>;
 
+/// The connections to all workers.
+type Pools = HashMap<(WorkerId, SocketAddr), Pool>;
+
 /// The pools, by worker and address.
 pub struct FrameWorkers {
     limits: Limits,
     account: Account,
-    pools: Mutex<HashMap<(WorkerId, SocketAddr), Pool>>,
+    pools: Mutex<Pools>,
     connections: Arc<AtomicUsize>,
+    /// Those of them that end to make room for others.
+    ending: Arc<AtomicUsize>,
     /// Most connections in all.
     most: AtomicUsize,
     order: AtomicU64,
@@ -73,6 +85,7 @@
             account,
             pools: Mutex::new(HashMap::new()),
             connections: Arc::new(AtomicUsize::new(0)),
+            ending: Arc::new(AtomicUsize::new(0)),
             most: AtomicUsize::new(limits.connections),
             order: AtomicU64::new(1 << 62),
             dials: Arc::default(),
@@ -103,29 +116,27 @@
             barred(waiter);
             return None;
         }
-        let mut pools = lock(&self.pools);
-        pools.retain(|_, pool| {
-            pool.retain(|connection| !lock(&connection.link).is_closed());
-            !pool.is_empty()
-        });
-        let pool = pools.entry((host.id, host.address)).or_default();
+        let pools = &mut *lock(&self.pools);
+        let key = (host.id, host.address);
         let mut enlist = |connection: &Arc<Connection>| {
             let mut link = lock(&connection.link);
             let fits = if is_tracked { link.admits(frame.id) } else { !link.is_closed() };
             if fits {
+                connection.used();
                 waiter = waiter.take().and_then(|waiter| link.open(frame.id, waiter).err());
             }
             fits
         };
+        let pool = pools.get(&key).map(Vec::as_slice).unwrap_or_default();
         let sound = pool.iter().find(|connection| !connection.is_suspect() && enlist(connection)).cloned();
         let fresh = sound.or_else(|| {
-            let fresh = self.dial(host)?;
+            let fresh = self.dial(host, pools)?;
             enlist(&fresh);
-            pool.push(fresh.clone());
+            pools.entry(key).or_default().push(fresh.clone());
             Some(fresh)
         });
+        let pool = pools.get(&key).map(Vec::as_slice).unwrap_or_default();
         let connection = fresh.or_else(|| pool.iter().find(|connection| enlist(connection)).cloned());
-        drop(pools);
         match &connection {
             Some(connection) => {
                 let _ = connection.outbox.send(Out::Frame(Outgoing {
@@ -142,24 +153,49 @@
         connection
     }
 
-    /// A new connection, as far as the budgets of descriptors and memory go; it is made in a task of its own.
-    fn dial(&self, host: &Arc<Host>) -> Option<Arc<Connection>> {
-        let held = self.account.reserve(CONNECTION).ok()?;
-        let slot = ConnectionSlot(self.connections.clone());
-        if self.connections.fetch_add(1, Ordering::Relaxed) >= self.most.load(Ordering::Relaxed) {
+    /// A new connection, as far as the budgets of descriptors and memory go; it is made in a task of its own. Where they
+    /// are used up, the one that is idle for longest ends for it.
+    fn dial(&self, host: &Arc<Host>, pools: &mut Pools) -> Option<Arc<Connection>> {
+        pools.retain(|_, pool| {
+            pool.retain(|connection| !lock(&connection.link).is_closed());
+            !pool.is_empty()
+        });
+        let held = self.account.reserve(CONNECTION);
+        let is_full = self.connections.load(Ordering::Relaxed) >= self.most.load(Ordering::Relaxed);
+        let crowds_out = self.account.used() > self.account.cap() / KEPT_PART * (KEPT_PART - 1);
+        let made_room = (held.is_err() || is_full || crowds_out) && self.close_longest_idle(pools);
+        if (held.is_err() || is_full) && !made_room {
             return None;
         }
+        let held = held.unwrap_or_else(|_| self.account.owe(CONNECTION));
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        let slot = ConnectionSlot(self.connections.clone());
         let (connection, queue) = Connection::new(self.limits.streams);
         let connection = Arc::new(connection);
         let (host, limits, ours, dials) = (host.clone(), self.limits, connection.clone(), self.dials.clone());
-        let intake = Intake::new(&self.account, Purpose::Workers);
+        let (intake, ending) = (Intake::new(&self.account, Purpose::Workers), self.ending.clone());
         spawn(move || {
             ours.run(&host, &limits, &dials, &queue, intake);
             drop((slot, held));
+            if ours.gave_way() {
+                ending.fetch_sub(1, Ordering::Relaxed);
+            }
         });
         Some(connection)
     }
 
+    /// Ends the connection on which nothing is open for longest; false where there is none, or too many are ending.
+    fn close_longest_idle(&self, pools: &Pools) -> bool {
+        if self.ending.load(Ordering::Relaxed) >= MOST_ENDING {
+            return false;
+        }
+        let idle = pools.values().flatten().filter(|connection| lock(&connection.link).is_idle());
+        let Some(longest) = idle.min_by_key(|connection| connection.last_used()) else { return false };
+        let gives_way = longest.give_way();
+        self.ending.fetch_add(usize::from(gives_way), Ordering::Relaxed);
+        gives_way
+    }
+
     /// Sends a command and waits for the frame that answers it.
     fn ask(
         &self,
--- a/crates/node/src/wire/workers/connection.rs
+++ b/crates/node/src/wire/workers/connection.rs
@@ -14,7 +14,7 @@
 use may::sync::Mutex;
 use std::io::ErrorKind;
 use std::net::Shutdown;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +80,10 @@
     pub outbox: Sender<Out>,
     /// When something was first waited for since the worker was last heard here; 0 while nothing is.
     quiet_since: AtomicU64,
+    /// When something was last sent here, in milliseconds of the monotonic clock.
+    last_used: AtomicU64,
+    /// It ends to make room for another.
+    gave_way: AtomicBool,
 }
 
 /// What is known of an attempt that ended without an answer at that stage.
@@ -106,7 +110,33 @@
     pub fn new(streams: usize) -> (Self, Receiver<Out>) {
         let (outbox, queue) = channel();
         let link = Mutex::new(Link::new(streams));
-        (Connection { link, outbox, quiet_since: AtomicU64::new(0) }, queue)
+        let (quiet_since, last_used) = (AtomicU64::new(0), AtomicU64::new(monotonic_ms() as u64));
+        (Connection { link, outbox, quiet_since, last_used, gave_way: AtomicBool::new(false) }, queue)
+    }
+
+    /// Something is sent here.
+    pub fn used(&self) {
+        self.last_used.store(monotonic_ms() as u64, Ordering::Relaxed);
+    }
+
+    /// When something was last sent here, in milliseconds of the monotonic clock.
+    pub fn last_used(&self) -> u64 {
+        self.last_used.load(Ordering::Relaxed)
+    }
+
+    /// Ends it, behind what is on its way out, unless something is open on it; whether it does.
+    pub fn give_way(&self) -> bool {
+        let closes = lock(&self.link).close_idle();
+        if closes {
+            self.gave_way.store(true, Ordering::Relaxed);
+            let _ = self.outbox.send(Out::Stop);
+        }
+        closes
+    }
+
+    /// Whether it ends to make room for another.
+    pub fn gave_way(&self) -> bool {
+        self.gave_way.load(Ordering::Relaxed)
     }
 
     /// The life of a connection: made, written to, ended. What was open on it ends with it.
--- a/crates/node/src/wire/workers/tests.rs
+++ b/crates/node/src/wire/workers/tests.rs
@@ -50,3 +50,55 @@
         assert!(!broken(Stage::Whole, cause).outcome().proves_not_run());
     }
 }
+
+/// A worker that answers each request at once, for as long as its connections last; tells when one has ended.
+fn answering_worker(number: u32, ended: std::sync::mpsc::Sender<u32>) -> Arc<Host> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let host = Host::new(WorkerId(number), "w", listener.local_addr().expect("bound"));
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().map_while(Result::ok) {
+            let (mut bytes, mut chunk) = (Vec::new(), [0; 1024]);
+            while let Ok(size @ 1..) = std::io::Read::read(&mut socket, &mut chunk) {
+                bytes.extend(&chunk[..size]);
+                while let Ok(Some(frame)) = Frame::decode(&mut bytes, crate::wire::frames::FROM_INVOKER) {
+                    let mark = crate::wire::frames::FROM_WORKER;
+                    let answer = Frame { mark, code: code::OK, body: Vec::new(), ..frame };
+                    std::io::Write::write_all(&mut socket, &answer.encode()).expect("answered");
+                }
+            }
+            ended.send(number).expect("the test waits");
+        }
+    });
+    host
+}
+
+/// Idle connections that fill the budget kept workers from being reached that had none.
+#[test]
+fn idle_connections_keep_other_workers_from_being_reached() {
+    let second = Duration::from_secs(1);
+    let limits = Limits {
+        streams: 8,
+        connect: second,
+        idle: 60 * second,
+        connections: 2,
+        answer: 1024,
+        cancels: true,
+    };
+    let workers = FrameWorkers::new(limits, crate::memory::roomy().account(Purpose::Workers).clone());
+    let (ended, endings) = std::sync::mpsc::channel();
+    let hosts: Vec<_> = (0..4).map(|number| answering_worker(number, ended.clone())).collect();
+    let ask = |id: u64, host: &Arc<Host>| {
+        let request = corkbay::Request { id: corkbay::RequestId(id), ..Default::default() };
+        let call = Arc::new(Call { request, ..Call::default() });
+        let (sender, answer) = std::sync::mpsc::channel();
+        let end = Box::new(move |end: Result<_, _>| _ = sender.send(end.map(|_| ())));
+        let _exchange = workers.send(host, &call, monotonic_ms() + 5000.0, f64::INFINITY, end);
+        answer.recv_timeout(5 * second).expect("an end")
+    };
+    for (id, place) in [0, 1, 0, 2, 3].into_iter().enumerate() {
+        assert_eq!(ask(id as u64 + 1, &hosts[place]), Ok(()), "worker {place}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let gave_way: Vec<_> = (0..2).map(|_| endings.recv_timeout(5 * second).expect("an end")).collect();
+    assert_eq!(gave_way, [1, 0], "those that were idle for longest");
+}
