Thousands of workers did not fit their part of the memory, and those left out got no calls

Cause: each purpose had a fixed part of what the limit leaves, 2% for the directory, so that the number of workers known did not follow the list but the limit; what is learnt of the workers themselves would have had the decisions forget all idle models each second below about 40 MB. Every invoker leaves out the end of the same list. Now room is made before a list is taken in, in the directory and beside what is learnt of models, with a third to spare; other purposes give way in proportion, and where that can't be the shares are as before, with a warning. Peaks are VmHWM in grow now.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -29,6 +29,8 @@
     percent: [f64; Purpose::COUNT],
     /// Those that the file names.
     named: [bool; Purpose::COUNT],
+    /// Those that were raised to what they need: they give way to no other.
+    raised: [bool; Purpose::COUNT],
 }
 
 impl Shares {
@@ -45,7 +47,7 @@
     fn of(share: impl Fn(Purpose) -> f64) -> Self {
         let mut percent = [0.0; Purpose::COUNT];
         Purpose::all().for_each(|purpose| percent[purpose as usize] = share(purpose));
-        Shares { percent, named: [false; Purpose::COUNT] }
+        Shares { percent, named: [false; Purpose::COUNT], raised: [false; Purpose::COUNT] }
     }
 
     /// These shares with those of a file in place of their own; `key` is where they stand in the file.
@@ -78,8 +80,8 @@
         Ok(self)
     }
 
-    /// These shares, with at least so many bytes of a room for a purpose. Purposes that the file does not name give
-    /// way in proportion. `keys` are where the memory and the shares stand in the file, for errors.
+    /// These shares, with at least so many bytes of a room for a purpose. Purposes that the file does not name and that
+    /// were not raised themselves give way in proportion. `keys` are where the memory and the shares stand in the file, for errors.
     pub fn raise(
         mut self,
         purpose: Purpose,
@@ -99,8 +101,8 @@
             let key = format!("{shares_key}.{name}");
             return Err(BudgetError::new(key, format!("{needs}, {wants:.1} percent")));
         }
-        let named = self.named;
-        let is_open = |other: usize| other != place && !named[other];
+        let (named, raised) = (self.named, self.raised);
+        let is_open = |other: usize| other != place && !named[other] && !raised[other];
         let others: f64 =
             (0..Purpose::COUNT).filter(|other| is_open(*other)).map(|other| self.percent[other]).sum();
         let left = others + has - wants;
@@ -121,6 +123,7 @@
             self.percent[other as usize] = after;
         }
         self.percent[place] = wants;
+        self.raised[place] = true;
         Ok(self)
     }
 
--- a/crates/ledger/src/budget/tests.rs
+++ b/crates/ledger/src/budget/tests.rs
@@ -55,3 +55,12 @@
     assert_eq!(raise(&[("catalog", 2.0)], 21).expect_err("named").key, "memory.shares.catalog");
     assert_eq!(raise(&[("calls", 40.0)], 601).expect_err("too much").key, "memory_mb");
 }
+
+#[test]
+fn a_purpose_that_was_raised_gives_way_to_the_next() {
+    let raised = Shares::platform().raise(Purpose::Roster, 100, 1000, KEYS).expect("fits");
+    let both = raised.raise(Purpose::Learnt, 300, 1000, KEYS).expect("fits");
+    assert_eq!((both.percent(Purpose::Roster), both.percent(Purpose::Learnt)), (10.0, 30.0));
+    let sum: f64 = Purpose::all().map(|purpose| both.percent(purpose)).sum();
+    assert!((sum - 100.0).abs() < 1e-9, "{sum}");
+}
--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -24,7 +24,7 @@
 pub use request::Taken;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 /// What a call takes beside its texts and body: the stack of its task as far as it is touched, its mailbox,
@@ -81,6 +81,8 @@
     pub give_up: Vec<Ms>,
     /// What was taken, sent and answered.
     pub counters: Counters,
+    /// Called with the number of workers that are to be known, before they are taken in.
+    room_for_workers: OnceLock<Box<dyn Fn(usize) + Send + Sync>>,
     /// For log lines on single requests.
     pub(crate) lines: LineBudget,
     stalls: StallWatch,
@@ -127,6 +129,7 @@
             settings,
             give_up,
             counters,
+            room_for_workers: OnceLock::new(),
             lines: LineBudget::default(),
             stalls: StallWatch::default(),
         })
@@ -163,6 +166,12 @@
         Ok(Taken { invoker: self.clone(), call, inbox, held: Mutex::new(held), since: monotonic_ms() })
     }
 
+    /// Has room made for the workers that are to be known, whenever a list is about to be taken in; once.
+    pub fn on_workers(&self, make_room: impl Fn(usize) + Send + Sync + 'static) {
+        // A second one is never set: there is one start of a process.
+        let _ = self.room_for_workers.set(Box::new(make_room));
+    }
+
     /// Notes from now on that this process runs, for as long as it does.
     pub fn watch_for_stalls(self: &Arc<Self>) {
         let invoker = self.clone();
@@ -210,6 +219,10 @@
     /// News of the workers; what is barred is barred before the decisions hear of it.
     pub fn news(self: &Arc<Self>, listings: Vec<Listing>, whole: bool, remembered: bool) {
         let _turn = lock(&self.telling);
+        let known = lock(&self.directory).known_after(&listings, whole);
+        if let Some(make_room) = self.room_for_workers.get() {
+            make_room(known);
+        }
         let roster = lock(&self.directory).apply(listings, whole, remembered);
         self.feed(Event::Roster(roster));
     }
--- a/crates/node/src/life/accounts.rs
+++ b/crates/node/src/life/accounts.rs
@@ -3,7 +3,8 @@
 use super::spawn;
 use crate::core::{monotonic_ms, Invoker};
 use crate::memory::resident::resident_bytes;
-use corkbay::Settings;
+use crate::memory::roster;
+use corkbay::{Settings, Tables};
 use corkbay_ledger::{Alarm, Budget, BudgetError, Purpose, Shares, TenantShare, MIB};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -15,6 +16,8 @@
 const PLATFORM_RESERVE: f64 = 12.0;
 /// Room for changes by API beside what the file configures, as a part of that.
 const CATALOG_SPARE: f64 = 0.25;
+/// Room for one worker in so many beside those that are known, for a release.
+const SPARE_WORKERS: usize = 3;
 /// How often accounts are looked at.
 const LOOK: Duration = Duration::from_secs(1);
 
@@ -29,11 +32,46 @@
     resident_bytes().max(USUAL_BASE)
 }
 
+/// The workers that caps are planned for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FleetSize {
+    /// Workers that are known.
+    pub workers: usize,
+    /// Classes of calls, each of which is judged apart at each worker.
+    pub classes: usize,
+}
+
+impl FleetSize {
+    /// The platform's shares with room for these workers, in the directory and beside what is learnt of models.
+    fn shares(self, room: usize, keys: (&str, &str)) -> Result<Shares, BudgetError> {
+        let shares = Shares::platform();
+        let with_spare = |bytes: usize| self.workers * bytes / SPARE_WORKERS * (SPARE_WORKERS + 1);
+        let of_models = (room as f64 * shares.percent(Purpose::Learnt) / 100.0) as usize;
+        let learnt = of_models + with_spare(Tables::worker_cost(self.classes));
+        let roster = with_spare(roster::usual_cost());
+        let usual = (room as f64 * shares.percent(Purpose::Roster) / 100.0) as usize;
+        if roster <= usual {
+            return Ok(shares);
+        }
+        shares.raise(Purpose::Roster, roster, room, keys)?.raise(Purpose::Learnt, learnt, room, keys)
+    }
+}
+
 /// The caps on the platform, whose configuration names only the memory, for one of so many processes that share it.
-pub fn platform_budget(memory_mb: u64, base: usize, parts: usize) -> Result<Budget, ConfigError> {
+pub fn platform_budget(
+    memory_mb: u64,
+    base: usize,
+    parts: usize,
+    fleet: FleetSize,
+) -> Result<Budget, ConfigError> {
     let keys = ("limits.memory_mb", "limits.memory_mb");
     let memory = memory_mb as usize * MIB / parts;
-    Ok(Budget::plan(memory, base, PLATFORM_RESERVE, &Shares::platform(), keys)?)
+    let shares =
+        fleet.shares(Budget::room_within(memory, base, PLATFORM_RESERVE), keys).or_else(|error| {
+            tracing::warn!(error = error.what, workers = fleet.workers, "too little memory for all workers");
+            FleetSize::default().shares(1, keys)
+        })?;
+    Ok(Budget::plan(memory, base, PLATFORM_RESERVE, &shares, keys)?)
 }
 
 /// What a deploy file says of memory.
--- a/crates/node/src/life/accounts/tests.rs
+++ b/crates/node/src/life/accounts/tests.rs
@@ -24,3 +24,24 @@
     let error = catalog_cap(None, 101.0).expect_err("refused");
     assert!(error.contains("memory_mb"), "{error}");
 }
+
+/// A list of thousands of workers did not fit its part of the memory, and those left out got no calls.
+#[test]
+fn thousands_of_workers_do_not_fit_their_accounts() {
+    const CLASSES: usize = 2;
+    for (memory_mb, workers) in [(24, 200), (24, 3200), (48, 3200), (192, 3200)] {
+        let fleet = FleetSize { workers, classes: CLASSES };
+        let caps = platform_budget(memory_mb, 6 * MIB, 1, fleet).expect("fits");
+        let usual = platform_budget(memory_mb, 6 * MIB, 1, FleetSize::default()).expect("fits");
+        assert!(caps.cap(Purpose::Roster) >= workers * roster::usual_cost(), "{memory_mb} MB, {workers}");
+        let of_workers = workers * Tables::worker_cost(CLASSES);
+        let of_models = caps.cap(Purpose::Learnt).saturating_sub(of_workers);
+        assert!(of_models >= usual.cap(Purpose::Learnt) / 2, "{memory_mb} MB, {workers}: {of_models}");
+        assert!(caps.room() <= usual.room() + Purpose::COUNT, "{memory_mb} MB, {workers}");
+        let left = [Purpose::Calls, Purpose::Clients, Purpose::Workers];
+        assert!(left.iter().all(|purpose| 4 * caps.cap(*purpose) >= usual.cap(*purpose)), "{memory_mb} MB");
+    }
+    let too_many = FleetSize { workers: 1_000_000, classes: CLASSES };
+    let caps = platform_budget(24, 6 * MIB, 1, too_many).expect("as many as have room");
+    assert_eq!(caps, platform_budget(24, 6 * MIB, 1, FleetSize::default()).expect("fits"));
+}
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -1,7 +1,8 @@
 //! The daemon on the platform: start, service, drain.
+use super::accounts::{self, FleetSize};
 use super::config::{ConfigError, Platform, Source};
 use super::handover::{self, OverridesHandle, SharedFiles};
-use super::{accounts, spawn};
+use super::spawn;
 use crate::core::{monotonic_ms, Invoker};
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::channel::{self, Line};
@@ -24,6 +25,8 @@
 pub const STILL_TAKING: Duration = Duration::from_millis(700);
 /// With a successor, what comes on connections that are owed something is taken for so long.
 const SUCCEEDED_TAKES: Duration = Duration::from_millis(1000);
+/// Room is made for one worker in so many more than are known.
+const SPARE_PART: usize = 8;
 /// How often an end is looked at.
 const END_LOOK: Duration = Duration::from_millis(10);
 /// Longest wait of a successor for the command channel: it is due to serve within 6 s, news or none.
@@ -66,6 +69,9 @@
     sockets: usize,
     base: usize,
     parts: AtomicUsize,
+    /// Workers that the accounts have room for.
+    fleet_workers: AtomicUsize,
+    classes: usize,
     ledger: Arc<Ledger>,
     workers: Arc<FrameWorkers>,
     acceptor: OnceLock<Arc<Acceptor>>,
@@ -75,13 +81,29 @@
     /// Adopts the limits as they are now.
     fn adopt(&self) -> Result<(), ConfigError> {
         let (memory, parts) = (self.memory_mb.load(Ordering::Relaxed), self.parts.load(Ordering::Relaxed));
-        self.ledger.adopt(&budget(memory, self.base, parts)?);
+        self.ledger.adopt(&budget(memory, self.base, parts, self.fleet())?);
         let (clients, to_workers) = connections(self.sockets / parts);
         self.workers.set_most(to_workers);
         self.acceptor.get().into_iter().for_each(|acceptor| acceptor.set_most(clients));
         Ok(())
     }
 
+    fn fleet(&self) -> FleetSize {
+        FleetSize { workers: self.fleet_workers.load(Ordering::Relaxed), classes: self.classes }
+    }
+
+    /// Makes room for so many workers, at the expense of what else is held.
+    fn make_room_for(&self, workers: usize) {
+        if self.fleet_workers.load(Ordering::Relaxed) >= workers {
+            return;
+        }
+        // Some more, so that a list that grows one by one is not planned for each time.
+        self.fleet_workers.store(workers + workers / SPARE_PART, Ordering::Relaxed);
+        if let Err(error) = self.adopt() {
+            tracing::error!(%error, workers, "no room can be made for workers");
+        }
+    }
+
     fn share(&self, parts: usize) {
         self.parts.store(parts, Ordering::Relaxed);
         if let Err(error) = self.adopt() {
@@ -92,10 +114,10 @@
 
 /// The caps of one of so many processes. Where a part is less than any process needs, the whole is kept: it is for some
 /// seconds, and what is held counts as it is held.
-fn budget(memory_mb: u64, base: usize, parts: usize) -> Result<Budget, ConfigError> {
-    accounts::platform_budget(memory_mb, base, parts).or_else(|error| {
+fn budget(memory_mb: u64, base: usize, parts: usize, fleet: FleetSize) -> Result<Budget, ConfigError> {
+    accounts::platform_budget(memory_mb, base, parts, fleet).or_else(|error| {
         tracing::warn!(%error, parts, "too little memory to be shared");
-        accounts::platform_budget(memory_mb, base, 1)
+        accounts::platform_budget(memory_mb, base, 1, fleet)
     })
 }
 
@@ -118,26 +140,32 @@
     let files = join(&config, source);
     let slot = files.as_ref().map(SharedFiles::slot);
     let parts = files.as_ref().map_or(1, SharedFiles::parts);
-    let ledger =
-        Arc::new(Ledger::new(&budget(config.memory_mb, base, parts)?, &accounts::tenants(&config.settings)));
+    let classes = config.settings["classes"].as_array().map_or(1, Vec::len);
+    let fleet = FleetSize { workers: 0, classes };
+    let caps = budget(config.memory_mb, base, parts, fleet)?;
+    let ledger = Arc::new(Ledger::new(&caps, &accounts::tenants(&config.settings)));
     let (clients, to_workers) = connections(config.sockets / parts);
     let to_workers = limits(&config.settings, to_workers, MAX_BODY);
     let workers = Arc::new(FrameWorkers::new(to_workers, ledger.account(Purpose::Workers).clone()));
     let invoker = Invoker::new(&config.settings, config.seed, workers.clone(), ledger.clone());
     accounts::watch(&invoker);
     invoker.watch_for_stalls();
-    for news in config.known {
-        news.remember(&invoker);
-    }
     let limits = Arc::new(Limits {
         memory_mb: AtomicU64::new(config.memory_mb),
         sockets: config.sockets,
         base,
         parts: AtomicUsize::new(parts),
+        fleet_workers: AtomicUsize::new(0),
+        classes,
         ledger: ledger.clone(),
         workers,
         acceptor: OnceLock::new(),
     });
+    let planned = limits.clone();
+    invoker.on_workers(move |workers| planned.make_room_for(workers));
+    for news in config.known {
+        news.remember(&invoker);
+    }
     let overrides = match files {
         Some(files) => {
             let limits = limits.clone();
@@ -161,7 +189,7 @@
         let (admin, limits) = (config.admin, limits.clone());
         move || {
             let next = source.read()?;
-            accounts::platform_budget(next.memory_mb, base, 1)?;
+            accounts::platform_budget(next.memory_mb, base, 1, limits.fleet())?;
             limits.memory_mb.store(next.memory_mb, Ordering::Relaxed);
             limits.adopt()?;
             line.move_to(next.channel);
--- a/crates/node/src/memory/roster.rs
+++ b/crates/node/src/memory/roster.rs
@@ -146,6 +146,15 @@
         }
     }
 
+    /// Workers that will be known once this news is taken in.
+    pub fn known_after(&self, listings: &[Listing], whole: bool) -> usize {
+        if whole {
+            return listings.len() + self.gone.len();
+        }
+        let fresh = listings.iter().filter(|listing| !self.numbers.contains_key(&listing.name));
+        self.hosts.len() + fresh.count()
+    }
+
     /// The worker of that number.
     pub fn host(&self, id: WorkerId) -> Option<Arc<Host>> {
         self.hosts.get(&id).map(|known| known.host.clone())
@@ -291,6 +300,12 @@
     }
 }
 
+/// What a worker takes whose name is as long as usual, in bytes.
+pub fn usual_cost() -> usize {
+    const USUAL_NAME: &str = "worker-0123456789abcdef";
+    cost(USUAL_NAME)
+}
+
 fn hash(name: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
--- a/crates/rig/src/grow/daemon.rs
+++ b/crates/rig/src/grow/daemon.rs
@@ -19,6 +19,7 @@
 const READY_WITHIN: Duration = Duration::from_secs(30);
 /// How often its processor time is looked at.
 const LOOK: Duration = Duration::from_millis(1);
+const KIB: f64 = 1024.0;
 /// Processor time that it may use beyond its share so far, as a span at its share.
 const BURST: Duration = Duration::from_millis(20);
 
@@ -85,6 +86,14 @@
         self.child.usage()
     }
 
+    /// Its most resident bytes since its start.
+    pub fn peak_resident(&self) -> io::Result<f64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|rest| rest.trim().trim_end_matches(" kB").parse::<f64>().ok());
+        Ok(kib.ok_or_else(|| io::Error::other("no peak is told"))? * KIB)
+    }
+
     /// What it has logged.
     pub fn log(&self) -> io::Result<String> {
         std::fs::read_to_string(&self.log)
--- a/crates/rig/src/grow/day.rs
+++ b/crates/rig/src/grow/day.rs
@@ -141,21 +141,22 @@
                 std::thread::spawn(move || client::run(&target, &log, rate))
             })
             .collect();
-        let mut peaks = Peaks::default();
+        let mut peak_descriptors = 0.0_f64;
+        let mut look = || peak_descriptors = peak_descriptors.max(daemon.descriptors() as f64);
         for phase in &self.phases {
-            fleet.play(*phase, self.phase, &flags, || peaks.look(&daemon))?;
+            fleet.play(*phase, self.phase, &flags, &mut look);
         }
         flags.is_running.store(false, Ordering::Relaxed);
         daemon.log_counters()?;
         clients.into_iter().for_each(|client| _ = client.join());
-        wait(Duration::from_millis(self.allowed_ms) + LAST_ANSWERS, || peaks.look(&daemon))?;
+        wait(Duration::from_millis(self.allowed_ms) + LAST_ANSWERS, &mut look);
         let records = fleet.records();
         Ok(Reading {
             workers: self.workers,
             ready_after: daemon.ready_after,
             cpu_s: daemon.usage()?.cpu_s,
-            peak_resident: peaks.resident,
-            peak_descriptors: peaks.descriptors,
+            peak_resident: daemon.peak_resident()?,
+            peak_descriptors,
             connections_made: fleet.workers.connections_made() as f64,
             list_bytes: fleet.channel.bytes_told() as f64,
             asked: records.asked.len(),
@@ -187,28 +188,13 @@
     }
 }
 
-#[derive(Default)]
-struct Peaks {
-    resident: f64,
-    descriptors: f64,
-}
-
-impl Peaks {
-    fn look(&mut self, daemon: &Daemon) -> io::Result<()> {
-        self.resident = self.resident.max(daemon.usage()?.resident);
-        self.descriptors = self.descriptors.max(daemon.descriptors() as f64);
-        Ok(())
-    }
-}
-
 /// Waits, with a look now and then.
-fn wait(span: Duration, mut look: impl FnMut() -> io::Result<()>) -> io::Result<()> {
+fn wait(span: Duration, mut look: impl FnMut()) {
     let began = Instant::now();
     while began.elapsed() < span {
-        look()?;
+        look();
         std::thread::sleep(LOOK.min(span.saturating_sub(began.elapsed())));
     }
-    Ok(())
 }
 
 /// The workers with the channel that tells of them.
@@ -234,37 +220,30 @@
         self.log.records().clone()
     }
 
-    fn play(
-        &self,
-        phase: Phase,
-        span: Duration,
-        flags: &Flags,
-        mut look: impl FnMut() -> io::Result<()>,
-    ) -> io::Result<()> {
+    fn play(&self, phase: Phase, span: Duration, flags: &Flags, mut look: impl FnMut()) {
         match phase {
             Phase::Steady => wait(span, look),
             Phase::HotFunction => {
                 flags.is_hot.store(true, Ordering::Relaxed);
-                wait(span, look)?;
+                wait(span, look);
                 flags.is_hot.store(false, Ordering::Relaxed);
-                Ok(())
             }
-            Phase::Release => (0..RELEASE_STEPS).try_for_each(|step| {
+            Phase::Release => (0..RELEASE_STEPS).for_each(|step| {
                 self.release(step);
-                wait(span / RELEASE_STEPS as u32, &mut look)
+                wait(span / RELEASE_STEPS as u32, &mut look);
             }),
             Phase::ZoneLost => {
                 let zone: Vec<usize> = (0..self.size).filter(|number| number % ZONES.len() == 1).collect();
                 self.workers.stop(zone.clone());
-                wait(span.mul_f64(ZONE_AWAY), &mut look)?;
+                wait(span.mul_f64(ZONE_AWAY), &mut look);
                 self.workers.restart(zone);
-                wait(span.mul_f64(1.0 - ZONE_AWAY), look)
+                wait(span.mul_f64(1.0 - ZONE_AWAY), look);
             }
             Phase::DiscoverySilent => {
                 self.channel.set_silent(true);
-                wait(span.mul_f64(SILENCE), &mut look)?;
+                wait(span.mul_f64(SILENCE), &mut look);
                 self.channel.set_silent(false);
-                wait(span.mul_f64(1.0 - SILENCE), look)
+                wait(span.mul_f64(1.0 - SILENCE), look);
             }
         }
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -54,6 +54,9 @@
 }
 
 impl Fleet {
+    /// What a worker takes here at most, in bytes: its place in a list that is at times half empty.
+    pub const WORKER_COST: usize = 2 * std::mem::size_of::<RankedWorker>();
+
     /// How many are ready.
     pub fn len(&self) -> usize {
         self.places.len()
--- a/src/state.rs
+++ b/src/state.rs
@@ -290,6 +290,12 @@
 }
 
 impl Tables {
+    /// What a ready worker takes, before anything is learnt of models there, with so many classes of calls, in bytes.
+    pub fn worker_cost(classes: usize) -> usize {
+        let health = classes.max(1) * std::mem::size_of::<Health>();
+        entry::<WorkerId, Worker>() + health + Fleet::WORKER_COST
+    }
+
     pub(crate) fn of(
         models: &BTreeMap<ModelId, Model>,
         workers: &BTreeMap<WorkerId, Worker>,
