--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -28,8 +28,8 @@
 use std::time::Duration;
 
 /// What a call takes beside its texts and body: the stack of its task as far as it is touched, its mailbox,
-/// its places in tables. Measured.
-const CALL: usize = 26 << 10;
+/// its places in tables.
+const CALL_BYTES: usize = 26 << 10;
 
 /// The part of what may be learnt that is forgotten at a time.
 const FORGET_PART: usize = 16;
@@ -148,7 +148,7 @@
             self.counters.turned_away_behind.add();
             return Err(NotTaken::Crowded(self.settings.max_retry_after));
         }
-        let held = self.ledger.reserve(Purpose::Calls, call.request.tenant, CALL + call.size());
+        let held = self.ledger.reserve(Purpose::Calls, call.request.tenant, CALL_BYTES + call.size());
         let held = held.map_err(|full| crowded(Purpose::Calls, &full))?;
         let (sender, notes) = mpsc::channel();
         {
--- a/crates/node/src/core/invoker/actions.rs
+++ b/crates/node/src/core/invoker/actions.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// What the task of a timer or an order takes: the stack of its task as far as it is touched. Measured.
-const TASK: usize = 10 << 10;
+/// What the task of a timer or an order takes: the stack of its task as far as it is touched.
+const TASK_BYTES: usize = 10 << 10;
 
 /// The token of the timer that recurs.
 const RECURRING: u64 = 0;
@@ -59,7 +59,7 @@
     fn start_timer(self: &Arc<Self>, token: u64, delay: Ms) {
         let timers = self.ledger.account(Purpose::Timers);
         // The one that recurs keeps the decisions going; without another, what is due comes with the next recurrence.
-        let held = if token == RECURRING { Ok(timers.owe(TASK)) } else { timers.reserve(TASK) };
+        let held = if token == RECURRING { Ok(timers.owe(TASK_BYTES)) } else { timers.reserve(TASK_BYTES) };
         let Ok(held) = held else { return };
         self.spawn(held, move |invoker| {
             may::coroutine::sleep(Duration::from_secs_f64(delay.clamp(0.0, LONGEST_DELAY_MS) / 1000.0));
@@ -120,7 +120,7 @@
 
     /// Room for the task of an order to a worker.
     fn order_room(&self) -> Option<Reservation> {
-        self.ledger.account(Purpose::Workers).reserve(TASK).ok()
+        self.ledger.account(Purpose::Workers).reserve(TASK_BYTES).ok()
     }
 
     /// Starts a task that holds what was reserved for it.
--- a/crates/node/src/core/invoker/request.rs
+++ b/crates/node/src/core/invoker/request.rs
@@ -1,7 +1,7 @@
 //! The life of one request, from its first event to its one final answer.
 use super::flights::{Flights, LAST_WORD_MS};
 use super::notes::{Inbox, Note};
-use super::{lock, Invoker, CALL};
+use super::{lock, Invoker, CALL_BYTES};
 use crate::core::unserved::hex;
 use crate::core::{monotonic_ms, Answer, AttemptError, Call, Failure, Unserved};
 use crate::memory::room;
@@ -129,7 +129,7 @@
     /// it waits a little, and is counted all the same: it is owed.
     fn hold(&self, body: &Vec<u8>) {
         let held = &mut *lock(&self.held);
-        let bytes = CALL + self.call.size() + 2 * body.capacity();
+        let bytes = CALL_BYTES + self.call.size() + 2 * body.capacity();
         if let Err(full) = held.resize(bytes) {
             // It must still be written in time.
             let left = (self.call.request.expires - monotonic_ms()) / 2.0;
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -20,7 +20,7 @@
 /// How long a connection that is turned away keeps its slot though it asks nothing, in milliseconds.
 const TURN_AWAY_MS: Ms = 20.0;
 
-/// What a connection takes: the stack of its task as far as it is touched, a chunk, its entry. Measured.
+/// What a connection takes: the stack of its task as far as it is touched, a chunk, its entry.
 pub const CONNECTION_BYTES: usize = 14 << 10;
 
 /// A client's connection with its entry in the table, which it keeps until the descriptor is closed.
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -21,8 +21,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// What an attempt takes: the stack of its task as far as it is touched, a chunk, its request. Measured.
-const ATTEMPT: usize = 16 << 10;
+/// What an attempt takes: the stack of its task as far as it is touched, a chunk, its request.
+const ATTEMPT_BYTES: usize = 16 << 10;
 /// Longest time for which one call to collect is held.
 const COLLECT_WAIT: Duration = Duration::from_secs(10);
 /// Pause between two calls to collect.
@@ -122,7 +122,7 @@
             account,
             notice: CancelNotice::default(),
         };
-        let held = self.account.reserve(ATTEMPT + call.body.len());
+        let held = self.account.reserve(ATTEMPT_BYTES + call.body.len());
         let crowded = self.out.fetch_add(1, Ordering::Relaxed) >= self.limits.connections;
         let (Ok(held), false) = (held, crowded) else {
             self.out.fetch_sub(1, Ordering::Relaxed);
@@ -246,7 +246,7 @@
             socket.shut(Shutdown::Both);
         }
         let location = lock(&self.attempt.location).take();
-        let held = self.account.reserve(ATTEMPT);
+        let held = self.account.reserve(ATTEMPT_BYTES);
         if let (Some(location), Ok(held)) = (location, held) {
             let (host, limits, notice) = (self.host.clone(), self.limits, self.notice.clone());
             let mut intake = Intake::new(&self.account, Purpose::Workers);
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -23,8 +23,8 @@
 pub use connection::PARTIAL;
 
 /// What a connection takes: the stacks of its two tasks as far as they are touched, a chunk, its places in
-/// tables. Measured.
-const CONNECTION: usize = 22 << 10;
+/// tables.
+const CONNECTION_BYTES: usize = 22 << 10;
 
 /// Figures for connections to workers.
 #[derive(Clone, Copy, Debug)]
@@ -160,14 +160,14 @@
             pool.retain(|connection| !lock(&connection.link).is_closed());
             !pool.is_empty()
         });
-        let held = self.account.reserve(CONNECTION);
+        let held = self.account.reserve(CONNECTION_BYTES);
         let is_full = self.connections.load(Ordering::Relaxed) >= self.most.load(Ordering::Relaxed);
         let crowds_out = self.account.used() > self.account.cap() / KEPT_PART * (KEPT_PART - 1);
         let made_room = (held.is_err() || is_full || crowds_out) && self.close_longest_idle(pools);
         if (held.is_err() || is_full) && !made_room {
             return None;
         }
-        let held = held.unwrap_or_else(|_| self.account.owe(CONNECTION));
+        let held = held.unwrap_or_else(|_| self.account.owe(CONNECTION_BYTES));
         self.connections.fetch_add(1, Ordering::Relaxed);
         let slot = ConnectionSlot(self.connections.clone());
         let (connection, queue) = Connection::new(self.limits.streams);
--- a/crates/rig/src/scale/decisions.rs
+++ b/crates/rig/src/scale/decisions.rs
@@ -54,7 +54,7 @@
     /// Calls a second, on the synthetic clock.
     #[arg(long, default_value_t = 159.0)]
     pub rate: f64,
-    /// Measured time of each point, in seconds of the synthetic clock.
+    /// Time of each point, in seconds of the synthetic clock.
     #[arg(long, default_value_t = 8.0)]
     pub seconds: f64,
     /// How uneven the popularity of functions is: with 1.6, half of 25,000 functions get less than a call a
--- a/crates/rig/src/scale/traffic.rs
+++ b/crates/rig/src/scale/traffic.rs
@@ -1,8 +1,7 @@
 //! Bytes over the loopback interface, as the kernel counts them.
 //!
 //! The counter holds whole frames: payload, TCP, IP and Ethernet headers, acknowledgements and connection
-//! set-up. It counts everything in the network namespace of this process, so on a machine with other load the
-//! rig is started in a namespace of its own (`unshare --net sh -c 'ip link set lo up; exec corkbay-rig ...'`).
+//! set-up. It counts everything that uses loopback, so figures are of use only where nothing else does.
 use std::io;
 
 const COUNTERS: &str = "/proc/self/net/dev";
