--- a/crates/node/src/memory/catalog.rs
+++ b/crates/node/src/memory/catalog.rs
@@ -153,6 +153,11 @@
         Object { records: self.store.under(WORKER), prefix: WORKER.len() }
     }
 
+    /// A worker.
+    pub fn worker(&self, name: &str) -> Option<Worker> {
+        self.store.get(&format!("{WORKER}{name}"))?.value?.read().ok()
+    }
+
     /// All workers by name.
     pub fn workers(&self) -> BTreeMap<String, Worker> {
         self.all(WORKER)
@@ -189,22 +194,17 @@
 
     /// Tells the decisions which workers there are.
     pub fn announce(&self, invoker: &Arc<Invoker>) {
-        let listing = |(name, worker): (String, Worker)| Listing {
-            name,
-            address: worker.address,
-            zone: worker.zone,
-            kind: worker.kind,
-            cell: worker.cell,
-            standing: match worker.state {
-                State::Up => Standing::Ready,
-                State::Draining => Standing::Draining,
-                State::Removed => Standing::Gone,
-            },
-            weight: worker.weight,
-            since: UnixTime::NONE,
-            heard_without: Ms::NEG_INFINITY,
-        };
-        invoker.news(self.workers().into_iter().map(listing).collect(), true, false);
+        let listings = self.workers().into_iter().map(|(name, worker)| listing(name, worker));
+        invoker.news(listings.collect(), true, false);
+    }
+
+    /// Tells the decisions of one worker that was added or changed.
+    pub fn announce_worker(&self, invoker: &Arc<Invoker>, name: &str) {
+        match self.worker(name) {
+            Some(worker) => invoker.news(vec![listing(name.to_string(), worker)], false, false),
+            // Taken away meanwhile.
+            None => self.announce(invoker),
+        }
     }
 
     fn put(&self, key: &str, value: Option<Text>, owed: bool) -> Result<(), CatalogError> {
@@ -222,6 +222,24 @@
     }
 }
 
+fn listing(name: String, worker: Worker) -> Listing {
+    Listing {
+        name,
+        address: worker.address,
+        zone: worker.zone,
+        kind: worker.kind,
+        cell: worker.cell,
+        standing: match worker.state {
+            State::Up => Standing::Ready,
+            State::Draining => Standing::Draining,
+            State::Removed => Standing::Gone,
+        },
+        weight: worker.weight,
+        since: UnixTime::NONE,
+        heard_without: Ms::NEG_INFINITY,
+    }
+}
+
 /// Entries on their way out as one JSON object. They share what they hold with the store until the text is
 /// made, which takes [`Object::size`] more.
 pub struct Object {
--- a/crates/node/src/wire/invoke/routes.rs
+++ b/crates/node/src/wire/invoke/routes.rs
@@ -65,7 +65,7 @@
         }),
         ("PUT", ["v1", "workers", name]) => put(&body, |worker: Worker| {
             api.catalog.put_worker(name, &worker)?;
-            api.catalog.announce(&api.invoker);
+            api.catalog.announce_worker(&api.invoker, name);
             Ok(())
         }),
         ("DELETE", ["v1", "functions", name]) => changed(api.catalog.remove_function(name)),
--- a/crates/rig/src/scale/worker_list.rs
+++ b/crates/rig/src/scale/worker_list.rs
@@ -134,7 +134,7 @@
     add("directory: CPU of a change of one worker", median(changes), "us");
 }
 
-/// The store's workers: each change is announced as a whole list.
+/// The store's workers.
 fn measure_catalog(workers: usize, options: &Options, add: &mut Add) -> Result<(), ScaleError> {
     let ledger = ledger(AMPLE_MEMORY)?;
     let store = Arc::new(Store::in_memory("scale", ledger.clone()));
@@ -147,8 +147,11 @@
     add("catalog: memory told of the records", ledger.account(Purpose::Catalog).used() as f64, "bytes");
     add("catalog: bytes of GET /v1/workers", catalog.listed_workers().into_text().len() as f64, "bytes");
     let (mut announced, mut listed) = (Vec::new(), Vec::new());
-    for _ in 0..options.plays {
-        announced.push(cpu_of(|| catalog.announce(&invoker)));
+    for play in 0..options.plays {
+        let number = play % workers.max(1);
+        let changed = Worker { weight: 2.0 + play as f64, ..worker(number, options) };
+        catalog.put_worker(&worker_name(number), &changed).map_err(failed)?;
+        announced.push(cpu_of(|| catalog.announce_worker(&invoker, &worker_name(number))));
         listed.push(cpu_of(|| _ = catalog.listed_workers().into_text()));
     }
     add("catalog: CPU of announcing a change", median(announced), "us");
