--- a/crates/node/tests/support/platform.rs
+++ b/crates/node/tests/support/platform.rs
@@ -173,6 +173,11 @@
     }
 }
 
+/// A request of the class `check` whose client waits for 8 s.
+pub fn check(seqid: i32, id: u64) -> Vec<u8> {
+    dispatch(seqid, &fields("check", &format!("{id:016x}"), "8000"), b"x")
+}
+
 /// The message with which a client takes a request back.
 pub fn cancel(seqid: i32) -> Vec<u8> {
     message(4, "cancelRequest", 0, &[&[8, 0, 1][..], &seqid.to_be_bytes(), &[0]].concat())
