A worker's absurd weight had the first homes searched for without an end

Found by reading the new code again: a weight beyond what numbers can hold makes the sum of weights infinite or the rank to search up to zero, which is doubled for ever; and a sum kept by difference would stay no number after such a worker has gone. Weights count up to 1e9 now. Test: without the bound it does not end within 40 s, with it 0.1 s. The slot of a connection that gave way is given back by its guard, so that no panic of its task keeps it.

--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -169,17 +169,18 @@
         }
         let held = held.unwrap_or_else(|_| self.account.owe(CONNECTION_BYTES));
         self.connections.fetch_add(1, Ordering::Relaxed);
-        let slot = ConnectionSlot(self.connections.clone());
         let (connection, queue) = Connection::new(self.limits.streams);
         let connection = Arc::new(connection);
+        let slot = ConnectionSlot {
+            connection: connection.clone(),
+            connections: self.connections.clone(),
+            ending: self.ending.clone(),
+        };
         let (host, limits, ours, dials) = (host.clone(), self.limits, connection.clone(), self.dials.clone());
-        let (intake, ending) = (Intake::new(&self.account, Purpose::Workers), self.ending.clone());
+        let intake = Intake::new(&self.account, Purpose::Workers);
         spawn(move || {
             ours.run(&host, &limits, &dials, &queue, intake);
             drop((slot, held));
-            if ours.gave_way() {
-                ending.fetch_sub(1, Ordering::Relaxed);
-            }
         });
         Some(connection)
     }
@@ -224,12 +225,19 @@
     }
 }
 
-/// A slot in the budget of connections, given back when its holder ends in any way.
-struct ConnectionSlot(Arc<AtomicUsize>);
+/// A connection's slot in the budget, given back when its task ends in any way.
+struct ConnectionSlot {
+    connection: Arc<Connection>,
+    connections: Arc<AtomicUsize>,
+    ending: Arc<AtomicUsize>,
+}
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.connections.fetch_sub(1, Ordering::Relaxed);
+        if self.connection.gave_way() {
+            self.ending.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,6 +4,8 @@
 
 /// Least weight that a worker is ranked with.
 const LEAST_WEIGHT: f64 = 0.01;
+/// Greatest weight that counts: sums over workers stay far from what numbers can hold.
+pub(crate) const GREATEST_WEIGHT: f64 = 1e9;
 /// Changes that are remembered; a ranking that is further behind is made anew.
 const REMEMBERED_CHANGES: usize = 1024;
 
@@ -19,7 +21,7 @@
 impl RankedWorker {
     /// Weight with which it is ranked.
     pub fn ranking_weight(&self) -> f64 {
-        self.weight.max(LEAST_WEIGHT)
+        self.weight.clamp(LEAST_WEIGHT, GREATEST_WEIGHT)
     }
 }
 
--- a/src/homes/tests.rs
+++ b/src/homes/tests.rs
@@ -115,3 +115,20 @@
     homes.narrow();
     assert_eq!(homes.iter().count(), 0, "a search that went far is forgotten");
 }
+
+/// Weights beyond any measure had the first homes searched for without an end.
+#[test]
+fn absurd_weights_have_homes_searched_for_without_an_end() {
+    for absurd in [f64::MAX, 1e60, f64::MIN_POSITIVE] {
+        let mut fleet = Fleet::default();
+        for id in 0..1000 {
+            let weight = if id % 100 == 0 { absurd } else { 1.0 };
+            fleet.set(Side::Foreign, worker(id, weight));
+        }
+        let (mut homes, warm) = (Homes::default(), WorkerWarmth { of_worker: None });
+        homes.refresh(&fleet, MODEL, 0, &warm);
+        let named = named(&homes, Side::Foreign);
+        assert!(named.len() >= FIRST_WORKERS[Side::Foreign as usize] / 2, "{absurd}: {}", named.len());
+        assert_eq!(named[..], full_scan(&fleet, Side::Foreign, &warm)[..named.len()], "{absurd}");
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,7 +26,7 @@
 mod survey;
 mod timers;
 
-use crate::fleet::{ColdWorkers, Fleet, RankedWorker, Side, SIDES};
+use crate::fleet::{ColdWorkers, Fleet, RankedWorker, Side, GREATEST_WEIGHT, SIDES};
 use crate::homes::{self, WorkerWarmth};
 use crate::interface::*;
 use crate::state::*;
--- a/src/policy/roster.rs
+++ b/src/policy/roster.rs
@@ -22,7 +22,7 @@
 
 fn weight_of(entry: &RosterEntry) -> f64 {
     if entry.weight > 0.0 {
-        entry.weight
+        entry.weight.min(GREATEST_WEIGHT)
     } else {
         1.0
     }
