The test of thousands of workers plays its eight seconds again

Seen on reading the whole change once more: shortened the test's phase from 8 s to 6 s without saying so. The comments on the core's share and on the memory claimed what no run shows. One doc line is wrapped. No code changed.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -81,7 +81,8 @@
     }
 
     /// These shares, with at least so many bytes of a room for a purpose. Purposes that the file does not name and that
-    /// were not raised themselves give way in proportion. `keys` are where the memory and the shares stand in the file, for errors.
+    /// were not raised themselves give way in proportion. `keys` are where the memory and the shares stand in the
+    /// file, for errors.
     pub fn raise(
         mut self,
         purpose: Purpose,
--- a/crates/rig/tests/grow.rs
+++ b/crates/rig/tests/grow.rs
@@ -6,12 +6,11 @@
 /// The usual number of workers, and the most that the operators name.
 const USUAL: usize = 200;
 const MOST: usize = 3200;
-/// About twice what the unoptimised program needs for the traffic before the usual number of workers.
+/// A share of a core that suffices before the usual number of workers.
 const CORE_SHARE: f64 = 0.2;
-
-/// The least that invokers of this language get on short days.
+/// The memory of an invoker on the platform.
 const MEMORY_MB: u64 = 32;
-const PHASE: Duration = Duration::from_secs(6);
+const PHASE: Duration = Duration::from_secs(8);
 
 fn program() -> PathBuf {
     let tests = std::env::current_exe().expect("this test");
