Tests wait until a stopped daemon has stopped

Cause: kill returns before all threads have taken the stop, so the acceptor could still evict the idle connection before the call was written; the call then crosses the close of an idle connection, which is not the case that this test is about. A stop is now waited for until each thread is stopped, in all tests that stop a daemon; what they assert is unchanged.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -161,9 +161,20 @@
         Daemon { child, address, replication: None, errors }
     }
 
+    /// Sends a signal. A stop is waited for: threads run on until each has taken it.
     pub fn signal(&self, name: &str) {
         let line = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").arg("-c").arg(line).status().expect("sh").success());
+        if name == "STOP" {
+            until("all threads are stopped", || self.is_stopped());
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("listed");
+        let mut statuses =
+            threads.flatten().map(|thread| std::fs::read_to_string(thread.path().join("status")));
+        statuses.all(|status| status.is_ok_and(|status| status.contains("State:\tT")))
     }
 
     /// What it has written to standard error so far.
