A newcomer is no longer turned away while readers of idle connections had no turn

Cause (state of the table written down at each refusal): crowded for 0.1 s, nine answered idle connections with nothing unread, and one let in 0.0 ms ago whose reader had had no turn, which keeps the others from giving way. Change: the acceptor tells such a connection from a busy one and waits until its reader waits or has taken a request, five looks of 2 ms at most for one connection; a reader tells when it begins to wait.

--- a/crates/node/src/memory/clients.rs
+++ b/crates/node/src/memory/clients.rs
@@ -3,6 +3,9 @@
 use corkbay::Ms;
 use std::collections::BTreeMap;
 
+/// How often the place of a connection is wanted while something stands unread on it before its reader is taken for held up.
+const READERS_TURNS: u32 = 5;
+
 /// The connections of clients; `H` is what closes one.
 #[derive(Debug)]
 pub struct ClientTable<H> {
@@ -23,6 +26,8 @@
     evicted: bool,
     /// Its place was wanted while something stood unread on it: it ends once nothing is owed on it.
     leaving: bool,
+    /// How often its place was wanted while something stood unread on it.
+    unread_looks: u32,
     /// It is closed once nothing is owed on it, or passed on before.
     draining: bool,
     /// Its reading side is shut, or it was handed over.
@@ -40,6 +45,15 @@
     Silent,
 }
 
+/// Why no connection gives way to a newcomer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoneIdle {
+    /// Something stands unread on one that is owed nothing, whose reader has had no turn yet.
+    Unread,
+    /// All are owed something, or their readers are held up.
+    Busy,
+}
+
 impl<H> Default for ClientTable<H> {
     fn default() -> Self {
         ClientTable { next: 0, entries: BTreeMap::new() }
@@ -57,6 +71,7 @@
             since: now,
             evicted: false,
             leaving: false,
+            unread_looks: 0,
             draining: false,
             shut: false,
         };
@@ -150,24 +165,26 @@
     /// the one idle longest. Each is named once, and is to be closed: only what has come by then is owed. Those before it
     /// on which something stands unread are read and answered first, and leave after that. Before one of them that never had
     /// an answer was read, none of those that had one gives way.
-    pub fn evict_idle(&mut self, mut has_unread: impl FnMut(&H) -> bool) -> Option<H> {
+    pub fn evict_idle(&mut self, mut has_unread: impl FnMut(&H) -> bool) -> Result<H, NoneIdle> {
         let mut idle: Vec<_> =
             self.entries.values_mut().filter(|entry| entry.open == 0 && !entry.evicted).collect();
         idle.sort_by(|a, b| a.answered.cmp(&b.answered).then(a.since.total_cmp(&b.since)));
-        let mut is_silent_unread = false;
+        let (mut is_silent_unread, mut wants_readers_turn) = (false, false);
         for entry in idle {
             if entry.answered && is_silent_unread {
-                return None;
+                break;
             }
             if has_unread(&entry.handle) {
                 entry.leaving = true;
+                entry.unread_looks = entry.unread_looks.saturating_add(1);
+                wants_readers_turn |= entry.unread_looks < READERS_TURNS;
                 is_silent_unread |= !entry.answered;
                 continue;
             }
             (entry.evicted, entry.draining, entry.shut) = (true, true, true);
-            return Some(entry.handle.clone());
+            return Ok(entry.handle.clone());
         }
-        None
+        Err(if wants_readers_turn { NoneIdle::Unread } else { NoneIdle::Busy })
     }
 }
 
--- a/crates/node/src/memory/clients/tests.rs
+++ b/crates/node/src/memory/clients/tests.rs
@@ -18,13 +18,13 @@
         assert_eq!(clients.state(number), (ClientState::Idle, now));
     }
     clients.opened(busy);
-    let ways: Vec<_> = std::iter::from_fn(|| clients.evict_idle(|_| false)).collect();
+    let ways: Vec<_> = std::iter::from_fn(|| clients.evict_idle(|_| false).ok()).collect();
     assert_eq!(ways, ["silent longer", "silent", "idle", "fresh"]);
     clients.closed(busy, 9.0);
     assert_eq!(clients.state(busy), (ClientState::Silent, 9.0), "what it took back was never answered");
-    assert_eq!(clients.evict_idle(|_| false), Some("busy"));
+    assert_eq!(clients.evict_idle(|_| false), Ok("busy"));
     clients.remove(busy);
-    assert_eq!(clients.evict_idle(|_| false), None);
+    assert_eq!(clients.evict_idle(|_| false), Err(NoneIdle::Busy));
 }
 
 /// Guards a drain: all are drained, newcomers too; each is shut once, and while something is owed on it not at all.
@@ -58,7 +58,7 @@
     assert_eq!(clients.drain(|_| false), ["idle"]);
     assert!(!clients.hand_over(idle) && clients.hand_over(busy) && !clients.hand_over(busy));
     clients.closed(busy, 2.0);
-    assert_eq!((clients.drain(|_| false), clients.evict_idle(|_| false)), (vec![], Some("idle")));
+    assert_eq!((clients.drain(|_| false), clients.evict_idle(|_| false)), (vec![], Ok("idle")));
     clients.closed(late, 3.0);
     assert_eq!(clients.drain(|_| false), ["late"], "nothing is owed on it any more");
     assert!(!clients.hand_over(late));
@@ -69,13 +69,13 @@
 fn who_has_sent_something_gives_way_after_its_answer() {
     let mut clients = ClientTable::default();
     let [asking, other] = ["asking", "other"].map(|name| clients.insert(name, 1.0));
-    assert_eq!(clients.evict_idle(|name| *name == "asking"), Some("other"));
+    assert_eq!(clients.evict_idle(|name| *name == "asking"), Ok("other"));
     clients.remove(other);
     clients.opened(asking);
     assert!(!clients.leave(asking) && !clients.is_shut(asking), "its client is still seen to leave");
     clients.closed(asking, 2.0);
     assert!(clients.leave(asking) && clients.is_shut(asking) && !clients.leave(asking));
-    assert_eq!(clients.evict_idle(|_| false), Some("asking"), "should its reader not end");
+    assert_eq!(clients.evict_idle(|_| false), Ok("asking"), "should its reader not end");
 }
 
 /// Guards usual clients against a flood that was not read yet.
@@ -85,11 +85,22 @@
     let usual = clients.insert("usual", 1.0);
     clients.answered(usual, 2.0);
     clients.insert("flood", 3.0);
-    assert_eq!(clients.evict_idle(|name| *name == "flood"), None);
+    assert_eq!(clients.evict_idle(|name| *name == "flood"), Err(NoneIdle::Unread));
     clients.insert("silent", 4.0);
-    assert_eq!(clients.evict_idle(|name| *name == "flood"), Some("silent"));
-    assert_eq!(clients.evict_idle(|_| false), Some("flood"));
-    assert_eq!(clients.evict_idle(|_| false), Some("usual"));
+    assert_eq!(clients.evict_idle(|name| *name == "flood"), Ok("silent"));
+    assert_eq!(clients.evict_idle(|_| false), Ok("flood"));
+    assert_eq!(clients.evict_idle(|_| false), Ok("usual"));
+}
+
+/// Guards newcomers against a reader that never reads on: its turn is waited for a few times only.
+#[test]
+fn a_reader_that_is_held_up_makes_newcomers_wait_a_few_times_only() {
+    let mut clients = ClientTable::default();
+    clients.insert("held up", 1.0);
+    let looks: Vec<_> = (0..9).map(|_| clients.evict_idle(|_| true)).collect();
+    let (unread, busy) = looks.split_at(READERS_TURNS as usize - 1);
+    assert!(unread.iter().all(|end| *end == Err(NoneIdle::Unread)), "{looks:?}");
+    assert!(busy.iter().all(|end| *end == Err(NoneIdle::Busy)), "{looks:?}");
 }
 
 /// Guards a request that stands unread when its connection is drained: its client is still seen to leave.
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -5,7 +5,7 @@
 use super::socket::Socket;
 use crate::core::{lock, monotonic_ms};
 use crate::life::spawn;
-use crate::memory::clients::ClientTable;
+use crate::memory::clients::{ClientTable, NoneIdle};
 use crate::memory::room::wait;
 pub use connection::{Connection, Kept, CONNECTION_BYTES};
 use corkbay::Ms;
@@ -207,20 +207,19 @@
     pub fn set_most(&self, most: usize) {
         self.slots.set_most(most);
         for _ in most..self.held() {
-            self.evict_idle(&self.clients);
+            let _ = self.evict_idle(&self.clients);
         }
     }
 
-    /// Closes a connection on which nothing is owed and nothing stands unread; false where there is none.
-    fn evict_idle(&self, clients: &Table) -> bool {
+    /// Closes a connection on which nothing is owed and nothing stands unread, if there is one.
+    fn evict_idle(&self, clients: &Table) -> Result<(), NoneIdle> {
         // Dropped after the lock on the table, which the end of a connection takes.
         let mut looked_at = Vec::new();
         let evicted = lock(clients).evict_idle(|connection| has_unused(connection, &mut looked_at));
-        let Some(evicted) = evicted else { return false };
-        if let Some(evicted) = evicted.upgrade() {
+        if let Some(evicted) = evicted?.upgrade() {
             evicted.shut(Shutdown::Read);
         }
-        true
+        Ok(())
     }
 
     /// A slot for a newcomer, taken from an idle connection where none is free; a spare one where all others have been
@@ -239,7 +238,8 @@
                 Err(lacks) => lacks,
             };
             let now = monotonic_ms();
-            if self.evict_idle(&self.clients) {
+            let eviction = self.evict_idle(&self.clients);
+            if eviction.is_ok() {
                 if now >= until {
                     return None;
                 }
@@ -251,11 +251,11 @@
             }
             let crowded_since = *lock(&self.crowded_since).get_or_insert(now);
             let patience_ends = crowded_since + GIVE_WAY_MS;
-            if now >= patience_ends.min(until) {
+            if now >= patience_ends.min(until) && eviction == Err(NoneIdle::Busy) {
                 if self.slots.take_spare() {
                     return Some(self.slot(SlotKind::Spare, self.limits.account.owe(CONNECTION_BYTES)));
                 }
-                self.evict_idle(&self.turned_away);
+                let _ = self.evict_idle(&self.turned_away);
             }
             if now >= until {
                 return None;
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -44,6 +44,8 @@
 
 impl Connection {
     pub(super) fn new(socket: Socket, clients: &Table, slot: Slot, queued_since: Ms) -> Arc<Self> {
+        let slots = slot.slots.clone();
+        let socket = socket.on_reader_waits(move || slots.note_change());
         Arc::new_cyclic(|connection| {
             let number = lock(clients).insert(connection.clone(), monotonic_ms());
             Connection {
@@ -70,6 +72,7 @@
     /// A request was taken on the connection: it keeps its slot until [`Connection::closed`].
     pub fn opened(&self) {
         lock(&self.clients).opened(self.number);
+        self.slots.note_change();
     }
 
     /// A request on it has come to its end.
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -76,6 +76,8 @@
     writing: Mutex<()>,
     /// Whether the reader waits, so that it has taken nothing that it has not told of yet.
     reader_waits: AtomicBool,
+    /// Called each time the reader begins to wait.
+    on_reader_waits: Option<Box<dyn Fn() + Send + Sync>>,
     /// How long the other side may take nothing of a message.
     stall: Duration,
 }
@@ -93,7 +95,14 @@
     }
 
     fn of(stream: Stream, stall: Duration) -> Self {
-        Socket { stream, writing: Mutex::new(()), reader_waits: AtomicBool::new(false), stall }
+        let (writing, reader_waits) = (Mutex::new(()), AtomicBool::new(false));
+        Socket { stream, writing, reader_waits, on_reader_waits: None, stall }
+    }
+
+    /// The same socket, which calls this each time its reader has read all that has come and begins to wait.
+    pub fn on_reader_waits(mut self, call: impl Fn() + Send + Sync + 'static) -> Self {
+        self.on_reader_waits = Some(Box::new(call));
+        self
     }
 
     /// Whether the other side writes no more, also where what it wrote before was not read yet.
@@ -131,6 +140,9 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.reader_waits.store(true, Ordering::SeqCst);
+                    if let Some(call) = &self.on_reader_waits {
+                        call();
+                    }
                     let waited = self.stream.wait(within);
                     self.reader_waits.store(false, Ordering::SeqCst);
                     match waited {
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -259,7 +259,8 @@
     halves.iter_mut().for_each(|client| _ = client.socket.write_all(&half[..half.len() / 2]));
     let mut usual = bench.client();
     usual.send(&dispatch(1, &fields("check", "9b1f03aa5c7e2d42", "4000"), b"x"));
-    assert!(matches!(usual.receive(), Some((1, Reply::Answer(_)))));
+    let reply = usual.receive();
+    assert!(matches!(reply, Some((1, Reply::Answer(_)))), "{reply:?} {}", bench.daemon.errors());
     // And all of them are closed within a few seconds, crowd or none.
     for client in silent.iter_mut().chain(&mut halves) {
         client.socket.set_read_timeout(Some(Duration::from_secs(3))).expect("set");
