Waits of many lengths used freed timers, and short ones never ended

Seen: four soaks at once beside six busy processes, one daemon aborted (misaligned pointer 0x6e6f697461636f76, which is text, in may_queue's Entry::remove on the timer thread), in another the timer thread panicked (REF_COUNT_MASK in pop_if) and the daemon lived on without timers: its timers' account 6.9 MB over its cap, all calls unserved. Cause: may 0.3.51 keeps a list of timers for each length asked for; beyond 1,024 lengths it frees an empty list with its last node, though the waiter's handle still refers to it (Queue::drop frees the stub whatever its count). Decisions' timers slept for exact nanoseconds, so a daemon passed 1,024 lengths within seconds and each time-out raced with that. Found on the way, in the same library: a wait on a lock or queue is cut to whole milliseconds and 0 means no limit (a task whose deadline is 0.4 ms away waits without end); receive_timeout starts over with its whole time where it wakes within the cut millisecond (200.9 ms lasted 400.3 ms). Change: all timed waits go through timers.rs, in pieces of 6 leading bits of whole milliseconds (under 600 lengths), ends read from the clock.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -14,6 +14,7 @@
 use super::{monotonic_ms, until, Call, LineBudget, StallWatch, Turn, Workers, HEARTBEAT};
 use crate::memory::counters::Counters;
 use crate::memory::roster::{BanError, Directory, Listing};
+use crate::timers;
 use corkbay::{Dispatcher, Event, ModelId, Ms, Names, RequestId, Settings};
 use corkbay_duty::{Bans, Duty, Leave, Terms};
 use corkbay_ledger::pressure::{decide, Case, Decision};
@@ -184,7 +185,7 @@
                 Some(Turn::CaughtUp) => tracing::info!("caught up"),
                 None => {}
             }
-            may::coroutine::sleep(HEARTBEAT);
+            timers::sleep(HEARTBEAT);
         });
     }
 
@@ -304,10 +305,7 @@
             if monotonic_ms() >= end {
                 return false;
             }
-            owed = match self.settled.wait_timeout(owed, until(end)) {
-                Ok((guard, _)) => guard,
-                Err(poisoned) => poisoned.into_inner().0,
-            };
+            owed = timers::wait(&self.settled, owed, until(end));
         }
         true
     }
--- a/crates/node/src/core/invoker/actions.rs
+++ b/crates/node/src/core/invoker/actions.rs
@@ -3,6 +3,7 @@
 use super::{lock, Core, Invoker};
 use crate::core::{monotonic_ms, AttemptError};
 use crate::memory::roster::Host;
+use crate::timers;
 use corkbay::{Action, Event, ModelId, Ms, Outcome, WorkerId};
 use corkbay_ledger::{Purpose, Reservation};
 use std::collections::VecDeque;
@@ -62,7 +63,7 @@
         let held = if token == RECURRING { Ok(timers.owe(TASK_BYTES)) } else { timers.reserve(TASK_BYTES) };
         let Ok(held) = held else { return };
         self.spawn(held, move |invoker| {
-            may::coroutine::sleep(Duration::from_secs_f64(delay.clamp(0.0, LONGEST_DELAY_MS) / 1000.0));
+            timers::sleep(Duration::from_secs_f64(delay.clamp(0.0, LONGEST_DELAY_MS) / 1000.0));
             invoker.feed(Event::Timer { token });
         });
     }
--- a/crates/node/src/core/invoker/notes.rs
+++ b/crates/node/src/core/invoker/notes.rs
@@ -1,5 +1,6 @@
 //! What reaches the task of a request, and the mailbox that it comes to.
 use crate::core::{until, AttemptError};
+use crate::timers;
 use corkbay::{EndReason, Ms, WorkerId};
 use may::sync::mpsc;
 
@@ -38,6 +39,6 @@
 impl Inbox {
     /// The next note; `None` once that time has come.
     pub(super) fn next(&self, at: Ms) -> Option<Note> {
-        self.notes.try_recv().ok().or_else(|| self.notes.recv_timeout(until(at)).ok())
+        self.notes.try_recv().ok().or_else(|| timers::receive(&self.notes, until(at)).ok())
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod core;
 pub mod life;
 pub mod memory;
+pub mod timers;
 pub mod wire;
--- a/crates/node/src/life/accounts.rs
+++ b/crates/node/src/life/accounts.rs
@@ -4,6 +4,7 @@
 use crate::core::{monotonic_ms, Invoker};
 use crate::memory::resident::resident_bytes;
 use crate::memory::roster;
+use crate::timers;
 use corkbay::{Settings, Tables};
 use corkbay_ledger::{Alarm, Budget, BudgetError, Purpose, Shares, TenantShare, MIB};
 use std::collections::BTreeMap;
@@ -120,7 +121,7 @@
     spawn(move || {
         let mut alarm = Alarm::default();
         loop {
-            may::coroutine::sleep(LOOK);
+            timers::sleep(LOOK);
             invoker.measure();
             for warning in invoker.ledger().warnings(&mut alarm, monotonic_ms()) {
                 tracing::warn!(
--- a/crates/node/src/life/handover.rs
+++ b/crates/node/src/life/handover.rs
@@ -10,6 +10,7 @@
 mod sync;
 
 use crate::core::{lock, monotonic_ms, Invoker};
+use crate::timers;
 use corkbay_duty::{Leave, Overrides, Succession, Terms};
 use may::sync::mpsc as answers;
 use std::io;
@@ -97,7 +98,7 @@
         };
         let (sender, answer) = answers::channel();
         let _ = requests.send(SyncRequest::Execute(command, sender));
-        answer.recv_timeout(ANSWER_WAIT).unwrap_or(Err(CommandError::Unwritten))
+        timers::receive(&answer, ANSWER_WAIT).unwrap_or(Err(CommandError::Unwritten))
     }
 }
 
--- a/crates/node/src/life/platform.rs
+++ b/crates/node/src/life/platform.rs
@@ -4,6 +4,7 @@
 use super::handover::{self, OverridesHandle, SharedFiles};
 use super::spawn;
 use crate::core::{monotonic_ms, Invoker};
+use crate::timers;
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::channel::{self, Line};
 use crate::wire::frames::MAX_BODY;
@@ -282,7 +283,7 @@
         if invoker.duty().lets_go(monotonic_ms()) {
             acceptor.drain();
         }
-        may::coroutine::sleep(DRAIN_LOOK);
+        timers::sleep(DRAIN_LOOK);
     }
 }
 
--- a/crates/node/src/life/service.rs
+++ b/crates/node/src/life/service.rs
@@ -10,6 +10,7 @@
 use crate::memory::invocations::Invocations;
 use crate::memory::seeds::SeedEntry;
 use crate::memory::store::{KeptAfterRestart, Store, StoreError};
+use crate::timers;
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::feed::{self, FeedRole, Role};
 use crate::wire::http_workers::{self, HttpWorkers};
@@ -84,7 +85,7 @@
     let acceptor = Acceptor::open(deploy.listen, client_limits).map_err(|e| at("listen")(&e))?;
     let bound = acceptor.address().map_err(|e| at("listen")(&e))?;
     spawn(move || loop {
-        may::coroutine::sleep(SWEEP);
+        timers::sleep(SWEEP);
         if let Err(error) = store.sweep() {
             tracing::error!(%error, "store");
         }
--- a/crates/node/src/memory/invocations.rs
+++ b/crates/node/src/memory/invocations.rs
@@ -11,6 +11,7 @@
 use super::record::{Record, Text};
 use super::store::{refuse, Draft, Store, StoreError, Writers};
 use crate::core::{lock, monotonic_ms, Answer, Failure, UnixTime};
+use crate::timers;
 use corkbay::{Ms, RequestId};
 use corkbay_ledger::{Purpose, Reservation};
 use may::sync::{mpsc, Mutex};
@@ -240,7 +241,7 @@
             while let Err(error) = self.store.put(&mut end) {
                 tracing::error!(invocation = %key, %error, "a final answer was not kept");
                 match pauses.next().filter(|_| matches!(error, StoreError::Log(_))) {
-                    Some(pause) => may::coroutine::sleep(Duration::from_millis(*pause)),
+                    Some(pause) => timers::sleep(Duration::from_millis(*pause)),
                     None => break,
                 }
             }
@@ -281,7 +282,7 @@
             let found = self.get(id);
             let over = found.as_ref().is_none_or(|found| found.0.is_final || monotonic_ms() >= end);
             if !over {
-                let _ = news.recv_timeout(crate::core::until(end));
+                let _ = timers::receive(&news, crate::core::until(end));
             }
             lock(&self.waiting).senders.remove(&number);
             if over {
--- a/crates/node/src/memory/room.rs
+++ b/crates/node/src/memory/room.rs
@@ -1,5 +1,6 @@
 //! Waiting for room in an account, on the coroutine library's own timers.
 use crate::clock::monotonic_ms;
+use crate::timers;
 use corkbay::Ms;
 use corkbay_ledger::pressure::{decide, Case, Decision};
 use corkbay_ledger::{Account, Purpose, Reservation};
@@ -27,5 +28,5 @@
 pub fn wait(account: &Account, bytes: usize, at_most: Ms) {
     let (sender, room) = mpsc::channel();
     let _turn = account.when_room(bytes, move || _ = sender.send(()));
-    let _ = room.recv_timeout(Duration::from_secs_f64(at_most.max(1.0) / 1000.0));
+    let _ = timers::receive(&room, Duration::from_secs_f64(at_most.max(1.0) / 1000.0));
 }
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -7,6 +7,7 @@
 use crate::life::spawn;
 use crate::memory::clients::{ClientTable, NoneIdle};
 use crate::memory::room::wait;
+use crate::timers;
 pub use connection::{Connection, Kept, CONNECTION_BYTES};
 use corkbay::Ms;
 use corkbay_ledger::{Account, Reservation};
@@ -115,7 +116,7 @@
                 Err(_) if self.closed.load(Ordering::Acquire) => return,
                 Err(error) => {
                     tracing::warn!(%error, "accept");
-                    may::coroutine::sleep(ACCEPT_PAUSE);
+                    timers::sleep(ACCEPT_PAUSE);
                 }
             }
         }
@@ -178,7 +179,7 @@
         self.close();
         self.drain();
         while self.held() > 0 && monotonic_ms() < end {
-            may::coroutine::sleep(WIND_UP_LOOK);
+            timers::sleep(WIND_UP_LOOK);
             self.drain();
         }
     }
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -3,6 +3,7 @@
 use super::Table;
 use crate::core::{lock, monotonic_ms};
 use crate::memory::clients::ClientState;
+use crate::timers;
 use crate::wire::passage::{Passage, Passed};
 use crate::wire::socket::Socket;
 use corkbay::Ms;
@@ -116,7 +117,7 @@
 
     /// Waits until a request has come to its end on the connection, which is drained, or for that long.
     pub fn wait_for_an_end(&self, within: Duration) {
-        self.ended.wait_timeout(within);
+        timers::wait_for_post(&self.ended, within);
     }
 
     /// Where what is read on the connection counts.
--- a/crates/node/src/wire/accept/slots.rs
+++ b/crates/node/src/wire/accept/slots.rs
@@ -1,5 +1,6 @@
 //! How many connections are held at a time, and what each gives back at its end.
 use crate::core::{lock, monotonic_ms, until};
+use crate::timers;
 use corkbay_ledger::Reservation;
 use may::sync::{Condvar, Mutex};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -91,10 +92,7 @@
         let end = monotonic_ms() + within.as_secs_f64() * 1000.0;
         let mut held = lock(&self.held);
         while self.is_full(&held) && monotonic_ms() < end {
-            held = match self.changed.wait_timeout(held, until(end)) {
-                Ok((held, _)) => held,
-                Err(poisoned) => poisoned.into_inner().0,
-            };
+            held = timers::wait(&self.changed, held, until(end));
         }
     }
 
@@ -102,7 +100,7 @@
     pub(super) fn wait_for_change(&self, seen: u64, within: Duration) {
         let held = lock(&self.held);
         if held.changes == seen {
-            let _ = self.changed.wait_timeout(held, within);
+            drop(timers::wait(&self.changed, held, within));
         }
     }
 }
--- a/crates/node/src/wire/channel.rs
+++ b/crates/node/src/wire/channel.rs
@@ -4,6 +4,7 @@
 use crate::core::{lock, monotonic_ms, Invoker, UnixTime};
 use crate::memory::roster::Listing;
 use crate::memory::starts::Contact;
+use crate::timers;
 use corkbay::{Ms, Standing};
 use corkbay_duty::Redial;
 use may::sync::Mutex;
@@ -176,7 +177,7 @@
         }
         if cursor == before && line.address() == address {
             let pause = redial.pause(rand::random());
-            may::coroutine::sleep(Duration::from_secs_f64(pause / 1000.0));
+            timers::sleep(Duration::from_secs_f64(pause / 1000.0));
         } else {
             redial.heard();
         }
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -6,6 +6,7 @@
 use crate::memory::log::LogError;
 use crate::memory::record::{Record, Text};
 use crate::memory::store::{Store, StoreError};
+use crate::timers;
 use crate::wire::framing::{self, FramingError, Head, Received, MAX_MESSAGE};
 use crate::wire::index::{RecordIndex, Scope};
 use crate::wire::news::{News, OnNews};
@@ -325,7 +326,7 @@
             connection.socket.shut(Shutdown::Both);
         }
         self.publish();
-        may::coroutine::sleep(Duration::from_secs_f64(self.write_pause_ms / 1000.0));
+        timers::sleep(Duration::from_secs_f64(self.write_pause_ms / 1000.0));
         self.write_pause_ms = (2.0 * self.write_pause_ms).min(LONGEST_WRITE_PAUSE_MS);
     }
 
@@ -354,7 +355,7 @@
         let due_in = (self.follower.next_wakeup() - monotonic_ms()).clamp(1.0, LONGEST_WAIT_MS);
         let within = Duration::from_secs_f64(due_in / 1000.0);
         let Some(connection) = &self.connection else {
-            may::coroutine::sleep(within);
+            timers::sleep(within);
             return;
         };
         let number = connection.number;
--- a/crates/node/src/wire/feed/server.rs
+++ b/crates/node/src/wire/feed/server.rs
@@ -5,6 +5,7 @@
 use crate::life::spawn;
 use crate::memory::record::Record;
 use crate::memory::store::Store;
+use crate::timers;
 use crate::wire::accept::{Acceptor, Connection, ConnectionLimits};
 use crate::wire::framing::{self, FramingError};
 use crate::wire::index::{RecordIndex, Scope};
@@ -142,7 +143,7 @@
     fn follow_changes(self: &Arc<Self>, changes: &mpsc::Receiver<Record>) {
         let mut wait = TICK;
         loop {
-            let first = match changes.recv_timeout(wait) {
+            let first = match timers::receive(changes, wait) {
                 Ok(record) => Some(record),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
--- a/crates/node/src/wire/front.rs
+++ b/crates/node/src/wire/front.rs
@@ -6,6 +6,7 @@
 use crate::core::{lock, monotonic_ms, until, Answer, Call, Failure, Invoker, NotTaken};
 use crate::life::spawn;
 use crate::memory::clients::ClientState;
+use crate::timers;
 use corkbay::{position, Effect, ModelId, Ms, Request, RequestId};
 use corkbay_ledger::Purpose;
 use may::sync::Mutex;
@@ -210,7 +211,7 @@
                         // Reading what is there never waits, and who never waits holds up all others. A yield would not
                         // do: the scheduler asks for events once its queue is empty.
                         full_chunks = 0;
-                        may::coroutine::sleep(TURN_REST);
+                        timers::sleep(TURN_REST);
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::TimedOut => {
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -11,6 +11,7 @@
 use crate::life::spawn;
 use crate::memory::link::Link;
 use crate::memory::roster::Host;
+use crate::timers;
 use corkbay::{ModelId, Ms};
 use corkbay_ledger::{Account, Purpose};
 use may::net::TcpStream;
@@ -220,7 +221,7 @@
             answered = exchange.map_err(|error| AttemptError::Unanswered(cause(&error)))?;
             // A worker that does not hold the call is not called in a tight loop.
             if place(&answered, style).is_some() {
-                may::coroutine::sleep(COLLECT_PAUSE);
+                timers::sleep(COLLECT_PAUSE);
             }
         }
         judge(answered)
--- a/crates/node/src/wire/invoke.rs
+++ b/crates/node/src/wire/invoke.rs
@@ -22,6 +22,7 @@
 use crate::memory::clients::ClientState;
 use crate::memory::invocations::Invocations;
 use crate::memory::room::NO_ROOM;
+use crate::timers;
 use corkbay::RequestId;
 use corkbay_ledger::{Purpose, Reservation};
 use may::coroutine::JoinHandle;
@@ -211,7 +212,7 @@
             if connection.is_hung_up() {
                 read_to_its_end(connection)?;
             }
-            may::coroutine::sleep(ANSWER_LOOK);
+            timers::sleep(ANSWER_LOOK);
             continue;
         }
         match ahead.fill(connection, &mut chunk[..room], ANSWER_LOOK) {
--- a/crates/node/src/wire/invoke/resume.rs
+++ b/crates/node/src/wire/invoke/resume.rs
@@ -3,6 +3,7 @@
 use crate::core::{monotonic_ms, Answer, Call, Failure, NotTaken, Taken};
 use crate::life::spawn;
 use crate::memory::invocations::{Deferred, Promise, Resumable};
+use crate::timers;
 use corkbay::{position, Effect, Request};
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,7 +65,7 @@
         while monotonic_ms() < call.request.expires {
             match self.invoker.take(call.clone()) {
                 Ok(taken) => return Some(taken),
-                Err(NotTaken::Crowded(_)) => may::coroutine::sleep(ROOM_PAUSE),
+                Err(NotTaken::Crowded(_)) => timers::sleep(ROOM_PAUSE),
                 Err(NotTaken::Open | NotTaken::Draining) => return None,
             }
         }
--- a/crates/node/src/wire/replicate/caller.rs
+++ b/crates/node/src/wire/replicate/caller.rs
@@ -4,6 +4,7 @@
 use super::messages::{Hello, Reply, Request, VERSION};
 use super::STALL;
 use crate::memory::record::Record;
+use crate::timers;
 use crate::wire::framing::FramingError;
 use crate::wire::socket::Socket;
 use may::sync::mpsc;
@@ -57,7 +58,8 @@
     /// Pushes what is written until that time, or until a peer that could not be reached may be tried again; false once nobody writes any more.
     fn push_until(&mut self, mut next: Instant, written: &mpsc::Receiver<Record>) -> bool {
         loop {
-            match written.recv_timeout(next.saturating_duration_since(Instant::now()).max(SHORTEST_WAIT)) {
+            match timers::receive(written, next.saturating_duration_since(Instant::now()).max(SHORTEST_WAIT))
+            {
                 Ok(first) => {
                     let batch = std::iter::once(first).chain(written.try_iter()).collect();
                     let may_try_at = self.last_try + RETRY;
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -5,6 +5,7 @@
 //! once; one that meets a full buffer tries again after a pause. A second descriptor to wait on would save the
 //! pauses, but clients that read slowly could then take all descriptors that the program has.
 use crate::core::lock;
+use crate::timers;
 use may::io::CoIo;
 use may::net::TcpStream;
 use may::sync::Mutex;
@@ -156,7 +157,7 @@
                             });
                         }
                         // A signal came; nothing is amiss. Others have their turn before the next look.
-                        Err(error) if error.kind() == ErrorKind::Interrupted => may::coroutine::sleep(LEAST),
+                        Err(error) if error.kind() == ErrorKind::Interrupted => timers::sleep(LEAST),
                         waited => waited?,
                     }
                 }
@@ -187,7 +188,7 @@
                     if moved.elapsed() >= self.stall {
                         return Err(ErrorKind::TimedOut.into());
                     }
-                    may::coroutine::sleep(pause);
+                    timers::sleep(pause);
                     pause = (pause * 2).min(LONGEST_PAUSE);
                 }
                 Err(error) => return Err(error),
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -8,6 +8,7 @@
 use crate::memory::counters::Dials;
 use crate::memory::link::Stage;
 use crate::memory::roster::Host;
+use crate::timers;
 use connection::{Connection, Out, Outgoing, Recipients, Waiter};
 use corkbay::{ModelId, Ms, WorkerId};
 use corkbay_ledger::{Account, Purpose};
@@ -210,7 +211,7 @@
         let (sender, answer) = channel();
         let waiter: Waiter = Box::new(move |end| _ = sender.send(end));
         let connection = self.open(host, frame, recipients, by, None, Some(waiter));
-        match answer.recv_timeout(within) {
+        match timers::receive(&answer, within) {
             Ok(end) => end,
             Err(_) => {
                 let given_up = connection.and_then(|connection| lock(&connection.link).give_up(id));
--- a/crates/node/src/wire/workers/connection.rs
+++ b/crates/node/src/wire/workers/connection.rs
@@ -6,6 +6,7 @@
 use crate::memory::link::{Link, Stage};
 use crate::memory::room::NO_ROOM;
 use crate::memory::roster::Host;
+use crate::timers;
 use crate::wire::frames::{code, Frame, FROM_WORKER};
 use crate::wire::intake::{Intake, CHUNK};
 use crate::wire::socket::Socket;
@@ -168,7 +169,7 @@
 
     fn write(&self, socket: &Socket, host: &Host, idle: Duration, queue: &Receiver<Out>) {
         loop {
-            let mut out = match queue.recv_timeout(idle) {
+            let mut out = match timers::receive(queue, idle) {
                 Ok(Out::Frame(out)) => out,
                 Ok(Out::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) if lock(&self.link).close_idle() => return,
