Reads end no sooner than their time, and sockets' timers are of few lengths

Cause: the library cuts socket time-outs to whole milliseconds, so that a read could end up to 1 ms early; probes of workers passed a span of under a millisecond on as none at all. Now reads and connects wait in the pieces of timers.rs, and a read looks at the clock before it says that its time is up. The lists of socket timers, too, stay under the 1,024 lengths beyond which the library frees them; that this ever did harm there is not shown (one thread owns them, but for tasks that the timer thread runs).

--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -153,7 +153,8 @@
         if host.suspended() {
             return Err(AttemptError::Unfinished(Cause::Barred));
         }
-        TcpStream::connect_timeout(&host.address, within).map(|_| ()).map_err(|_| AttemptError::Unconnected)
+        let connected = TcpStream::connect_timeout(&host.address, timers::piece(within));
+        connected.map(drop).map_err(|_| AttemptError::Unconnected)
     }
 }
 
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -19,8 +19,8 @@
 /// Pauses of a writer that meets a full buffer; each is twice the one before.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(1);
 const LONGEST_PAUSE: Duration = Duration::from_millis(16);
-/// The shortest wait that a timer is set for.
-const LEAST: Duration = Duration::from_millis(1);
+/// Pause of a reader that a signal interrupted.
+const INTERRUPTED_PAUSE: Duration = Duration::from_millis(1);
 
 /// A stream that was made elsewhere. Other descriptors of it may stand, here or in another process, so that its
 /// registration does not end with this one: it has to be taken back before the descriptor is closed.
@@ -59,7 +59,7 @@
 
     /// Waits until there is something to read.
     fn wait(&self, within: Duration) -> io::Result<()> {
-        let (within, byte) = (Some(within.max(LEAST)), &mut [0; 1]);
+        let (within, byte) = (Some(timers::piece(within)), &mut [0; 1]);
         match self {
             Stream::Own(stream) => stream.set_read_timeout(within).and_then(|()| stream.peek(byte)),
             Stream::Adopted(stream) => {
@@ -131,11 +131,12 @@
 
     /// Connects within the time given.
     pub fn connect(address: &SocketAddr, within: Duration, stall: Duration) -> io::Result<Self> {
-        Socket::new(TcpStream::connect_timeout(address, within.max(LEAST))?, stall)
+        Socket::new(TcpStream::connect_timeout(address, timers::piece(within))?, stall)
     }
 
     /// Reads what has come, or waits for it; [`ErrorKind::TimedOut`] where nothing comes in time.
     pub fn read(&self, buffer: &mut [u8], within: Duration) -> io::Result<usize> {
+        let end = Instant::now() + within;
         loop {
             match self.stream.inner().read(buffer) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -144,9 +145,11 @@
                     if let Some(call) = &self.on_reader_waits {
                         call();
                     }
-                    let waited = self.stream.wait(within);
+                    let left = end.saturating_duration_since(Instant::now());
+                    let waited = self.stream.wait(left);
                     self.reader_waits.store(false, Ordering::SeqCst);
                     match waited {
+                        Err(error) if error.kind() == ErrorKind::TimedOut && Instant::now() < end => {}
                         // What came just as the time was up has come.
                         Err(error) if error.kind() == ErrorKind::TimedOut => {
                             return uninterrupted(|| self.stream.inner().read(buffer)).map_err(|late| {
@@ -157,7 +160,9 @@
                             });
                         }
                         // A signal came; nothing is amiss. Others have their turn before the next look.
-                        Err(error) if error.kind() == ErrorKind::Interrupted => timers::sleep(LEAST),
+                        Err(error) if error.kind() == ErrorKind::Interrupted => {
+                            timers::sleep(INTERRUPTED_PAUSE)
+                        }
                         waited => waited?,
                     }
                 }
--- a/crates/node/src/wire/socket/tests.rs
+++ b/crates/node/src/wire/socket/tests.rs
@@ -69,3 +69,15 @@
     let end = spawn(move || socket.read(&mut [0; 8], Duration::from_millis(20)).map_err(|e| e.kind()));
     assert_eq!(end.join().expect("no panic"), Err(ErrorKind::TimedOut));
 }
+
+/// Guards the ends of waits: a read was cut down to whole milliseconds, and ended before its time.
+#[test]
+fn a_read_ends_no_sooner_than_its_time() {
+    let (socket, _other) = pair(Duration::from_secs(5));
+    let reading = spawn(move || {
+        let (within, began) = (Duration::from_micros(100_900), Instant::now());
+        let end = socket.read(&mut [0; 8], within).map_err(|error| error.kind());
+        (end, began.elapsed() >= within)
+    });
+    assert_eq!(reading.join().expect("no panic"), (Err(ErrorKind::TimedOut), true));
+}
