Waits are rounded up to whole milliseconds, so that most take one timer

Cause: pieces rounded down cost most of the decisions' timers two or three wakes. Now a span is rounded up to whole milliseconds (late by less than one) and keeps 7 leading bits, so that spans up to 128 ms take one timer; lengths stay under 1,024 (tested over all spans). The tests of waits and freed timers pass.

--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -17,13 +17,13 @@
 /// The same for sleep that is shorter than that.
 const SHORT_STEP: Duration = Duration::from_micros(125);
 /// Leading bits that a piece of so many steps keeps; the others are zero.
-const LEADING_BITS: u32 = 6;
-/// The longest piece: somewhat over an hour.
-const LONGEST_STEPS: u64 = 1 << 22;
+const LEADING_BITS: u32 = 7;
+/// The longest piece: somewhat under nine minutes.
+const LONGEST_STEPS: u64 = 1 << 19;
 
-/// The length of the next timer of a wait that has so much left: not longer than that, unless it is under a step.
+/// The length of the next timer of a wait that has so much left: longer than that by less than a step at most.
 pub fn piece(left: Duration) -> Duration {
-    let steps = (left.as_millis() as u64).clamp(1, LONGEST_STEPS);
+    let steps = left.as_nanos().div_ceil(STEP.as_nanos()).clamp(1, LONGEST_STEPS.into()) as u64;
     let dropped_bits = u64::BITS.saturating_sub(steps.leading_zeros() + LEADING_BITS);
     STEP * ((steps >> dropped_bits) << dropped_bits) as u32
 }
