Tasks whose time is up go on with all others, not on the timers' thread

Cause: the coroutine library resumes a timed-out task on the thread of its timers and runs it there until it next waits. So decisions ran on two threads at once, sockets' timers (a RefCell and a list, made for one thread) were touched from both, and the heartbeat told of the timers' thread: the queue of the thread that runs all others could be of any length and no beat was late. Change: timers.rs gives such a task back to that queue.

--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -4,6 +4,9 @@
 //! [1,024 lengths](MOST_LENGTHS) it frees a list while the last timer of it may still be referred to, cuts waits on locks and
 //! queues down to whole milliseconds, takes none of them for no limit, and receives for up to twice the time given. So
 //! waits are made of pieces of few lengths, in whole milliseconds, and their ends are read from the clock.
+//!
+//! It also resumes a task whose time is up on the thread of its timers. Here such a task goes back to the queue of the
+//! thread that runs all others: sockets' timers are not made for two threads, and a heartbeat tells how long that queue is.
 use may::coroutine;
 use may::sync::mpsc::Receiver;
 use may::sync::{Condvar, MutexGuard, Semphore};
@@ -48,6 +51,7 @@
     while let Some(left) = left_until(end) {
         coroutine::sleep(sleep_piece(left));
     }
+    coroutine::yield_now();
 }
 
 /// Receives what comes within that time.
@@ -59,6 +63,7 @@
             received => return received,
         }
     }
+    coroutine::yield_now();
     receiver.try_recv().map_err(|error| match error {
         TryRecvError::Empty => RecvTimeoutError::Timeout,
         TryRecvError::Disconnected => RecvTimeoutError::Disconnected,
@@ -73,6 +78,7 @@
             return true;
         }
     }
+    coroutine::yield_now();
     semaphore.try_wait()
 }
 
