The test of threads runs in a process of its own settings

Cause: the test's; it set one worker thread where other unit tests had begun to use the library with eight. Moved to tests/timers.rs, where the settings are the program's; what it asserts is the same.

--- a/crates/node/src/timers/tests.rs
+++ b/crates/node/src/timers/tests.rs
@@ -63,21 +63,3 @@
     let once = Duration::from_micros(200_900)..Duration::from_millis(300);
     assert!(shortest.is_some_and(|took| once.contains(&took)), "{shortest:?}");
 }
-
-/// Guards sockets' timers, which are not made for two threads: tasks whose time was up went on beside all others.
-#[test]
-fn a_task_whose_time_is_up_goes_on_with_all_others() {
-    may::config().set_workers(1);
-    let thread = || format!("{:?}", std::thread::current().id());
-    let threads = in_a_task(move || {
-        let (before, short) = (thread(), Duration::from_millis(2));
-        sleep(short);
-        let slept = thread();
-        let (_sender, receiver) = channel::<()>();
-        let _ = receive(&receiver, short);
-        let received = thread();
-        wait_for_post(&Semphore::new(0), short);
-        [before, slept, received, thread()]
-    });
-    assert!(threads.iter().all(|thread| *thread == threads[0]), "{threads:?}");
-}
--- a/crates/node/tests/timers.rs
+++ b/crates/node/tests/timers.rs
@@ -75,6 +75,26 @@
     assert_eq!(WRITTEN.load(Ordering::Relaxed), 0, "freed blocks that were written to");
 }
 
+/// Guards sockets' timers, which are not made for two threads: tasks whose time was up went on beside all others.
+#[test]
+fn a_task_whose_time_is_up_goes_on_with_all_others() {
+    corkbay_node::life::platform::set_up_coroutines();
+    let (tell, told) = mpsc::channel();
+    corkbay_node::life::spawn(move || {
+        let (thread, short) = (|| std::thread::current().id(), Duration::from_millis(2));
+        let before = thread();
+        timers::sleep(short);
+        let slept = thread();
+        let (_sender, receiver) = mpsc::channel::<()>();
+        assert!(timers::receive(&receiver, short).is_err());
+        let received = thread();
+        assert!(!timers::wait_for_post(&Semphore::new(0), short));
+        tell.send([before, slept, received, thread()]).expect("waited for");
+    });
+    let threads = timers::receive(&told, Duration::from_secs(10)).expect("the task ends");
+    assert!(threads.iter().all(|thread| *thread == threads[0]), "{threads:?}");
+}
+
 /// Guards the same for the whole program: no other file waits on the coroutine library's own timers.
 #[test]
 fn all_timed_waits_are_in_one_file() {
