Homes are ranked and widened through one look at them

rank_homes and widen_homes each built the step, the warmth and the model's entry; look_at_homes does so for both.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -27,7 +27,7 @@
 mod timers;
 
 use crate::fleet::{ColdWorkers, Fleet, RankedWorker, Side, GREATEST_WEIGHT, SIDES};
-use crate::homes::{self, WorkerWarmth};
+use crate::homes::{self, Homes, WorkerWarmth};
 use crate::interface::*;
 use crate::state::*;
 use rand::{rngs::SmallRng, seq::IndexedRandom, Rng, SeedableRng};
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -151,20 +151,25 @@
 
     /// Ranks the homes of a model by what has changed since it was last looked at.
     pub(super) fn rank_homes(&mut self, name: ModelId) {
-        let step = (self.now / STEP) as u64;
-        let of_worker = warmth_in(step, &self.workers, &self.set);
-        let warmth = WorkerWarmth { of_worker: (!self.cold.is_empty()).then_some(&of_worker) };
-        let Some(model) = self.models.get_mut(&name) else { return };
-        model.homes.refresh(&self.fleet, name, step, &warmth);
+        self.look_at_homes(name, |homes, fleet, step, warmth| homes.refresh(fleet, name, step, warmth));
     }
 
     /// Goes on down the order of a model's homes, where none that is named so far was of use.
     pub(super) fn widen_homes(&mut self, name: ModelId) -> bool {
+        self.look_at_homes(name, |homes, fleet, _, warmth| homes.widen(fleet, name, warmth)).unwrap_or(false)
+    }
+
+    /// Looks at a model's homes with the ready workers, the step of the clock and how warm workers are in it.
+    fn look_at_homes<T>(
+        &mut self,
+        name: ModelId,
+        look: impl FnOnce(&mut Homes, &Fleet, u64, &WorkerWarmth<'_>) -> T,
+    ) -> Option<T> {
         let step = (self.now / STEP) as u64;
         let of_worker = warmth_in(step, &self.workers, &self.set);
         let warmth = WorkerWarmth { of_worker: (!self.cold.is_empty()).then_some(&of_worker) };
-        let Some(model) = self.models.get_mut(&name) else { return false };
-        model.homes.widen(&self.fleet, name, &warmth)
+        let model = self.models.get_mut(&name)?;
+        Some(look(&mut model.homes, &self.fleet, step, &warmth))
     }
 }
 
