Left over from the waits: a lower bound, a name that hid the module, limits twice in tests

The least wait of replication's caller is the timers module's business now; a variable no longer hides that module; two tests of worker connections make their limits in one place. cargo test of the daemon's crate passes.

--- a/crates/node/src/core/invoker/actions.rs
+++ b/crates/node/src/core/invoker/actions.rs
@@ -58,9 +58,9 @@
     }
 
     fn start_timer(self: &Arc<Self>, token: u64, delay: Ms) {
-        let timers = self.ledger.account(Purpose::Timers);
+        let account = self.ledger.account(Purpose::Timers);
         // The one that recurs keeps the decisions going; without another, what is due comes with the next recurrence.
-        let held = if token == RECURRING { Ok(timers.owe(TASK_BYTES)) } else { timers.reserve(TASK_BYTES) };
+        let held = if token == RECURRING { Ok(account.owe(TASK_BYTES)) } else { account.reserve(TASK_BYTES) };
         let Ok(held) = held else { return };
         self.spawn(held, move |invoker| {
             timers::sleep(Duration::from_secs_f64(delay.clamp(0.0, LONGEST_DELAY_MS) / 1000.0));
--- a/crates/node/src/wire/replicate/caller.rs
+++ b/crates/node/src/wire/replicate/caller.rs
@@ -18,8 +18,6 @@
 
 /// A peer that could not be reached is tried again after this at the earliest, when there is something to push.
 const RETRY: Duration = Duration::from_millis(200);
-/// The shortest wait that a timer is set for.
-const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 
 /// A connection to a peer that has greeted.
 struct PeerConnection {
@@ -58,8 +56,7 @@
     /// Pushes what is written until that time, or until a peer that could not be reached may be tried again; false once nobody writes any more.
     fn push_until(&mut self, mut next: Instant, written: &mpsc::Receiver<Record>) -> bool {
         loop {
-            match timers::receive(written, next.saturating_duration_since(Instant::now()).max(SHORTEST_WAIT))
-            {
+            match timers::receive(written, next.saturating_duration_since(Instant::now())) {
                 Ok(first) => {
                     let batch = std::iter::once(first).chain(written.try_iter()).collect();
                     let may_try_at = self.last_try + RETRY;
--- a/crates/node/src/wire/workers/tests.rs
+++ b/crates/node/src/wire/workers/tests.rs
@@ -1,6 +1,11 @@
 use super::*;
 use crate::core::monotonic_ms;
 
+fn limits(idle: Duration, connections: usize) -> Limits {
+    let connect = Duration::from_secs(1);
+    Limits { streams: 8, connect, idle, connections, answer: 1024, cancels: true }
+}
+
 /// Guards the rule on second copies: the word that gives an attempt up is out once it was written, not once it was
 /// queued behind what a worker does not read.
 #[test]
@@ -8,14 +13,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let host = Host::new(WorkerId(1), "w", listener.local_addr().expect("bound"));
     let second = Duration::from_secs(1);
-    let limits = Limits {
-        streams: 8,
-        connect: second,
-        idle: 30 * second,
-        connections: 8,
-        answer: 1024,
-        cancels: true,
-    };
+    let limits = limits(30 * second, 8);
     let workers = FrameWorkers::new(limits, crate::memory::roomy().account(Purpose::Workers).clone());
     let call = |id, size| {
         let request = corkbay::Request { id: corkbay::RequestId(id), ..Default::default() };
@@ -76,14 +74,7 @@
 #[test]
 fn idle_connections_keep_other_workers_from_being_reached() {
     let second = Duration::from_secs(1);
-    let limits = Limits {
-        streams: 8,
-        connect: second,
-        idle: 60 * second,
-        connections: 2,
-        answer: 1024,
-        cancels: true,
-    };
+    let limits = limits(60 * second, 2);
     let workers = FrameWorkers::new(limits, crate::memory::roomy().account(Purpose::Workers).clone());
     let (ended, endings) = std::sync::mpsc::channel();
     let hosts: Vec<_> = (0..4).map(|number| answering_worker(number, ended.clone())).collect();
