--- a/crates/rig/src/faults/mod.rs
+++ b/crates/rig/src/faults/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) mod channel;
 pub(crate) mod client;
 pub(crate) mod log;
-mod process;
+pub(crate) mod process;
 pub mod records;
 mod scenario;
 mod thrift;
--- a/crates/rig/src/faults/process.rs
+++ b/crates/rig/src/faults/process.rs
@@ -259,26 +259,33 @@
 }
 
 fn configuration(number: usize, scenario: &Scenario, channel: &Channel) -> serde_json::Value {
-    let (allowed, window) = (scenario.allowed_ms as f64, scenario.window_ms as f64);
+    let mut settings = settings(scenario.allowed_ms, scenario.window_ms);
+    settings["balancers"] = json!(scenario.daemons);
+    settings["zones"] = json!(["east"]);
+    settings["myZone"] = json!("east");
+    settings["specifics"] = json!({"answerWithinMs": 10000.0, "keepMs": 8000.0, "notLoaded": "load",
+                                   "placementCalls": false, "ramMbByKind": [10000.0]});
+    json!({
+        "name": format!("n{number}"), "listen": "127.0.0.1:1", "seed": format!("{number:016x}"),
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
+        "channel": channel.address.to_string(), "known": channel.known(), "settings": settings
+    })
+}
+
+/// The platform's settings that all days share: how long clients wait and the window of the keyed class, in milliseconds.
+pub(crate) fn settings(allowed_ms: u64, window_ms: u64) -> serde_json::Value {
+    let (allowed, window) = (allowed_ms as f64, window_ms as f64);
     let class = |name: &str, effect: &str| {
         json!({"name": name, "aimMs": allowed / 2.0, "giveUpMs": allowed, "idempotency": effect,
                "dedupScope": "cell", "dedupWindowMs": window, "worth": 1.0})
     };
     json!({
-        "name": format!("n{number}"), "listen": "127.0.0.1:1", "seed": format!("{number:016x}"),
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
-        "channel": channel.address.to_string(), "known": channel.known(),
-        "settings": {
-            "balancers": scenario.daemons, "periodMs": 4.0, "zones": ["east"], "myZone": "east", "models": ["std"],
-            "customers": [{"name": "acme", "quotaPerS": 1000.0}],
-            "classes": [class("check", "pure"), class("post", "token"), class("once", "side_effect")],
-            "ceilings": {"attemptsCap": 5, "cancel": true, "connIdleMs": 15000.0, "streamsPerConn": 32,
-                         "connectTimeoutMs": 250.0, "secondCopies": true, "retryAfter": true,
-                         "maxRetryAfterMs": 500.0},
-            "specifics": {"answerWithinMs": 10000.0, "keepMs": 8000.0, "notLoaded": "load",
-                          "placementCalls": false, "ramMbByKind": [10000.0]},
-            "safety": {"drainGraceMs": 2000.0, "coldFrom": 0.25, "coldMs": 4000.0, "fallMs": 2000.0,
-                       "fallMultiple": 2.0}
-        }
+        "periodMs": 4.0, "models": ["std"], "customers": [{"name": "acme", "quotaPerS": 1000.0}],
+        "classes": [class("check", "pure"), class("post", "token"), class("once", "side_effect")],
+        "ceilings": {"attemptsCap": 5, "cancel": true, "connIdleMs": 15000.0, "streamsPerConn": 32,
+                     "connectTimeoutMs": 250.0, "secondCopies": true, "retryAfter": true,
+                     "maxRetryAfterMs": 500.0},
+        "safety": {"drainGraceMs": 2000.0, "coldFrom": 0.25, "coldMs": 4000.0, "fallMs": 2000.0,
+                   "fallMultiple": 2.0}
     })
 }
--- a/crates/rig/src/grow/daemon.rs
+++ b/crates/rig/src/grow/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon of a day, on the platform's front, held to its share of a core.
 use crate::faults::channel::Channel;
+use crate::faults::process::settings;
 use crate::scale::process::{usage, OwnedChild, Usage};
 use serde_json::json;
 use std::fs::{File, OpenOptions};
@@ -154,27 +155,16 @@
 }
 
 fn configuration(setup: &Setup<'_>, channel: &Channel) -> serde_json::Value {
-    let (allowed, window) = (setup.allowed_ms as f64, setup.window_ms as f64);
-    let class = |name: &str, effect: &str| {
-        json!({"name": name, "aimMs": allowed / 2.0, "giveUpMs": allowed, "idempotency": effect,
-               "dedupScope": "cell", "dedupWindowMs": window, "worth": 1.0})
-    };
+    let mut settings = settings(setup.allowed_ms, setup.window_ms);
+    settings["balancers"] = json!(INVOKERS);
+    settings["zones"] = json!(setup.zones);
+    settings["myZone"] = json!(setup.zones[0]);
+    settings["specifics"] = json!({"answerWithinMs": 4000.0, "keepMs": 8000.0, "notLoaded": "miss",
+                                   "placementCalls": true, "ramMbByKind": [10000.0]});
+    settings["prices"] = json!({"crossZone": 0.04, "probe": 0.011, "origin": 0.03});
     json!({
         "name": "n0", "listen": "127.0.0.1:1", "seed": "0000000000000001",
         "limits": {"cores": setup.core_share.unwrap_or(1.0), "memory_mb": setup.memory_mb, "sockets": DESCRIPTORS},
-        "channel": channel.address.to_string(), "known": channel.known(),
-        "settings": {
-            "balancers": INVOKERS, "periodMs": 4.0, "zones": setup.zones, "myZone": setup.zones[0],
-            "models": ["std"], "customers": [{"name": "acme", "quotaPerS": 1000.0}],
-            "classes": [class("check", "pure"), class("post", "token"), class("once", "side_effect")],
-            "ceilings": {"attemptsCap": 5, "cancel": true, "connIdleMs": 15000.0, "streamsPerConn": 32,
-                         "connectTimeoutMs": 250.0, "secondCopies": true, "retryAfter": true,
-                         "maxRetryAfterMs": 500.0},
-            "specifics": {"answerWithinMs": 4000.0, "keepMs": 8000.0, "notLoaded": "miss",
-                          "placementCalls": true, "ramMbByKind": [10000.0]},
-            "safety": {"drainGraceMs": 2000.0, "coldFrom": 0.25, "coldMs": 4000.0, "fallMs": 2000.0,
-                       "fallMultiple": 2.0},
-            "prices": {"crossZone": 0.04, "probe": 0.011, "origin": 0.03}
-        }
+        "channel": channel.address.to_string(), "known": channel.known(), "settings": settings
     })
 }
