--- a/review/common.rs
+++ b/review/common.rs
@@ -549,3 +549,79 @@
 "notLoaded":"miss","placementCalls":true,"ramMbByKind":[9920.0,6528.0],"saysWarm":false,"tellsCrowd":false}}}}}}"#
     )
 }
+
+// ---------------------------------------------------------------------------------------------------------------
+// The daemon's deploy file
+
+/// A node of a small deployment: the classes of `deploy/invoke.toml`, workers that speak binary frames.
+pub struct Node<'a> {
+    pub name: &'a str,
+    pub listen: SocketAddr,
+    pub data_dir: &'a Path,
+    /// The node's replication address and those of its peers.
+    pub replication: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// Name, address, zone and cell of each worker.
+    pub workers: &'a [(String, SocketAddr, &'a str, u32)],
+}
+
+pub fn deploy_file(node: &Node) -> String {
+    let mut text = format!(
+        "node = \"{}\"\nlisten = \"{}\"\ndata_dir = \"{}\"\nzone = \"hall-a\"\nmemory_mb = 128\n",
+        node.name,
+        node.listen,
+        node.data_dir.display()
+    );
+    if let Some((listen, peers)) = &node.replication {
+        let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+        text.push_str(&format!("[replication]\nlisten = \"{listen}\"\npeers = [{}]\n", peers.join(", ")));
+    }
+    text.push_str(
+        r#"[transport]
+protocol = "frames"
+[[class]]
+name = "check"
+aim_ms = 1500
+give_up_ms = 4000
+effect = "pure"
+worth = 1
+late_worth = 0.2
+[[class]]
+name = "post"
+aim_ms = 750
+give_up_ms = 3000
+effect = "token"
+dedup_scope = "cell"
+dedup_window_ms = 6000
+worth = 2
+late_worth = 0.3
+[[tenant]]
+name = "regie-desk"
+quota_per_s = 65
+[[function]]
+name = "score-household"
+class = "check"
+tenant = "regie-desk"
+memory_mb = 512
+lanes = 2
+[[function]]
+name = "grant-meter-loan"
+class = "post"
+tenant = "regie-desk"
+memory_mb = 512
+"#,
+    );
+    for (name, address, zone, cell) in node.workers {
+        text.push_str(&format!(
+            "[[worker]]\nname = \"{name}\"\naddress = \"{address}\"\nzone = \"{zone}\"\ncell = {cell}\n"
+        ));
+    }
+    text
+}
+
+/// Hands a keyed call over for later; its path if it was accepted (202).
+pub fn hand_over(address: SocketAddr, key: &str, body: &str) -> Option<String> {
+    let headers = [("Prefer", "respond-async"), ("Idempotency-Key", key)];
+    let path = "/v1/functions/grant-meter-loan/invocations";
+    let (status, head, _) = http(address, "POST", path, &headers, body.as_bytes(), 5000)?;
+    (status == 202).then(|| header(&head, "location")).flatten()
+}
