--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,20 +1,19 @@
-//! A new version is started beside the old one on the same deploy file. See claim.txt.
+//! An upgrade under load; clients leave while their requests wait for a load. See claim.txt.
 #[path = "../common.rs"]
 mod common;
 use common::*;
 use std::path::Path;
-use std::sync::Arc;
 
-/// Deferred calls, one each CALL_INTERVAL_MS.
-const CALLS: usize = 100;
-const CALL_INTERVAL_MS: u64 = 50;
-/// When the second process is started, and what passes between its yes and SIGTERM to the old one.
-const UPGRADE_AFTER_MS: u64 = 1000;
-const SIGTERM_AFTER_YES_MS: u64 = 300;
-/// SIGKILL comes no sooner than the longest deadline, taken as 3 s if longer, and 0.7 s after SIGTERM.
-const SIGKILL_AFTER_MS: u64 = 3700;
-/// Clients come back for their answers this long after the last call: beyond the give-up time of 3 s.
-const COME_BACK_AFTER_MS: u64 = 5000;
+/// Clients with one open request each: half of them cancel it, half of them close their connection.
+const CLIENTS: usize = 8;
+/// What a load takes: the upper end of the site's mean of 0.5 to 0.95 s.
+const LOAD_MS: f64 = 950.0;
+/// When the clients leave, counted from their requests.
+const LEAVE_AFTER_MS: u64 = 400;
+/// An attempt that begins more than 0.1 s after its client has gone breaks the rule; limits grow by 50 ms on sockets.
+const RULE_MS: f64 = 100.0 + 50.0;
+/// The command of `run` in the deploy file.
+const RUN: &str = "exec target/release/corkbay";
 
 fn main() {
     main_of(|| {
@@ -24,87 +23,98 @@
     })
 }
 
-/// The text that the process has written so far.
-fn log_of(folder: &Folder, name: &str) -> String {
-    std::fs::read_to_string(folder.0.join(format!("{name}.log"))).unwrap_or_default()
-}
-
-fn play(record: &Arc<Record>) -> i32 {
+fn play(record: &std::sync::Arc<Record>) -> i32 {
     let folder = Folder::new("2");
-    let fleet = Fleet::new(record, 0.0, 120, true);
-    let workers: Vec<_> = (0..3)
-        .map(|number| (format!("worker-{number}"), fleet.host(&format!("worker-{number}")), "hall-a", number))
+    let shared = folder.0.join("tmp");
+    std::fs::create_dir(&shared).expect("a folder");
+    let fleet = Fleet::new(record, LOAD_MS, 100, false);
+    let endpoints: Vec<String> = (0..3)
+        .map(|number| endpoint(&format!("s-{number}"), fleet.host(&format!("s-{number}")), "hall-a", number, "up"))
         .collect();
-    let (listen, data) = (free_address(), folder.0.join("data"));
-    let node = Node { name: "desk-1", listen, data_dir: &data, replication: None, workers: &workers };
-    let file = folder.write("invoke.toml", &deploy_file(&node));
-    let command = format!("exec target/release/corkbay serve {}", file.display());
+    let (listen, channel) = (free_address(), quiet_channel());
     let start = |name: &str| {
-        let process = Process::start(record, &folder, name, &command, &[]);
-        if !wait_for(6000, || log_of(&folder, name).contains("invoke API on")) {
-            stop(&format!("{name} isn't ready within 6 s: {}", log_of(&folder, name)));
-        }
-        record.line(format!("{name} says that it serves"));
-        process
+        let admin = free_address();
+        let text = platform_config(listen, admin, channel, &endpoints, 192, 1024);
+        let config = folder.write(&format!("{name}.json"), &text);
+        let environment = [
+            ("PROXY_NAME", "n0".to_string()),
+            ("PROXY_CONFIG", config.display().to_string()),
+            ("PROXY_LISTEN", listen.to_string()),
+            ("PROXY_ADMIN", admin.to_string()),
+            ("TMPDIR", shared.display().to_string()),
+        ];
+        (Process::start(record, &folder, name, RUN, &environment), admin)
     };
-    let mut old = start("old");
-    let mut new = None;
-    let (mut sigterm_at, mut ended) = (f64::INFINITY, false);
-    let mut accepted = Vec::new();
-    let started = record.now();
-    for number in 0..CALLS {
-        let next = started + (number as u64 * CALL_INTERVAL_MS) as f64;
-        pause((next - record.now()).max(0.0) as u64);
-        if trouble() && new.is_none() && record.now() - started > UPGRADE_AFTER_MS as f64 {
-            new = Some(start("new"));
-            sigterm_at = record.now() + SIGTERM_AFTER_YES_MS as f64;
+    let (old, _) = start("old");
+    if !wait_for(10_000, || is_alive(listen)) {
+        stop("the invoker isn't ready within 10 s");
+    }
+    // Each client's connection carries one request that is served before the upgrade begins.
+    let mut clients = Vec::new();
+    for number in 0..CLIENTS {
+        let Some(mut client) = Client::connect(listen) else { stop("a client can't connect") };
+        let id = 0x1000 + number as u64;
+        record.line(format!("client {number}: request {id:016x}"));
+        client.send(&dispatch(1, "check", id, 0xaa, 4000, b"warm"));
+        let reply = client.receive(6000);
+        record.line(format!("client {number}: {reply:?}"));
+        clients.push(client);
+    }
+    let new = trouble().then(|| {
+        let (new, admin) = start("new");
+        let ready = || matches!(http(admin, "GET", "/v1/readyz", &[], b"", 1000), Some((200, ..)));
+        if !wait_for(6000, ready) {
+            stop("the new process isn't ready within 6 s");
         }
-        if record.now() > sigterm_at {
-            old.signal(SIGTERM);
-            sigterm_at = f64::INFINITY;
-            ended = true;
+        record.line("the new process says yes");
+        new
+    });
+    // Each client asks for a model of its own that no host holds yet.
+    let mut asked = Vec::new();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = 0x2000 + number as u64;
+        let (class, allow_ms) = if number % 4 < 2 { ("check", 4000) } else { ("post", 3000) };
+        if !client.send(&dispatch(2, class, id, 0xb000 + number as u64, allow_ms, b"cold")) {
+            stop("a request can't be written");
         }
-        let (key, body) = (format!("key-{number}"), format!("loan {number}"));
-        let path = hand_over(listen, &key, &body);
-        match &path {
-            Some(path) => record.line(format!("call {number} ({body}): 202 {path}")),
-            None => record.line(format!("call {number} ({body}): not accepted")),
-        };
-        accepted.extend(path.map(|path| (number, body, path)));
+        asked.push((id, record.line(format!("client {number}: request {id:016x} of class {class}"))));
     }
-    if ended {
-        if !wait_for(SIGKILL_AFTER_MS, || old.ended().is_some()) {
-            old.kill_and_wait();
-        }
-        record.line(format!("the old process has ended: {:?}", old.ended()));
+    pause(50);
+    if new.is_some() {
+        old.signal(SIGTERM);
+    }
+    // Under load requests keep coming: each client asks for the loaded model on the same connection.
+    pause(100);
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = 0x3000 + number as u64;
+        record.line(format!("client {number}: request {id:016x}"));
+        client.send(&dispatch(3, "check", id, 0xaa, 4000, b"warm"));
     }
-    pause(COME_BACK_AFTER_MS);
-    let ran = fleet.arrivals().len();
-    let (mut lost, mut wrong) = (0, 0);
-    for (number, body, path) in &accepted {
-        let answer = http(listen, "GET", path, &[("Prefer", "wait=3")], b"", 6000);
-        let (status, text) = match &answer {
-            Some((status, _, text)) => (*status, String::from_utf8_lossy(text).to_string()),
-            None => (0, String::new()),
+    pause(LEAVE_AFTER_MS - 150);
+    let mut left = Vec::new();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let at = if number % 2 == 0 {
+            client.send(&cancel(2));
+            record.line(format!("client {number}: cancelRequest for {:016x}", asked[number].0))
+        } else {
+            client.close();
+            record.line(format!("client {number}: closes its connection, {:016x} open", asked[number].0))
         };
-        record.line(format!("call {number}: {path}: {status} {text}"));
-        match status {
-            200 if text == format!("done: {body}") => {}
-            200 => wrong += 1,
-            // Failed, refused or too late: a final answer, and one that tells the truth or promises nothing.
-            502..=504 => {}
-            _ => lost += 1,
-        }
+        left.push((asked[number].0, at));
     }
-    record.line(format!(
-        "{} calls accepted, {ran} attempts came to workers, {lost} calls have no answer, {wrong} have another's",
-        accepted.len()
-    ));
-    drop((old, new));
-    if accepted.len() < CALLS / 2 {
-        stop("fewer than half of the calls were accepted");
+    pause(4000);
+    let mut broken = 0;
+    let arrivals = fleet.arrivals();
+    for (id, left_at) in &left {
+        let attempts: Vec<_> = arrivals.iter().filter(|arrival| arrival.id == *id).collect();
+        let late = attempts.iter().filter(|arrival| arrival.at > left_at + RULE_MS).count();
+        record.line(format!("{id:016x}: {} attempts, {late} begun after its client had gone", attempts.len()));
+        broken += usize::from(late > 0);
     }
-    if lost + wrong > 0 {
+    let forwarded = left.iter().filter(|(id, _)| arrivals.iter().any(|arrival| arrival.id == *id)).count();
+    record.line(format!("rule broken for {broken} of {CLIENTS} requests, {forwarded} of them had an attempt at all"));
+    drop((old, new));
+    if broken > 0 {
         BROKEN
     } else {
         HELD
