--- a/review/common.rs
+++ b/review/common.rs
@@ -199,7 +199,7 @@
     bytes
 }
 
-/// An attempt that has come whole to a host.
+/// An attempt that has come whole to a host, at this time of the record.
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub at: f64,
@@ -218,7 +218,7 @@
     pub arrivals: Mutex<Vec<Arrival>>,
     pub load_ms: f64,
     pub work_ms: u64,
-    /// Names of hosts that hold every model.
+    /// Whether each host holds every model from the start.
     pub full_stock: bool,
 }
 
