Release a message's memory when it is consumed, and answer before a connection ends

Cause: a receive buffer released the memory of a long message with the next read only; a reader that waited for memory had no idle connection give way, as a new connection has; the error of that wait was taken for the end of the connection.

Evidence: accounts in the log on the old code: clients used=3454976 cap=3485466 with 79 idle connections, which is 79 x (14 + 28) KiB and the spare slots to the byte; calls, turned_away and fell_behind at 0.

Change: ReceiveBuffer::consume releases what the rest does not need, for all readers; memory_wait asks the owners of idle memory of the same account (client and worker connections) to release it; a request without memory is rejected with advice, the rest of its message dropped; open requests are failed before a connection with an unreadable message is closed. New: counter turned_away_memory and a log line.

Why it works: no connection holds memory that its unconsumed bytes do not need, so idle ones can't fill the account; and where it is full all the same, somebody gives way or the request has its answer.

--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -24,8 +24,13 @@
     waiters: Mutex<Waiters>,
     /// Whether the queue is not empty; spares nearly every release the lock on it.
     has_waiters: AtomicBool,
+    /// The owners of memory in this account that can be released while nothing needs it.
+    reclaimers: Mutex<Vec<Reclaim>>,
 }
 
+/// Starts to release at least this many bytes that nothing needs. They may become free some time after the call.
+type Reclaim = Arc<dyn Fn(usize) + Send + Sync>;
+
 /// Callers that wait for room, in order of arrival.
 #[derive(Default)]
 struct Waiters {
@@ -82,6 +87,7 @@
             refused: AtomicU64::new(0),
             waiters: Mutex::default(),
             has_waiters: AtomicBool::new(false),
+            reclaimers: Mutex::default(),
         }))
     }
 
@@ -172,6 +178,23 @@
         WaitHandle { account: self.clone(), number }
     }
 
+    /// Adds an owner of idle memory, which is called when a task has to wait for memory of this account. It must not
+    /// wait, nor reserve memory of this account.
+    pub fn add_reclaimer(&self, reclaim: impl Fn(usize) + Send + Sync + 'static) {
+        self.reclaimers().push(Arc::new(reclaim));
+    }
+
+    /// Has the owners of idle memory in this account release at least `bytes`, if they hold as much.
+    pub fn reclaim(&self, bytes: usize) {
+        // Called without the lock, since a reclaimer may suspend its task.
+        let reclaimers = self.reclaimers().clone();
+        reclaimers.iter().for_each(|reclaim| reclaim(bytes));
+    }
+
+    fn reclaimers(&self) -> MutexGuard<'_, Vec<Reclaim>> {
+        self.0.reclaimers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Wakes waiters whose bytes fit, in order of arrival. A large waiter holds up those behind it, so that
     /// it cannot be passed over forever.
     fn wake(&self) {
--- a/crates/node/src/state/counters.rs
+++ b/crates/node/src/state/counters.rs
@@ -64,6 +64,8 @@
     pub turned_away: Counter,
     /// Those of them that were rejected because the process could not keep up with its work.
     pub turned_away_behind: Counter,
+    /// Those of them for whose message there was no memory.
+    pub turned_away_memory: Counter,
     /// Number of times that the process began to lag behind its work.
     pub fell_behind: Counter,
     /// Operator calls that were accepted.
@@ -108,6 +110,7 @@
             malformed: counter(),
             turned_away: counter(),
             turned_away_behind: counter(),
+            turned_away_memory: counter(),
             fell_behind: counter(),
             operators_yes: counter(),
             operators_no: counter(),
@@ -174,6 +177,7 @@
             ("malformed", &self.malformed),
             ("turned_away", &self.turned_away),
             ("turned_away_behind", &self.turned_away_behind),
+            ("turned_away_memory", &self.turned_away_memory),
             ("fell_behind", &self.fell_behind),
             ("operators_yes", &self.operators_yes),
             ("operators_no", &self.operators_no),
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -6,7 +6,7 @@
 use crate::core::{lock, monotonic_ms};
 use crate::lifecycle::spawn;
 use crate::state::clients::{ClientTable, EvictionError};
-use crate::state::memory_wait::wait_for_memory;
+use crate::state::memory_wait::wait_for_release;
 use crate::timers;
 pub use connection::{Connection, Kept, CONNECTION_BYTES};
 use corkbay::Ms;
@@ -87,7 +87,7 @@
         let listener = bind(address)?;
         let slots = Arc::new(Slots::new(limits.max_connections));
         let spare_memory = limits.account.reserve_over_cap(MAX_SPARE_SLOTS * CONNECTION_BYTES);
-        Ok(Arc::new(Acceptor {
+        let acceptor = Arc::new(Acceptor {
             listener,
             limits,
             _spare_memory: spare_memory,
@@ -97,7 +97,23 @@
             all_busy_since: Mutex::new(None),
             closed: AtomicBool::new(false),
             serve: OnceLock::new(),
-        }))
+        });
+        let reclaiming = Arc::downgrade(&acceptor);
+        acceptor.limits.account.add_reclaimer(move |bytes| {
+            if let Some(acceptor) = reclaiming.upgrade() {
+                acceptor.reclaim(bytes);
+            }
+        });
+        Ok(acceptor)
+    }
+
+    /// Evicts idle connections until they hold at least `bytes`, because a task waits for memory of their account.
+    fn reclaim(&self, bytes: usize) {
+        for _ in 0..bytes.div_ceil(CONNECTION_BYTES) {
+            if self.evict_idle(&self.clients).is_err() {
+                return;
+            }
+        }
     }
 
     /// The address of the listener.
@@ -264,7 +280,7 @@
                 match missing {
                     MissingResource::Slot => self.slots.wait_for_free(EVICTION_WAIT),
                     MissingResource::Memory(account) => {
-                        wait_for_memory(&account, CONNECTION_BYTES, EVICTION_WAIT_MS)
+                        wait_for_release(&account, CONNECTION_BYTES, EVICTION_WAIT_MS)
                     }
                 }
                 continue;
@@ -284,7 +300,7 @@
             match missing {
                 MissingResource::Slot => self.slots.wait_for_change(seen_changes, EVICTION_POLL_INTERVAL),
                 MissingResource::Memory(account) => {
-                    wait_for_memory(&account, CONNECTION_BYTES, EVICTION_POLL_INTERVAL.as_millis() as Ms)
+                    wait_for_release(&account, CONNECTION_BYTES, EVICTION_POLL_INTERVAL.as_millis() as Ms)
                 }
             }
         }
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -5,6 +5,7 @@
 use crate::state::clients::ClientState;
 use crate::timers;
 use crate::wire::connection_handover::{AnswerForwarder, HandoverSender};
+use crate::wire::receive_buffer::ReceiveBuffer;
 use crate::wire::socket::Socket;
 use corkbay::Ms;
 use corkbay_ledger::Account;
@@ -101,6 +102,26 @@
         Kept(self)
     }
 
+    /// Reserves memory for a message that is being read. The connection is not idle meanwhile, so it is not evicted to make
+    /// room for others.
+    pub fn while_busy<T>(&self, reserve: impl FnOnce() -> T) -> T {
+        let _guard = self.hold_request();
+        reserve()
+    }
+
+    /// Reads into a buffer, which waits for memory if it has to grow; see [`ReceiveBuffer::fill`].
+    pub fn fill(
+        &self,
+        buffer: &mut ReceiveBuffer,
+        chunk: &mut [u8],
+        within: Duration,
+    ) -> std::io::Result<usize> {
+        if buffer.is_full() {
+            self.while_busy(|| buffer.grow())?;
+        }
+        buffer.fill(&self.socket, chunk, within)
+    }
+
     /// Whether it was accepted beyond the limit, so that its requests are refused.
     pub fn is_beyond_limit(&self) -> bool {
         self.kind == SlotKind::Spare
--- a/crates/node/src/wire/accept/tests.rs
+++ b/crates/node/src/wire/accept/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::state::memory_wait::resize_or_wait;
+use corkbay_ledger::Purpose;
 use std::io::{Read, Write};
 use std::sync::mpsc::channel;
 
@@ -92,3 +94,37 @@
     assert!(account.peak() <= account.cap(), "{} of {}", account.peak(), account.cap());
     drop(clients);
 }
+
+/// A task that waits for memory of the clients' account is given that of idle connections, the longest idle first, as a new
+/// connection would be. It waited until its time was up while they kept theirs.
+#[test]
+fn a_reader_that_waits_for_memory_is_given_that_of_idle_connections() {
+    let account = Account::root("clients", (MAX_SPARE_SLOTS + 3) * CONNECTION_BYTES);
+    let acceptor = acceptor_within(60, account.clone());
+    let accepting = acceptor.clone();
+    spawn(move || {
+        accepting.accept(|connection| {
+            let _ = connection.answer(b"served");
+            let _ = connection.read(&mut [0; 8], Duration::from_secs(5));
+        });
+    });
+    let mut clients: Vec<_> = (0..3)
+        .map(|_| {
+            let mut client = TcpStream::connect(acceptor.address().expect("bound")).expect("connects");
+            client.read_exact(&mut [0; 6]).expect("answered");
+            client
+        })
+        .collect();
+    let reader = spawn(move || {
+        let (mut held, began) = (account.empty_reservation(), monotonic_ms());
+        let end = resize_or_wait(&mut held, Purpose::Clients, 2 * CONNECTION_BYTES);
+        (end.map_err(|error| error.kind()), monotonic_ms() - began)
+    });
+    let (end, took) = reader.join().expect("no panic");
+    assert!(end.is_ok() && took < 900.0, "{end:?} after {took} ms");
+    for client in &mut clients[..2] {
+        assert_eq!(client.read(&mut [0; 8]).expect("closed"), 0);
+    }
+    clients[2].set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+    assert!(clients[2].read(&mut [0; 8]).is_err(), "it stays open");
+}
--- a/crates/node/src/wire/frames.rs
+++ b/crates/node/src/wire/frames.rs
@@ -109,6 +109,14 @@
         bytes
     }
 
+    /// Size in bytes of the frame that `buffer` starts with; `None` before its header has arrived.
+    pub fn size(buffer: &[u8]) -> Option<usize> {
+        let header = buffer.first_chunk::<HEADER_BYTES>()?;
+        let fields = usize::from(u16::from_be_bytes([header[2], header[3]]));
+        let body = u32::from_be_bytes([header[4], header[5], header[6], header[7]]) as usize;
+        Some(HEADER_BYTES + fields + body + CHECKSUM_BYTES)
+    }
+
     /// Removes one frame from the front of `buffer`; `None` while it is incomplete.
     pub fn decode(buffer: &mut Vec<u8>, mark: u8) -> Result<Option<Frame>, FrameError> {
         let Some(first) = buffer.first() else { return Ok(None) };
--- a/crates/node/src/wire/http_workers.rs
+++ b/crates/node/src/wire/http_workers.rs
@@ -323,7 +323,8 @@
     max_body_bytes: usize,
 ) -> io::Result<WorkerResponse> {
     let (mut chunk, mut has_begun) = (vec![0; CHUNK], false);
-    receive_buffer.bytes().clear();
+    receive_buffer.clear();
+    receive_buffer.end_message();
     let mut fill = |receive_buffer: &mut ReceiveBuffer| {
         let size = receive_buffer.fill(
             socket,
@@ -334,14 +335,15 @@
         Ok::<_, io::Error>(size)
     };
     let mut head = loop {
-        match ResponseHead::decode(receive_buffer.bytes()).map_err(io::Error::other)? {
+        match receive_buffer.consume(ResponseHead::decode).map_err(io::Error::other)? {
             Some(head) => break head,
             None if fill(receive_buffer)? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
             None => {}
         }
     };
     let mut body = Vec::new();
-    while !head.body.feed(receive_buffer.bytes(), &mut body, max_body_bytes).map_err(io::Error::other)? {
+    let mut feed = |bytes: &mut Vec<u8>, body: &mut Vec<u8>| head.body.feed(bytes, body, max_body_bytes);
+    while !receive_buffer.consume(|bytes| feed(bytes, &mut body)).map_err(io::Error::other)? {
         receive_buffer.beside(body.capacity())?;
         if fill(receive_buffer)? == 0 {
             // The end of a body without a declared length can't be distinguished from a truncated body.
--- a/crates/node/src/wire/operators.rs
+++ b/crates/node/src/wire/operators.rs
@@ -5,6 +5,7 @@
 use super::receive_buffer::{ReceiveBuffer, CHUNK};
 use crate::core::{monotonic_ms, time_until, Invoker};
 use crate::lifecycle::handover::{CommandError, OperatorCommand, OverridesHandle};
+use crate::state::memory_wait::OUT_OF_MEMORY_KIND;
 use corkbay::Ms;
 use corkbay_duty::Leave;
 use corkbay_ledger::Purpose;
@@ -66,48 +67,57 @@
     overrides: &OverridesHandle,
     connection: &Arc<Connection>,
 ) -> Option<Response> {
+    let head = match read_request(connection) {
+        Ok(head) => head,
+        Err(refusal) => return refusal,
+    };
+    let call = match route(&head.method, &head.path) {
+        Ok(call) => call,
+        Err(response) => return Some(response),
+    };
+    let CallReply(status, body_json) = match &call {
+        OperatorCall::Ready => readiness(invoker),
+        OperatorCall::Command(command) => {
+            let end = overrides.execute(command.clone());
+            tracing::info!(?command, ?end, "operators");
+            command_reply(command, end)
+        }
+    };
+    let [yes, no] = &invoker.counters.operators[call.counter_index()];
+    if status < 300 { yes } else { no }.increment();
+    Some(Response::new(status, "application/json", body_json.to_string().into_bytes()))
+}
+
+/// Reads a request and ignores its body. The error is the response, or `None` when the caller disconnected or was too
+/// slow.
+fn read_request(connection: &Connection) -> Result<RequestHead, Option<Response>> {
     let (mut receive_buffer, mut chunk) =
         (ReceiveBuffer::new(connection.account(), Purpose::Operators), vec![0; CHUNK]);
     let end = monotonic_ms() + REQUEST_TIMEOUT_MS;
-    let mut fill = |receive_buffer: &mut ReceiveBuffer| match receive_buffer.fill(
-        connection,
+    let mut fill = |receive_buffer: &mut ReceiveBuffer| match connection.fill(
+        receive_buffer,
         &mut chunk,
         time_until(end),
     ) {
-        Ok(1..) if monotonic_ms() < end => Some(()),
-        _ => None,
+        Ok(1..) if monotonic_ms() < end => Ok(()),
+        Err(error) if error.kind() == OUT_OF_MEMORY_KIND => Err(Some(problem(503, "no memory"))),
+        _ => Err(None),
     };
     let mut head = loop {
-        match RequestHead::decode(receive_buffer.bytes()) {
+        match receive_buffer.consume(RequestHead::decode) {
             Ok(Some(head)) => break head,
             Ok(None) => fill(&mut receive_buffer)?,
-            Err(error) => return Some(bad_request(error)),
+            Err(error) => return Err(Some(bad_request(error))),
         }
     };
     let mut body = Vec::new();
     loop {
-        match head.body.feed(receive_buffer.bytes(), &mut body, MAX_BODY_BYTES) {
-            Ok(true) => break,
+        match receive_buffer.consume(|bytes| head.body.feed(bytes, &mut body, MAX_BODY_BYTES)) {
+            Ok(true) => return Ok(head),
             Ok(false) => fill(&mut receive_buffer)?,
-            Err(error) => return Some(bad_request(error)),
+            Err(error) => return Err(Some(bad_request(error))),
         }
     }
-    Some(match route(&head.method, &head.path) {
-        Ok(call) => {
-            let CallReply(status, body_json) = match &call {
-                OperatorCall::Ready => readiness(invoker),
-                OperatorCall::Command(command) => {
-                    let end = overrides.execute(command.clone());
-                    tracing::info!(?command, ?end, "operators");
-                    command_reply(command, end)
-                }
-            };
-            let [yes, no] = &invoker.counters.operators[call.counter_index()];
-            if status < 300 { yes } else { no }.increment();
-            Response::new(status, "application/json", body_json.to_string().into_bytes())
-        }
-        Err(response) => response,
-    })
 }
 
 /// The response to a request that is not valid HTTP or too long.
--- a/crates/node/src/wire/thrift.rs
+++ b/crates/node/src/wire/thrift.rs
@@ -186,32 +186,47 @@
     }
 }
 
-/// Removes one frame from the start of `buffer` and returns its content; `None` while the frame is incomplete.
-pub fn unframe(buffer: &mut Vec<u8>) -> Result<Option<Vec<u8>>, Malformed> {
-    let Some(head) = buffer.first_chunk::<4>() else { return Ok(None) };
+/// Length of the size that precedes the content of a frame.
+const FRAME_SIZE_BYTES: usize = 4;
+
+/// Size in bytes of the frame that `buffer` starts with, including the size itself; `None` before that has arrived.
+pub fn frame_size(buffer: &[u8]) -> Result<Option<usize>, Malformed> {
+    let Some(head) = buffer.first_chunk::<FRAME_SIZE_BYTES>() else { return Ok(None) };
     let size = u32::from_be_bytes(*head) as usize;
     if size > MAX_FRAME_BYTES {
         return Err(Malformed { call: None, what: "frame too long", unknown_method: false });
     }
-    if buffer.len() < 4 + size {
-        return Ok(None);
-    }
-    let message = buffer[4..4 + size].to_vec();
-    buffer.drain(..4 + size);
+    Ok(Some(FRAME_SIZE_BYTES + size))
+}
+
+/// Removes one frame from the start of `buffer` and returns its content; `None` while the frame is incomplete.
+pub fn unframe(buffer: &mut Vec<u8>) -> Result<Option<Vec<u8>>, Malformed> {
+    let Some(size) = frame_size(buffer)?.filter(|size| *size <= buffer.len()) else { return Ok(None) };
+    let message = buffer[FRAME_SIZE_BYTES..size].to_vec();
+    buffer.drain(..size);
     Ok(Some(message))
 }
 
+/// The sequence number of the request in the frame that `buffer` starts with, of which the end may be missing.
+pub fn begun_request(buffer: &[u8]) -> Option<i32> {
+    let (kind, name, seqid) = message_head(&mut Reader(buffer.get(FRAME_SIZE_BYTES..)?)).ok()?;
+    (kind == CALL && name == "dispatch").then_some(seqid)
+}
+
+/// Reads the kind of a message, the name of its method and its sequence number.
+fn message_head(reader: &mut Reader) -> ReadResult<(u8, String, i32)> {
+    let version = reader.i32()? as u32;
+    if version & 0xffff_0000 != VERSION {
+        return Err("not the strict binary protocol");
+    }
+    Ok((version as u8, reader.text()?, reader.i32()?))
+}
+
 /// Parses a message from a client.
 pub fn parse_message(message: &[u8]) -> Result<Message, Malformed> {
     let mut reader = Reader(message);
-    let mut head = || -> ReadResult<(u8, String, i32)> {
-        let version = reader.i32()? as u32;
-        if version & 0xffff_0000 != VERSION {
-            return Err("not the strict binary protocol");
-        }
-        Ok((version as u8, reader.text()?, reader.i32()?))
-    };
-    let (kind, name, seqid) = head().map_err(|what| Malformed { call: None, what, unknown_method: false })?;
+    let head = message_head(&mut reader);
+    let (kind, name, seqid) = head.map_err(|what| Malformed { call: None, what, unknown_method: false })?;
     let call = (kind == CALL).then(|| (seqid, name.clone()));
     if kind != CALL && kind != ONEWAY {
         return Err(Malformed { call, what: "neither a call nor a oneway", unknown_method: false });
--- a/crates/node/src/wire/workers.rs
+++ b/crates/node/src/wire/workers.rs
@@ -65,7 +65,7 @@
 pub struct FrameWorkers {
     limits: Limits,
     account: Account,
-    pools: Mutex<Pools>,
+    pools: Arc<Mutex<Pools>>,
     connections: Arc<AtomicUsize>,
     /// Number of evicted connections that have not ended yet.
     evicting: Arc<AtomicUsize>,
@@ -85,12 +85,20 @@
 impl FrameWorkers {
     /// Creates the pools without connections. Memory of the connections is charged to the account.
     pub fn new(limits: Limits, account: Account) -> Self {
+        let (pools, evicting) = (Arc::<Mutex<Pools>>::default(), Arc::<AtomicUsize>::default());
+        let (reclaimed_pools, reclaimed) = (Arc::downgrade(&pools), evicting.clone());
+        account.add_reclaimer(move |bytes| {
+            let Some(pools) = reclaimed_pools.upgrade() else { return };
+            let pools = lock(&pools);
+            let needed = bytes.div_ceil(CONNECTION_BYTES);
+            let _ = (0..needed).take_while(|_| evict_longest_idle(&pools, &reclaimed)).count();
+        });
         FrameWorkers {
             limits,
             account,
-            pools: Mutex::new(HashMap::new()),
+            pools,
             connections: Arc::new(AtomicUsize::new(0)),
-            evicting: Arc::new(AtomicUsize::new(0)),
+            evicting,
             max_connections: AtomicUsize::new(limits.connections),
             next_order_id: AtomicU64::new(1 << 62),
             connection_attempts: Arc::default(),
@@ -173,7 +181,8 @@
             self.connections.load(Ordering::Relaxed) >= self.max_connections.load(Ordering::Relaxed);
         let is_memory_low =
             self.account.used() > self.account.cap() / RESERVED_DIVISOR * (RESERVED_DIVISOR - 1);
-        let made_room = (held.is_err() || is_full || is_memory_low) && self.evict_longest_idle(pools);
+        let made_room =
+            (held.is_err() || is_full || is_memory_low) && evict_longest_idle(pools, &self.evicting);
         if (held.is_err() || is_full) && !made_room {
             return None;
         }
@@ -196,19 +205,6 @@
         Some(connection)
     }
 
-    /// Evicts the connection that has been idle longest. False when none is idle, or when
-    /// [`MAX_EVICTING_CONNECTIONS`] evicted connections have not ended yet.
-    fn evict_longest_idle(&self, pools: &Pools) -> bool {
-        if self.evicting.load(Ordering::Relaxed) >= MAX_EVICTING_CONNECTIONS {
-            return false;
-        }
-        let idle = pools.values().flatten().filter(|connection| lock(&connection.exchanges).is_idle());
-        let Some(longest) = idle.min_by_key(|connection| connection.last_used_ms()) else { return false };
-        let is_evicted = longest.evict_if_idle();
-        self.evicting.fetch_add(usize::from(is_evicted), Ordering::Relaxed);
-        is_evicted
-    }
-
     /// Sends a command and waits for the frame that answers it, for `within` at most.
     fn send_and_wait(
         &self,
@@ -237,6 +233,19 @@
     }
 }
 
+/// Evicts the connection that has been idle longest. False when none is idle, or when
+/// [`MAX_EVICTING_CONNECTIONS`] evicted connections have not ended yet; `evicting` counts these.
+fn evict_longest_idle(pools: &Pools, evicting: &AtomicUsize) -> bool {
+    if evicting.load(Ordering::Relaxed) >= MAX_EVICTING_CONNECTIONS {
+        return false;
+    }
+    let idle = pools.values().flatten().filter(|connection| lock(&connection.exchanges).is_idle());
+    let Some(longest) = idle.min_by_key(|connection| connection.last_used_ms()) else { return false };
+    let is_evicted = longest.evict_if_idle();
+    evicting.fetch_add(usize::from(is_evicted), Ordering::Relaxed);
+    is_evicted
+}
+
 /// A connection's slot in the budget; released when the task of the connection ends, also by a panic.
 struct ConnectionSlot {
     connection: Arc<Connection>,
--- a/crates/node/src/wire/workers/connection.rs
+++ b/crates/node/src/wire/workers/connection.rs
@@ -226,7 +226,11 @@
     fn read(&self, socket: &Socket, mut receive_buffer: ReceiveBuffer, max_answer_bytes: usize) {
         let mut chunk = vec![0; CHUNK];
         loop {
-            match Frame::decode(receive_buffer.bytes(), FROM_WORKER) {
+            let decoded = receive_buffer.consume(|bytes| Frame::decode(bytes, FROM_WORKER));
+            if !matches!(decoded, Ok(None)) {
+                receive_buffer.end_message();
+            }
+            match decoded {
                 Ok(Some(frame)) if frame.body.len() > max_answer_bytes => {
                     return tracing::warn!(bytes = frame.body.len(), "worker connection closed: long answer");
                 }
@@ -246,6 +250,7 @@
                 }
                 Err(error) => return tracing::warn!(%error, "worker connection closed"),
                 Ok(None) => {
+                    receive_buffer.expect(Frame::size(receive_buffer.bytes()).unwrap_or(0));
                     let within =
                         if receive_buffer.is_empty() { IDLE_READ_TIMEOUT } else { PARTIAL_MESSAGE_TIMEOUT };
                     match receive_buffer.fill(socket, &mut chunk, within) {
