Tell the old process of an upgrade which clients no longer wait for its answers

A client that used the number of a cancelled request again got the first one's answer. Clients of a new process that died waited until their time was up.

Cause: the handover went one way. The new process reads a client whose request the old one answers, and had no message for what it learns; it also settled answers by number alone.

Change: the handover's channel is read by the old process, too: withdrawals by connection and number, a greeting of a successor that keeps the channel open. OpenRequests is the one place that knows who answers a request and tells that process. The old process takes connections back from a successor that has ended. A flag in unused bytes keeps mixed versions as they were. Counter withdrawn_at_predecessor.

Why it works: every way in which a reader stops waiting for a request goes through OpenRequests, which withdraws it where it is answered.

Tests of the daemon and of duty green.

--- a/crates/node/src/lifecycle/platform.rs
+++ b/crates/node/src/lifecycle/platform.rs
@@ -253,10 +253,9 @@
     if let Some(slot) = &slot {
         let (task_invoker, task_acceptor, task_handover) =
             (invoker.clone(), acceptor.clone(), connection_handover.clone());
-        let resume = move |stream, owed: &[i32]| {
-            task_acceptor
-                .take_over(stream)
-                .map(|connection| thrift_front::resume(&task_invoker, &task_handover, connection, owed))
+        let resume = move |stream, unanswered: &[i32], withdrawals| {
+            let connection = task_acceptor.take_over(stream)?;
+            Ok(thrift_front::resume(&task_invoker, &task_handover, connection, unanswered, withdrawals))
         };
         if let Err(error) = connection_handover::listen(&slot.folder, slot.number, resume) {
             tracing::warn!(%error, "handover: no connections can be taken over");
--- a/crates/node/src/state/counters.rs
+++ b/crates/node/src/state/counters.rs
@@ -78,6 +78,8 @@
     pub passed_on: Counter,
     /// Client connections taken over from the previous process.
     pub taken_over: Counter,
+    /// Withdrawals sent to the previous process for requests that it answers.
+    pub withdrawn_at_predecessor: Counter,
     /// Retries: attempts after the first of their request.
     pub retried: Counter,
     /// Unsuccessful attempts by outcome, in the order of [`OUTCOMES`].
@@ -117,6 +119,7 @@
             operators: Default::default(),
             passed_on: counter(),
             taken_over: counter(),
+            withdrawn_at_predecessor: counter(),
             retried: counter(),
             lost: Default::default(),
             unserved: Unserved::names().map(|_| counter()).collect(),
@@ -183,6 +186,7 @@
             ("operators_no", &self.operators_no),
             ("passed_on", &self.passed_on),
             ("taken_over", &self.taken_over),
+            ("withdrawn_at_predecessor", &self.withdrawn_at_predecessor),
             ("retried", &self.retried),
         ];
         let calls = OPERATORS.iter().zip(&self.operators).flat_map(|(name, [yes, no])| {
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -4,7 +4,7 @@
 use crate::core::{lock, monotonic_ms};
 use crate::state::clients::ClientState;
 use crate::timers;
-use crate::wire::connection_handover::{AnswerForwarder, HandoverSender};
+use crate::wire::connection_handover::{AnswerForwarder, HandedOverConnection, HandoverSender};
 use crate::wire::receive_buffer::ReceiveBuffer;
 use crate::wire::socket::Socket;
 use corkbay::Ms;
@@ -188,12 +188,17 @@
 
     /// Hands the connection over to the successor, unless an answer is being written. Called by the reader when no incomplete
     /// message is buffered; it must not read any more if this returns true.
-    pub fn hand_over(&self, handover: &HandoverSender, unanswered: impl FnOnce() -> Vec<i32>) -> bool {
+    pub fn hand_over(
+        &self,
+        handover: &HandoverSender,
+        unanswered: impl FnOnce() -> Vec<i32>,
+        handed_over: impl FnOnce() -> Arc<dyn HandedOverConnection>,
+    ) -> bool {
         let Ok(mut forwarder_slot) = self.forwarder.try_lock() else { return false };
         if !handover.is_open() || !lock(&self.clients).hand_over(self.number) {
             return false;
         }
-        let forwarder = handover.pass(|| self.socket.duplicate(), unanswered());
+        let forwarder = handover.pass(|| self.socket.duplicate(), unanswered(), handed_over());
         if forwarder.is_none() {
             // The handover failed: the connection is drained as usual.
             self.shut(Shutdown::Read);
@@ -205,6 +210,16 @@
         true
     }
 
+    /// Waits until an answer that is being written has been written.
+    pub fn finish_writing(&self) {
+        drop(lock(&self.forwarder));
+    }
+
+    /// Takes the connection back from a successor that has ended: this process writes its answers again.
+    pub fn take_back(&self) {
+        *lock(&self.forwarder) = None;
+    }
+
     /// Whether it is closed once all requests are answered.
     pub fn is_draining(&self) -> bool {
         lock(&self.clients).is_draining(self.number)
--- a/crates/node/src/wire/thrift_front/reader.rs
+++ b/crates/node/src/wire/thrift_front/reader.rs
@@ -2,9 +2,10 @@
 //!
 //! Invariant: a request is answered before its connection is closed by this process, also when the rest of its message
 //! can't be stored or a later message can't be read.
+use super::handed_over::GivenConnection;
+use super::open_requests::OpenRequests;
 use super::requests::{crashed, dispatch, rejected, write, OVERLOAD_RETRY_AFTER_MS};
-use super::{local_request_ids, OpenRequests, Responder};
-use crate::core::{lock, monotonic_ms, time_until, Invoker};
+use crate::core::{monotonic_ms, time_until, Invoker};
 use crate::state::clients::ClientState;
 use crate::state::memory_wait::OUT_OF_MEMORY_KIND;
 use crate::timers;
@@ -50,7 +51,7 @@
     invoker: &'a Arc<Invoker>,
     handover: &'a HandoverSender,
     connection: &'a Arc<Connection>,
-    open_requests: &'a OpenRequests,
+    open_requests: &'a Arc<OpenRequests>,
     buffer: ReceiveBuffer,
     chunk: Vec<u8>,
     /// When the first byte of the current message was read, on the monotonic clock in milliseconds.
@@ -67,7 +68,7 @@
         invoker: &'a Arc<Invoker>,
         handover: &'a HandoverSender,
         connection: &'a Arc<Connection>,
-        open_requests: &'a OpenRequests,
+        open_requests: &'a Arc<OpenRequests>,
     ) -> Self {
         Reader {
             invoker,
@@ -114,7 +115,7 @@
         }
         let end = self.read_deadline(state, since);
         if connection.is_draining() && self.invoker.serving_state().ends(monotonic_ms(), self.last_request) {
-            local_request_ids(self.open_requests).into_iter().for_each(|id| self.invoker.end(id));
+            self.open_requests.local_ids().into_iter().for_each(|id| self.invoker.end(id));
         }
         match self.fill(time_until(end))? {
             // The read side was shut down by this process. Bytes that were sent before are still read, and the
@@ -144,8 +145,12 @@
     }
 
     fn hand_over(&self) -> bool {
-        let unanswered = || lock(self.open_requests).keys().copied().collect();
-        self.connection.hand_over(self.handover, unanswered)
+        let (connection, open_requests) = (self.connection, self.open_requests);
+        connection.hand_over(
+            self.handover,
+            || open_requests.seqids(),
+            || Arc::new(GivenConnection::new(connection, open_requests)),
+        )
     }
 
     /// Until when the next bytes are waited for, on the monotonic clock in milliseconds.
@@ -230,17 +235,18 @@
         let result = match thrift::parse_message(message) {
             Ok(Message::Dispatch { seqid, fields, body }) => {
                 self.last_request = self.message_began;
-                let open = lock(self.open_requests).remove(&seqid);
-                if let Some(responder) = open {
+                if self.open_requests.take(seqid) {
                     // The client could not tell which of the two requests an answer belongs to, so neither has one.
-                    self.withdraw(responder);
+                    connection.request_ended();
                     let what = "the sequence number is open already";
                     return Err(Malformed { call: None, what, unknown_method: false });
                 }
                 dispatch(invoker, self.open_requests, connection, seqid, &fields, body)
             }
             Ok(Message::Cancel { seqid }) => {
-                self.cancel(seqid);
+                if self.open_requests.withdraw(seqid) {
+                    connection.request_ended();
+                }
                 Ok(())
             }
             Ok(Message::Alive { seqid }) => {
@@ -261,19 +267,6 @@
         result.or_else(|what| self.count_malformed(what))
     }
 
-    fn cancel(&self, seqid: i32) {
-        let responder = lock(self.open_requests).get(&seqid).copied();
-        match responder {
-            Some(Responder::Local(id)) => self.invoker.withdraw(id),
-            // The other process completes the call; its answer is discarded here.
-            Some(Responder::Predecessor) => {
-                lock(self.open_requests).remove(&seqid);
-                self.connection.request_ended();
-            }
-            None => {}
-        }
-    }
-
     /// Counts a message that was answered with an error; fails once there were too many.
     fn count_malformed(&mut self, what: &'static str) -> Result<(), Malformed> {
         self.invoker.counters.malformed.increment();
@@ -288,22 +281,14 @@
         Ok(())
     }
 
-    /// Withdraws a request that was removed from the table of open requests.
-    fn withdraw(&self, responder: Responder) {
-        if let Responder::Local(id) = responder {
-            self.invoker.withdraw(id);
-        }
-        self.connection.request_ended();
-    }
-
     /// Fails the open requests of a connection whose next message can't be read, so that each has its answer before
     /// the connection is closed.
     pub(super) fn fail_open_requests(&self) {
-        let open: Vec<(i32, Responder)> = lock(self.open_requests).drain().collect();
-        for (seqid, responder) in &open {
+        let open = self.open_requests.take_all();
+        for seqid in &open {
             let answer = crashed("a later message on the connection can't be read");
             write(self.connection, &thrift::reply("dispatch", *seqid, answer));
-            self.withdraw(*responder);
+            self.connection.request_ended();
         }
         // A request also counts as unanswered while its answer is being written.
         let mut is_answering = !open.is_empty();
--- a/crates/node/src/wire/thrift_front/requests.rs
+++ b/crates/node/src/wire/thrift_front/requests.rs
@@ -1,6 +1,6 @@
 //! Requests of the Thrift front: builds calls from their fields, has them served and writes their answers.
-use super::{OpenRequests, Responder};
-use crate::core::{lock, AdmissionError, Answer, Call, Failure, Invoker};
+use super::open_requests::{OpenRequests, Responder};
+use crate::core::{AdmissionError, Answer, Call, Failure, Invoker};
 use crate::lifecycle::spawn;
 use crate::wire::accept::Connection;
 use crate::wire::thrift::{self, Fields, Reply};
@@ -24,7 +24,7 @@
 /// once; the error says why it is malformed.
 pub(super) fn dispatch(
     invoker: &Arc<Invoker>,
-    open_requests: &OpenRequests,
+    open_requests: &Arc<OpenRequests>,
     connection: &Arc<Connection>,
     seqid: i32,
     fields: &Fields,
@@ -37,7 +37,7 @@
         reply_now(rejected(OVERLOAD_RETRY_AFTER_MS));
         return Ok(());
     }
-    if lock(open_requests).len() >= MAX_OPEN_REQUESTS {
+    if open_requests.len() >= MAX_OPEN_REQUESTS {
         reply_now(rejected(OVERLOAD_RETRY_AFTER_MS));
         return Ok(());
     }
@@ -46,7 +46,7 @@
         let id = call.request.id;
         let accepted = invoker.accept(call);
         if accepted.is_ok() {
-            lock(open_requests).insert(seqid, Responder::Local(id));
+            open_requests.insert(seqid, Responder::Local(id));
         }
         accepted
     });
@@ -72,12 +72,9 @@
                 };
                 let bytes = reply.map(|reply| thrift::reply("dispatch", seqid, reply)).unwrap_or_default();
                 // `accepted` is released only after the answer is written.
-                connection.finish_request(
-                    seqid,
-                    bytes,
-                    || lock(&open_requests).remove(&seqid).is_some(),
-                    accepted,
-                );
+                let responder = Responder::Local(accepted.call().request.id);
+                let settle = || open_requests.settle(seqid, responder);
+                connection.finish_request(seqid, bytes, settle, accepted);
             });
         }
         Err(what) => {
--- a/crates/node/tests/support/workers.rs
+++ b/crates/node/tests/support/workers.rs
@@ -131,6 +131,15 @@
         fleet
     }
 
+    /// Sets what becomes of all further calls.
+    pub fn continue_with(&self, behaviour: Behaviour) {
+        let mut shared = self.shared.0.lock().expect("whole");
+        let count = shared.sent.len();
+        let last = *shared.script.last().expect("a script");
+        shared.script.resize(count, last);
+        shared.script.push(behaviour);
+    }
+
     pub fn sent(&self) -> Vec<Sent> {
         self.shared.0.lock().expect("whole").sent.clone()
     }
