End the calls of an earlier life also when their records come from peers

With a damaged log, a served call read as failed for a while.

Cause: open calls and keys were restored once, from the store as it was at the start; a store without its disk is filled by peers later.

Evidence: on the returned node itself answers 202, so it has the records, and nothing in it ends them; with its disk it does.

Change: Invocations knows which open calls this process runs; all other open records of the node are orphans, whenever they come, and are ended or rerun once all peers hold the same records, or after the longest give-up time if one is away. Keys come with the records. A node with an empty or cut log serves once it has tried each peer. Counter orphans_ended and a log line.

Why it works: restore is one path for the start and for replication, and no call is registered as running later than its record shows.

--- a/crates/node/src/lifecycle/service.rs
+++ b/crates/node/src/lifecycle/service.rs
@@ -6,7 +6,7 @@
     ACCEPT_AFTER_SIGTERM, LEAVE_SCHEDULE_WITHOUT_SUCCESSOR,
 };
 use super::{accounts, spawn};
-use crate::core::{Invoker, Workers};
+use crate::core::{monotonic_ms, Invoker, Workers};
 use crate::state::catalog::{Catalog, CatalogError, Worker};
 use crate::state::deploy_entries::DeployEntry;
 use crate::state::invocations::Invocations;
@@ -17,8 +17,9 @@
 use crate::wire::http_workers::{self, HttpWorkers};
 use crate::wire::invoke::{self, InvokeApi};
 use crate::wire::record_changes::OnRecordChanges;
-use crate::wire::replication;
+use crate::wire::replication::{self, Mesh};
 use crate::wire::workers::FrameWorkers;
+use corkbay::Ms;
 use corkbay_ledger::{Account, Ledger, Purpose};
 use serde_json::Value;
 use std::fmt::Display;
@@ -31,6 +32,13 @@
 /// Time for writing the last answers at shutdown, after the longest_ms deadline of the unanswered requests.
 const FINAL_ANSWER_TIME: Duration = Duration::from_secs(1);
 
+/// Interval at which calls of an earlier life are looked for.
+const ORPHAN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after an error of the store while such calls are ended.
+const ORPHAN_RETRY_PAUSE: Duration = Duration::from_secs(5);
+/// Poll interval at the start of a node that may lack records of its own.
+const PEER_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Minimum time for which the outcome of a deferred call can be fetched after a restart.
 const MIN_OUTCOME_RETENTION: Duration = Duration::from_secs(60);
 
@@ -68,8 +76,11 @@
     }
     seed(&catalog, deploy)?;
     let retention = Duration::from_secs_f64(deploy.retention_s);
-    let invocations =
-        Invocations::new(store.clone(), retention, deploy.answer_bytes()).map_err(|e| at("data_dir")(&e))?;
+    let invocations = Invocations::restored(store.clone(), retention, deploy.answer_bytes());
+    let lacks_own_records = deploy.replication.is_some() && store.may_lack_own_records();
+    if !lacks_own_records {
+        invocations.end_orphans(|_| true).map_err(|e| at("data_dir")(&e))?;
+    }
     let followers = deploy.feed.as_ref().map_or(0, |feed| feed.followers);
     let (clients, to_workers) = split_descriptors(deploy.sockets - followers);
     let workers = worker_client(deploy, &settings, to_workers, ledger.account(Purpose::Workers));
@@ -83,6 +94,9 @@
         invocations: Arc::new(invocations),
     };
     let role = start_role(deploy, &store, &targets)?;
+    if let Some(mesh) = role.mesh.as_deref().filter(|_| lacks_own_records) {
+        wait_for_own_records(mesh);
+    }
     let RecordTargets { catalog, invocations, .. } = targets;
     let api = Arc::new(InvokeApi { invoker: invoker.clone(), invocations, catalog, role });
     let account = ledger.account(Purpose::Clients).clone();
@@ -97,6 +111,8 @@
         }
     });
     api.resume();
+    let (task_api, longest_give_up) = (api.clone(), longest_deadline(&settings));
+    spawn(move || end_orphans(&task_api, longest_give_up));
     let (task_api, task_acceptor) = (api.clone(), acceptor.clone());
     spawn(move || task_acceptor.accept(move |connection| invoke::serve(&task_api, &connection)));
     println!("invoke API on {bound}");
@@ -131,17 +147,55 @@
         let invoker = self.invoker.clone();
         let catalog = self.catalog.clone();
         let invocations = self.invocations.clone();
-        Arc::new(move |news| {
-            if news.workers {
+        Arc::new(move |changes| {
+            if changes.workers {
                 catalog.announce(&invoker);
             }
-            if news.invocations {
+            invocations.restore_received(&changes.own_invocations);
+            if changes.invocations {
                 invocations.wake();
             }
         })
     }
 }
 
+/// Waits until each peer has sent the records that this node lacks, or could not be reached: a repeat of an idempotency key
+/// must find the call of an earlier life.
+fn wait_for_own_records(mesh: &Mesh) {
+    while !mesh.has_tried_all_peers() {
+        std::thread::sleep(PEER_POLL_INTERVAL);
+    }
+}
+
+/// Ends the calls of an earlier life whose records are found, for as long as the process lives. A peer may have the final
+/// record of such a call, so it is ended only once all peers hold the same records as this node, or after `longest_give_up`
+/// if one of them is away: by then the call would have ended anyway, and a peer within reach has sent what it has.
+fn end_orphans(api: &Arc<InvokeApi>, longest_give_up: Duration) {
+    let longest_give_up_ms = longest_give_up.as_secs_f64() * 1000.0;
+    let have_peers_agreed =
+        |since: Ms| api.role.mesh.as_ref().is_none_or(|mesh| mesh.have_all_peers_agreed_since(since));
+    loop {
+        timers::sleep(ORPHAN_CHECK_INTERVAL);
+        if !api.invocations.has_orphans() {
+            continue;
+        }
+        let now = monotonic_ms();
+        let is_due = |found: Ms| now - found >= longest_give_up_ms || have_peers_agreed(found);
+        match api.invocations.end_orphans(is_due) {
+            Ok(0) => {}
+            Ok(calls) => {
+                tracing::info!(calls, "deferred calls of an earlier life are ended or run again");
+                (0..calls).for_each(|_| api.invoker.counters.orphans_ended.increment());
+                api.resume();
+            }
+            Err(error) => {
+                tracing::error!(%error, "calls of an earlier life can't be ended");
+                timers::sleep(ORPHAN_RETRY_PAUSE);
+            }
+        }
+    }
+}
+
 /// Starts the node's role in the distribution of configuration: replication, feed or follower.
 fn start_role(deploy: &Deploy, store: &Arc<Store>, targets: &RecordTargets) -> Result<Role, ConfigError> {
     let mut role = Role::default();
--- a/crates/node/src/state/counters.rs
+++ b/crates/node/src/state/counters.rs
@@ -80,6 +80,8 @@
     pub taken_over: Counter,
     /// Withdrawals sent to the previous process for requests that it answers.
     pub withdrawn_at_predecessor: Counter,
+    /// Deferred calls that an earlier life of this node left open, ended or run again.
+    pub orphans_ended: Counter,
     /// Retries: attempts after the first of their request.
     pub retried: Counter,
     /// Unsuccessful attempts by outcome, in the order of [`OUTCOMES`].
@@ -120,6 +122,7 @@
             passed_on: counter(),
             taken_over: counter(),
             withdrawn_at_predecessor: counter(),
+            orphans_ended: counter(),
             retried: counter(),
             lost: Default::default(),
             unserved: Unserved::names().map(|_| counter()).collect(),
@@ -187,6 +190,7 @@
             ("passed_on", &self.passed_on),
             ("taken_over", &self.taken_over),
             ("withdrawn_at_predecessor", &self.withdrawn_at_predecessor),
+            ("orphans_ended", &self.orphans_ended),
             ("retried", &self.retried),
         ];
         let calls = OPERATORS.iter().zip(&self.operators).flat_map(|(name, [yes, no])| {
--- a/crates/node/src/state/invocations.rs
+++ b/crates/node/src/state/invocations.rs
@@ -3,6 +3,10 @@
 //! Memory for what a call leaves behind is reserved before the call runs: for the largest answer that a repeat of its
 //! idempotency key may receive, and for the largest final record that its client may fetch. Memory that the answer
 //! doesn't need is released when the call ends.
+//!
+//! Invariant: an open record of this node is that of a call which this process runs, or of an orphan, which this process
+//! ends. It makes no difference whether the record was found at the start or came later from a peer (see `orphans`).
+mod orphans;
 mod rerun;
 
 pub use rerun::{Rerun, Resumable};
@@ -10,11 +14,12 @@
 use super::keys::INVOCATION;
 use super::record::{Record, Text};
 use super::store::{refuse, Draft, Store, StoreError, Writers};
-use crate::core::{lock, monotonic_ms, Answer, Failure, UnixTime};
+use crate::core::{lock, monotonic_ms, Answer, UnixTime};
 use crate::timers;
 use corkbay::{Ms, RequestId};
 use corkbay_ledger::{Purpose, Reservation};
 use may::sync::{mpsc, Mutex};
+use orphans::OpenCalls;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -126,51 +131,37 @@
     max_answer_bytes: usize,
     keys: Mutex<Keys>,
     waiters: Mutex<Waiters>,
+    /// Which of this node's open calls are run by this process.
+    open_calls: Mutex<OpenCalls>,
     /// Calls that were open when the previous process ended and may be run again.
     resumable: Mutex<Vec<Resumable>>,
 }
 
 impl Invocations {
-    /// Restores the keys and open calls from the store; `max_answer_bytes` is the maximum body of an answer. A call that
-    /// this node had accepted but not finished when it stopped may have run. It is
-    /// [run again](Invocations::take_resumable) if calls of its class may be repeated; otherwise it fails and is not sent
-    /// again.
+    /// Restores the keys and open calls from the store; `max_answer_bytes` is the maximum body of an answer. Calls that this
+    /// node had accepted but not finished when it stopped are ended as [`Invocations::end_orphans`] does.
     pub fn new(store: Arc<Store>, retention: Duration, max_answer_bytes: usize) -> Result<Self, StoreError> {
-        let retention = retention.as_secs_f64() * 1000.0;
-        let (keys, waiters, resumable) = (Mutex::default(), Mutex::default(), Mutex::default());
-        let invocations = Invocations { store, retention, max_answer_bytes, keys, waiters, resumable };
-        for record in invocations.store.records_with_prefix(INVOCATION) {
-            let (Some(id), Some(mut deferred)) = (id_of(&record), read(&record)) else { continue };
-            if &*record.node != invocations.store.node() {
-                continue;
-            }
-            if let Some(rerun) = deferred.rerun.take().filter(|_| !record.is_final) {
-                lock(&invocations.resumable).push(Resumable { id, deferred, rerun });
-                continue;
-            }
-            if !record.is_final {
-                deferred.answer = Some(Answer::Failed(Failure { may_have_run: true, late: false }));
-                let final_draft = Draft { may_exceed_cap: true, ..invocations.draft(&deferred, true) };
-                invocations.store.put(&mut Draft { key: &key_of(id), ..final_draft })?;
-            }
-            let Deferred { function, key, body_check, repeats_until, repeats_for, answer, .. } = deferred;
-            let until = match repeats_for {
-                // Written by an earlier version, which did not store the duration.
-                0.0 => repeats_until.at_start_clock(),
-                span => monotonic_ms() + span,
-            };
-            // A call that never ran released its key.
-            if let Some(key) = key.filter(|_| answer.as_ref().is_some_and(may_have_run)) {
-                let key = (function, key);
-                let size = key_size(&key) + answer.as_ref().map_or(0, answer_size);
-                let held = invocations.store.ledger().reserve_over_cap(Purpose::Keys, size);
-                let entry = KeyEntry { id, body_check, until, answer, held };
-                lock(&invocations.keys).entries.insert(key, entry);
-            }
-        }
+        let invocations = Invocations::restored(store, retention, max_answer_bytes);
+        invocations.end_orphans(|_| true)?;
         Ok(invocations)
     }
 
+    /// Like [`Invocations::new`], but leaves open calls to be ended by the caller.
+    pub fn restored(store: Arc<Store>, retention: Duration, max_answer_bytes: usize) -> Self {
+        let invocations = Invocations {
+            store,
+            retention: retention.as_secs_f64() * 1000.0,
+            max_answer_bytes,
+            keys: Mutex::default(),
+            waiters: Mutex::default(),
+            open_calls: Mutex::default(),
+            resumable: Mutex::default(),
+        };
+        let records = invocations.store.records_with_prefix(INVOCATION);
+        records.iter().for_each(|record| invocations.restore(record));
+        invocations
+    }
+
     /// Takes the calls that were open when the previous process ended and may be run again; each must be
     /// [finished](Invocations::finish).
     pub fn take_resumable(&self) -> Vec<Resumable> {
@@ -238,7 +229,11 @@
         let final_size = open_size + FINAL_OVERHEAD_BYTES + self.max_answer_bytes.div_ceil(3) * 4;
         let reservation = self.store.reserve(Purpose::DeferredFinal, tenant, final_size)?;
         let held = Some(self.store.reserve(Purpose::DeferredOpen, tenant, open_size)?);
-        self.store.put(&mut Draft { key: &key, held, ..open })?;
+        // Before the record shows, so that it is never taken for that of an orphan.
+        lock(&self.open_calls).start(id);
+        self.store
+            .put(&mut Draft { key: &key, held, ..open })
+            .inspect_err(|_| lock(&self.open_calls).finish(id))?;
         Ok(AcceptedCall { deferred, reservation })
     }
 
@@ -268,6 +263,8 @@
                     None => break,
                 }
             }
+            lock(&self.open_calls).finish(id);
+            self.adopt_if_open(id);
         }
         if let Some(key) = key {
             let mut keys = lock(&self.keys);
--- a/crates/node/src/state/invocations/tests.rs
+++ b/crates/node/src/state/invocations/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::core::Failure;
 use crate::state::test_ledger;
 use corkbay_ledger::{Budget, Ledger, Shares, TenantShare, MIB};
 
@@ -147,3 +148,58 @@
     assert_eq!(other, Repeat::Fresh, "an expired key is new again");
     assert!(account.used() < before + MAX_ANSWER_BYTES, "expired keys were dropped");
 }
+
+/// A node with an empty store whose record of an open call comes from a peer.
+fn returned(is_running: bool) -> (Arc<Store>, Invocations) {
+    let new_store = || Arc::new(Store::in_memory("a", test_ledger()));
+    let (old, peer, store) = (new_store(), Store::in_memory("b", test_ledger()), new_store());
+    let retention = Duration::from_secs(60);
+    let before = Invocations::new(old.clone(), retention, MAX_ANSWER_BYTES).expect("in memory");
+    before.accept(RequestId(7), deferred("k"), None).expect("in memory");
+    peer.merge(old.missing_records(&peer.digest(), usize::MAX)).expect("in memory");
+    let after = Invocations::new(store.clone(), retention, MAX_ANSWER_BYTES).expect("in memory");
+    if is_running {
+        after.accept(RequestId(7), deferred("k"), None).expect("in memory");
+    }
+    store.merge(peer.missing_records(&store.digest(), usize::MAX)).expect("in memory");
+    after.restore_received(&[key_of(RequestId(7)).into()]);
+    (store, after)
+}
+
+/// Guards against an open call that no process ends: its record comes from a peer after the start.
+#[test]
+fn an_open_call_that_comes_from_a_peer_is_ended_once_it_is_due() {
+    let (_, invocations) = returned(false);
+    let repeat = |id| invocations.admit(&("f".into(), "k".into()), RequestId(id), b"x", f64::MAX, None);
+    assert_eq!(repeat(8), Repeat::Open(RequestId(7)));
+    assert_eq!(invocations.end_orphans(|_| false).expect("in memory"), 0);
+    assert!(invocations.has_orphans());
+    assert_eq!(invocations.end_orphans(|_| true).expect("in memory"), 1);
+    let failed = Answer::Failed(Failure { may_have_run: true, late: false });
+    assert_eq!(invocations.get(RequestId(7)).expect("kept").1.answer, Some(failed.clone()));
+    assert_eq!(repeat(9), Repeat::Done(RequestId(7), failed));
+    assert!(!invocations.has_orphans());
+}
+
+/// A call that this process runs is never ended as one of an earlier life.
+#[test]
+fn a_running_call_is_no_orphan() {
+    let (_, invocations) = returned(true);
+    assert!(!invocations.has_orphans());
+    assert_eq!(invocations.end_orphans(|_| true).expect("in memory"), 0);
+    assert!(!invocations.get(RequestId(7)).expect("kept").0.is_final);
+}
+
+/// A final record that comes before an orphan is due stands.
+#[test]
+fn the_answer_of_an_earlier_life_is_not_replaced() {
+    let (store, invocations) = returned(false);
+    let served = Deferred { answer: Some(Answer::Served { body: b"z".to_vec() }), ..deferred("k") };
+    let final_draft = invocations.draft(&served, true);
+    store.put(&mut Draft { key: &key_of(RequestId(7)), ..final_draft }).expect("in memory");
+    invocations.restore_received(&[key_of(RequestId(7)).into()]);
+    assert_eq!(invocations.end_orphans(|_| true).expect("in memory"), 0);
+    assert_eq!(invocations.get(RequestId(7)).expect("kept").1.answer, served.answer);
+    let repeat = invocations.admit(&("f".into(), "k".into()), RequestId(8), b"x", f64::MAX, None);
+    assert_eq!(repeat, Repeat::Done(RequestId(7), Answer::Served { body: b"z".to_vec() }));
+}
--- a/crates/node/src/state/log.rs
+++ b/crates/node/src/state/log.rs
@@ -54,6 +54,7 @@
     jobs: mpsc::Sender<(Job, Waiter)>,
     queued: Account,
     size: Arc<AtomicU64>,
+    was_truncated: bool,
 }
 
 impl Log {
@@ -66,7 +67,8 @@
         let mut file = OpenOptions::new().create(true).truncate(false).read(true).write(true).open(&path)?;
         let complete_bytes = decode(BufReader::new(&file), &mut each)?;
         let size = file.metadata()?.len();
-        if complete_bytes < size {
+        let was_truncated = complete_bytes < size;
+        if was_truncated {
             tracing::warn!(
                 bytes = size - complete_bytes,
                 "log: what stands behind the last whole record is cut off"
@@ -86,7 +88,12 @@
             rename_may_be_lost: false,
         };
         std::thread::Builder::new().name("log".into()).spawn(move || writer.run(&queue))?;
-        Ok(Log { jobs, queued, size })
+        Ok(Log { jobs, queued, size, was_truncated })
+    }
+
+    /// Whether bytes after the last complete record were truncated when the log was opened.
+    pub fn was_truncated(&self) -> bool {
+        self.was_truncated
     }
 
     /// Appends records and returns once they are synced to disk.
@@ -266,7 +273,7 @@
         let resume_disk = move || {
             std::thread::spawn(move || queue.iter().for_each(|(_, waiter)| _ = waiter.send(Ok(()))));
         };
-        (Log { jobs, queued, size: Arc::default() }, resume_disk)
+        (Log { jobs, queued, size: Arc::default(), was_truncated: false }, resume_disk)
     }
 }
 
--- a/crates/node/src/state/store/merge.rs
+++ b/crates/node/src/state/store/merge.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Whether a record that another node sent would replace the local version.
+    pub fn is_news(&self, record: &Record) -> bool {
+        self.supersedes_local(record, UnixTime::steady())
+    }
+
     /// Whether a record of another node would replace the local version.
     fn supersedes_local(&self, record: &Record, now: UnixTime) -> bool {
         if is_node_local(&record.key) || record.expired(now) {
--- a/crates/node/src/state/store/mod.rs
+++ b/crates/node/src/state/store/mod.rs
@@ -90,6 +90,8 @@
     writing: Mutex<ExpiryState>,
     listeners: Mutex<Listeners>,
     log: Option<Log>,
+    /// Whether there were records in the log when it was opened, and nothing behind them.
+    is_restored: bool,
 }
 
 impl Store {
@@ -102,6 +104,7 @@
             writing: Mutex::default(),
             listeners: Mutex::default(),
             log: None,
+            is_restored: false,
         }
     }
 
@@ -127,10 +130,17 @@
             };
             store.apply_until(&mut lock(&store.writing), record, held, keep_until);
         })?;
+        store.is_restored = !lock(&store.records).is_empty() && !log.was_truncated();
         store.log = Some(log);
         Ok(store)
     }
 
+    /// Whether records that this node wrote in an earlier life may be missing: it started without a log, with an empty one
+    /// or with one that was damaged. Its peers may send them later.
+    pub fn may_lack_own_records(&self) -> bool {
+        !self.is_restored
+    }
+
     /// The name of this node.
     pub fn node(&self) -> &str {
         &self.node
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -8,7 +8,7 @@
 use crate::state::store::{Store, StoreError};
 use crate::timers;
 use crate::wire::framing::{self, FramingError, Head, Received, MAX_MESSAGE};
-use crate::wire::record_changes::{ChangedKinds, OnRecordChanges};
+use crate::wire::record_changes::{OnRecordChanges, RecordChanges};
 use crate::wire::record_index::{RecordIndex, Scope};
 use crate::wire::socket::Socket;
 use corkbay::Ms;
@@ -305,12 +305,12 @@
     }
 
     fn persist(&mut self, batch: BatchNumber, records: Vec<Record>, position: Option<Position>) {
-        let changed = ChangedKinds::of(&records);
+        let changes = RecordChanges::of(&records, &self.store);
         match self.write(batch, records, position) {
             Ok(count) => {
                 self.write_pause_ms = FIRST_WRITE_PAUSE_MS;
-                if count > 0 && changed.workers {
-                    (self.on_record_changes)(changed);
+                if count > 0 && changes.workers {
+                    (self.on_record_changes)(changes);
                 }
                 self.update_index();
                 let records = ConfigurationRecords { store: &self.store, index: &self.index };
--- a/crates/node/src/wire/replication.rs
+++ b/crates/node/src/wire/replication.rs
@@ -52,7 +52,7 @@
     interval: Duration,
     on_record_changes: OnRecordChanges,
 ) -> Arc<Mesh> {
-    let (mesh, changes) = Mesh::new(store.clone(), on_record_changes);
+    let (mesh, changes) = Mesh::new(store.clone(), peers, on_record_changes);
     let indexing = mesh.clone();
     spawn(move || indexing.follow_changes(&changes));
     accept_peers(mesh.clone(), acceptor);
--- a/crates/node/src/wire/replication/agreements.rs
+++ b/crates/node/src/wire/replication/agreements.rs
@@ -32,6 +32,11 @@
         self.by_peer.insert(peer.clone(), Agreement { root_hash, found_at: now });
     }
 
+    /// When a peer was last found to hold the same records, in milliseconds; `None` if never.
+    pub fn found_at(&self, peer: &str) -> Option<Ms> {
+        self.by_peer.get(peer).map(|agreement| agreement.found_at)
+    }
+
     /// Whether a comparison with a peer is due: at once if the hash over this node's records has changed since the last
     /// equal comparison, otherwise after a pause.
     pub fn is_due(&self, own_name: &str, peer: &str, root_hash: u64, now: Ms) -> bool {
--- a/crates/node/src/wire/replication/client.rs
+++ b/crates/node/src/wire/replication/client.rs
@@ -51,6 +51,9 @@
     /// Compares at each interval and pushes local writes at once, until the sender of `local_writes` is dropped. Records of a
     /// failed push are replicated by the next comparison.
     pub fn run(mut self, local_writes: &mpsc::Receiver<Record>) {
+        let result = self.receive_all();
+        self.note_result(&result);
+        self.mesh.record_first_attempt(self.peer);
         loop {
             let result = self.compare_if_due();
             self.note_result(&result);
@@ -111,13 +114,20 @@
         mesh.send(&mut connection.socket.with_read_timeout(STALL_TIMEOUT), &Request::Push(records))
     }
 
+    /// Compares until the peer has no further record that this node lacks.
+    fn receive_all(&mut self) -> Result<(), ReplicationError> {
+        let mesh = self.mesh.clone();
+        while self.connection()?.compare(&mesh)? > 0 {}
+        Ok(())
+    }
+
     fn compare_if_due(&mut self) -> Result<(), ReplicationError> {
         let mesh = self.mesh.clone();
         let connection = self.connection()?;
         if !mesh.is_due(&connection.node) {
             return Ok(());
         }
-        connection.compare(&mesh)
+        connection.compare(&mesh).map(drop)
     }
 
     /// The connection to the peer; reconnects if there is none or the peer has closed it.
@@ -127,6 +137,7 @@
             Some(connection) => connection,
             None => PeerConnection::open(&self.mesh, &self.peer)?,
         };
+        self.mesh.record_peer(self.peer, &connection.node);
         Ok(self.connection.insert(connection))
     }
 }
@@ -153,20 +164,21 @@
         }
     }
 
-    /// Compares hashes and exchanges the records that either side lacks in the buckets that differ.
-    fn compare(&self, mesh: &Mesh) -> Result<(), ReplicationError> {
+    /// Compares hashes and exchanges the records that either side lacks in the buckets that differ. Returns the number of
+    /// records that were new to this node.
+    fn compare(&self, mesh: &Mesh) -> Result<usize, ReplicationError> {
         let root_hash = mesh.root_hash();
         let peer_hashes = match self.request(mesh, &Request::Compare(root_hash))? {
             Reply::Equal => {
                 mesh.record_agreement(&self.node, root_hash);
-                return Ok(());
+                return Ok(0);
             }
             Reply::Buckets(peer_hashes) => peer_hashes,
             _ => return Err(ReplicationError::UnexpectedMessage),
         };
         let mut differing = mesh.bucket_hashes().differing(&peer_hashes);
         if differing.is_empty() {
-            return Ok(());
+            return Ok(0);
         }
         // A message may not hold all differing buckets. A random start prevents buckets that stay different from blocking
         // the others forever.
@@ -178,12 +190,12 @@
         };
         // Computed before the received records are stored, so that these are not sent back.
         let missing = mesh.records_missing_at(&held);
-        mesh.store_records(records)?;
+        let received = mesh.store_records(records)?;
         if missing.is_empty() {
-            return Ok(());
+            return Ok(received);
         }
         match self.request(mesh, &Request::Records(missing))? {
-            Reply::Taken => Ok(()),
+            Reply::Taken => Ok(received),
             _ => Err(ReplicationError::UnexpectedMessage),
         }
     }
--- a/crates/node/src/wire/replication/mesh.rs
+++ b/crates/node/src/wire/replication/mesh.rs
@@ -6,13 +6,16 @@
 use crate::state::record::Record;
 use crate::state::store::Store;
 use crate::wire::framing::{self, Received, MAX_MESSAGE};
-use crate::wire::record_changes::{ChangedKinds, OnRecordChanges};
+use crate::wire::record_changes::{OnRecordChanges, RecordChanges};
 use crate::wire::record_index::{RecordIndex, Scope};
+use corkbay::Ms;
 use corkbay_feed::{BucketHashes, BucketNumber};
 use corkbay_ledger::{Account, Purpose};
 use may::sync::{mpsc, Mutex};
 use serde::{de::DeserializeOwned, Serialize};
+use std::collections::HashMap;
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 
@@ -26,18 +29,35 @@
     store: Arc<Store>,
     index: Mutex<RecordIndex>,
     agreements: Mutex<Agreements>,
+    peers: Mutex<HashMap<SocketAddr, ConfiguredPeer>>,
     on_record_changes: OnRecordChanges,
     sent_bytes: AtomicU64,
 }
 
+/// What is known of a configured peer.
+#[derive(Default)]
+struct ConfiguredPeer {
+    /// Its name, once it has been reached.
+    name: Option<Arc<str>>,
+    /// Whether the first attempt to receive all its records has ended.
+    is_tried: bool,
+}
+
 impl Mesh {
-    /// Creates the shared state for a store, and the receiver of changes for [`Mesh::follow_changes`].
-    pub fn new(store: Arc<Store>, on_record_changes: OnRecordChanges) -> (Arc<Self>, mpsc::Receiver<Record>) {
+    /// Creates the shared state for a store and its configured peers, and the receiver of changes for
+    /// [`Mesh::follow_changes`].
+    pub fn new(
+        store: Arc<Store>,
+        peers: &[SocketAddr],
+        on_record_changes: OnRecordChanges,
+    ) -> (Arc<Self>, mpsc::Receiver<Record>) {
+        let peers = peers.iter().map(|peer| (*peer, ConfiguredPeer::default())).collect();
         let (index, changes) = RecordIndex::of_store(Scope::Shared, &store);
         let mesh = Mesh {
             store,
             index: Mutex::new(index),
             agreements: Mutex::default(),
+            peers: Mutex::new(peers),
             on_record_changes,
             sent_bytes: AtomicU64::new(0),
         };
@@ -126,13 +146,39 @@
         records
     }
 
-    /// Stores records that a peer sent, and reports changes.
-    pub fn store_records(&self, records: Vec<Record>) -> Result<(), ReplicationError> {
-        let changed = ChangedKinds::of(&records);
-        if self.store.merge(records)? > 0 && !changed.is_empty() {
-            (self.on_record_changes)(changed);
+    /// Stores records that a peer sent, and reports changes. Returns the number of records that were new.
+    pub fn store_records(&self, records: Vec<Record>) -> Result<usize, ReplicationError> {
+        let changes = RecordChanges::of(&records, &self.store);
+        let count = self.store.merge(records)?;
+        if count > 0 && !changes.is_empty() {
+            (self.on_record_changes)(changes);
         }
-        Ok(())
+        Ok(count)
+    }
+
+    /// Records the name of the peer at a configured address.
+    pub fn record_peer(&self, address: SocketAddr, name: &Arc<str>) {
+        lock(&self.peers).entry(address).and_modify(|peer| peer.name = Some(name.clone()));
+    }
+
+    /// Records that the first attempt to receive all records of a configured peer has ended, successfully or not.
+    pub fn record_first_attempt(&self, address: SocketAddr) {
+        lock(&self.peers).entry(address).and_modify(|peer| peer.is_tried = true);
+    }
+
+    /// Whether the first attempt to receive all records of each configured peer has ended.
+    pub fn has_tried_all_peers(&self) -> bool {
+        lock(&self.peers).values().all(|peer| peer.is_tried)
+    }
+
+    /// Whether each configured peer was found to hold the same records as this node since then, in milliseconds of the
+    /// monotonic clock.
+    pub fn have_all_peers_agreed_since(&self, since: Ms) -> bool {
+        let (peers, agreements) = (lock(&self.peers), lock(&self.agreements));
+        let has_agreed = |peer: &ConfiguredPeer| {
+            peer.name.as_ref().and_then(|name| agreements.found_at(name)).is_some_and(|at| at >= since)
+        };
+        peers.values().all(has_agreed)
     }
 
     /// Sends a message; its memory is charged to the account of replication.
