--- a/crates/node/src/state/invocations/orphans.rs
+++ b/crates/node/src/state/invocations/orphans.rs
@@ -76,7 +76,9 @@
                 }
             }
         }
-        self.wake();
+        if ended > 0 {
+            self.wake();
+        }
         first_error.map_or(Ok(ended), Err)
     }
 
@@ -105,7 +107,7 @@
 
     /// Registers a call whose record is still open although this process doesn't run it any more.
     pub(super) fn adopt_if_open(&self, id: RequestId) {
-        if self.get(id).is_some_and(|(record, _)| !record.is_final) {
+        if self.store.get(&key_of(id)).is_some_and(|record| !record.is_final) {
             lock(&self.open_calls).adopt(id, monotonic_ms());
         }
     }
--- a/crates/node/src/wire/connection_handover/tests.rs
+++ b/crates/node/src/wire/connection_handover/tests.rs
@@ -13,27 +13,46 @@
 const OPEN: i32 = 5;
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The successor's side of a connection, which counts what becomes of its request.
-struct Received;
+/// What the successor learns of the requests that its predecessor answers.
+#[derive(Debug, PartialEq, Eq)]
+enum Learnt {
+    Answer(i32, Vec<u8>),
+    Failed,
+}
+
+/// The successor's side of a connection.
+struct Received(Sender<Learnt>);
 
 impl ReceivedConnection for Received {
-    fn finish_request(&self, _: i32, _: Vec<u8>) {}
-    fn fail_unanswered(&self) {}
+    fn finish_request(&self, seqid: i32, bytes: Vec<u8>) {
+        let _ = self.0.send(Learnt::Answer(seqid, bytes));
+    }
+
+    fn fail_unanswered(&self) {
+        let _ = self.0.send(Learnt::Failed);
+    }
 }
 
 /// Starts the successor's side of a channel; returns the other end, and the withdrawals of taken over connections.
 fn successor() -> (UnixStream, Receiver<WithdrawalSender>) {
+    let (channel, taken_over, _) = successor_that_learns();
+    (channel, taken_over)
+}
+
+/// Like [`successor`]; also returns what it learns of their requests.
+fn successor_that_learns() -> (UnixStream, Receiver<WithdrawalSender>, Receiver<Learnt>) {
     let (ours, theirs) = UnixStream::pair().expect("a pair");
     let (sender, taken_over) = channel();
+    let (learnt_sender, learnt) = channel();
     std::thread::spawn(move || {
         receiver::serve(theirs, &move |_: TcpStream, unanswered: &[i32], withdrawals| {
             assert_eq!(unanswered, [OPEN]);
             sender.send(withdrawals).map_err(io::Error::other)?;
-            Ok(Received)
+            Ok(Received(learnt_sender.clone()))
         });
     });
     ours.set_read_timeout(Some(TIMEOUT)).expect("set");
-    (ours, taken_over)
+    (ours, taken_over, learnt)
 }
 
 fn connection() -> TcpStream {
@@ -81,6 +100,24 @@
     assert_eq!(next_message(&channel).expect_err("silent").kind(), ErrorKind::WouldBlock);
 }
 
+/// Guards the answers of an earlier version, which ends without having read the successor's greeting.
+#[test]
+fn the_last_answers_of_a_predecessor_that_never_reads_are_received() {
+    use std::io::Write;
+    let (mut channel, taken_over, learnt) = successor_that_learns();
+    send_connection(&channel, false);
+    taken_over.recv_timeout(TIMEOUT).expect("taken over");
+    let answer = |number: i32| (OPEN + number, vec![7; 10_000]);
+    for (seqid, bytes) in (0..10).map(answer) {
+        channel.write_all(&Message::End { number: 9, seqid, bytes }.encode()).expect("written");
+    }
+    drop(channel);
+    for (seqid, bytes) in (0..10).map(answer) {
+        assert_eq!(learnt.recv_timeout(TIMEOUT), Ok(Learnt::Answer(seqid, bytes)));
+    }
+    assert_eq!(learnt.recv_timeout(TIMEOUT), Ok(Learnt::Failed));
+}
+
 /// A client's cancel must not wait for a predecessor that is stopped.
 #[test]
 fn a_withdrawal_never_blocks() {
