Measure the event loop: time until sockets are polled, runs of readers, number of tasks

The log could not tell a process that is slow from one that no longer asks the kernel for events: heartbeats are timers and go on without a poll. Each heartbeat now also asks for an event of the kernel, and the time until it is seen is measured; a poll that is 100 ms late has a log line, and a line when polls go on. SIGUSR1 and the metrics tell polls, late polls, the longest delay, the longest run of a reader between two waits and the number of tasks.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -14,6 +14,7 @@
 use super::{
     monotonic_ms, time_until, Call, LoadChange, LogLineLimit, StallDetector, Workers, HEARTBEAT_INTERVAL,
 };
+use crate::event_loop;
 use crate::state::counters::Counters;
 use crate::state::roster::{SuspensionError, WorkerDirectory, WorkerListing};
 use crate::timers;
@@ -186,8 +187,15 @@
 
     /// Starts a task that records heartbeats for the life of the process.
     pub fn watch_for_stalls(self: &Arc<Self>) {
+        crate::lifecycle::spawn(|| {
+            if let Err(error) = event_loop::watch_polls() {
+                tracing::error!(%error, "event loop: polls are not measured");
+            }
+        });
         let invoker = self.clone();
         crate::lifecycle::spawn(move || loop {
+            event_loop::check_pending_poll();
+            event_loop::probe_next_poll();
             match invoker.stall_detector.record_heartbeat(monotonic_ms()) {
                 Some(LoadChange::Overloaded(late_ms)) => {
                     invoker.counters.fell_behind.increment();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 pub mod core;
+pub mod event_loop;
 pub mod lifecycle;
 pub mod state;
 pub mod timers;
--- a/crates/node/src/lifecycle/mod.rs
+++ b/crates/node/src/lifecycle/mod.rs
@@ -9,6 +9,7 @@
 pub mod roles;
 pub mod service;
 
+use crate::event_loop::TaskGuard;
 use may::coroutine::JoinHandle;
 
 /// Starts a coroutine.
@@ -16,5 +17,10 @@
     // SAFETY: a coroutine may resume on another thread, so it must hold no thread-local state across a
     // wait, and it must not overflow its fixed-size stack. No task here uses thread-locals of its own, none
     // recurses without a bound, and the stacks are larger than the deepest call path needs.
-    unsafe { may::coroutine::spawn(task) }
+    unsafe {
+        may::coroutine::spawn(move || {
+            let _counted = TaskGuard::new();
+            task()
+        })
+    }
 }
--- a/crates/node/src/lifecycle/platform.rs
+++ b/crates/node/src/lifecycle/platform.rs
@@ -4,6 +4,7 @@
 use super::handover::{self, OverridesHandle, SharedFiles};
 use super::spawn;
 use crate::core::{monotonic_ms, Invoker};
+use crate::event_loop;
 use crate::timers;
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::command_channel::{self, CommandChannel};
@@ -350,6 +351,7 @@
     let handle = |signal| match signal {
         SIGUSR1 => {
             tracing::info!("{}", invoker.counters);
+            tracing::info!(owed = invoker.unanswered(), "{}", event_loop::report());
             let (suspended, leaving) =
                 (invoker.host_overrides().out().count(), invoker.serving_state().leaving());
             tracing::info!(suspended, ?leaving, "operators' overrides");
--- a/crates/node/src/wire/metrics.rs
+++ b/crates/node/src/wire/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and memory accounts of the process, as JSON and in the OpenMetrics text format that Prometheus reads.
 use super::feed::{FeedReport, FollowerReport, Role};
 use crate::core::Invoker;
+use crate::event_loop;
 use crate::state::resident::resident_bytes;
 use corkbay_ledger::AccountStatus;
 use prometheus_client::encoding::text::encode;
@@ -82,6 +83,7 @@
         refusals.get_or_create(&labels(line)).inc_by(line.refused);
     }
     registry.register("account_refusals", "Reservations that met its cap", refusals);
+    add_event_loop(&mut registry);
     add_role(&mut registry, role);
     let mut text = String::new();
     match encode(&mut text, &registry) {
@@ -91,6 +93,22 @@
     }
 }
 
+fn add_event_loop(registry: &mut Registry) {
+    let report = event_loop::report();
+    add_counter(registry, "event_loop_polls", "Polls of the kernel that were waited for", report.polls);
+    add_counter(registry, "event_loop_late_polls", "Those that came late", report.late_polls);
+    add_gauge(registry, "event_loop_tasks", "Tasks", report.tasks as u64);
+    let longest = [
+        ("event_loop_longest_poll_delay", "Longest wait for a poll", report.longest_poll_delay),
+        ("event_loop_longest_input_run", "Longest run of a reader", report.longest_input_run),
+    ];
+    for (name, help, span) in longest {
+        let gauge = Gauge::<f64, AtomicU64>::default();
+        gauge.set(span.as_secs_f64());
+        registry.register_with_unit(name, help, Unit::Seconds, gauge);
+    }
+}
+
 /// Adds the metrics about peers, followers or control nodes, as the role of the node has them.
 fn add_role(registry: &mut Registry, role: &Role) {
     if let Some(mesh) = &role.mesh {
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -5,6 +5,7 @@
 //! retries after a pause when the send buffer is full. A second descriptor for the writer would avoid the pauses,
 //! but clients that read slowly could then exhaust the descriptors of the process.
 use crate::core::lock;
+use crate::event_loop;
 use crate::timers;
 use may::io::CoIo;
 use may::net::TcpStream;
@@ -81,6 +82,8 @@
     write_lock: Mutex<()>,
     /// Whether the reader is waiting, which means that it has processed all that it read.
     reader_waits: AtomicBool,
+    /// When the reader last ended a wait; `None` before the first one.
+    reader_resumed_at: Mutex<Option<Instant>>,
     /// Called each time the reader starts to wait.
     on_reader_waits: Option<Box<dyn Fn() + Send + Sync>>,
     /// Time without progress after which a write fails.
@@ -101,7 +104,8 @@
 
     fn of(stream: Stream, stall: Duration) -> Self {
         let (write_lock, reader_waits) = (Mutex::new(()), AtomicBool::new(false));
-        Socket { stream, write_lock, reader_waits, on_reader_waits: None, stall }
+        let reader_resumed_at = Mutex::new(None);
+        Socket { stream, write_lock, reader_waits, reader_resumed_at, on_reader_waits: None, stall }
     }
 
     /// Sets a function that is called each time the reader has read all received bytes and starts to wait.
@@ -149,8 +153,10 @@
                     if let Some(callback) = &self.on_reader_waits {
                         callback();
                     }
+                    self.record_input_run();
                     let left = end.saturating_duration_since(Instant::now());
                     let waited = self.stream.wait(left);
+                    *lock(&self.reader_resumed_at) = Some(Instant::now());
                     self.reader_waits.store(false, Ordering::SeqCst);
                     match waited {
                         Err(error) if error.kind() == ErrorKind::TimedOut && Instant::now() < end => {}
@@ -175,6 +181,12 @@
         }
     }
 
+    fn record_input_run(&self) {
+        if let Some(resumed_at) = lock(&self.reader_resumed_at).take() {
+            event_loop::record_input_run(resumed_at.elapsed());
+        }
+    }
+
     /// Writes a whole message; concurrent writers take turns. A failed write closes the connection in both
     /// directions, as the peer would read the next message as the rest of this one.
     pub fn write(&self, bytes: &[u8]) -> io::Result<()> {
