--- a/crates/rig/src/faults/mod.rs
+++ b/crates/rig/src/faults/mod.rs
@@ -7,16 +7,18 @@
 //! | `records`, `log` | hold what clients and workers record |
 //! | `verdict` | checks the records against the operators' rules |
 //! | `process` | runs a daemon and injects faults into it |
+//! | `flood` | clients that send without a pause |
 //! | `client`, `worker`, `channel`, `thrift` | simulate what a daemon talks to |
 pub(crate) mod channel;
 pub(crate) mod client;
+pub mod flood;
 pub(crate) mod log;
 pub(crate) mod process;
 pub mod records;
 mod scenario;
 mod thrift;
 pub mod verdict;
-mod worker;
+pub(crate) mod worker;
 
 use channel::{endpoint, Channel};
 use client::{FunctionMix, Target};
@@ -223,7 +225,7 @@
     }
 }
 
-fn endpoint_entry(worker: &Worker, status: &str, since_ms: f64) -> serde_json::Value {
+pub(crate) fn endpoint_entry(worker: &Worker, status: &str, since_ms: f64) -> serde_json::Value {
     endpoint(&format!("w{}", worker.number), worker.address, worker.cell, status, since_ms)
 }
 
--- a/crates/rig/src/faults/thrift.rs
+++ b/crates/rig/src/faults/thrift.rs
@@ -29,6 +29,16 @@
     message(4, "cancelRequest", 0, &[&[8, 0, 1][..], &seqid.to_be_bytes(), &[0]].concat())
 }
 
+/// Encodes a health check.
+pub fn alive(seqid: i32) -> Vec<u8> {
+    message(1, "alive", seqid, &[2, 0, 1, 1, 0])
+}
+
+/// Encodes a call of a method that does not exist.
+pub fn unknown_method(seqid: i32) -> Vec<u8> {
+    message(1, "nothing", seqid, &[0])
+}
+
 /// Reads the next reply. Returns the sequence number of its request and the outcome.
 pub fn receive(socket: &mut impl Read) -> io::Result<(i32, RequestOutcome)> {
     let mut size = [0; 4];
--- a/crates/rig/src/faults/worker.rs
+++ b/crates/rig/src/faults/worker.rs
@@ -15,6 +15,8 @@
 const UNANSWERED_FRACTION: f64 = 0.03;
 /// Longest run time of a request, in milliseconds.
 const MAX_WORK_MS: f64 = 30.0;
+/// Run time of each request at a worker without faults.
+const RELIABLE_WORK: Duration = Duration::from_millis(10);
 
 /// A worker that listens on loopback until the program ends.
 #[derive(Clone)]
@@ -25,7 +27,8 @@
     pub number: usize,
     /// The worker's cell.
     pub cell: usize,
-    seed: u64,
+    /// Decides which requests fail; without it none does.
+    seed: Option<u64>,
     log: Log,
     state: Arc<Mutex<State>>,
 }
@@ -39,8 +42,17 @@
 }
 
 impl Worker {
-    /// Starts a worker on a free port.
+    /// Starts a worker on a free port; some of its requests fail, as the seed decides.
     pub fn start(number: usize, cell: usize, seed: u64, log: &Log) -> io::Result<Self> {
+        Self::listen(number, cell, Some(seed), log)
+    }
+
+    /// Starts a worker on a free port that serves each request after the same time.
+    pub fn start_reliable(number: usize, cell: usize, log: &Log) -> io::Result<Self> {
+        Self::listen(number, cell, None, log)
+    }
+
+    fn listen(number: usize, cell: usize, seed: Option<u64>, log: &Log) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let worker = Worker { address, number, cell, seed, log: log.clone(), state: Arc::default() };
@@ -96,7 +108,7 @@
             state.request_count += 1;
             (at < state.silent_until, state.request_count)
         };
-        let sample = draw(self.seed ^ self.number as u64, request_count);
+        let sample = self.seed.map_or(1.0, |seed| draw(seed ^ self.number as u64, request_count));
         let is_full = !is_silent && sample < FULL_FRACTION;
         let (id, was_run) = (frame.id, !is_full);
         self.log.records().arrivals.push(Arrival {
@@ -113,7 +125,9 @@
             let _ = socket.shutdown(Shutdown::Both);
             return false;
         } else if !is_silent && sample > UNANSWERED_FRACTION + FULL_FRACTION + DISCONNECT_FRACTION {
-            let work = Duration::from_secs_f64(draw(request_count, self.seed) * MAX_WORK_MS / 1000.0);
+            let work = self.seed.map_or(RELIABLE_WORK, |seed| {
+                Duration::from_secs_f64(draw(request_count, seed) * MAX_WORK_MS / 1000.0)
+            });
             let Ok(socket) = socket.try_clone() else { return false };
             std::thread::spawn(move || {
                 std::thread::sleep(work);
--- a/crates/rig/src/grow/daemon.rs
+++ b/crates/rig/src/grow/daemon.rs
@@ -52,6 +52,8 @@
     pub core_share: Option<f64>,
     /// Memory limit, in MB.
     pub memory_mb: u64,
+    /// Whether workers load a model when it is called; otherwise they wait for load orders.
+    pub loads_on_call: bool,
 }
 
 impl Daemon {
@@ -162,8 +164,9 @@
     settings["balancers"] = json!(FLEET_INVOKERS);
     settings["zones"] = json!(setup.zones);
     settings["myZone"] = json!(setup.zones[0]);
-    settings["specifics"] = json!({"answerWithinMs": 4000.0, "keepMs": 8000.0, "notLoaded": "miss",
-                                   "placementCalls": true, "ramMbByKind": [10000.0]});
+    let not_loaded = if setup.loads_on_call { "load" } else { "miss" };
+    settings["specifics"] = json!({"answerWithinMs": 4000.0, "keepMs": 8000.0, "notLoaded": not_loaded,
+                                   "placementCalls": !setup.loads_on_call, "ramMbByKind": [10000.0]});
     settings["prices"] = json!({"crossZone": 0.04, "probe": 0.011, "origin": 0.03});
     json!({
         "name": "n0", "listen": "127.0.0.1:1", "seed": "0000000000000001",
--- a/crates/rig/src/grow/mod.rs
+++ b/crates/rig/src/grow/mod.rs
@@ -9,7 +9,7 @@
 //! | `daemon` | the daemon process, limited to a share of a core |
 //! | `workers` | simulated workers, thousands on one thread |
 mod bounds;
-mod daemon;
+pub(crate) mod daemon;
 mod run;
 mod workers;
 
--- a/crates/rig/src/grow/run.rs
+++ b/crates/rig/src/grow/run.rs
@@ -125,6 +125,7 @@
             window_ms: DEDUP_WINDOW_MS,
             core_share: self.core_share,
             memory_mb: self.memory_mb,
+            loads_on_call: false,
         };
         let daemon = Daemon::start(&setup, &fleet.channel)?;
         let flags = ClientFlags::default();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault_schedule;
 pub mod faults;
 pub mod fleet;
+pub mod floods;
 pub mod grow;
 pub mod load;
 pub mod plan;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,8 +3,10 @@
 use corkbay_rig::client::Client;
 use corkbay_rig::daemon::{default_program, Daemon, Deployment};
 use corkbay_rig::fault_schedule::FaultSchedule;
+use corkbay_rig::faults::flood::FloodKind;
 use corkbay_rig::faults::{self, Scenario, SoakPaths};
 use corkbay_rig::fleet::{Fleet, WorkerProfile};
+use corkbay_rig::floods::FloodRun;
 use corkbay_rig::grow;
 use corkbay_rig::plan::{OfferedLoad, Plan};
 use corkbay_rig::scale::feed::headless;
@@ -21,6 +23,10 @@
 #[global_allocator]
 static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
 
+/// Client timeout in milliseconds and memory limit in MB of the runs with floods.
+const FLOOD_ALLOWED_MS: u64 = 334;
+const FLOOD_MEMORY_MB: u64 = 64;
+
 /// Most violations printed for one run.
 const MAX_PRINTED_VIOLATIONS: usize = 5;
 
@@ -111,6 +117,21 @@
         #[arg(long, default_value = "target/debug/libcorkbay_shim.so")]
         shim: PathBuf,
     },
+    /// Sends requests at a steady rate while other clients flood the daemon; fails if a rule is violated.
+    Floods {
+        /// What the flooding clients send; all kinds if none is given.
+        #[arg(long, value_delimiter = ',')]
+        kinds: Vec<FloodKind>,
+        /// Numbers of flooding clients; each is a run of its own.
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 3, 8, 32, 100])]
+        connections: Vec<usize>,
+        /// How long each flood lasts, in seconds.
+        #[arg(long, default_value_t = 6)]
+        seconds: u64,
+        /// All kinds at once instead of one after the other.
+        #[arg(long)]
+        mixed: bool,
+    },
     /// Compresses an hour's turnover into a few minutes; fails unless memory stays flat.
     Soak {
         /// Duration, in minutes.
@@ -227,6 +248,31 @@
             }
             Ok(are_kept)
         }
+        Task::Floods { kinds, connections, seconds, mixed } => {
+            let kinds = if kinds.is_empty() { FloodKind::ALL.to_vec() } else { kinds.clone() };
+            let groups: Vec<_> =
+                if *mixed { vec![kinds] } else { kinds.into_iter().map(|kind| vec![kind]).collect() };
+            let mut are_kept = true;
+            for (kinds, connections) in
+                groups.iter().flat_map(|kinds| connections.iter().map(move |count| (kinds, *count)))
+            {
+                let reading = FloodRun {
+                    kinds: kinds.clone(),
+                    connections,
+                    span: Duration::from_secs(*seconds),
+                    allowed_ms: FLOOD_ALLOWED_MS,
+                    memory_mb: FLOOD_MEMORY_MB,
+                    program: program()?,
+                    folder: std::path::absolute(out)?,
+                    seed,
+                }
+                .execute()?;
+                println!("{kinds:?} x {connections}: {reading}");
+                reading.log_lines.iter().for_each(|line| println!("    {line}"));
+                are_kept &= reading.violations.is_empty();
+            }
+            Ok(are_kept)
+        }
         Task::Scale { experiment } => {
             let context = ScaleContext { program: program()?, out: out.clone(), seed };
             scale::run(&context, experiment)?;
