Have all readers take turns between two polls of the kernel

What callers saw: while 3 or more connections sent small messages without a pause, nobody else was answered until they stopped, and their requests were then passed on to workers with deadlines that had been over for seconds.

Cause: the event loop of the coroutine library polls the kernel only once its run queue is empty. A reader whose socket always has input never waits for an event; what it paused for was a timer of 1 ms, and tasks woken by timers go into the same run queue. From three connections on the queue was never empty: no socket was polled, while heartbeats, which are timers, stayed on time, so overload was not noticed and unread requests counted as just arrived.

Fix: event_loop/turns.rs. All input, of accepts too, is handled in turns; a turn is bounded by time; a round of turns begins with an event of the kernel (an eventfd) and lasts 1 ms; eight turns between two polls need no wait. Readers with little input do not queue behind those that use up their slice. Tasks that slept go on after a poll. A request counts as arrived no later than its bytes can have (wire/socket/arrival.rs), so one that stood unread has only the rest of its time. A client that has closed its connection with much unread has the rest of its input dropped once its reader has used up a slice.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -35,6 +35,9 @@
 /// and its table entries.
 const CALL_OVERHEAD_BYTES: usize = 26 << 10;
 
+/// Work that an accepted request leaves to other tasks in the same round of the event loop.
+pub const ACCEPTED_REQUEST_WORK: Duration = Duration::from_micros(100);
+
 /// At least the cap divided by this is forgotten at a time.
 const FORGET_DIVISOR: usize = 16;
 
@@ -187,11 +190,6 @@
 
     /// Starts a task that records heartbeats for the life of the process.
     pub fn watch_for_stalls(self: &Arc<Self>) {
-        crate::lifecycle::spawn(|| {
-            if let Err(error) = event_loop::watch_polls() {
-                tracing::error!(%error, "event loop: polls are not measured");
-            }
-        });
         let invoker = self.clone();
         crate::lifecycle::spawn(move || loop {
             event_loop::check_pending_poll();
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -11,7 +11,7 @@
 pub use attempt::{AbortReason, AttemptError, WorkerRefusal};
 pub use call::{Answer, Call, Failure};
 pub(crate) use invoker::lock;
-pub use invoker::{AcceptedRequest, AdmissionError, Inbox, Invoker};
+pub use invoker::{AcceptedRequest, AdmissionError, Inbox, Invoker, ACCEPTED_REQUEST_WORK};
 
 pub use stall::{LoadChange, StallDetector, HEARTBEAT_INTERVAL};
 pub use unserved::{LogLineLimit, Unserved};
--- a/crates/node/src/event_loop/monitor.rs
+++ b/crates/node/src/event_loop/monitor.rs
@@ -1,7 +1,9 @@
-//! Measures the event loop: how long it takes until the kernel is polled, how long readers handle input without a wait,
-//! and how many tasks there are.
+//! Measures the event loop: how long it takes until the kernel is polled, and how many tasks and turns of
+//! readers there are.
 use super::poll_signal::PollSignal;
+use super::turns::{turn_counts, TurnCounts};
 use crate::clock::monotonic_ms;
+use crate::lifecycle::spawn;
 use corkbay::Ms;
 use std::fmt;
 use std::io;
@@ -18,7 +20,6 @@
     polls: AtomicU64,
     late_polls: AtomicU64,
     longest_poll_delay_us: AtomicU64,
-    longest_input_run_us: AtomicU64,
     tasks: AtomicUsize,
     /// When the probe that is under way began, as the bits of an `f64`; 0 if there is none.
     pending_since: AtomicU64,
@@ -39,18 +40,18 @@
     pub late_polls: u64,
     /// Longest time until the kernel was polled.
     pub longest_poll_delay: Duration,
-    /// Longest time for which a reader handled input without a wait.
-    pub longest_input_run: Duration,
     /// Number of tasks.
     pub tasks: usize,
+    /// Turns of readers.
+    pub turns: TurnCounts,
 }
 
 impl fmt::Display for LoopReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "event loop polls={} late_polls={} longest_poll_delay={:?} longest_input_run={:?} tasks={}",
-            self.polls, self.late_polls, self.longest_poll_delay, self.longest_input_run, self.tasks
+            "event loop polls={} late_polls={} longest_poll_delay={:?} tasks={} {}",
+            self.polls, self.late_polls, self.longest_poll_delay, self.tasks, self.turns
         )
     }
 }
@@ -63,34 +64,27 @@
         polls: measurements.polls.load(Relaxed),
         late_polls: measurements.late_polls.load(Relaxed),
         longest_poll_delay: micros(&measurements.longest_poll_delay_us),
-        longest_input_run: micros(&measurements.longest_input_run_us),
         tasks: measurements.tasks.load(Relaxed),
+        turns: turn_counts(),
     }
 }
 
-/// Records how long a reader handled input without a wait.
-pub fn record_input_run(run: Duration) {
-    measurements().longest_input_run_us.fetch_max(run.as_micros() as u64, Relaxed);
-}
-
-fn probe_signal() -> &'static OnceLock<PollSignal> {
-    static SIGNAL: OnceLock<PollSignal> = OnceLock::new();
-    &SIGNAL
-}
+static PROBE: OnceLock<PollSignal> = OnceLock::new();
 
-/// Measures the delay of each poll that [`probe_next_poll`] asks for. Runs until the process exits; must be called once.
-pub fn watch_polls() -> io::Result<()> {
-    let signal = PollSignal::new()?;
-    let signal = probe_signal().get_or_init(|| signal);
-    loop {
-        signal.wait();
-        record_poll(monotonic_ms());
+/// Starts the task that measures the delay of each poll that [`probe_next_poll`] asks for.
+pub fn start_probe() -> io::Result<()> {
+    if PROBE.set(PollSignal::new()?).is_ok() {
+        spawn(|| loop {
+            PROBE.get().into_iter().for_each(PollSignal::wait);
+            record_poll(monotonic_ms());
+        });
     }
+    Ok(())
 }
 
 /// Starts to measure the time until the next poll, unless that is under way.
 pub fn probe_next_poll() {
-    let Some(signal) = probe_signal().get() else { return };
+    let Some(signal) = PROBE.get() else { return };
     let now = monotonic_ms().to_bits();
     if measurements().pending_since.compare_exchange(0, now, Relaxed, Relaxed).is_ok() {
         signal.trigger();
--- a/crates/node/src/lifecycle/platform.rs
+++ b/crates/node/src/lifecycle/platform.rs
@@ -69,13 +69,15 @@
     (clients, (left - clients.min(left)).max(1))
 }
 
-/// Configures the coroutine library. Must be called before the first coroutine starts.
-pub fn set_up_coroutines() {
+/// Configures the coroutine library and starts the scheduling of its event loop. Must be called before the first coroutine
+/// starts.
+pub fn set_up_coroutines() -> Result<(), ConfigError> {
     // The process runs on one core, where more threads would only contend. With pinned threads, all invokers of a
     // machine would share core 0.
     let config = may::config();
     config.set_workers(1).set_worker_pin(false);
     config.set_stack_size(STACK_WORDS).set_pool_capacity(MAX_IDLE_STACKS);
+    event_loop::start().map_err(|error| ConfigError::new("descriptors", error))
 }
 
 /// The resource limits of the invoker, and this process's part of them while another process of the invoker runs.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -42,7 +42,7 @@
     let source = Source::from_env()?;
     let config = source.read()?;
     logs::set_up();
-    platform::set_up_coroutines();
+    platform::set_up_coroutines()?;
     platform::run(config, &source)
 }
 
@@ -50,6 +50,6 @@
     let path = Path::new(path);
     let deploy = Deploy::load(path)?;
     logs::set_up();
-    platform::set_up_coroutines();
+    platform::set_up_coroutines()?;
     service::run(&deploy, path)
 }
--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -7,8 +7,9 @@
 //! milliseconds, and their end is read from the clock.
 //!
 //! It also resumes a task whose time is up on its timer thread. Here such a task yields back to the queue of
-//! the thread that runs all others: socket timers do not support two threads, and the heartbeat measures how
-//! long that queue is.
+//! the thread that runs all others, as socket timers do not support two threads. A task that slept goes on only
+//! after a poll of the kernel: tasks that sleep again and again could otherwise keep the thread from polling.
+use crate::event_loop::wait_for_poll;
 use may::coroutine;
 use may::sync::mpsc::Receiver;
 use may::sync::{Condvar, MutexGuard, Semphore};
@@ -47,13 +48,13 @@
     end.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())
 }
 
-/// Suspends the current task for this long.
+/// Suspends the current task for this long, and until the kernel has been polled.
 pub fn sleep(span: Duration) {
     let end = Instant::now() + span;
     while let Some(left) = remaining_until(end) {
         coroutine::sleep(sleep_piece(left));
     }
-    coroutine::yield_now();
+    wait_for_poll();
 }
 
 /// Receives the next message, waiting for this long at most.
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -4,6 +4,7 @@
 
 use super::socket::Socket;
 use crate::core::{lock, monotonic_ms};
+use crate::event_loop::{InputKind, Turn};
 use crate::lifecycle::spawn;
 use crate::state::clients::{ClientTable, EvictionError};
 use crate::state::memory_wait::wait_for_release;
@@ -127,10 +128,19 @@
     pub fn accept(&self, serve: impl Fn(Arc<Connection>) + Send + Sync + 'static) {
         let serve = self.serve.get_or_init(|| Arc::new(serve));
         let mut last_empty = monotonic_ms();
+        let turn = Turn::new(InputKind::Downstream);
         while !self.closed.load(Ordering::Acquire) {
+            if self.has_queued_connection() {
+                // Each accept is a turn of its own: otherwise connections would be accepted faster than those of
+                // them that end are noticed, and take up all slots.
+                turn.take();
+                turn.end();
+            }
             let was_empty = !self.has_queued_connection();
-            let accepted =
-                self.listener.accept().and_then(|(stream, _)| Socket::new(stream, self.limits.write_timeout));
+            let accepted = self
+                .listener
+                .accept()
+                .and_then(|(stream, _)| Socket::accepted(stream, self.limits.write_timeout));
             let now = monotonic_ms();
             last_empty = if was_empty { now } else { last_empty };
             let queued_since = last_empty.max(now - MAX_QUEUED_MS);
--- a/crates/node/src/wire/accept/connection.rs
+++ b/crates/node/src/wire/accept/connection.rs
@@ -132,14 +132,14 @@
         self.is_beyond_limit() && monotonic_ms() < self.admitted_at + FIRST_READ_MS
     }
 
-    /// The earliest time at which the bytes that are read now can have arrived.
+    /// The earliest time at which the bytes of the last read can have arrived.
     pub fn earliest_arrival(&self) -> Ms {
-        let now = monotonic_ms();
-        // Bytes that arrived while the connection was queued are read right after the accept.
-        if now < self.admitted_at + FIRST_READ_MS {
-            self.queued_since.min(now)
+        let arrived_at = self.socket.last_read_arrival();
+        // Bytes that were there when the connection was admitted may have arrived while it was queued.
+        if arrived_at <= self.admitted_at {
+            self.queued_since.min(arrived_at)
         } else {
-            now
+            arrived_at
         }
     }
 
--- a/crates/node/src/wire/command_channel.rs
+++ b/crates/node/src/wire/command_channel.rs
@@ -219,6 +219,7 @@
                 continue;
             }
             *cursor = number;
+            socket.take_turn();
             match parsed {
                 Ok(parsed) => parsed.report(invoker, contact.last_contact_without_report(), false),
                 // Requesting the event again would fail in the same way and hold up the events after it.
--- a/crates/node/src/wire/invoke/calls.rs
+++ b/crates/node/src/wire/invoke/calls.rs
@@ -1,7 +1,9 @@
 //! Calls of the invoke API in both styles: admission, execution and lookup.
 use super::responses::{accepted, answer_response, problem, refused, store_failure};
 use super::{Current, InvokeApi, RouteResult, DEADLINE_HEADER};
-use crate::core::{monotonic_ms, AcceptedRequest, AdmissionError, Answer, Call, Failure, UnixTime};
+use crate::core::{
+    monotonic_ms, AcceptedRequest, AdmissionError, Answer, Call, Failure, UnixTime, ACCEPTED_REQUEST_WORK,
+};
 use crate::lifecycle::spawn;
 use crate::state::catalog::Function;
 use crate::state::invocations::{AcceptedCall, Deferred, Key, Repeat, Rerun};
@@ -50,15 +52,17 @@
 }
 
 impl InvokeApi {
-    /// Validates and accepts a call, unless it repeats an earlier one.
+    /// Validates and accepts a call that arrived at `arrived_at` at the earliest (on the monotonic clock in milliseconds),
+    /// unless it repeats an earlier one.
     pub(super) fn admit(
         &self,
         name: &str,
         head: &RequestHead,
         body: Vec<u8>,
+        arrived_at: Ms,
     ) -> Result<Admitted, Box<Response>> {
         let function = self.catalog.function(name).ok_or_else(|| self.unknown_function(name))?;
-        let options = self.options(name, &function, head)?;
+        let options = self.options(name, &function, head, arrived_at)?;
         if let Some(response) = self.repeated(&options, &body)? {
             return Ok(Admitted::Respond(response));
         }
@@ -83,12 +87,14 @@
         name: &str,
         function: &Function,
         head: &RequestHead,
+        arrived_at: Ms,
     ) -> Result<CallOptions, Box<Response>> {
         let invoker = &self.invoker;
         let class = position(&invoker.names.classes, &function.class).ok_or_else(|| {
             problem(404, "unknown-class", "the function's class is unknown here", Some(false))
         })?;
-        let expires = invoker.earliest_arrival() + deadline_span(head, self.catalog.give_up(class))?;
+        let arrived_at = invoker.earliest_arrival().min(arrived_at);
+        let expires = arrived_at + deadline_span(head, self.catalog.give_up(class))?;
         let (key, window) = match invoker.settings.classes[class].effect {
             Effect::Keyed(_, window) => (Some((name.to_string(), key_of(head)?)), window),
             _ => (None, 0.0),
@@ -205,6 +211,7 @@
         keep_alive: bool,
         connection: &Arc<Connection>,
     ) -> RouteResult {
+        connection.charge_turn(ACCEPTED_REQUEST_WORK);
         let (api, connection) = (self.clone(), connection.clone());
         let (id, is_deferred) = (job.accepted.call().request.id, job.accepted_call.is_some());
         if !is_deferred {
--- a/crates/node/src/wire/invoke/reader.rs
+++ b/crates/node/src/wire/invoke/reader.rs
@@ -2,6 +2,7 @@
 use super::responses::{bad_request, no_room};
 use super::{Current, LINGER, MAX_BODY_BYTES};
 use crate::core::monotonic_ms;
+use crate::event_loop::TurnStart;
 use crate::state::clients::ClientState;
 use crate::state::memory_wait::OUT_OF_MEMORY_KIND;
 use crate::timers;
@@ -66,6 +67,11 @@
     /// Reads the next request and its body. The body's memory is reserved here only while it is read; the call reserves
     /// it from then on.
     pub(super) fn read_request(&mut self) -> Result<(RequestHead, Vec<u8>), ReadError> {
+        let turn = self.connection.take_turn();
+        let connection = self.connection;
+        if turn == TurnStart::AfterFullSlice && !connection.is_shut() && connection.is_closed_by_peer() {
+            return Err(ReadError::Io(ErrorKind::UnexpectedEof.into()));
+        }
         let mut head = loop {
             match self.buffer.consume(RequestHead::decode)? {
                 Some(head) => break head,
--- a/crates/node/src/wire/invoke/routes.rs
+++ b/crates/node/src/wire/invoke/routes.rs
@@ -39,7 +39,7 @@
             refused("there is no room for another connection", Some(CROWDED_RETRY_AFTER_MS))
         }
         ("POST", ["v1", "functions", function, "invocations"]) => {
-            return match api.admit(function, head, body) {
+            return match api.admit(function, head, body, connection.earliest_arrival()) {
                 Ok(Admitted::Run(job)) => api.start(job, head.keep_alive, connection),
                 Ok(Admitted::Respond(response)) => RouteResult::Respond(response),
                 Err(response) => RouteResult::Respond(*response),
--- a/crates/node/src/wire/metrics.rs
+++ b/crates/node/src/wire/metrics.rs
@@ -98,9 +98,14 @@
     add_counter(registry, "event_loop_polls", "Polls of the kernel that were waited for", report.polls);
     add_counter(registry, "event_loop_late_polls", "Those that came late", report.late_polls);
     add_gauge(registry, "event_loop_tasks", "Tasks", report.tasks as u64);
+    let turns = report.turns;
+    add_counter(registry, "event_loop_direct_turns", "Turns without a wait", turns.direct);
+    add_counter(registry, "event_loop_queued_turns", "Turns that were waited for", turns.queued);
+    add_counter(registry, "event_loop_rounds", "Rounds of turns", turns.rounds);
+    add_gauge(registry, "event_loop_most_waiting", "Most readers that waited", turns.most_waiting as u64);
     let longest = [
         ("event_loop_longest_poll_delay", "Longest wait for a poll", report.longest_poll_delay),
-        ("event_loop_longest_input_run", "Longest run of a reader", report.longest_input_run),
+        ("event_loop_longest_turn_wait", "Longest wait of a reader", report.turns.longest_wait),
     ];
     for (name, help, span) in longest {
         let gauge = Gauge::<f64, AtomicU64>::default();
--- a/crates/node/src/wire/receive_buffer.rs
+++ b/crates/node/src/wire/receive_buffer.rs
@@ -28,15 +28,13 @@
     expected: usize,
     /// How long the current message has waited for memory, in milliseconds.
     waited: Ms,
-    /// Whether the last read filled the space that it had.
-    was_filled: bool,
 }
 
 impl ReceiveBuffer {
     /// Creates an empty buffer, charged to the account of the given purpose.
     pub fn new(account: &Account, purpose: Purpose) -> Self {
         let (bytes, held) = (Vec::new(), account.empty_reservation());
-        ReceiveBuffer { bytes, held, purpose, beside: 0, expected: 0, waited: 0.0, was_filled: false }
+        ReceiveBuffer { bytes, held, purpose, beside: 0, expected: 0, waited: 0.0 }
     }
 
     /// The unconsumed bytes.
@@ -61,11 +59,6 @@
         self.bytes.is_empty()
     }
 
-    /// Whether the last read filled the space that it had, so that more bytes may be waiting.
-    pub fn was_filled(&self) -> bool {
-        self.was_filled
-    }
-
     /// Ends the current message: nothing is held elsewhere for it, and the next one may wait for memory for the whole
     /// time again.
     pub fn end_message(&mut self) {
@@ -87,7 +80,6 @@
         }
         let space = (self.bytes.capacity().max(CHUNK) - self.bytes.len()).min(chunk.len());
         let size = socket.read(&mut chunk[..space], within)?;
-        self.was_filled = size == space;
         self.append(&chunk[..size]);
         Ok(size)
     }
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -4,9 +4,16 @@
 //! the same descriptor. Only the reader waits for events. A writer writes what the kernel accepts at once, and
 //! retries after a pause when the send buffer is full. A second descriptor for the writer would avoid the pauses,
 //! but clients that read slowly could then exhaust the descriptors of the process.
-use crate::core::lock;
-use crate::event_loop;
+//!
+//! Reading available bytes never suspends a task, so every reader takes turns with all others: see
+//! [`turns`](crate::event_loop).
+mod arrival;
+
+use crate::core::{lock, monotonic_ms};
+use crate::event_loop::{InputKind, Turn, TurnStart};
 use crate::timers;
+use arrival::ArrivalBound;
+use corkbay::Ms;
 use may::io::CoIo;
 use may::net::TcpStream;
 use may::sync::Mutex;
@@ -82,8 +89,9 @@
     write_lock: Mutex<()>,
     /// Whether the reader is waiting, which means that it has processed all that it read.
     reader_waits: AtomicBool,
-    /// When the reader last ended a wait; `None` before the first one.
-    reader_resumed_at: Mutex<Option<Instant>>,
+    /// The turns of the reader.
+    turn: Turn,
+    arrival: Mutex<ArrivalBound>,
     /// Called each time the reader starts to wait.
     on_reader_waits: Option<Box<dyn Fn() + Send + Sync>>,
     /// Time without progress after which a write fails.
@@ -91,21 +99,27 @@
 }
 
 impl Socket {
-    /// Wraps a stream. A write that makes no progress for `stall` closes the connection.
-    pub fn new(stream: TcpStream, stall: Duration) -> io::Result<Self> {
+    /// Wraps an accepted stream. A write that makes no progress for `stall` closes the connection.
+    pub fn accepted(stream: TcpStream, stall: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Self::of(Stream::Own(stream), stall))
+        Ok(Self::of(Stream::Own(stream), InputKind::Downstream, stall))
     }
 
     /// Wraps a stream that was created elsewhere, such as one that another process handed over.
     pub fn adopt(stream: net::TcpStream, stall: Duration) -> io::Result<Self> {
-        Ok(Self::of(Stream::Adopted(AdoptedStream::new(stream)?), stall))
+        Ok(Self::of(Stream::Adopted(AdoptedStream::new(stream)?), InputKind::Downstream, stall))
     }
 
-    fn of(stream: Stream, stall: Duration) -> Self {
-        let (write_lock, reader_waits) = (Mutex::new(()), AtomicBool::new(false));
-        let reader_resumed_at = Mutex::new(None);
-        Socket { stream, write_lock, reader_waits, reader_resumed_at, on_reader_waits: None, stall }
+    fn of(stream: Stream, kind: InputKind, stall: Duration) -> Self {
+        Socket {
+            stream,
+            write_lock: Mutex::new(()),
+            reader_waits: AtomicBool::new(false),
+            turn: Turn::new(kind),
+            arrival: Mutex::new(ArrivalBound::new(monotonic_ms())),
+            on_reader_waits: None,
+            stall,
+        }
     }
 
     /// Sets a function that is called each time the reader has read all received bytes and starts to wait.
@@ -139,35 +153,55 @@
 
     /// Connects to an address, for `within` at most.
     pub fn connect(address: &SocketAddr, within: Duration, stall: Duration) -> io::Result<Self> {
-        Socket::new(TcpStream::connect_timeout(address, timers::timer_duration(within))?, stall)
+        let stream = TcpStream::connect_timeout(address, timers::timer_duration(within))?;
+        stream.set_nodelay(true)?;
+        Ok(Self::of(Stream::Own(stream), InputKind::Upstream, stall))
+    }
+
+    /// Waits for the reader's turn, unless its current one has time left. A reader that handles several messages of one
+    /// read calls it before each.
+    pub fn take_turn(&self) -> TurnStart {
+        self.turn.take()
     }
 
-    /// Reads received bytes, or waits for some; [`ErrorKind::TimedOut`] when none arrive within the given time.
+    /// Shortens the reader's turn for work of this length that its input leaves to other tasks.
+    pub fn charge_turn(&self, work: Duration) {
+        self.turn.charge(work);
+    }
+
+    /// The bytes of the last read arrived no earlier than this, on the monotonic clock in milliseconds.
+    pub fn last_read_arrival(&self) -> Ms {
+        lock(&self.arrival).last_read()
+    }
+
+    /// Reads received bytes in the reader's turn, or waits for some; [`ErrorKind::TimedOut`] when none arrive within the
+    /// given time.
     pub fn read(&self, buffer: &mut [u8], within: Duration) -> io::Result<usize> {
         let end = Instant::now() + within;
         loop {
-            match self.stream.inner().read(buffer) {
+            self.take_turn();
+            match self.read_available(buffer) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.reader_waits.store(true, Ordering::SeqCst);
                     if let Some(callback) = &self.on_reader_waits {
                         callback();
                     }
-                    self.record_input_run();
+                    self.turn.end();
                     let left = end.saturating_duration_since(Instant::now());
                     let waited = self.stream.wait(left);
-                    *lock(&self.reader_resumed_at) = Some(Instant::now());
+                    lock(&self.arrival).note_arrival(monotonic_ms());
                     self.reader_waits.store(false, Ordering::SeqCst);
                     match waited {
                         Err(error) if error.kind() == ErrorKind::TimedOut && Instant::now() < end => {}
                         // Bytes that arrived just as the wait timed out are still returned.
                         Err(error) if error.kind() == ErrorKind::TimedOut => {
-                            return retry_interrupted(|| self.stream.inner().read(buffer)).map_err(|late| {
-                                match late.kind() {
+                            return retry_interrupted(|| self.read_available(buffer)).map_err(
+                                |late| match late.kind() {
                                     ErrorKind::WouldBlock => error,
                                     _ => late,
-                                }
-                            });
+                                },
+                            );
                         }
                         // A signal interrupted the wait. The pause lets other coroutines run before the next try.
                         Err(error) if error.kind() == ErrorKind::Interrupted => {
@@ -181,10 +215,17 @@
         }
     }
 
-    fn record_input_run(&self) {
-        if let Some(resumed_at) = lock(&self.reader_resumed_at).take() {
-            event_loop::record_input_run(resumed_at.elapsed());
-        }
+    /// Reads what has arrived, without a wait.
+    fn read_available(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        let stream = self.stream.inner();
+        let size = (&mut &*stream).read(buffer)?;
+        // A read that leaves space has taken all there was.
+        let unread_bytes = || match size < buffer.len() {
+            true => 0,
+            false => rustix::io::ioctl_fionread(stream).unwrap_or(0),
+        };
+        lock(&self.arrival).note_read(size, monotonic_ms(), unread_bytes);
+        Ok(size)
     }
 
     /// Writes a whole message; concurrent writers take turns. A failed write closes the connection in both
--- a/crates/node/src/wire/thrift_front/reader.rs
+++ b/crates/node/src/wire/thrift_front/reader.rs
@@ -6,6 +6,7 @@
 use super::open_requests::OpenRequests;
 use super::requests::{crashed, dispatch, rejected, write, OVERLOAD_RETRY_AFTER_MS};
 use crate::core::{monotonic_ms, time_until, Invoker};
+use crate::event_loop::TurnStart;
 use crate::state::clients::ClientState;
 use crate::state::memory_wait::OUT_OF_MEMORY_KIND;
 use crate::timers;
@@ -30,10 +31,6 @@
 /// Number of malformed messages after which a connection is closed, and how many of them are logged.
 const MAX_MALFORMED_MESSAGES: u32 = 64;
 const MAX_LOGGED_MALFORMED: u32 = 3;
-/// After this many full reads in a row, reading pauses so that a client that sends continuously does not block other
-/// coroutines.
-const FULL_READS_BEFORE_PAUSE: u32 = 4;
-const READ_PAUSE: Duration = Duration::from_millis(1);
 /// Poll interval of a connection that is being drained, or that ends once its answers are written.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long each read waits while input is discarded after the last answer.
@@ -59,8 +56,6 @@
     /// When the last request was read, on the monotonic clock in milliseconds.
     last_request: Ms,
     malformed_messages: u32,
-    /// Number of reads in a row that filled the space that they had.
-    full_reads: u32,
 }
 
 impl<'a> Reader<'a> {
@@ -80,7 +75,6 @@
             message_began: 0.0,
             last_request: 0.0,
             malformed_messages: 0,
-            full_reads: 0,
         }
     }
 
@@ -91,6 +85,9 @@
             match self.buffer.consume(thrift::unframe)? {
                 Some(message) => {
                     self.buffer.end_message();
+                    if self.connection.take_turn() == TurnStart::AfterFullSlice && self.client_has_left() {
+                        return Ok(ReadEnd::Closed);
+                    }
                     self.message_began = monotonic_ms();
                     self.handle(&message)?;
                 }
@@ -103,6 +100,11 @@
         }
     }
 
+    /// Whether the client has closed the connection, so that nothing of its unread input needs an answer.
+    fn client_has_left(&self) -> bool {
+        !self.connection.is_shut() && self.connection.is_closed_by_peer()
+    }
+
     /// Reads more of an incomplete message, or waits for the next one.
     fn read_more(&mut self) -> Result<Option<ReadEnd>, Malformed> {
         let connection = self.connection;
@@ -129,7 +131,7 @@
                 connection.wait_for_an_end(DRAIN_POLL_INTERVAL);
             }
             Ok(0) => return Ok(Some(ReadEnd::Closed)),
-            Ok(_) => self.pause_after_full_reads(),
+            Ok(_) => {}
             Err(error) if error.kind() == ErrorKind::TimedOut => {
                 // The state may have changed during the wait because an answer was written or a request ended.
                 // Open requests keep the connection alive even if an incomplete message behind them times out.
@@ -182,16 +184,6 @@
         Ok(read)
     }
 
-    /// Reading available bytes never suspends the coroutine, so other coroutines would starve. A yield is not enough:
-    /// the scheduler polls for events only once its run queue is empty.
-    fn pause_after_full_reads(&mut self) {
-        self.full_reads = if self.buffer.was_filled() { self.full_reads + 1 } else { 0 };
-        if self.full_reads >= FULL_READS_BEFORE_PAUSE {
-            self.full_reads = 0;
-            timers::sleep(READ_PAUSE);
-        }
-    }
-
     /// Rejects the request whose message there is no memory for. The rest of the message is read and discarded, so that
     /// the connection can be used further.
     fn reject_message(&mut self) -> Result<Option<ReadEnd>, Malformed> {
--- a/crates/node/src/wire/thrift_front/requests.rs
+++ b/crates/node/src/wire/thrift_front/requests.rs
@@ -1,6 +1,6 @@
 //! Requests of the Thrift front: builds calls from their fields, has them served and writes their answers.
 use super::open_requests::{OpenRequests, Responder};
-use crate::core::{AdmissionError, Answer, Call, Failure, Invoker};
+use crate::core::{AdmissionError, Answer, Call, Failure, Invoker, ACCEPTED_REQUEST_WORK};
 use crate::lifecycle::spawn;
 use crate::wire::accept::Connection;
 use crate::wire::thrift::{self, Fields, Reply};
@@ -58,6 +58,7 @@
         Ok(Err(AdmissionError::DuplicateId)) => reply_now(crashed("the request is open already")),
         Ok(Ok(accepted)) => {
             connection.request_started();
+            connection.charge_turn(ACCEPTED_REQUEST_WORK);
             let (invoker, open_requests, connection) =
                 (invoker.clone(), open_requests.clone(), connection.clone());
             spawn(move || {
--- a/crates/node/src/wire/workers/connection.rs
+++ b/crates/node/src/wire/workers/connection.rs
@@ -229,6 +229,7 @@
             let decoded = receive_buffer.consume(|bytes| Frame::decode(bytes, FROM_WORKER));
             if !matches!(decoded, Ok(None)) {
                 receive_buffer.end_message();
+                socket.take_turn();
             }
             match decoded {
                 Ok(Some(frame)) if frame.body.len() > max_answer_bytes => {
--- a/crates/node/tests/timers.rs
+++ b/crates/node/tests/timers.rs
@@ -57,7 +57,7 @@
 /// Guards against the coroutine library's use of timers that it has freed, which it does once they are of many lengths.
 #[test]
 fn timers_of_many_lengths_are_used_after_they_are_freed() {
-    corkbay_node::lifecycle::platform::set_up_coroutines();
+    corkbay_node::lifecycle::platform::set_up_coroutines().expect("event descriptors");
     let (done, ended) = mpsc::channel();
     for task in 0..TASKS {
         let done = done.clone();
@@ -78,7 +78,7 @@
 /// Guards sockets' timers, which are not made for two threads: tasks whose time was up went on beside all others.
 #[test]
 fn a_task_whose_time_is_up_goes_on_with_all_others() {
-    corkbay_node::lifecycle::platform::set_up_coroutines();
+    corkbay_node::lifecycle::platform::set_up_coroutines().expect("event descriptors");
     let (tell, told) = mpsc::channel();
     corkbay_node::lifecycle::spawn(move || {
         let (thread, short) = (|| std::thread::current().id(), Duration::from_millis(2));
--- a/crates/rig/src/faults/flood.rs
+++ b/crates/rig/src/faults/flood.rs
@@ -19,6 +19,9 @@
 const READ_CHUNK_BYTES: usize = 64 << 10;
 /// Ids of flooding requests start here, above those of other clients.
 const FIRST_ID: u64 = 1 << 40;
+/// Placeholders in templates of messages.
+const SEQID_PLACEHOLDER: i32 = 0x7a5a_7a5a;
+const ID_PLACEHOLDER: &str = "fedcba9876543210";
 
 /// What a flooding client sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -51,49 +54,95 @@
         FloodKind::Connections,
     ];
 
-    /// The next messages of a connection whose last sequence number is `seqid`.
-    fn batch(self, seqid: &mut i32, allow: &str) -> Vec<u8> {
-        let count = match self {
-            FloodKind::Connections => return vec![0],
-            FloodKind::LargeBodies => BATCH_LARGE_MESSAGES,
-            _ => BATCH_MESSAGES,
-        };
-        let mut bytes = Vec::new();
-        for _ in 0..count {
-            *seqid += 1;
-            bytes.extend(self.message(*seqid, allow));
+    /// One message with placeholders for its sequence number and ids.
+    fn template(self, allow: &str) -> Vec<u8> {
+        let class = CLASSES[0].0;
+        match self {
+            FloodKind::Alive => alive(SEQID_PLACEHOLDER),
+            FloodKind::UnknownMethod => unknown_method(SEQID_PLACEHOLDER),
+            FloodKind::UnknownClass => request("nothing", allow, b"x"),
+            FloodKind::LargeBodies => request(class, allow, &[b'x'; MAX_BODY_BYTES]),
+            FloodKind::NewNames => request(class, allow, b"x"),
+            FloodKind::NewNamesCancelled => [request(class, allow, b"x"), cancel(SEQID_PLACEHOLDER)].concat(),
+            FloodKind::Connections => vec![0],
         }
-        bytes
     }
 
-    fn message(self, seqid: i32, allow: &str) -> Vec<u8> {
-        let class = CLASSES[0].0;
+    /// Number of messages that are written at a time.
+    fn batch_messages(self) -> usize {
         match self {
-            FloodKind::Alive => alive(seqid),
-            FloodKind::UnknownMethod => unknown_method(seqid),
-            FloodKind::UnknownClass => request(seqid, "nothing", allow, b"x"),
-            FloodKind::LargeBodies => request(seqid, class, allow, &[b'x'; MAX_BODY_BYTES]),
-            FloodKind::NewNamesCancelled => [request(seqid, class, allow, b"x"), cancel(seqid)].concat(),
-            FloodKind::NewNames | FloodKind::Connections => request(seqid, class, allow, b"x"),
+            FloodKind::Connections => 1,
+            FloodKind::LargeBodies => BATCH_LARGE_MESSAGES,
+            _ => BATCH_MESSAGES,
         }
     }
 }
 
-/// A request under an id and for a function that were not used before.
-fn request(seqid: i32, class: &str, allow: &str, body: &[u8]) -> Vec<u8> {
-    static NEXT_ID: AtomicU64 = AtomicU64::new(FIRST_ID);
-    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-    let (hex, key) = (format!("{id:016x}"), format!("{id:032x}"));
+/// A request with placeholders.
+fn request(class: &str, allow: &str, body: &[u8]) -> Vec<u8> {
+    let key = [ID_PLACEHOLDER, ID_PLACEHOLDER].concat();
     let fields = [
         ("service", class),
-        ("ref", &hex),
+        ("ref", ID_PLACEHOLDER),
         ("allow", allow),
         ("project", "acme"),
         ("replay", &key),
-        ("lookup", &hex),
+        ("lookup", ID_PLACEHOLDER),
         ("info", "memory_mb:64;lanes:8"),
     ];
-    dispatch(seqid, &fields, body)
+    dispatch(SEQID_PLACEHOLDER, &fields, body)
+}
+
+/// Messages of which only the sequence numbers and ids change from batch to batch. Encoding each message anew would
+/// take the flooding clients more processor time than the daemon needs to read it.
+struct Batch {
+    bytes: Vec<u8>,
+    message_bytes: usize,
+    /// Offsets within a message.
+    seqids: Vec<usize>,
+    ids: Vec<usize>,
+    last_seqid: i32,
+}
+
+impl Batch {
+    fn new(kind: FloodKind, allow: &str) -> Self {
+        let template = kind.template(allow);
+        let offsets = |placeholder: &[u8]| {
+            let windows = template.windows(placeholder.len()).enumerate();
+            windows.filter(|window| window.1 == placeholder).map(|window| window.0).collect()
+        };
+        Batch {
+            message_bytes: template.len(),
+            seqids: offsets(&SEQID_PLACEHOLDER.to_be_bytes()),
+            ids: offsets(ID_PLACEHOLDER.as_bytes()),
+            bytes: template.repeat(kind.batch_messages()),
+            last_seqid: 0,
+        }
+    }
+
+    /// The next messages, with sequence numbers and ids that were not used before.
+    fn next(&mut self) -> &[u8] {
+        static NEXT_ID: AtomicU64 = AtomicU64::new(FIRST_ID);
+        let count = (self.bytes.len() / self.message_bytes) as u64;
+        let first_id = NEXT_ID.fetch_add(count, Ordering::Relaxed);
+        for (message, id) in self.bytes.chunks_exact_mut(self.message_bytes).zip(first_id..) {
+            self.last_seqid += 1;
+            for offset in &self.seqids {
+                message[*offset..offset + 4].copy_from_slice(&self.last_seqid.to_be_bytes());
+            }
+            for offset in &self.ids {
+                write_hex(&mut message[*offset..offset + ID_PLACEHOLDER.len()], id);
+            }
+        }
+        &self.bytes
+    }
+}
+
+/// Writes a number as hexadecimal digits that fill the text.
+fn write_hex(text: &mut [u8], number: u64) {
+    for (place, digit) in text.iter_mut().rev().enumerate() {
+        *digit = b"0123456789abcdef"[(number >> (4 * place)) as usize & 15];
+    }
 }
 
 /// Flooding clients; they send until this is dropped.
@@ -179,10 +228,10 @@
         let is_short = self.kind == FloodKind::Connections;
         let reading = if is_short { None } else { socket.try_clone().ok() };
         let reader = reading.map(|socket| std::thread::spawn(move || discard_input(&socket)));
-        let mut seqid = 0;
+        let mut batch = Batch::new(self.kind, &self.allow);
         while !self.shared.is_stopped() {
-            let batch = self.kind.batch(&mut seqid, &self.allow);
-            if socket.write_all(&batch).is_err() {
+            let batch = batch.next();
+            if socket.write_all(batch).is_err() {
                 break;
             }
             self.shared.bytes_written.fetch_add(batch.len() as u64, Ordering::Relaxed);
--- a/crates/rig/src/floods.rs
+++ b/crates/rig/src/floods.rs
@@ -30,7 +30,7 @@
 /// Time for the daemon to write its counters to its log.
 const LOG_DELAY: Duration = Duration::from_millis(200);
 /// Texts of the log lines that a reading keeps.
-const KEPT_LOG_TEXTS: [&str; 2] = ["event loop", "behind"];
+const KEPT_LOG_TEXTS: [&str; 3] = ["event loop", "behind:", "caught up"];
 
 /// Parameters of one run.
 #[derive(Clone, Debug)]
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -269,6 +269,8 @@
                 .execute()?;
                 println!("{kinds:?} x {connections}: {reading}");
                 reading.log_lines.iter().for_each(|line| println!("    {line}"));
+                let shown = reading.violations.iter().take(MAX_PRINTED_VIOLATIONS);
+                shown.for_each(|violation| println!("    {violation}"));
                 are_kept &= reading.violations.is_empty();
             }
             Ok(are_kept)
--- a/crates/rig/src/scale/feed/headless.rs
+++ b/crates/rig/src/scale/feed/headless.rs
@@ -26,7 +26,7 @@
 /// Runs the followers and answers the requests on standard input until its end.
 pub fn serve(config: &HostConfig) -> Result<(), ScaleError> {
     logs::set_up();
-    platform::set_up_coroutines();
+    platform::set_up_coroutines().map_err(std::io::Error::other)?;
     let base_bytes = accounts::measured_base();
     let mut followers = Vec::new();
     for deploy_file in &config.deploy_files {
