Do not run a request again whose id comes again after its client left

What callers saw: a request of a class that must not run twice (side_effect, and token beyond its window) ran again when its id came again 50 ms after its client had closed the connection, and at the other process of an upgrade.

Cause: ids were known only while their request was open.

An id is added before its first attempt and removed if no attempt can have run. A repeat is answered as failed (Crashed), since a refusal would promise that nothing ran; counter repeated_ids.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -16,9 +16,10 @@
 };
 use crate::event_loop;
 use crate::state::counters::Counters;
+use crate::state::recent_ids::{RecentIds, TABLE_BYTES};
 use crate::state::roster::{SuspensionError, WorkerDirectory, WorkerListing};
 use crate::timers;
-use corkbay::{Dispatcher, Event, ModelId, Ms, Names, RequestId, Settings};
+use corkbay::{Dispatcher, Effect, Event, ModelId, Ms, Names, RequestId, Settings};
 use corkbay_duty::{HostOverrides, Leave, LeaveSchedule, ServingState};
 use corkbay_ledger::pressure::{decide_at_cap, Decision, FullAccount};
 use corkbay_ledger::{CapExceeded, Ledger, Purpose, Reservation};
@@ -46,6 +47,8 @@
 pub enum AdmissionError {
     /// A request with this id is still unanswered.
     DuplicateId,
+    /// A request with this id may have run, and its class forbids that it runs again.
+    RepeatedId,
     /// There is too little memory or time for it; retry after this many milliseconds, 0 for no advice.
     Overloaded(Ms),
     /// The invoker is draining and accepts no requests.
@@ -94,6 +97,8 @@
     /// Limit for log lines on single requests.
     pub(crate) lines: LogLineLimit,
     stall_detector: StallDetector,
+    /// Ids of requests that may have run and must not run again.
+    recent_ids: OnceLock<RecentIds>,
 }
 
 impl Invoker {
@@ -140,9 +145,28 @@
             room_for_workers: OnceLock::new(),
             lines: LogLineLimit::default(),
             stall_detector: StallDetector::default(),
+            recent_ids: OnceLock::new(),
         })
     }
 
+    /// Shares the ids of requests that may have run with another process. Has to be called before a request is accepted.
+    pub fn share_recent_ids(&self, ids: RecentIds) {
+        // Called once per process start.
+        let _ = self.recent_ids.set(ids);
+    }
+
+    /// Ids of requests of classes that forbid repeats, as far as they may have run.
+    fn recent_ids(&self) -> &RecentIds {
+        self.recent_ids.get_or_init(|| {
+            RecentIds::in_memory(self.ledger.account(Purpose::Learnt).reserve_over_cap(TABLE_BYTES))
+        })
+    }
+
+    /// Whether requests of a class may run any number of times.
+    fn may_repeat(&self, class: usize) -> bool {
+        self.settings.classes.get(class).is_some_and(|class| class.effect == Effect::Repeatable)
+    }
+
     /// Accepts a request, which must get a final answer from then on.
     pub fn accept(self: &Arc<Self>, call: Call) -> Result<AcceptedRequest, AdmissionError> {
         self.admit(call).inspect_err(|_| self.counters.turned_away.increment())
@@ -156,6 +180,10 @@
             self.counters.turned_away_behind.increment();
             return Err(AdmissionError::Overloaded(self.settings.max_retry_after));
         }
+        if !self.may_repeat(call.request.class) && self.recent_ids().contains(call.request.id) {
+            self.counters.repeated_ids.increment();
+            return Err(AdmissionError::RepeatedId);
+        }
         let reservation =
             self.ledger.reserve(Purpose::Calls, call.request.tenant, CALL_OVERHEAD_BYTES + call.size());
         let reservation = reservation.map_err(|full| no_memory(Purpose::Calls, &full))?;
--- a/crates/node/src/core/invoker/attempts.rs
+++ b/crates/node/src/core/invoker/attempts.rs
@@ -104,6 +104,9 @@
         };
         let by = window.unwrap_or(until).min(until);
         self.record_retry(attempt, &host.name);
+        if attempt == 0 && !invoker.may_repeat(call.request.class) {
+            invoker.recent_ids().insert(call.request.id);
+        }
         self.may_have_run.push((attempt, started));
         let sender = self.request.inbox.sender.clone();
         let end = Box::new(move |end| _ = sender.send(TaskMessage::Ended { attempt, end }));
@@ -164,6 +167,14 @@
         self.in_flight.push(entry);
     }
 
+    /// Forgets the id of a request of which no attempt ran, once all have ended.
+    pub(super) fn forget_unless_run(&self) {
+        let request = &self.request.call.request;
+        if self.requested > 0 && !self.may_have_run() && !self.request.invoker.may_repeat(request.class) {
+            self.request.invoker.recent_ids().remove(request.id);
+        }
+    }
+
     /// Cancels all attempts in flight.
     pub(super) fn cancel_all(&mut self) {
         // Attempts that the dispatcher asked for after the message that ended the request: it counts them as
--- a/crates/node/src/core/invoker/request.rs
+++ b/crates/node/src/core/invoker/request.rs
@@ -37,6 +37,7 @@
             }
         };
         attempts.cancel_all();
+        attempts.forget_unless_run();
         if let Answer::Refused { known, .. } | Answer::Failed(known) = &mut answer {
             known.may_have_run = attempts.may_have_run();
         }
--- a/crates/node/src/lifecycle/platform.rs
+++ b/crates/node/src/lifecycle/platform.rs
@@ -1,10 +1,11 @@
 //! Runs the daemon on the hosting platform: start-up, serving, handover to a successor and shutdown.
 use super::accounts::{self, FleetSize};
 use super::config::{ConfigError, PlatformConfig, Source};
-use super::handover::{self, OverridesHandle, SharedFiles};
+use super::handover::{self, OverridesHandle, ProcessSlot, SharedFiles};
 use super::spawn;
 use crate::core::{monotonic_ms, Invoker};
 use crate::event_loop;
+use crate::state::recent_ids::RecentIds;
 use crate::timers;
 use crate::wire::accept::{Acceptor, ConnectionLimits};
 use crate::wire::command_channel::{self, CommandChannel};
@@ -57,6 +58,8 @@
 /// File descriptors reserved for everything but clients and workers: the program's own, the command channel, operators,
 /// and connections that are handed over to another process.
 const RESERVED_DESCRIPTORS: usize = 40;
+/// The file in the shared folder that holds the ids of requests that may have run.
+const RECENT_IDS_FILE: &str = "recent-ids";
 /// The operators' listener and connections come out of the reserved descriptors.
 const _: () = assert!(operators::SEATS + 1 < RESERVED_DESCRIPTORS / 2);
 
@@ -153,6 +156,14 @@
         .ok()
 }
 
+/// Shares the ids of requests that may have run with the other process of the invoker, if the file can be opened.
+fn share_recent_ids(invoker: &Invoker, slot: &ProcessSlot) {
+    match RecentIds::in_file(&slot.folder.join(RECENT_IDS_FILE)) {
+        Ok(ids) => invoker.share_recent_ids(ids),
+        Err(error) => tracing::error!(%error, "handover: ids of requests are not shared"),
+    }
+}
+
 /// Serves until a signal stops the process; returns true if all requests were answered.
 pub fn run(config: PlatformConfig, source: &Source) -> Result<bool, ConfigError> {
     let mut signals = signals()?;
@@ -168,6 +179,9 @@
     let to_workers = worker_limits(&config.settings, to_workers, MAX_BODY);
     let workers = Arc::new(FrameWorkers::new(to_workers, ledger.account(Purpose::Workers).clone()));
     let invoker = Invoker::new(&config.settings, config.seed, workers.clone(), ledger.clone());
+    if let Some(slot) = &slot {
+        share_recent_ids(&invoker, slot);
+    }
     accounts::watch(&invoker);
     invoker.watch_for_stalls();
     let limits = Arc::new(ProcessLimits {
--- a/crates/node/src/state/counters.rs
+++ b/crates/node/src/state/counters.rs
@@ -80,6 +80,8 @@
     pub taken_over: Counter,
     /// Withdrawals sent to the previous process for requests that it answers.
     pub withdrawn_at_predecessor: Counter,
+    /// Requests that were not accepted because one with their id may have run.
+    pub repeated_ids: Counter,
     /// Deferred calls that an earlier life of this node left open, ended or run again.
     pub orphans_ended: Counter,
     /// Retries: attempts after the first of their request.
@@ -122,6 +124,7 @@
             passed_on: counter(),
             taken_over: counter(),
             withdrawn_at_predecessor: counter(),
+            repeated_ids: counter(),
             orphans_ended: counter(),
             retried: counter(),
             lost: Default::default(),
@@ -190,6 +193,7 @@
             ("passed_on", &self.passed_on),
             ("taken_over", &self.taken_over),
             ("withdrawn_at_predecessor", &self.withdrawn_at_predecessor),
+            ("repeated_ids", &self.repeated_ids),
             ("orphans_ended", &self.orphans_ended),
             ("retried", &self.retried),
         ];
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub mod keys;
 pub mod log;
 pub mod memory_wait;
+pub mod recent_ids;
 pub mod record;
 pub mod resident;
 pub mod roster;
--- a/crates/node/src/wire/invoke/calls.rs
+++ b/crates/node/src/wire/invoke/calls.rs
@@ -297,6 +297,7 @@
     match refusal {
         AdmissionError::Draining => refused("this node is about to end", Some(ENDING_RETRY_AFTER_MS)),
         AdmissionError::Overloaded(span) => refused("there is no room for another call", Some(*span)),
-        AdmissionError::DuplicateId => refused("the id is taken", None),
+        // Ids are drawn at random here.
+        AdmissionError::DuplicateId | AdmissionError::RepeatedId => refused("the id is taken", None),
     }
 }
--- a/crates/node/src/wire/invoke/resume.rs
+++ b/crates/node/src/wire/invoke/resume.rs
@@ -67,7 +67,9 @@
             match self.invoker.accept(call.clone()) {
                 Ok(accepted) => return Some(accepted),
                 Err(AdmissionError::Overloaded(_)) => timers::sleep(FULL_RETRY_PAUSE),
-                Err(AdmissionError::DuplicateId | AdmissionError::Draining) => return None,
+                Err(AdmissionError::DuplicateId | AdmissionError::RepeatedId | AdmissionError::Draining) => {
+                    return None
+                }
             }
         }
         None
--- a/crates/node/src/wire/thrift_front/requests.rs
+++ b/crates/node/src/wire/thrift_front/requests.rs
@@ -56,6 +56,8 @@
             reply_now(rejected(retry_after_ms.max(OVERLOAD_RETRY_AFTER_MS)))
         }
         Ok(Err(AdmissionError::DuplicateId)) => reply_now(crashed("the request is open already")),
+        // Not refused: that would promise that nothing has run.
+        Ok(Err(AdmissionError::RepeatedId)) => reply_now(crashed("a request of this id may have run")),
         Ok(Ok(accepted)) => {
             connection.request_started();
             connection.charge_turn(ACCEPTED_REQUEST_WORK);
--- a/crates/node/tests/support/workers.rs
+++ b/crates/node/tests/support/workers.rs
@@ -32,6 +32,8 @@
     MissTwice,
     /// Serves after [`DELAY`].
     DelayedServe,
+    /// Serves each call [`WORK_TIME`] after its arrival, however many are in flight.
+    ServeInParallel,
     /// Serves after [`DELAY`] and not before a call with another body is in flight too, so that the invoker always has an
     /// unanswered call.
     ServeWithAnotherInFlight,
@@ -86,6 +88,9 @@
 /// Delay of delayed answers and of loads.
 const DELAY: Duration = Duration::from_millis(150);
 
+/// How long a worker takes for a call that is served in parallel.
+const WORK_TIME: Duration = Duration::from_millis(10);
+
 /// A call that a worker received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sent {
@@ -321,6 +326,10 @@
                 let _ = (&socket).write_all(&answer[..within.bytes(head.len(), answer.len())]);
             }
             Behaviour::MissTwice => respond(&socket, 404, not_run, b""),
+            Behaviour::ServeInParallel => {
+                std::thread::sleep(WORK_TIME);
+                respond(&socket, 200, "", &self.run(job.key.as_ref(), &job.body));
+            }
             Behaviour::DelayedServe => {
                 std::thread::sleep(DELAY);
                 respond(&socket, 200, "", &self.run(job.key.as_ref(), &job.body));
@@ -438,6 +447,16 @@
                             std::thread::sleep(DELAY);
                             answer(code::OK, self.run(key.as_ref(), &frame.body));
                         }
+                        Behaviour::ServeInParallel => {
+                            let (fleet, mut socket) = (self.clone(), socket.try_clone().expect("cloned"));
+                            std::thread::spawn(move || {
+                                std::thread::sleep(WORK_TIME);
+                                let (mark, fields) = (FROM_WORKER, String::new());
+                                let body = fleet.run(key.as_ref(), &frame.body);
+                                let answer = Frame { mark, code: code::OK, id: frame.id, fields, body };
+                                let _ = socket.write_all(&answer.encode());
+                            });
+                        }
                         // Waits on another thread, so that the next frame is read meanwhile.
                         Behaviour::ServeWithAnotherInFlight => {
                             let (fleet, mut socket) = (self.clone(), socket.try_clone().expect("cloned"));
