Serve queues of readers for equal times; floods and takeovers in the fault soak

Seen: with one connection that sends new names and one that connects and closes without a pause, 39 of 308 regular requests were refused and 2 answers late (up to 876 ms). Evidence: no reader waited over 5 ms for its turn and no poll was late, all refusals said no_time: requests of clients that had reconnected stood in the listener's queue. Queues of readers were served one turn each in rotation, so accepts and first reads, which are short, got one turn for each slice of 0.5 ms of a flooding reader.

corkbay-rig faults draws floods of seven kinds, crowds of slow clients, and workers that take over the address of a removed one; signals come in series. Rule Mistaken: an attempt at such a worker before it is announced. The checker is shown a planted break of each. SIGTERM comes among SIGHUP and SIGUSR1.

--- a/crates/node/src/event_loop/turns.rs
+++ b/crates/node/src/event_loop/turns.rs
@@ -47,6 +47,8 @@
     Downstream,
 }
 
+/// Time for which one queue is served before the next one.
+const QUEUE_TIME: Duration = MAX_SLICE;
 /// Number of queues: one for readers of each kind that have used up a slice, and one for the others.
 const QUEUES: usize = 4;
 
@@ -205,8 +207,9 @@
 struct State {
     /// Readers that wait for a turn, as [`queue_of`] orders them.
     readers: [VecDeque<Arc<Waiter>>; QUEUES],
-    /// The queue that is served next.
-    next_queue: usize,
+    /// The queue that is served, and since when in nanoseconds of [`loop_clock`].
+    current_queue: usize,
+    served_since: u64,
     /// Tasks that wait for a poll.
     sleepers: Vec<Arc<Waiter>>,
     /// Turns since the last poll for which no reader waited.
@@ -221,18 +224,25 @@
         self.readers.iter().map(VecDeque::len).sum()
     }
 
-    /// Removes the reader that is next, and returns it with its time slice.
-    fn pop_reader(&mut self) -> Option<(Arc<Waiter>, Duration)> {
+    /// Removes the reader that is next at `now` (of [`loop_clock`]), and returns it with its time slice. A queue is served
+    /// until it is empty or has had its time, so that many short turns get as much time as few long ones.
+    fn pop_reader(&mut self, now: u64) -> Option<(Arc<Waiter>, Duration)> {
         let slice = slice_among(self.waiting());
+        if now.saturating_sub(self.served_since) >= QUEUE_TIME.as_nanos() as u64 {
+            self.go_to_next_queue(now);
+        }
         for _ in 0..QUEUES {
-            let queue = self.next_queue;
-            self.next_queue = (queue + 1) % QUEUES;
-            if let Some(reader) = self.readers[queue].pop_front() {
+            if let Some(reader) = self.readers[self.current_queue].pop_front() {
                 return Some((reader, slice));
             }
+            self.go_to_next_queue(now);
         }
         None
     }
+
+    fn go_to_next_queue(&mut self, now: u64) {
+        (self.current_queue, self.served_since) = ((self.current_queue + 1) % QUEUES, now);
+    }
 }
 
 /// The time slice of a turn while that many readers wait.
@@ -314,7 +324,7 @@
         loop {
             let (reader, slice) = {
                 let mut state = self.state();
-                match state.pop_reader() {
+                match state.pop_reader(loop_clock()) {
                     Some(next) => next,
                     None => {
                         state.is_dispatching = !state.sleepers.is_empty();
--- a/crates/node/src/event_loop/turns/tests.rs
+++ b/crates/node/src/event_loop/turns/tests.rs
@@ -2,12 +2,18 @@
 use crate::lifecycle::spawn;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 
-/// Readers that wait, in the order in which they are released, by their numbers.
+/// Readers that wait, in the order in which they are released, by their numbers; each uses its whole slice.
 fn release_order(state: &mut State, waiters: &[Arc<Waiter>]) -> Vec<usize> {
     let number = |released: &Arc<Waiter>| {
         waiters.iter().position(|waiter| Arc::ptr_eq(waiter, released)).expect("a known reader")
     };
-    std::iter::from_fn(|| state.pop_reader()).map(|(released, _)| number(&released)).collect()
+    let mut now = loop_clock();
+    std::iter::from_fn(|| {
+        let (released, slice) = state.pop_reader(now)?;
+        now += slice.as_nanos() as u64;
+        Some(number(&released))
+    })
+    .collect()
 }
 
 /// Queues readers of the given kinds; the second value tells whether the reader has used up a slice.
--- a/crates/rig/src/faults/process.rs
+++ b/crates/rig/src/faults/process.rs
@@ -170,11 +170,13 @@
         self.log.records().paused.push(Span { daemon: self.number, from, to: self.log.now() });
     }
 
-    /// Sends SIGTERM, then SIGKILL at the earliest time the platform may send it, and starts a new process.
+    /// Sends SIGTERM among other signals, then SIGKILL at the earliest time the platform may send it, and starts a new process.
     pub fn terminate(&self) -> io::Result<()> {
         let Ok(mut child) = self.child.try_lock() else { return Ok(()) };
         let started = Instant::now();
-        send_signal(&child, Signal::TERM);
+        [Signal::HUP, Signal::TERM, Signal::USR1, Signal::HUP]
+            .into_iter()
+            .for_each(|signal| send_signal(&child, signal));
         std::thread::sleep(CONNECTIONS_AFTER_TERM);
         self.is_open.store(false, Ordering::Relaxed);
         while started.elapsed() < self.drain_wait + KILL_MARGIN && child.try_wait()?.is_none() {
--- a/crates/rig/src/faults/records.rs
+++ b/crates/rig/src/faults/records.rs
@@ -89,6 +89,19 @@
     pub notified_at: Millis,
 }
 
+/// A worker that was started at the address of another, which was removed from the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Replacement {
+    /// The new worker.
+    pub worker: usize,
+    /// The daemon that was notified.
+    pub daemon: usize,
+    /// When the daemon was notified that the other worker is removed.
+    pub removed_at: Millis,
+    /// When the daemon was notified of the new worker.
+    pub announced_at: Millis,
+}
+
 /// Everything recorded in a soak.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -104,6 +117,8 @@
     pub crashed: Vec<(usize, Millis)>,
     /// Drain notifications.
     pub drained: Vec<DrainNotice>,
+    /// Workers at the address of a removed one.
+    pub replacements: Vec<Replacement>,
     /// Deduplication window of the keyed class, in milliseconds.
     pub window: Millis,
     /// When the soak ended.
--- a/crates/rig/src/faults/scenario.rs
+++ b/crates/rig/src/faults/scenario.rs
@@ -1,4 +1,5 @@
 //! Parameters and fault schedule of a soak, drawn from one seed.
+use super::flood::FloodKind;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -42,6 +43,12 @@
     WorkerSilent(usize, u64),
     /// A worker drains and a new, cold one replaces it.
     WorkerReplaced(usize),
+    /// A worker is removed, and a new one is started at its address and announced later.
+    WorkerReplacedAtAddress(usize),
+    /// Clients send messages of a kind without a pause, on this many connections for this many milliseconds.
+    Flood(FloodKind, usize, u64),
+    /// This many clients connect at once and send slowly or not to the end, for this many milliseconds.
+    SlowCrowd(usize, u64),
 }
 
 /// A fault with its time and the daemon it applies to.
@@ -104,7 +111,7 @@
     }
 
     fn draw_fault(rng: &mut ChaCha8Rng, workers: usize) -> InjectedFault {
-        match rng.random_range(0..13) {
+        match rng.random_range(0..17) {
             0 | 1 => InjectedFault::Terminate,
             2 => InjectedFault::Kill,
             3 => InjectedFault::Reload,
@@ -115,7 +122,13 @@
             }
             10 => InjectedFault::WorkerClosesConnections(rng.random_range(0..workers)),
             11 => InjectedFault::WorkerSilent(rng.random_range(0..workers), rng.random_range(200..1500)),
-            _ => InjectedFault::WorkerReplaced(rng.random_range(0..workers)),
+            12 => InjectedFault::WorkerReplaced(rng.random_range(0..workers)),
+            13 => InjectedFault::WorkerReplacedAtAddress(rng.random_range(0..workers)),
+            14 | 15 => {
+                let kind = FloodKind::ALL[rng.random_range(0..FloodKind::ALL.len())];
+                InjectedFault::Flood(kind, rng.random_range(1..=12), rng.random_range(1000..5000))
+            }
+            _ => InjectedFault::SlowCrowd(rng.random_range(50..=200), rng.random_range(1000..4000)),
         }
     }
 }
--- a/crates/rig/src/faults/verdict.rs
+++ b/crates/rig/src/faults/verdict.rs
@@ -29,6 +29,8 @@
     Deadline,
     /// A draining worker gets no new attempts.
     Drain,
+    /// A worker at the address of a removed one gets no attempts before it is announced.
+    Mistaken,
     /// No daemon exits by itself.
     Crash,
 }
@@ -182,5 +184,18 @@
             );
         }
     }
+    let replacement = records
+        .replacements
+        .iter()
+        .find(|replacement| replacement.worker == arrival.worker && replacement.daemon == request.daemon);
+    if let Some(replacement) = replacement {
+        let stale_from = replacement.removed_at + DRAIN_GRACE_MS + PROTOCOL_SLACK_MS;
+        if arrival.at > stale_from && arrival.at < replacement.announced_at {
+            violation(
+                Rule::Mistaken,
+                format!("sent to worker {}, taken for the removed one at its address", arrival.worker),
+            );
+        }
+    }
     violations
 }
--- a/crates/rig/src/faults/worker.rs
+++ b/crates/rig/src/faults/worker.rs
@@ -31,6 +31,7 @@
     seed: Option<u64>,
     log: Log,
     state: Arc<Mutex<State>>,
+    listener: Arc<TcpListener>,
 }
 
 #[derive(Default)]
@@ -42,20 +43,45 @@
 }
 
 impl Worker {
+    /// Starts a worker at the address of another whose process has ended.
+    pub fn start_at(
+        address: SocketAddr,
+        number: usize,
+        cell: usize,
+        seed: u64,
+        log: &Log,
+    ) -> io::Result<Self> {
+        Self::listen(address, number, cell, Some(seed), log)
+    }
+
     /// Starts a worker on a free port; some of its requests fail, as the seed decides.
     pub fn start(number: usize, cell: usize, seed: u64, log: &Log) -> io::Result<Self> {
-        Self::listen(number, cell, Some(seed), log)
+        Self::listen(any_address(), number, cell, Some(seed), log)
     }
 
     /// Starts a worker on a free port that serves each request after the same time.
     pub fn start_reliable(number: usize, cell: usize, log: &Log) -> io::Result<Self> {
-        Self::listen(number, cell, None, log)
+        Self::listen(any_address(), number, cell, None, log)
     }
 
-    fn listen(number: usize, cell: usize, seed: Option<u64>, log: &Log) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+    fn listen(
+        address: SocketAddr,
+        number: usize,
+        cell: usize,
+        seed: Option<u64>,
+        log: &Log,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let worker = Worker { address, number, cell, seed, log: log.clone(), state: Arc::default() };
+        let worker = Worker {
+            address,
+            number,
+            cell,
+            seed,
+            log: log.clone(),
+            state: Arc::default(),
+            listener: Arc::new(listener.try_clone()?),
+        };
         let accepting_worker = worker.clone();
         std::thread::spawn(move || {
             for socket in listener.incoming().map_while(Result::ok) {
@@ -67,6 +93,13 @@
         Ok(worker)
     }
 
+    /// Ends the worker's process: it accepts no connection any more, and all are closed.
+    pub fn end(&self) {
+        // Fails if the listener was shut down before.
+        let _ = rustix::net::shutdown(&*self.listener, rustix::net::Shutdown::Both);
+        self.close_connections();
+    }
+
     /// Closes all connections.
     pub fn close_connections(&self) {
         let sockets = std::mem::take(&mut self.state().sockets);
@@ -138,6 +171,11 @@
     }
 }
 
+/// Any free port on loopback.
+fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 /// Sends a frame. Write errors are ignored because the reader detects the end of a connection.
 fn reply(mut socket: &TcpStream, code: u8, id: u64) {
     let frame = Frame { mark: FROM_WORKER, code, id, fields: String::new(), body: b"done".to_vec() };
--- a/crates/rig/src/floods.rs
+++ b/crates/rig/src/floods.rs
@@ -5,6 +5,7 @@
 use crate::faults::flood::{Flood, FloodKind};
 use crate::faults::log::Log;
 use crate::faults::records::{ClientRequest, Millis, Records, RequestOutcome};
+use crate::faults::slow_crowd;
 use crate::faults::verdict::{judge, Violation};
 use crate::faults::worker::Worker;
 use crate::grow::daemon::{Daemon, Setup};
@@ -39,6 +40,8 @@
     pub kinds: Vec<FloodKind>,
     /// Number of flooding clients of each kind.
     pub connections: usize,
+    /// Number of clients that connect at once and send slowly or not to the end.
+    pub slow_clients: usize,
     /// How long the flood lasts.
     pub span: Duration,
     /// How long clients wait for an answer, in milliseconds.
@@ -110,7 +113,11 @@
             .iter()
             .map(|kind| Flood::start(daemon.address, *kind, self.connections, allow))
             .collect();
-        std::thread::sleep(self.span);
+        if self.slow_clients > 0 {
+            slow_crowd::run(daemon.address, self.slow_clients, self.span);
+        } else {
+            std::thread::sleep(self.span);
+        }
         let cpu_s = daemon.usage()?.cpu_s - cpu_before;
         is_running.store(false, Ordering::Relaxed);
         let flood_bytes = floods.iter().map(Flood::bytes_written).sum();
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -23,9 +23,8 @@
 #[global_allocator]
 static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
 
-/// Client timeout in milliseconds and memory limit in MB of the runs with floods.
+/// Client timeout of the runs with floods, in milliseconds.
 const FLOOD_ALLOWED_MS: u64 = 334;
-const FLOOD_MEMORY_MB: u64 = 64;
 
 /// Most violations printed for one run.
 const MAX_PRINTED_VIOLATIONS: usize = 5;
@@ -128,6 +127,12 @@
         /// How long each flood lasts, in seconds.
         #[arg(long, default_value_t = 6)]
         seconds: u64,
+        /// Number of clients that connect at once and send slowly or not to the end.
+        #[arg(long, default_value_t = 0)]
+        slow_clients: usize,
+        /// Memory limit of the daemon, in MB.
+        #[arg(long, default_value_t = 64)]
+        memory_mb: u64,
         /// All kinds at once instead of one after the other.
         #[arg(long)]
         mixed: bool,
@@ -248,7 +253,7 @@
             }
             Ok(are_kept)
         }
-        Task::Floods { kinds, connections, seconds, mixed } => {
+        Task::Floods { kinds, connections, seconds, slow_clients, memory_mb, mixed } => {
             let kinds = if kinds.is_empty() { FloodKind::ALL.to_vec() } else { kinds.clone() };
             let groups: Vec<_> =
                 if *mixed { vec![kinds] } else { kinds.into_iter().map(|kind| vec![kind]).collect() };
@@ -259,9 +264,10 @@
                 let reading = FloodRun {
                     kinds: kinds.clone(),
                     connections,
+                    slow_clients: *slow_clients,
                     span: Duration::from_secs(*seconds),
                     allowed_ms: FLOOD_ALLOWED_MS,
-                    memory_mb: FLOOD_MEMORY_MB,
+                    memory_mb: *memory_mb,
                     program: program()?,
                     folder: std::path::absolute(out)?,
                     seed,
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -1,9 +1,10 @@
 //! Tests the verdict of the fault soak with a violation of each rule, and runs short soaks of the daemon itself.
+use corkbay_rig::faults::process::Peaks;
 use corkbay_rig::faults::records::{
-    Arrival, ClientRequest, DrainNotice, Millis, Records, RequestOutcome, Span,
+    Arrival, ClientRequest, DrainNotice, Millis, Records, Replacement, RequestOutcome, Span,
 };
 use corkbay_rig::faults::verdict::{judge, Rule};
-use corkbay_rig::faults::{run, Scenario, SoakPaths};
+use corkbay_rig::faults::{run, InjectedFault, Scenario, SoakPaths};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
@@ -109,6 +110,58 @@
     assert_eq!(rules(&in_grace), []);
 }
 
+/// A worker that was started at the address of worker 1, which was removed at 1.1 s; it was announced at 8 s.
+fn replaced_at_address() -> Records {
+    Records {
+        replacements: vec![Replacement { worker: 2, daemon: 0, removed_at: 1100.0, announced_at: 8000.0 }],
+        drained: vec![DrainNotice { worker: 1, daemon: 0, notified_at: 1100.0 }],
+        ..records(ClientRequest { allowed: 9000.0, ..request(ONCE) }, Vec::new())
+    }
+}
+
+fn arrival_at_worker(worker: usize, at: Millis) -> Arrival {
+    Arrival { worker, remaining_ms: 10_000.0 - at, ..arrival(at) }
+}
+
+#[test]
+fn an_attempt_at_a_process_taken_for_the_one_before_it_is_a_violation() {
+    let with = |arrivals| Records { arrivals, ..replaced_at_address() };
+    assert_eq!(rules(&with(vec![arrival_at_worker(2, 5000.0)])), [Rule::Mistaken], "not announced yet");
+    assert_eq!(rules(&with(vec![arrival_at_worker(1, 5000.0)])), [Rule::Drain], "at the removed one");
+    let twice = vec![arrival_at_worker(1, 1050.0), arrival_at_worker(2, 8100.0)];
+    assert_eq!(rules(&with(twice)), [Rule::Duplicate], "run by both");
+    assert_eq!(rules(&with(vec![arrival_at_worker(2, 8100.0)])), [], "it was announced");
+    assert_eq!(rules(&with(vec![arrival_at_worker(2, 1500.0)])), [], "the removal was just told");
+}
+
+/// What a flood and a slow crowd may lead to: answers that are late, requests without one, too much memory.
+#[test]
+fn what_a_flood_or_a_slow_crowd_breaks_is_found() {
+    let late = ClientRequest { ends: vec![(RequestOutcome::Served, 2501.0)], ..request(CHECK) };
+    assert_eq!(rules(&records(late, vec![arrival(1010.0)])), [Rule::Lost]);
+    let stale = Arrival { remaining_ms: 330.0, ..arrival(6000.0) };
+    let unanswered = ClientRequest { ends: Vec::new(), ..request(CHECK) };
+    assert_eq!(rules(&records(unanswered, vec![stale])), [Rule::Lost, Rule::Deadline]);
+    let usual = Peaks { resident: 30 << 20, descriptors: 300 };
+    assert!(usual.are_within_limits());
+    assert!(!Peaks { resident: 65 << 20, ..usual }.are_within_limits());
+    assert!(!Peaks { descriptors: 513, ..usual }.are_within_limits());
+}
+
+#[test]
+fn the_seeds_in_ci_draw_floods_slow_crowds_and_replacements() {
+    let faults: Vec<_> =
+        SEEDS.iter().flat_map(|seed| Scenario::draw(*seed, SPAN).events).map(|event| event.fault).collect();
+    let any = |is_drawn: fn(&InjectedFault) -> bool| faults.iter().any(is_drawn);
+    assert!(any(|fault| matches!(fault, InjectedFault::Flood(..))), "{faults:?}");
+    assert!(any(|fault| matches!(fault, InjectedFault::SlowCrowd(..))), "{faults:?}");
+    assert!(any(|fault| matches!(fault, InjectedFault::WorkerReplacedAtAddress(_))), "{faults:?}");
+    assert!(any(|fault| matches!(fault, InjectedFault::Terminate)), "{faults:?}");
+    assert!(any(|fault| matches!(fault, InjectedFault::Reload)), "{faults:?}");
+    assert!(any(|fault| matches!(fault, InjectedFault::WorkerReplaced(_))), "{faults:?}");
+    assert!(SEEDS.iter().any(|seed| Scenario::draw(*seed, SPAN).has_one_shot_clients));
+}
+
 #[test]
 fn a_process_that_exits_by_itself_is_a_violation() {
     let crashed = Records { crashed: vec![(0, 5.0)], ..Records::default() };
