Limit the log lines about what peers send

A line was written for each connection of a client, worker, node or follower that ended on what could not be read, and for each odd event of the command channel, by the thread that serves all; their number followed from what a peer sends, and a slow reader of the log would have held the process up. Twenty a second now for all of them together, the rest is counted ('lines on peers'). Found by reading during the incident; connections_that_send_what_cannot_be_read_fill_no_log shows it.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -14,7 +14,7 @@
 pub use invoker::{AcceptedRequest, AdmissionError, Inbox, Invoker, ACCEPTED_REQUEST_WORK};
 
 pub use stall::{LoadChange, StallDetector, HEARTBEAT_INTERVAL};
-pub use unserved::{LogLineLimit, Unserved};
+pub use unserved::{peer_lines, LogLineLimit, Unserved};
 
 use crate::state::counters::ConnectionAttempts;
 use crate::state::roster::Host;
--- a/crates/node/src/core/unserved.rs
+++ b/crates/node/src/core/unserved.rs
@@ -3,6 +3,7 @@
 use super::monotonic_ms;
 use corkbay::{EndReason, Ms, RequestId};
 use may::sync::Mutex;
+use std::sync::OnceLock;
 
 /// Log lines per second; events beyond that are only counted.
 const MAX_LINES_PER_SECOND: u32 = 20;
@@ -54,9 +55,20 @@
     }
 }
 
-/// Limits log lines about single requests per second.
+/// Limits log lines about single requests or peers per second.
 #[derive(Debug)]
-pub struct LogLineLimit(Mutex<Window>);
+pub struct LogLineLimit {
+    /// What the lines are about.
+    subject: &'static str,
+    window: Mutex<Window>,
+}
+
+/// The limit for lines about what a peer sent or how its connection ended. A line is written by the thread that serves
+/// all peers, so their number must not follow from what a peer sends.
+pub fn peer_lines() -> &'static LogLineLimit {
+    static LINES: OnceLock<LogLineLimit> = OnceLock::new();
+    LINES.get_or_init(|| LogLineLimit { subject: "peers", window: Mutex::default() })
+}
 
 #[derive(Debug, Default)]
 struct Window {
@@ -67,7 +79,7 @@
 
 impl Default for LogLineLimit {
     fn default() -> Self {
-        LogLineLimit(Mutex::new(Window::default()))
+        LogLineLimit { subject: "requests", window: Mutex::default() }
     }
 }
 
@@ -77,13 +89,13 @@
     pub fn take(&self) -> bool {
         let (allowed, left_out) = self.allow_at(monotonic_ms());
         if left_out > 0 {
-            tracing::info!(left_out, "lines on requests");
+            tracing::info!(left_out, "lines on {}", self.subject);
         }
         allowed
     }
 
     fn allow_at(&self, now: Ms) -> (bool, u64) {
-        let mut window = super::lock(&self.0);
+        let mut window = super::lock(&self.window);
         let mut left_out_before = 0;
         if now - window.began >= WINDOW_MS {
             left_out_before = window.left_out;
--- a/crates/node/src/wire/command_channel.rs
+++ b/crates/node/src/wire/command_channel.rs
@@ -1,7 +1,7 @@
 //! The command channel: a stream of numbered events (server-sent events) about the workers.
 use super::socket::Socket;
 use super::sse::Stream;
-use crate::core::{lock, monotonic_ms, Invoker, UnixTime};
+use crate::core::{lock, monotonic_ms, peer_lines, Invoker, UnixTime};
 use crate::state::roster::WorkerListing;
 use crate::state::start_times::ChannelContact;
 use crate::timers;
@@ -113,7 +113,9 @@
                 Ok(endpoint) => Some(endpoint.listing(last_contact_without_report)),
                 Err(error) => {
                     invoker.counters.channel_odd.increment();
-                    tracing::warn!(%entry, %error, "command channel: an entry was left out");
+                    if peer_lines().take() {
+                        tracing::warn!(%entry, %error, "command channel: an entry was left out");
+                    }
                     None
                 }
             };
@@ -225,7 +227,9 @@
                 // Requesting the event again would fail in the same way and hold up the events after it.
                 Err(error) => {
                     invoker.counters.channel_odd.increment();
-                    tracing::warn!(number, %error, "command channel: an event was left out");
+                    if peer_lines().take() {
+                        tracing::warn!(number, %error, "command channel: an event was left out");
+                    }
                 }
             }
         }
--- a/crates/node/src/wire/feed/server.rs
+++ b/crates/node/src/wire/feed/server.rs
@@ -1,7 +1,7 @@
 //! The control node's side of the feed: serves configuration and its changes to followers.
 use super::records::ConfigurationRecords;
 use super::session::Session;
-use crate::core::{lock, monotonic_ms, UnixTime};
+use crate::core::{lock, monotonic_ms, peer_lines, UnixTime};
 use crate::lifecycle::spawn;
 use crate::state::record::Record;
 use crate::state::store::Store;
@@ -179,7 +179,7 @@
         let result = self.read_messages(number, &connection);
         if let Err(error) = result.as_ref().map_err(|error| (error.is_closed(), error)) {
             let (is_closed, error) = error;
-            if !is_closed {
+            if !is_closed && peer_lines().take() {
                 tracing::warn!(%error, "feed: a follower's connection");
             }
         }
@@ -221,7 +221,8 @@
                     }
                 }
                 FeedAction::Close { session, reason } => {
-                    if !matches!(reason, CloseReason::Busy | CloseReason::Replaced) {
+                    let is_usual = matches!(reason, CloseReason::Busy | CloseReason::Replaced);
+                    if !is_usual && peer_lines().take() {
                         tracing::warn!(?reason, "feed: a follower is let go");
                     }
                     let Some(session) = state.sessions.remove(&session) else { continue };
@@ -238,7 +239,9 @@
         spawn(move || match session.write_queued(server.account()) {
             Ok(bytes) => _ = server.sent_bytes.fetch_add(bytes, Relaxed),
             Err(error) => {
-                tracing::warn!(%error, "feed: a follower can't be written to");
+                if peer_lines().take() {
+                    tracing::warn!(%error, "feed: a follower can't be written to");
+                }
                 session.end();
             }
         });
--- a/crates/node/src/wire/replication.rs
+++ b/crates/node/src/wire/replication.rs
@@ -15,6 +15,7 @@
 
 use super::accept::{Acceptor, ConnectionLimits};
 use super::record_changes::OnRecordChanges;
+use crate::core::peer_lines;
 use crate::lifecycle::spawn;
 use crate::state::store::Store;
 use client::ReplicationClient;
@@ -73,7 +74,9 @@
             // Counted as busy for its lifetime, so that an idle peer connection is not evicted.
             connection.request_started();
             if let Err(error) = server::serve(&mesh, &connection) {
-                tracing::warn!(%error, "replication: a caller");
+                if peer_lines().take() {
+                    tracing::warn!(%error, "replication: a caller");
+                }
             }
             connection.shut(Shutdown::Both);
         });
--- a/crates/node/src/wire/thrift_front.rs
+++ b/crates/node/src/wire/thrift_front.rs
@@ -13,7 +13,7 @@
 
 use super::accept::Connection;
 use super::connection_handover::{HandoverSender, ReceivedConnection, WithdrawalSender};
-use crate::core::Invoker;
+use crate::core::{peer_lines, Invoker};
 use crate::lifecycle::spawn;
 use handed_over::TakenOverConnection;
 use open_requests::OpenRequests;
@@ -66,7 +66,9 @@
         Ok(ReadEnd::Closed) => {}
         Err(malformed) => {
             invoker.counters.malformed.increment();
-            tracing::info!(%malformed, "client connection closed");
+            if peer_lines().take() {
+                tracing::info!(%malformed, "client connection closed");
+            }
             reader.fail_open_requests();
         }
     }
--- a/crates/node/src/wire/thrift_front/reader.rs
+++ b/crates/node/src/wire/thrift_front/reader.rs
@@ -5,7 +5,7 @@
 use super::handed_over::GivenConnection;
 use super::open_requests::OpenRequests;
 use super::requests::{crashed, dispatch, rejected, write, OVERLOAD_RETRY_AFTER_MS};
-use crate::core::{monotonic_ms, time_until, Invoker};
+use crate::core::{monotonic_ms, peer_lines, time_until, Invoker};
 use crate::event_loop::TurnStart;
 use crate::state::clients::ClientState;
 use crate::state::memory_wait::OUT_OF_MEMORY_KIND;
@@ -263,7 +263,7 @@
     fn count_malformed(&mut self, what: &'static str) -> Result<(), Malformed> {
         self.invoker.counters.malformed.increment();
         self.malformed_messages += 1;
-        if self.malformed_messages <= MAX_LOGGED_MALFORMED {
+        if self.malformed_messages <= MAX_LOGGED_MALFORMED && peer_lines().take() {
             tracing::info!(what, "message turned down");
         }
         if self.malformed_messages >= MAX_MALFORMED_MESSAGES {
--- a/crates/node/src/wire/workers/connection.rs
+++ b/crates/node/src/wire/workers/connection.rs
@@ -1,13 +1,13 @@
 //! One connection to a worker: one task connects and writes, another reads.
 use super::Limits;
-use crate::core::{lock, monotonic_ms, time_until, AbortReason, AttemptError, CancelNotice};
+use crate::core::{lock, monotonic_ms, peer_lines, time_until, AbortReason, AttemptError, CancelNotice};
 use crate::lifecycle::spawn;
 use crate::state::counters::ConnectionAttempts;
 use crate::state::exchanges::{ConnectionExchanges, Stage};
 use crate::state::memory_wait::OUT_OF_MEMORY_KIND;
 use crate::state::roster::Host;
 use crate::timers;
-use crate::wire::frames::{code, Frame, FROM_WORKER};
+use crate::wire::frames::{code, Frame, FrameError, FROM_WORKER};
 use crate::wire::receive_buffer::{ReceiveBuffer, CHUNK};
 use crate::wire::socket::Socket;
 use corkbay::Ms;
@@ -170,7 +170,10 @@
         let reading = spawn(move || {
             let _guard =
                 EndGuard(connection.clone(), AttemptError::NotFullySent(AbortReason::ConnectionLost));
-            connection.read(&reader, receive_buffer, max_answer_bytes);
+            let end = connection.read(&reader, receive_buffer, max_answer_bytes);
+            if let Some(error) = end.filter(|_| peer_lines().take()) {
+                tracing::warn!(%error, "worker connection closed");
+            }
             reader.shut(Shutdown::Both);
             let _ = connection.outbox.send(WriterMessage::Stop);
         });
@@ -223,7 +226,13 @@
         }
     }
 
-    fn read(&self, socket: &Socket, mut receive_buffer: ReceiveBuffer, max_answer_bytes: usize) {
+    /// Reads answers until the connection ends; returns what was wrong with them, if anything.
+    fn read(
+        &self,
+        socket: &Socket,
+        mut receive_buffer: ReceiveBuffer,
+        max_answer_bytes: usize,
+    ) -> Option<ReadError> {
         let mut chunk = vec![0; CHUNK];
         loop {
             let decoded = receive_buffer.consume(|bytes| Frame::decode(bytes, FROM_WORKER));
@@ -233,7 +242,7 @@
             }
             match decoded {
                 Ok(Some(frame)) if frame.body.len() > max_answer_bytes => {
-                    return tracing::warn!(bytes = frame.body.len(), "worker connection closed: long answer");
+                    return Some(ReadError::LongAnswer(frame.body.len()));
                 }
                 Ok(Some(frame)) if is_answer_code(frame.code) => {
                     let (waiter, idle) = {
@@ -247,9 +256,9 @@
                     }
                 }
                 Ok(Some(frame)) => {
-                    return tracing::warn!(code = frame.code, "worker connection closed: odd code");
+                    return Some(ReadError::UnknownCode(frame.code));
                 }
-                Err(error) => return tracing::warn!(%error, "worker connection closed"),
+                Err(error) => return Some(ReadError::Frame(error)),
                 Ok(None) => {
                     receive_buffer.expect(Frame::size(receive_buffer.bytes()).unwrap_or(0));
                     let within =
@@ -257,9 +266,9 @@
                     match receive_buffer.fill(socket, &mut chunk, within) {
                         Err(error) if error.kind() == ErrorKind::TimedOut && receive_buffer.is_empty() => {}
                         Err(error) if error.kind() == OUT_OF_MEMORY_KIND => {
-                            return tracing::warn!("worker connection closed: no room for its answers");
+                            return Some(ReadError::NoMemory);
                         }
-                        Ok(0) | Err(_) => return,
+                        Ok(0) | Err(_) => return None,
                         Ok(_) => {}
                     }
                 }
@@ -268,6 +277,19 @@
     }
 }
 
+/// What was wrong with the answers on a connection, so that it can't be read any further.
+#[derive(Debug, thiserror::Error)]
+enum ReadError {
+    #[error("answer of {0} bytes is too long")]
+    LongAnswer(usize),
+    #[error("unknown code {0}")]
+    UnknownCode(u8),
+    #[error("{0}")]
+    Frame(FrameError),
+    #[error("no room for its answers")]
+    NoMemory,
+}
+
 /// Fails all open exchanges of a connection when its task ends, also by a panic.
 struct EndGuard(Arc<Connection>, AttemptError);
 
--- a/crates/node/tests/flooding_peers.rs
+++ b/crates/node/tests/flooding_peers.rs
@@ -233,3 +233,18 @@
     http_calls_are_answered_in_time(daemon.address);
     polls_were_on_time(&daemon);
 }
+
+/// Lines are written by the thread that serves all peers, and the reader of the log may be slow.
+#[test]
+fn connections_that_send_what_cannot_be_read_fill_no_log() {
+    const MAX_LINES_PER_SECOND: usize = 20;
+    let fixture = Fixture::new(&[Behaviour::Serve], 1);
+    let flood = Flood::connect(fixture.daemon.address, b"", &[7; 64]);
+    std::thread::sleep(SPAN);
+    drop(flood);
+    let lines = fixture.daemon.errors();
+    let about_clients = lines.lines().filter(|line| line.contains("client connection closed")).count();
+    let most = MAX_LINES_PER_SECOND * (SPAN.as_secs() as usize + 3);
+    assert!((1..=most).contains(&about_clients), "{about_clients} lines");
+    platform_calls_are_answered_in_time(&fixture);
+}
