--- a/crates/rig/src/faults/flood.rs
+++ b/crates/rig/src/faults/flood.rs
@@ -1,4 +1,4 @@
-//! Clients that send messages without a pause, each on one connection, and read their answers.
+//! Clients that send messages without a pause, each on one connection, and, but for one kind, read their answers.
 use super::records::CLASSES;
 use super::thrift::{alive, cancel, dispatch, unknown_method};
 use std::io::{Read, Write};
@@ -38,19 +38,22 @@
     UnknownMethod,
     /// Requests with the largest body.
     LargeBodies,
+    /// Health checks whose answers are never read.
+    UnreadAnswers,
     /// Connections that send one byte and are closed.
     Connections,
 }
 
 impl FloodKind {
     /// All kinds.
-    pub const ALL: [FloodKind; 7] = [
+    pub const ALL: [FloodKind; 8] = [
         FloodKind::Alive,
         FloodKind::NewNames,
         FloodKind::NewNamesCancelled,
         FloodKind::UnknownClass,
         FloodKind::UnknownMethod,
         FloodKind::LargeBodies,
+        FloodKind::UnreadAnswers,
         FloodKind::Connections,
     ];
 
@@ -58,7 +61,7 @@
     fn template(self, allow: &str) -> Vec<u8> {
         let class = CLASSES[0].0;
         match self {
-            FloodKind::Alive => alive(SEQID_PLACEHOLDER),
+            FloodKind::Alive | FloodKind::UnreadAnswers => alive(SEQID_PLACEHOLDER),
             FloodKind::UnknownMethod => unknown_method(SEQID_PLACEHOLDER),
             FloodKind::UnknownClass => request("nothing", allow, b"x"),
             FloodKind::LargeBodies => request(class, allow, &[b'x'; MAX_BODY_BYTES]),
@@ -226,7 +229,8 @@
     /// Writes until the connection ends or the flood is stopped; another thread reads and discards the answers.
     fn flood(&self, mut socket: &TcpStream) {
         let is_short = self.kind == FloodKind::Connections;
-        let reading = if is_short { None } else { socket.try_clone().ok() };
+        let reads_answers = !is_short && self.kind != FloodKind::UnreadAnswers;
+        let reading = if reads_answers { socket.try_clone().ok() } else { None };
         let reader = reading.map(|socket| std::thread::spawn(move || discard_input(&socket)));
         let mut batch = Batch::new(self.kind, &self.allow);
         while !self.shared.is_stopped() {
--- a/crates/rig/src/floods.rs
+++ b/crates/rig/src/floods.rs
@@ -48,6 +48,8 @@
     pub allowed_ms: u64,
     /// Memory limit of the daemon, in MB.
     pub memory_mb: u64,
+    /// Share of a core that the daemon may use (1.0 is a whole core); unlimited if `None`.
+    pub core_share: Option<f64>,
     /// Path of the daemon's executable.
     pub program: PathBuf,
     /// Folder for the daemon's files.
@@ -148,7 +150,7 @@
             zones,
             allowed_ms: self.allowed_ms,
             window_ms: DEDUP_WINDOW_MS,
-            core_share: None,
+            core_share: self.core_share,
             memory_mb: self.memory_mb,
             loads_on_call: true,
         }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -133,6 +133,9 @@
         /// Memory limit of the daemon, in MB.
         #[arg(long, default_value_t = 64)]
         memory_mb: u64,
+        /// Share of a core that the daemon may use; unlimited if it is not given.
+        #[arg(long)]
+        core_share: Option<f64>,
         /// All kinds at once instead of one after the other.
         #[arg(long)]
         mixed: bool,
@@ -253,33 +256,25 @@
             }
             Ok(are_kept)
         }
-        Task::Floods { kinds, connections, seconds, slow_clients, memory_mb, mixed } => {
+        Task::Floods { kinds, connections, seconds, slow_clients, memory_mb, core_share, mixed } => {
             let kinds = if kinds.is_empty() { FloodKind::ALL.to_vec() } else { kinds.clone() };
-            let groups: Vec<_> =
-                if *mixed { vec![kinds] } else { kinds.into_iter().map(|kind| vec![kind]).collect() };
-            let mut are_kept = true;
-            for (kinds, connections) in
-                groups.iter().flat_map(|kinds| connections.iter().map(move |count| (kinds, *count)))
-            {
-                let reading = FloodRun {
-                    kinds: kinds.clone(),
-                    connections,
-                    slow_clients: *slow_clients,
-                    span: Duration::from_secs(*seconds),
-                    allowed_ms: FLOOD_ALLOWED_MS,
-                    memory_mb: *memory_mb,
-                    program: program()?,
-                    folder: std::path::absolute(out)?,
-                    seed,
-                }
-                .execute()?;
-                println!("{kinds:?} x {connections}: {reading}");
-                reading.log_lines.iter().for_each(|line| println!("    {line}"));
-                let shown = reading.violations.iter().take(MAX_PRINTED_VIOLATIONS);
-                shown.for_each(|violation| println!("    {violation}"));
-                are_kept &= reading.violations.is_empty();
-            }
-            Ok(are_kept)
+            let run = FloodRun {
+                kinds: Vec::new(),
+                connections: 0,
+                slow_clients: *slow_clients,
+                span: Duration::from_secs(*seconds),
+                allowed_ms: FLOOD_ALLOWED_MS,
+                memory_mb: *memory_mb,
+                core_share: *core_share,
+                program: program()?,
+                folder: std::path::absolute(out)?,
+                seed,
+            };
+            let groups: Vec<Vec<FloodKind>> = match mixed {
+                true => vec![kinds],
+                false => kinds.into_iter().map(|kind| vec![kind]).collect(),
+            };
+            print_floods(&run, &groups, connections)
         }
         Task::Scale { experiment } => {
             let context = ScaleContext { program: program()?, out: out.clone(), seed };
@@ -323,6 +318,26 @@
         && readings.iter().all(|reading| reading.violations.is_empty() && !reading.has_unlisted_workers))
 }
 
+/// Runs each group of kinds with each number of connections and prints the readings. Returns whether all rules were kept.
+fn print_floods(
+    run: &FloodRun,
+    groups: &[Vec<FloodKind>],
+    connections: &[usize],
+) -> Result<bool, Box<dyn Error>> {
+    let mut are_kept = true;
+    for kinds in groups {
+        for count in connections {
+            let reading = FloodRun { kinds: kinds.clone(), connections: *count, ..run.clone() }.execute()?;
+            println!("{kinds:?} x {count}: {reading}");
+            reading.log_lines.iter().for_each(|line| println!("    {line}"));
+            let shown = reading.violations.iter().take(MAX_PRINTED_VIOLATIONS);
+            shown.for_each(|violation| println!("    {violation}"));
+            are_kept &= reading.violations.is_empty();
+        }
+    }
+    Ok(are_kept)
+}
+
 /// Prints the result of a soak under faults. Returns whether all rules were kept.
 fn print_faults(seed: u64, outcome: &faults::Outcome) -> bool {
     let [check, post, once] = outcome.served;
--- a/crates/rig/tests/floods.rs
+++ b/crates/rig/tests/floods.rs
@@ -30,6 +30,7 @@
         span: SPAN,
         allowed_ms: ALLOWED_MS,
         memory_mb,
+        core_share: None,
         program,
         folder: folder.clone(),
         seed: 1,
