Look for a connection to evict once after each poll

While all places were taken by busy connections, a newcomer that waited for one had all connections looked at after each change of any of them, several hundred system calls each time. The next look now follows a poll.

--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -4,7 +4,7 @@
 
 use super::socket::Socket;
 use crate::core::{lock, monotonic_ms};
-use crate::event_loop::{InputKind, Turn};
+use crate::event_loop::{wait_for_poll, InputKind, Turn};
 use crate::lifecycle::spawn;
 use crate::state::clients::{ClientTable, EvictionError};
 use crate::state::memory_wait::wait_for_release;
@@ -313,6 +313,8 @@
                     wait_for_release(&account, CONNECTION_BYTES, EVICTION_POLL_INTERVAL.as_millis() as Ms)
                 }
             }
+            // Looking at all connections after each change of one would leave others little time.
+            wait_for_poll();
         }
     }
 
