--- /dev/null
+++ b/crates/rig/src/faults/replacement.rs
@@ -0,0 +1,84 @@
+//! Replaces workers during a soak.
+use super::log::Log;
+use super::records::{DrainNotice, Replacement};
+use super::worker::Worker;
+use super::{endpoint_entry, SoakRun};
+use std::io;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Time from the removal of a worker until another process is at its address. A daemon that has not been told yet can't
+/// tell the two apart, and repeats keyed requests there as in their cell.
+const TAKEOVER_DELAY: Duration = Duration::from_millis(250);
+/// Time from the removal of a worker until the one at its address is announced.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(3000);
+/// How long the address of a worker that ended is waited for, and the pause between two attempts.
+const REBIND_TIMEOUT: Duration = Duration::from_secs(2);
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
+impl SoakRun {
+    /// Drains a worker and starts another in its place.
+    pub(super) fn replace_worker(&self, index: usize) -> io::Result<()> {
+        let (old, replacement) = {
+            let mut workers = self.workers();
+            let number = workers.iter().map(|worker| worker.number).max().unwrap_or(0) + 1;
+            let replacement = Worker::start(number, workers[index].cell, self.seed, &self.log)?;
+            (std::mem::replace(&mut workers[index], replacement.clone()), replacement)
+        };
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+        for (daemon, channel) in self.channels.iter().enumerate() {
+            channel.push_changes(&[
+                endpoint_entry(&old, "draining", 0.0),
+                endpoint_entry(&replacement, "up", since),
+            ]);
+            let notified_at = self.log.now();
+            self.log.records().drained.push(DrainNotice { worker: old.number, daemon, notified_at });
+        }
+        Ok(())
+    }
+
+    /// Removes a worker, ends its process, starts another at its address, and announces that one later.
+    pub(super) fn replace_worker_at_address(&self, index: usize) -> io::Result<()> {
+        let old = self.workers()[index].clone();
+        self.channels.iter().for_each(|channel| {
+            channel.push_changes(&[endpoint_entry(&old, "removed", 0.0)]);
+        });
+        let removed_at = self.log.now();
+        for daemon in 0..self.channels.len() {
+            let notice = DrainNotice { worker: old.number, daemon, notified_at: removed_at };
+            self.log.records().drained.push(notice);
+        }
+        std::thread::sleep(TAKEOVER_DELAY);
+        old.end();
+        let replacement = {
+            let mut workers = self.workers();
+            let number = workers.iter().map(|worker| worker.number).max().unwrap_or(0) + 1;
+            let replacement = start_worker_at(&old, number, self.seed, &self.log)?;
+            workers[index] = replacement.clone();
+            replacement
+        };
+        std::thread::sleep(ANNOUNCEMENT_DELAY);
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+        let announced_at = self.log.now();
+        for (daemon, channel) in self.channels.iter().enumerate() {
+            let worker = replacement.number;
+            let replaced = Replacement { worker, daemon, removed_at, announced_at };
+            self.log.records().replacements.push(replaced);
+            channel.push_changes(&[endpoint_entry(&replacement, "up", since)]);
+        }
+        Ok(())
+    }
+}
+
+/// Starts a worker in another cell at the address of one that has ended. The port is free once the old listener's thread
+/// has noticed.
+fn start_worker_at(old: &Worker, number: usize, seed: u64, log: &Log) -> io::Result<Worker> {
+    let started = Instant::now();
+    loop {
+        match Worker::start_at(old.address, number, 1 - old.cell, seed, log) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && started.elapsed() < REBIND_TIMEOUT => {
+                std::thread::sleep(REBIND_PAUSE);
+            }
+            end => return end,
+        }
+    }
+}
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -65,7 +65,7 @@
 
 #[test]
 fn a_file_that_is_wrong_fails_before_any_test_is_run() {
-    let seven = "link::one | a | issue 1\n".repeat(7);
+    let five = "link::one | a | issue 1\n".repeat(5);
     let wrong = [
         ("malformed", "link::one, a late answer, issue 28\n", "form"),
         ("no-cause", "link::one |  | issue 28\n", "form"),
@@ -74,7 +74,7 @@
         ("ambiguous", "twice | a late answer | issue 28\n", "names 2 tests"),
         ("repeated", "link::one | a | issue 1\nlink::one | b | issue 2\n", "named twice"),
         ("blank", "link::one | a | issue 1\n\n", "form"),
-        ("seven", seven.as_str(), "7 lines, 6 at most"),
+        ("five", five.as_str(), "5 lines, 4 at most"),
     ];
     for (name, text, complaint) in wrong {
         let (passed, calls, output) = Root::new(name, Some(text)).run();
