Newcomers take turns apart from clients that were served

Seen: 300 slow clients that connect at once at 32 MB, beside soaks: an attempt began 121 ms after its client had left (limit 100 ms); the longest wait for a turn was 174 ms, as all readers without a used-up slice shared one queue. Connections to which nothing was written yet, and listeners, have a queue of their own now.

--- a/crates/node/src/event_loop/turns.rs
+++ b/crates/node/src/event_loop/turns.rs
@@ -12,7 +12,7 @@
 //!   that the first one made ready. A round begins with an event of the kernel, which proves a poll: neither a yield nor
 //!   a timer of the coroutine library does.
 //! - Readers wait in several queues, which are served in rotation: by kind, so that many clients do not hold up the
-//!   answers of a few workers, and apart by whether the last slice was used up, as new and old flows are in fq_codel, so
+//!   answers of a few workers, nor many newcomers the clients that are served, and apart by whether the last slice was used up, as new and old flows are in fq_codel, so
 //!   that a client with one request in hand does not wait for all that flood.
 //! - A slice is shortened for work that is left to other tasks, such as a request that was accepted.
 //! - While nobody waits, a few turns are granted without a poll, so that a process with little to do pays little.
@@ -23,7 +23,7 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::io;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -43,18 +43,25 @@
 pub enum InputKind {
     /// Connections that this process opened: to workers, the command channel and peers.
     Upstream,
-    /// Connections that were accepted, of clients, operators, peers and followers; and the listeners that accept them.
+    /// Connections of clients, operators, peers and followers to which something was written before.
     Downstream,
+    /// Accepted connections to which nothing was written yet, and the listeners that accept them.
+    Newcomer,
 }
 
 /// Time for which one queue is served before the next one.
 const QUEUE_TIME: Duration = MAX_SLICE;
 /// Number of queues: one for readers of each kind that have used up a slice, and one for the others.
-const QUEUES: usize = 4;
+const QUEUES: usize = 6;
 
 /// The queue in which a reader waits.
-fn queue_of(kind: InputKind, has_used_slice: bool) -> usize {
-    2 * kind as usize + usize::from(has_used_slice)
+fn queue_of(kind: usize, has_used_slice: bool) -> usize {
+    2 * kind + usize::from(has_used_slice)
+}
+
+/// Whether a queue is one of readers that have used up a slice.
+fn has_used_slice(queue: usize) -> bool {
+    queue % 2 == 1
 }
 
 /// How a turn began.
@@ -71,7 +78,8 @@
 /// The turns of one reader. Used by one task at a time.
 #[derive(Debug)]
 pub struct Turn {
-    kind: InputKind,
+    /// An [`InputKind`].
+    kind: AtomicUsize,
     /// End of the time slice in nanoseconds of [`loop_clock`]; 0 if the reader has no turn.
     slice_end: AtomicU64,
 }
@@ -79,7 +87,13 @@
 impl Turn {
     /// The turns of a reader of that kind, which has none yet.
     pub fn new(kind: InputKind) -> Self {
-        Turn { kind, slice_end: AtomicU64::new(0) }
+        Turn { kind: AtomicUsize::new(kind as usize), slice_end: AtomicU64::new(0) }
+    }
+
+    /// Records that something was written to the peer, so that it is no newcomer any more.
+    pub fn end_newcomer(&self) {
+        let (newcomer, downstream) = (InputKind::Newcomer as usize, InputKind::Downstream as usize);
+        let _ = self.kind.compare_exchange(newcomer, downstream, Relaxed, Relaxed);
     }
 
     /// Waits for a turn, unless the current one has time left. Has to be called before each unit of input is handled.
@@ -89,7 +103,7 @@
             return TurnStart::Continued;
         }
         let has_used_slice = slice_end > 0;
-        let slice = scheduler().wait_for_turn(self.kind, has_used_slice);
+        let slice = scheduler().wait_for_turn(queue_of(self.kind.load(Relaxed), has_used_slice));
         self.slice_end.store(loop_clock() + slice.as_nanos() as u64, Relaxed);
         if has_used_slice {
             TurnStart::AfterFullSlice
@@ -261,18 +275,18 @@
     }
 
     /// Returns the time slice of the next turn of a reader, after a wait if others wait or a poll is due.
-    fn wait_for_turn(&self, kind: InputKind, has_used_slice: bool) -> Duration {
+    fn wait_for_turn(&self, queue: usize) -> Duration {
         let began = Instant::now();
         let waiter = {
             let mut state = self.state();
-            let may_go_on = !has_used_slice && state.direct_turns < MAX_DIRECT_TURNS;
+            let may_go_on = !has_used_slice(queue) && state.direct_turns < MAX_DIRECT_TURNS;
             if may_go_on && state.waiting() == 0 {
                 state.direct_turns += 1;
                 state.counts.direct += 1;
                 return MAX_SLICE;
             }
             let waiter = Waiter::new();
-            state.readers[queue_of(kind, has_used_slice)].push_back(waiter.clone());
+            state.readers[queue].push_back(waiter.clone());
             state.counts.queued += 1;
             state.counts.most_waiting = state.counts.most_waiting.max(state.waiting());
             self.ask_for_poll(&mut state);
--- a/crates/node/src/event_loop/turns/tests.rs
+++ b/crates/node/src/event_loop/turns/tests.rs
@@ -21,7 +21,7 @@
     let mut state = State::default();
     let waiters: Vec<_> = readers.iter().map(|_| Waiter::new()).collect();
     for ((kind, has_used_slice), waiter) in readers.iter().zip(&waiters) {
-        state.readers[queue_of(*kind, *has_used_slice)].push_back(waiter.clone());
+        state.readers[queue_of(*kind as usize, *has_used_slice)].push_back(waiter.clone());
     }
     (state, waiters)
 }
@@ -45,6 +45,16 @@
     assert!(order.iter().position(|number| *number == 11) <= Some(3), "{order:?}");
 }
 
+#[test]
+fn a_client_that_was_served_does_not_wait_behind_newcomers() {
+    let mut readers = vec![(InputKind::Newcomer, false); 30];
+    readers.push((InputKind::Downstream, false));
+    let (mut state, waiters) = queued(&readers);
+    let order = release_order(&mut state, &waiters);
+    let slices = QUEUE_TIME.as_nanos().div_ceil(slice_among(31).as_nanos()) as usize;
+    assert!(order.iter().position(|number| *number == 30) <= Some(slices), "{order:?}");
+}
+
 #[test]
 fn slices_become_shorter_as_more_readers_wait() {
     assert_eq!(slice_among(0), MAX_SLICE);
--- a/crates/node/src/wire/accept.rs
+++ b/crates/node/src/wire/accept.rs
@@ -128,7 +128,7 @@
     pub fn accept(&self, serve: impl Fn(Arc<Connection>) + Send + Sync + 'static) {
         let serve = self.serve.get_or_init(|| Arc::new(serve));
         let mut last_empty = monotonic_ms();
-        let turn = Turn::new(InputKind::Downstream);
+        let turn = Turn::new(InputKind::Newcomer);
         while !self.closed.load(Ordering::Acquire) {
             if self.has_queued_connection() {
                 // Each accept is a turn of its own: otherwise connections would be accepted faster than those of
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -102,7 +102,7 @@
     /// Wraps an accepted stream. A write that makes no progress for `stall` closes the connection.
     pub fn accepted(stream: TcpStream, stall: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Self::of(Stream::Own(stream), InputKind::Downstream, stall))
+        Ok(Self::of(Stream::Own(stream), InputKind::Newcomer, stall))
     }
 
     /// Wraps a stream that was created elsewhere, such as one that another process handed over.
@@ -232,6 +232,7 @@
     /// directions, as the peer would read the next message as the rest of this one.
     pub fn write(&self, bytes: &[u8]) -> io::Result<()> {
         let _guard = lock(&self.write_lock);
+        self.turn.end_newcomer();
         self.write_all(bytes).inspect_err(|_| self.shut(Shutdown::Both))
     }
 
--- a/crates/rig/src/faults/channel.rs
+++ b/crates/rig/src/faults/channel.rs
@@ -16,6 +16,8 @@
     /// The address on which it listens.
     pub address: SocketAddr,
     events: Arc<Mutex<Vec<Value>>>,
+    /// When a daemon was first told of each event.
+    deliveries: Arc<Mutex<Vec<Instant>>>,
     is_silent: Arc<AtomicBool>,
     bytes_sent: Arc<AtomicU64>,
 }
@@ -33,6 +35,7 @@
         let channel = Channel {
             address: listener.local_addr()?,
             events: Arc::default(),
+            deliveries: Arc::default(),
             is_silent: Arc::default(),
             bytes_sent: Arc::default(),
         };
@@ -54,9 +57,25 @@
         json!({"cursor": events.len(), "cmds": *events})
     }
 
-    /// Sends an event with the changed workers.
-    pub fn push_changes(&self, endpoints: &[Value]) {
-        self.push(endpoints, false);
+    /// Sends an event with the changed workers; returns the number of events so far.
+    pub fn push_changes(&self, endpoints: &[Value]) -> usize {
+        self.push(endpoints, false)
+    }
+
+    /// When the daemon was told of the event with that number; `None` if it can't be reached so far.
+    pub fn delivered_at(&self, number: usize) -> Option<Instant> {
+        self.deliveries().get(number - 1).copied()
+    }
+
+    /// Records that the daemon knows this many events.
+    fn note_delivered(&self, count: usize) {
+        let mut deliveries = self.deliveries();
+        let known = deliveries.len().max(count);
+        deliveries.resize(known, Instant::now());
+    }
+
+    fn deliveries(&self) -> std::sync::MutexGuard<'_, Vec<Instant>> {
+        self.deliveries.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     /// While silent, the channel closes each connection and sends no events.
@@ -69,11 +88,12 @@
         self.bytes_sent.load(Ordering::Relaxed)
     }
 
-    fn push(&self, endpoints: &[Value], is_snapshot: bool) {
+    fn push(&self, endpoints: &[Value], is_snapshot: bool) -> usize {
         let mut events = self.events();
         let cursor = events.len() + 1;
         let nodes = json!({"index": cursor, "snapshot": is_snapshot, "endpoints": endpoints});
         events.push(json!({"cursor": cursor, "nodes": nodes}));
+        cursor
     }
 
     fn events(&self) -> std::sync::MutexGuard<'_, Vec<Value>> {
@@ -91,6 +111,7 @@
                 break;
             }
         }
+        self.note_delivered(sent_count);
         socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
         let mut last_write = Instant::now();
         while !self.is_silent.load(Ordering::Relaxed) {
@@ -99,6 +120,7 @@
                 sent_count += 1;
                 let text = format!("id: {sent_count}\ndata: {event}\n\n");
                 socket.write_all(text.as_bytes())?;
+                self.note_delivered(sent_count);
                 self.bytes_sent.fetch_add(text.len() as u64, Ordering::Relaxed);
                 last_write = Instant::now();
             }
--- a/crates/rig/src/faults/log.rs
+++ b/crates/rig/src/faults/log.rs
@@ -22,6 +22,11 @@
         self.started.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// Milliseconds from the start of the soak to a point in time.
+    pub fn time_of(&self, at: Instant) -> Millis {
+        at.saturating_duration_since(self.started).as_secs_f64() * 1000.0
+    }
+
     /// Locks the records.
     pub fn records(&self) -> MutexGuard<'_, Records> {
         self.records.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
