Count input of a stopped process from before the stop, also if its turn comes later

When a process continues after a stop, input counts as arrived before the stop for as long as its heartbeat is late. That was asked when a request was handled; now that readers wait for their turns, that can be after the next heartbeat, and the time of the wake-up counted. It is asked when the reader wakes up now; one detector for the process.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -12,7 +12,7 @@
 mod request;
 
 use super::{
-    monotonic_ms, time_until, Call, LoadChange, LogLineLimit, StallDetector, Workers, HEARTBEAT_INTERVAL,
+    monotonic_ms, process_stalls, time_until, Call, LoadChange, LogLineLimit, Workers, HEARTBEAT_INTERVAL,
 };
 use crate::event_loop;
 use crate::state::counters::Counters;
@@ -96,7 +96,6 @@
     room_for_workers: OnceLock<Box<dyn Fn(usize) + Send + Sync>>,
     /// Limit for log lines on single requests.
     pub(crate) lines: LogLineLimit,
-    stall_detector: StallDetector,
     /// Ids of requests that may have run and must not run again.
     recent_ids: OnceLock<RecentIds>,
 }
@@ -144,7 +143,6 @@
             counters,
             room_for_workers: OnceLock::new(),
             lines: LogLineLimit::default(),
-            stall_detector: StallDetector::default(),
             recent_ids: OnceLock::new(),
         })
     }
@@ -176,7 +174,7 @@
         if self.serving_state().refuses(monotonic_ms()) {
             return Err(AdmissionError::Draining);
         }
-        if self.stall_detector.is_overloaded(monotonic_ms()) {
+        if process_stalls().is_overloaded(monotonic_ms()) {
             self.counters.turned_away_behind.increment();
             return Err(AdmissionError::Overloaded(self.settings.max_retry_after));
         }
@@ -222,7 +220,7 @@
         crate::lifecycle::spawn(move || loop {
             event_loop::check_pending_poll();
             event_loop::probe_next_poll();
-            match invoker.stall_detector.record_heartbeat(monotonic_ms()) {
+            match process_stalls().record_heartbeat(monotonic_ms()) {
                 Some(LoadChange::Overloaded(late_ms)) => {
                     invoker.counters.fell_behind.increment();
                     tracing::warn!(late_ms = late_ms.round(), "behind: new requests are turned away");
@@ -237,7 +235,7 @@
     /// The earliest time at which data read now can have arrived, in milliseconds on the monotonic clock; a
     /// client's deadline is counted from it.
     pub fn earliest_arrival(&self) -> Ms {
-        self.stall_detector.earliest_arrival(monotonic_ms())
+        process_stalls().earliest_arrival(monotonic_ms())
     }
 
     /// The accounts of all memory that is held.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use invoker::lock;
 pub use invoker::{AcceptedRequest, AdmissionError, Inbox, Invoker, ACCEPTED_REQUEST_WORK};
 
-pub use stall::{LoadChange, StallDetector, HEARTBEAT_INTERVAL};
+pub use stall::{process_stalls, LoadChange, StallDetector, HEARTBEAT_INTERVAL};
 pub use unserved::{peer_lines, LogLineLimit, Unserved};
 
 use crate::state::counters::ConnectionAttempts;
--- a/crates/node/src/core/stall.rs
+++ b/crates/node/src/core/stall.rs
@@ -3,6 +3,7 @@
 //! in time.
 use corkbay::Ms;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// Interval between two heartbeats.
@@ -33,6 +34,12 @@
     consecutive_late: AtomicU32,
 }
 
+/// The detector of this process: whoever reads data asks it when that can have arrived.
+pub fn process_stalls() -> &'static StallDetector {
+    static DETECTOR: OnceLock<StallDetector> = OnceLock::new();
+    DETECTOR.get_or_init(StallDetector::default)
+}
+
 fn load(timestamp: &AtomicU64) -> Ms {
     f64::from_bits(timestamp.load(Relaxed))
 }
--- a/crates/node/src/wire/socket.rs
+++ b/crates/node/src/wire/socket.rs
@@ -9,7 +9,7 @@
 //! [`turns`](crate::event_loop).
 mod arrival;
 
-use crate::core::{lock, monotonic_ms};
+use crate::core::{lock, monotonic_ms, process_stalls};
 use crate::event_loop::{InputKind, Turn, TurnStart};
 use crate::timers;
 use arrival::ArrivalBound;
@@ -190,7 +190,9 @@
                     self.turn.end();
                     let left = end.saturating_duration_since(Instant::now());
                     let waited = self.stream.wait(left);
-                    lock(&self.arrival).note_arrival(monotonic_ms());
+                    // A process that was stopped may have slept through the arrival.
+                    let earliest = process_stalls().earliest_arrival(monotonic_ms());
+                    lock(&self.arrival).note_arrival(earliest);
                     self.reader_waits.store(false, Ordering::SeqCst);
                     match waited {
                         Err(error) if error.kind() == ErrorKind::TimedOut && Instant::now() < end => {}
--- a/crates/rig/src/faults/mod.rs
+++ b/crates/rig/src/faults/mod.rs
@@ -90,6 +90,8 @@
     workers: Mutex<Vec<Worker>>,
     /// Indices of workers whose address is being taken over; other replacements skip them.
     taken_over: Mutex<BTreeSet<usize>>,
+    /// For each notice of a drain, in order, the number of its event on the command channel.
+    notice_events: Mutex<Vec<usize>>,
     channels: Vec<Channel>,
     daemons: Vec<Arc<Process>>,
 }
@@ -117,7 +119,8 @@
     std::thread::sleep(Duration::from_millis(soak.scenario.allowed_ms) + FINAL_ANSWER_MARGIN);
     let now = soak.log.now();
     soak.log.records().ended = now;
-    let records = soak.log.records().clone();
+    let mut records = soak.log.records().clone();
+    soak.count_notices_from_delivery(&mut records);
     Ok(outcome(&records, &soak.daemons))
 }
 
@@ -164,6 +167,7 @@
             seed,
             workers: Mutex::new(workers),
             taken_over: Mutex::default(),
+            notice_events: Mutex::default(),
             channels,
             daemons,
         })
