--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code)]
 use std::collections::{BTreeSet, HashMap};
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, ErrorKind, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -422,3 +422,31 @@
     record.line(format!("client collects {location}: {} {:?}", answer.status, answer.text()));
     answer
 }
+
+/// Passes connections on to an address and delays what passes in either direction, as a network between halls does.
+pub fn link(to: SocketAddr, delay_us: u64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port for a link");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for near in listener.incoming().map_while(Result::ok) {
+            // While the other side is down, the connection ends at once.
+            let Ok(far) = TcpStream::connect(to) else { continue };
+            let (near_too, far_too) = (near.try_clone().expect("a handle"), far.try_clone().expect("a handle"));
+            std::thread::spawn(move || pass(near, far, delay_us));
+            std::thread::spawn(move || pass(far_too, near_too, delay_us));
+        }
+    });
+    address
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, delay_us: u64) {
+    let _ = to.set_nodelay(true);
+    let mut bytes = vec![0; 64 << 10];
+    while let Ok(size @ 1..) = from.read(&mut bytes) {
+        std::thread::sleep(Duration::from_micros(delay_us));
+        if to.write_all(&bytes[..size]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+}
