--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -29,23 +29,30 @@
          [feed]\nlisten = \"{feed}\"\n{CLASS}"
     );
     for number in 0..FUNCTIONS {
-        control += &format!("[[function]]\nname = \"grant-{number}\"\nclass = \"post\"\nmemory_mb = 512\nlanes = 1\n");
+        control += &format!(
+            "[[function]]\nname = \"grant-{number}\"\nclass = \"post\"\nmemory_mb = 512\nlanes = 1\n"
+        );
     }
     for (number, zone) in ["hall-b", "hall-c", "hall-d", "hall-c", "hall-d", "hall-d"].iter().enumerate() {
         let name = format!("worker-{}", number + 1);
         let address = fleet.worker(&name, zone);
-        control += &format!("[[worker]]\nname = \"{name}\"\naddress = \"{address}\"\nzone = \"{zone}\"\ncell = {number}\n");
+        control += &format!(
+            "[[worker]]\nname = \"{name}\"\naddress = \"{address}\"\nzone = \"{zone}\"\ncell = {number}\n"
+        );
     }
     let follower = format!(
         "node = \"invoker-1\"\nlisten = \"{follower_api}\"\ndata_dir = \"follower\"\nzone = \"hall-a\"\n\
          [follow]\n[[follow.control]]\naddress = \"{feed}\"\nzone = \"hall-a\"\napi = \"{control_api}\"\n{CLASS}"
     );
-    let control = Daemon::serve(record, &folder, "control", &folder.write("control.toml", &control), control_api);
+    let control =
+        Daemon::serve(record, &folder, "control", &folder.write("control.toml", &control), control_api);
     control.wait_until_ready();
-    let follower = Daemon::serve(record, &folder, "follower", &folder.write("follower.toml", &follower), follower_api);
+    let follower =
+        Daemon::serve(record, &folder, "follower", &folder.write("follower.toml", &follower), follower_api);
     follower.wait_until_ready();
     // Each function is called once; those that the only worker of hall-b served are called there again.
-    let call_of = |function: &str, key: &str| post_to(record, follower_api, function, "a call", key, Style::Held);
+    let call_of =
+        |function: &str, key: &str| post_to(record, follower_api, function, "a call", key, Style::Held);
     let mut functions = Vec::new();
     for number in 0..FUNCTIONS {
         let function = format!("grant-{number}");
@@ -82,7 +89,11 @@
     record.line(format!("{} keys ran, {broken} of them in two zones", keys.len()));
     assert!(keys.len() >= FUNCTIONS, "{} calls reached a worker", keys.len());
     drop((follower, control));
-    if broken > 0 { BROKEN } else { HELD }
+    if broken > 0 {
+        BROKEN
+    } else {
+        HELD
+    }
 }
 
 fn main() {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -41,15 +41,19 @@
         control += &format!("[[function]]\nname = \"grant-{number}\"\nclass = \"post\"\nmemory_mb = 512\n");
     }
     for (cell, (name, address)) in workers.iter().enumerate() {
-        control += &format!("[[worker]]\nname = \"{name}\"\naddress = \"{address}\"\nzone = \"hall-a\"\ncell = {cell}\n");
+        control += &format!(
+            "[[worker]]\nname = \"{name}\"\naddress = \"{address}\"\nzone = \"hall-a\"\ncell = {cell}\n"
+        );
     }
     let follower = format!(
         "node = \"invoker-1\"\nlisten = \"{follower_api}\"\ndata_dir = \"follower\"\nzone = \"hall-a\"\nmemory_mb = 32\n\
          [follow]\n[[follow.control]]\naddress = \"{feed}\"\nzone = \"hall-a\"\napi = \"{control_api}\"\n{CLASS}"
     );
-    let control = Daemon::serve(record, &folder, "control", &folder.write("control.toml", &control), control_api);
+    let control =
+        Daemon::serve(record, &folder, "control", &folder.write("control.toml", &control), control_api);
     control.wait_until_ready();
-    let follower = Daemon::serve(record, &folder, "follower", &folder.write("follower.toml", &follower), follower_api);
+    let follower =
+        Daemon::serve(record, &folder, "follower", &folder.write("follower.toml", &follower), follower_api);
     follower.wait_until_ready();
     if trouble {
         let mut put = 0;
@@ -59,10 +63,13 @@
             put += PUT_AT_A_TIME;
             pause_ms(50);
         }
-        record.line(format!("{put} functions were put, and each answered 204; the follower has no room for the last"));
+        record.line(format!(
+            "{put} functions were put, and each answered 204; the follower has no room for the last"
+        ));
     }
     let (name, address) = workers[0];
-    let drained = format!("{{\"address\":\"{address}\",\"zone\":\"hall-a\",\"cell\":0,\"state\":\"draining\"}}");
+    let drained =
+        format!("{{\"address\":\"{address}\",\"zone\":\"hall-a\",\"cell\":0,\"state\":\"draining\"}}");
     let answer = call(control_api, "PUT", &format!("/v1/workers/{name}"), &[], drained.as_bytes(), 5000);
     assert_eq!(answer.expect("an answer").status, 204);
     record.line(format!("the control node has answered 204 to the drain of {name}"));
@@ -76,9 +83,16 @@
     drop((follower, control));
     let runs: Vec<Run> = fleet.runs().into_iter().filter(|run| run.at_ms >= begun).collect();
     let stale = runs.iter().filter(|run| run.worker == name).count();
-    record.line(format!("{} calls ran, {stale} of them at {name}, {TOLD_MS} ms after the answer to its drain", runs.len()));
+    record.line(format!(
+        "{} calls ran, {stale} of them at {name}, {TOLD_MS} ms after the answer to its drain",
+        runs.len()
+    ));
     assert!(runs.len() >= FUNCTIONS, "the follower serves");
-    if stale > 0 { BROKEN } else { HELD }
+    if stale > 0 {
+        BROKEN
+    } else {
+        HELD
+    }
 }
 
 fn status_of(api: SocketAddr) -> String {
@@ -94,7 +108,8 @@
         std::thread::spawn(move || {
             for number in (first + putter..first + PUT_AT_A_TIME).step_by(PUTTERS) {
                 let path = format!("/v1/functions/function-of-a-partner-with-a-long-name-{number:06}");
-                let answer = call(control, "PUT", &path, &[], b"{\"class\":\"post\",\"memory_mb\":512}", 5000);
+                let answer =
+                    call(control, "PUT", &path, &[], b"{\"class\":\"post\",\"memory_mb\":512}", 5000);
                 assert_eq!(answer.expect("an answer").status, 204);
             }
         })
--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -351,7 +351,8 @@
         let mut runs = self.runs.lock().unwrap();
         let at_ms = self.record.now_ms();
         let of_key = runs.iter().filter(|run| run.key == key).enumerate();
-        let remembered = of_key.clone().find(|(_, run)| run.group == group && at_ms - run.at_ms < self.window_ms);
+        let remembered =
+            of_key.clone().find(|(_, run)| run.group == group && at_ms - run.at_ms < self.window_ms);
         if let Some((index, _)) = remembered {
             return (index + 1, false);
         }
@@ -367,12 +368,20 @@
     const SOL_SOCKET: i32 = 1;
     const SO_LINGER: i32 = 13;
     let linger = Linger { on: 1, seconds: 0 };
-    unsafe { setsockopt(socket.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, std::mem::size_of::<Linger>() as u32) };
+    unsafe {
+        setsockopt(socket.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, std::mem::size_of::<Linger>() as u32)
+    };
 }
 
 /// Makes calls with these keys at once, each from a client of its own; returns the answers in order. A call that the node
 /// refuses (503, nothing has run) is made again after a pause, as its clients may.
-pub fn post_all(record: &Arc<Record>, api: SocketAddr, what: &str, keys: &[String], style: Style) -> Vec<Message> {
+pub fn post_all(
+    record: &Arc<Record>,
+    api: SocketAddr,
+    what: &str,
+    keys: &[String],
+    style: Style,
+) -> Vec<Message> {
     record.check_time();
     let threads = keys.iter().cloned().map(|key| {
         let (record, what) = (record.clone(), what.to_string());
@@ -442,7 +451,8 @@
         for near in listener.incoming().map_while(Result::ok) {
             // While the other side is down, the connection ends at once.
             let Ok(far) = TcpStream::connect(to) else { continue };
-            let (near_too, far_too) = (near.try_clone().expect("a handle"), far.try_clone().expect("a handle"));
+            let (near_too, far_too) =
+                (near.try_clone().expect("a handle"), far.try_clone().expect("a handle"));
             std::thread::spawn(move || pass(near, far, delay_us));
             std::thread::spawn(move || pass(far_too, near_too, delay_us));
         }
