Log of a retry tells the zones by name and which workers drop repeats

Change: the line `retry` names scope, zone and cell of the worker, and those of the first attempt that may have run; it is written whenever an attempt may have run, not only if the last one may have. ZoneTable numbers zones by name, counts their users and is charged to the roster's account; decisions don't use it yet.

--- a/crates/node/src/core/invoker.rs
+++ b/crates/node/src/core/invoker.rs
@@ -165,6 +165,16 @@
         self.settings.classes.get(class).is_some_and(|class| class.effect == Effect::Repeatable)
     }
 
+    /// The name of the group of workers that drop repeats of requests of a class; "any" if they may run any number of
+    /// times, "none" if no worker drops them.
+    fn dedup_scope(&self, class: usize) -> &'static str {
+        match self.settings.classes.get(class).map(|class| class.effect) {
+            Some(Effect::Keyed(group, _)) => group.name(),
+            Some(Effect::Repeatable) => "any",
+            Some(Effect::Unsafe) | None => "none",
+        }
+    }
+
     /// Accepts a request, which must get a final answer from then on.
     pub fn accept(self: &Arc<Self>, call: Call) -> Result<AcceptedRequest, AdmissionError> {
         self.admit(call).inspect_err(|_| self.counters.turned_away.increment())
--- a/crates/node/src/core/invoker/actions.rs
+++ b/crates/node/src/core/invoker/actions.rs
@@ -2,7 +2,7 @@
 use super::messages::TaskMessage;
 use super::{lock, DispatcherState, Invoker};
 use crate::core::{monotonic_ms, AttemptError};
-use crate::state::roster::Host;
+use crate::state::roster::{Host, ListedLocation};
 use crate::timers;
 use corkbay::{Action, Event, ModelId, Ms, Outcome, WorkerId};
 use corkbay_ledger::{Purpose, Reservation};
@@ -128,6 +128,12 @@
         lock(&self.directory).host(worker)
     }
 
+    /// The host of a worker, and where it is listed.
+    pub(super) fn listed_host(&self, worker: WorkerId) -> Option<(Arc<Host>, ListedLocation)> {
+        let directory = lock(&self.directory);
+        Some((directory.host(worker)?, directory.location(worker)?))
+    }
+
     /// Reserves memory for the task of an order to a worker.
     fn reserve_order_task(&self) -> Option<Reservation> {
         self.ledger.account(Purpose::Workers).reserve(TASK_STACK_BYTES).ok()
--- a/crates/node/src/core/invoker/attempts.rs
+++ b/crates/node/src/core/invoker/attempts.rs
@@ -3,6 +3,7 @@
 use super::request::AcceptedRequest;
 use crate::core::unserved::hex;
 use crate::core::{monotonic_ms, AbortReason, AttemptError, Exchange};
+use crate::state::roster::ListedLocation;
 use corkbay::{Effect, Ms, Outcome, WorkerId};
 
 /// How long after its deadline a request waits for the dispatcher's decision before it fails here.
@@ -24,6 +25,14 @@
     ended_with: Option<AttemptError>,
 }
 
+/// An attempt that was sent.
+struct SentAttempt {
+    attempt: u32,
+    started: Ms,
+    /// Where its worker was listed.
+    location: ListedLocation,
+}
+
 /// The attempts in flight of a request. However the task of the request ends, each attempt is cancelled and
 /// reported to the dispatcher.
 pub(super) struct InFlightAttempts<'a> {
@@ -31,8 +40,8 @@
     in_flight: Vec<InFlightAttempt>,
     /// Number of attempts that the dispatcher asked for and this task has read.
     requested: u32,
-    /// Attempts that were sent and are not proven to have not run, with the start time of each, in order.
-    may_have_run: Vec<(u32, Ms)>,
+    /// Attempts that were sent and are not proven to have not run, in order.
+    may_have_run: Vec<SentAttempt>,
     /// Outcome of the last attempt that produced no result.
     last_failure: Option<Outcome>,
 }
@@ -93,21 +102,21 @@
         let (attempt, call, invoker) = (self.requested, &self.request.call, &self.request.invoker);
         self.requested += 1;
         let started = monotonic_ms();
-        let Some(host) = invoker.host(worker) else {
+        let Some((host, location)) = invoker.listed_host(worker) else {
             return self.request.report_finished(attempt, worker, started, Outcome::Moot, false);
         };
         let expires = call.request.expires;
         let until = if within > 0.0 { expires.min(started + within) } else { expires };
         let window = match invoker.settings.classes.get(call.request.class).map(|class| class.effect) {
-            Some(Effect::Keyed(_, window)) => self.may_have_run.first().map(|(_, first)| first + window),
+            Some(Effect::Keyed(_, window)) => self.may_have_run.first().map(|first| first.started + window),
             _ => None,
         };
         let by = window.unwrap_or(until).min(until);
-        self.record_retry(attempt, &host.name);
+        self.record_retry(attempt, &host.name, &location);
         if attempt == 0 && !invoker.may_repeat(call.request.class) {
             invoker.recent_ids().insert(call.request.id);
         }
-        self.may_have_run.push((attempt, started));
+        self.may_have_run.push(SentAttempt { attempt, started, location });
         let sender = self.request.inbox.sender.clone();
         let end = Box::new(move |end| _ = sender.send(TaskMessage::Ended { attempt, end }));
         invoker.counters.sent.increment();
@@ -115,15 +124,19 @@
         self.in_flight.push(InFlightAttempt { attempt, worker, started, until, exchange, ended_with: None });
     }
 
-    /// Counts and logs a retry: where it goes, and how the attempt before it ended.
-    fn record_retry(&self, attempt: u32, host: &str) {
-        let invoker = &self.request.invoker;
+    /// Counts and logs a retry: where it goes, how the attempt before it ended, and which workers drop its repeats.
+    fn record_retry(&self, attempt: u32, host: &str, location: &ListedLocation) {
+        let (invoker, call) = (&self.request.invoker, &self.request.call);
         let Some(last) = self.last_failure else { return };
         invoker.counters.retried.increment();
         // Retries of attempts that never ran are common; only those that may have run are logged.
-        if !last.proves_not_run() && invoker.lines.take() {
-            let request = hex(self.request.call.request.id);
-            tracing::info!(%request, attempt, host, last = ?last, "retry");
+        let Some(first) = self.may_have_run.first() else { return };
+        if invoker.lines.take() {
+            let request = hex(call.request.id);
+            let scope = invoker.dedup_scope(call.request.class);
+            let (zone, cell) = (location.zone_name(), location.cell);
+            let (first_zone, first_cell) = (first.location.zone_name(), first.location.cell);
+            tracing::info!(%request, attempt, host, last = ?last, scope, zone, first_zone, cell, first_cell, "retry");
         }
     }
 
@@ -134,7 +147,7 @@
         self.request.invoker.counters.lost(outcome);
         self.request.report_finished(entry.attempt, entry.worker, entry.started, outcome, closed);
         if outcome.proves_not_run() {
-            self.may_have_run.retain(|(attempt, _)| *attempt != entry.attempt);
+            self.may_have_run.retain(|sent| sent.attempt != entry.attempt);
         }
     }
 
--- a/crates/node/src/state/roster.rs
+++ b/crates/node/src/state/roster.rs
@@ -2,7 +2,7 @@
 //! decision logic receives, and into whether work may be sent to each worker.
 use super::start_times::{MonotonicReadings, ReportTime, ReportedStart};
 use crate::clock::{monotonic_ms, UnixTime};
-use corkbay::{position, Ms, Names, RosterEntry, RosterUpdate, WorkerId, WorkerState};
+use corkbay::{position, Ms, Names, RosterEntry, RosterUpdate, WorkerId, WorkerState, Zone, ZoneTable};
 use corkbay_duty::HostOverrides;
 use corkbay_ledger::pressure::{decide_at_cap, Decision, FullAccount};
 use corkbay_ledger::{Account, Purpose, Reservation};
@@ -81,6 +81,8 @@
 struct KnownWorker {
     host: Arc<Host>,
     listed: RosterEntry,
+    /// Its zone, if the list names one.
+    zone: Option<Zone>,
     start: ReportedStart,
 }
 
@@ -100,6 +102,22 @@
     }
 }
 
+/// Where a worker is listed.
+#[derive(Clone, Debug)]
+pub struct ListedLocation {
+    /// Its zone, if the list names one.
+    pub zone: Option<Zone>,
+    /// Number of its cell.
+    pub cell: i64,
+}
+
+impl ListedLocation {
+    /// The name of the zone in logs.
+    pub fn zone_name(&self) -> &str {
+        self.zone.as_ref().map_or("unknown", |zone| &zone.name)
+    }
+}
+
 /// Why an operator's override on a host is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SuspensionError {
@@ -116,12 +134,15 @@
 
 /// The known workers, by name and by id. Ids are not reused.
 pub struct WorkerDirectory {
-    zones: Vec<String>,
+    configured_zones: Vec<String>,
+    zones: ZoneTable,
     kinds: Vec<String>,
     hosts: HashMap<WorkerId, KnownWorker>,
     ids_by_name: HashMap<String, WorkerId>,
     next_id: u32,
     held: Reservation,
+    /// Number of listings so far whose zone there was no room for.
+    zones_without_room: usize,
     /// Gone workers, the longest gone first.
     gone: VecDeque<WorkerId>,
     /// Hashes of the names of dropped workers.
@@ -133,13 +154,16 @@
 impl WorkerDirectory {
     /// An empty directory that resolves names of zones and kinds, and charges its memory to an account.
     pub fn new(names: &Names, account: &Account) -> Self {
+        let zones = ZoneTable::new(names);
         WorkerDirectory {
-            zones: names.zones.clone(),
+            held: account.reserve_over_cap(zones.bytes()),
+            configured_zones: names.zones.clone(),
+            zones,
+            zones_without_room: 0,
             kinds: names.kinds.clone(),
             hosts: HashMap::new(),
             ids_by_name: HashMap::new(),
             next_id: 0,
-            held: account.empty_reservation(),
             gone: VecDeque::new(),
             forgotten: VecDeque::new(),
             host_overrides: HostOverrides::default(),
@@ -161,6 +185,12 @@
         self.hosts.get(&id).map(|known| known.host.clone())
     }
 
+    /// Where the worker with this id is listed.
+    pub fn location(&self, id: WorkerId) -> Option<ListedLocation> {
+        let known = self.hosts.get(&id)?;
+        Some(ListedLocation { zone: known.zone.clone(), cell: known.listed.cell })
+    }
+
     /// The operators' overrides on hosts.
     pub fn host_overrides(&self) -> &HostOverrides {
         &self.host_overrides
@@ -202,7 +232,7 @@
     /// Applies listings and returns them as a roster for the decision logic. If the list is complete (`whole`), workers that
     /// it does not contain are marked as gone. `remembered` marks the last list of an earlier process.
     pub fn apply(&mut self, listings: Vec<WorkerListing>, whole: bool, remembered: bool) -> RosterUpdate {
-        let count = listings.len();
+        let (count, zones_without_room) = (listings.len(), self.zones_without_room);
         let entries: Vec<RosterEntry> =
             listings.into_iter().filter_map(|listing| self.entry(listing)).collect();
         if entries.len() < count {
@@ -211,6 +241,12 @@
                 "there is no room for all workers that are listed"
             );
         }
+        if self.zones_without_room > zones_without_room {
+            tracing::warn!(
+                workers = self.zones_without_room - zones_without_room,
+                "there is no room for the names of all zones: the zones of these workers count as unknown"
+            );
+        }
         let listed: HashSet<WorkerId> = entries.iter().map(|entry| entry.worker).collect();
         self.gone.retain(|id| !listed.contains(id));
         if whole {
@@ -244,8 +280,9 @@
 
     fn drop_longest_gone(&mut self) {
         let forgotten = self.gone.pop_front().and_then(|id| self.hosts.remove(&id));
-        let Some(KnownWorker { host, .. }) = forgotten else { return };
+        let Some(KnownWorker { host, zone, .. }) = forgotten else { return };
         self.ids_by_name.remove(&host.name);
+        self.leave_zone(zone);
         if self.forgotten.len() >= MAX_FORGOTTEN_NAMES {
             self.forgotten.pop_front();
         }
@@ -255,9 +292,26 @@
         self.held.shrink_to((self.held.bytes() + more).saturating_sub(worker_bytes(&host.name)));
     }
 
-    /// Reserves memory for a new worker; drops gone workers to make room.
-    fn reserve_for_new(&mut self, name: &str) -> bool {
-        let asked = worker_bytes(name);
+    /// The zone with this name, for a worker that is now listed there; `None` if the name is empty or there is no room for
+    /// it.
+    fn enter_zone(&mut self, name: &str) -> Option<Zone> {
+        let is_new = !name.is_empty() && !self.zones.contains(name);
+        if is_new && !self.reserve(ZoneTable::cost(name)) {
+            self.zones_without_room += 1;
+            return None;
+        }
+        self.zones.enter(name)
+    }
+
+    /// Releases the zone of a worker that is no longer listed there.
+    fn leave_zone(&mut self, zone: Option<Zone>) {
+        let unused = zone.filter(|zone| self.zones.leave(zone));
+        let freed = unused.map_or(0, |zone| ZoneTable::cost(&zone.name));
+        self.held.shrink_to(self.held.bytes().saturating_sub(freed));
+    }
+
+    /// Reserves memory for a new worker or zone; drops gone workers to make room.
+    fn reserve(&mut self, asked: usize) -> bool {
         loop {
             let Err(full) = self.held.resize(self.held.bytes() + asked) else { return true };
             let idle = self.gone.len() * asked;
@@ -272,7 +326,9 @@
     /// The roster entry of a listed worker; `None` if the worker is new and there is no room for it. Updates of known
     /// workers are always applied.
     fn entry(&mut self, listing: WorkerListing) -> Option<RosterEntry> {
-        if !self.ids_by_name.contains_key(&listing.name) && !self.reserve_for_new(&listing.name) {
+        let zone = self.enter_zone(&listing.zone);
+        if !self.ids_by_name.contains_key(&listing.name) && !self.reserve(worker_bytes(&listing.name)) {
+            self.leave_zone(zone);
             return None;
         }
         let id = *self.ids_by_name.entry(listing.name.clone()).or_insert_with(|| {
@@ -288,7 +344,7 @@
             ReportedStart::interpret(listing.since, MonotonicReadings::of(listing.since), report, before);
         let listed = RosterEntry {
             worker: id,
-            zone: position(&self.zones, &listing.zone).unwrap_or(usize::MAX),
+            zone: position(&self.configured_zones, &listing.zone).unwrap_or(usize::MAX),
             kind: position(&self.kinds, &listing.kind).unwrap_or(usize::MAX),
             name: listing.name,
             cell: listing.cell,
@@ -296,7 +352,9 @@
             weight: listing.weight,
             started_at: start.started,
         };
-        let host = match self.hosts.remove(&id).map(|known| known.host) {
+        let before = self.hosts.remove(&id);
+        self.leave_zone(before.as_ref().and_then(|known| known.zone.clone()));
+        let host = match before.map(|known| known.host) {
             Some(host) if host.address == listing.address => host,
             before => {
                 // The worker has moved to another address: connections to the old address must not be used for it.
@@ -304,7 +362,7 @@
                 Host::new(id, &listed.name, listing.address)
             }
         };
-        let known = self.hosts.entry(id).or_insert(KnownWorker { host, listed, start });
+        let known = self.hosts.entry(id).or_insert(KnownWorker { host, listed, zone, start });
         Some(known.effective_entry(&self.host_overrides))
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,6 +16,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ModelId(pub u64);
 
+/// A zone, numbered by the host; numbers are not reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u64);
+
 /// The workers that share a record of keyed requests and drop repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -27,6 +31,17 @@
     Cell,
 }
 
+impl Group {
+    /// The group's name in settings and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Group::All => "all",
+            Group::Zone => "zone",
+            Group::Cell => "cell",
+        }
+    }
+}
+
 /// The effect of running a request of a class twice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,11 +10,13 @@
 mod preferred_workers;
 mod settings;
 mod state;
+mod zones;
 
 pub use interface::*;
 pub use policy::Dispatcher;
 pub use settings::{position, Names};
 pub use state::TableSizes;
+pub use zones::{Zone, ZoneTable};
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
--- /dev/null
+++ b/src/zones/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+fn table(zones: &[&str]) -> ZoneTable {
+    let zones = zones.iter().map(|zone| zone.to_string()).collect();
+    ZoneTable::new(&Names { zones, ..Names::default() })
+}
+
+fn id(table: &mut ZoneTable, name: &str) -> Option<u64> {
+    table.enter(name).map(|zone| zone.id.0)
+}
+
+/// Guards against zones that are taken for each other: each name has its own number, and no name has none.
+#[test]
+fn zones_are_told_apart_by_name() {
+    let mut table = table(&["east", "", "east", "west"]);
+    let names = ["east", "west", "north", "south", "north", ""];
+    let ids = names.map(|name| id(&mut table, name));
+    assert_eq!(ids, [Some(0), Some(3), Some(4), Some(5), Some(4), None]);
+}
+
+/// Guards against memory that grows with every name ever listed, and against a number that is given to another zone while
+/// a call still refers to the first.
+#[test]
+fn unused_zones_are_removed_and_their_numbers_are_not_reused() {
+    let mut table = table(&["east"]);
+    let before = table.bytes();
+    let zones: Vec<Zone> = (0..100).filter_map(|_| table.enter("north")).collect();
+    let left: Vec<bool> = zones.iter().map(|zone| table.leave(zone)).collect();
+    assert_eq!(left.iter().filter(|is_unused| **is_unused).count(), 1, "the last user removes it");
+    assert_eq!(table.bytes(), before);
+    assert_eq!(id(&mut table, "south"), Some(2));
+    let east = table.enter("east").expect("named");
+    assert!(!table.leave(&east) && table.contains("east"), "a zone of the settings stays");
+}
