A keyed call that may have run stays in its zone, whoever names the zone

Cause: a node numbered only the zones of its own deploy file or settings. Workers of all other zones had the number usize::MAX, and the comparison of numbers took them for one zone. Evidence: at the follower the line `retry` names zone="hall-c" first_zone="hall-b" scope="zone" for the second run: the names had arrived, the numbers were equal. Change: the directory numbers each zone by its name when a worker is listed in it, and forgets it with its last worker; a name is charged to the roster's account, and without room the zone is unknown. Zone, cell and kind that are not known are None in the types, and places share a record of keys only where both are known (Location::shares_record). An own zone that `zones` does not name was taken for the first one of the list; it has its own number now. The simulator's adapter does the same. Estimates for zones without workers are swept, and counted in the account of what is learnt. Which worker is near or cheap is decided as before: for costs alone, workers of an unknown zone still count as one zone. Tests that build entries name places by the new type; an index of a kind out of range is still tested.

--- a/crates/node/src/core/invoker/attempts.rs
+++ b/crates/node/src/core/invoker/attempts.rs
@@ -134,8 +134,8 @@
         if invoker.lines.take() {
             let request = hex(call.request.id);
             let scope = invoker.dedup_scope(call.request.class);
-            let (zone, cell) = (location.zone_name(), location.cell);
-            let (first_zone, first_cell) = (first.location.zone_name(), first.location.cell);
+            let (zone, first_zone) = (location.zone_name(), first.location.zone_name());
+            let (cell, first_cell) = (location.location.cell, first.location.location.cell);
             tracing::info!(%request, attempt, host, last = ?last, scope, zone, first_zone, cell, first_cell, "retry");
         }
     }
--- a/crates/node/src/lifecycle/deploy.rs
+++ b/crates/node/src/lifecycle/deploy.rs
@@ -14,7 +14,6 @@
 };
 use serde::Deserialize;
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -170,10 +169,6 @@
 
     /// The settings object that the decision code reads.
     pub fn settings(&self) -> Value {
-        let mut zones: Vec<&str> = vec![&self.zone];
-        zones.extend(self.workers.iter().map(|worker| worker.zone.as_str()));
-        let mut seen = BTreeSet::new();
-        zones.retain(|zone| seen.insert(*zone));
         let class = |class: &Class| {
             json!({
                 "name": class.name, "aimMs": class.aim_ms, "giveUpMs": class.give_up_ms,
@@ -187,7 +182,7 @@
             "balancers": self.invokers(),
             "classes": self.classes.iter().map(class).collect::<Vec<_>>(),
             "customers": self.tenants.iter().map(tenant).collect::<Vec<_>>(),
-            "zones": zones, "myZone": self.zone, "periodMs": 4.0,
+            "myZone": self.zone, "periodMs": 4.0,
             "models": self.kinds.iter().map(|kind| kind.name.as_str()).collect::<Vec<_>>(),
             "registryMode": "pushed",
             "ceilings": {
--- a/crates/node/src/state/catalog.rs
+++ b/crates/node/src/state/catalog.rs
@@ -228,7 +228,8 @@
         address: worker.address,
         zone: worker.zone,
         kind: worker.kind,
-        cell: worker.cell,
+        // A negative number is no cell.
+        cell: u64::try_from(worker.cell).ok(),
         state: match worker.state {
             State::Up => WorkerState::Ready,
             State::Draining => WorkerState::Draining,
--- a/crates/node/src/state/roster.rs
+++ b/crates/node/src/state/roster.rs
@@ -2,7 +2,9 @@
 //! decision logic receives, and into whether work may be sent to each worker.
 use super::start_times::{MonotonicReadings, ReportTime, ReportedStart};
 use crate::clock::{monotonic_ms, UnixTime};
-use corkbay::{position, Ms, Names, RosterEntry, RosterUpdate, WorkerId, WorkerState, Zone, ZoneTable};
+use corkbay::{
+    position, Location, Ms, Names, RosterEntry, RosterUpdate, WorkerId, WorkerState, Zone, ZoneTable,
+};
 use corkbay_duty::HostOverrides;
 use corkbay_ledger::pressure::{decide_at_cap, Decision, FullAccount};
 use corkbay_ledger::{Account, Purpose, Reservation};
@@ -23,8 +25,8 @@
     pub zone: String,
     /// Name of its machine kind.
     pub kind: String,
-    /// Number of its cell (rack).
-    pub cell: i64,
+    /// Number of its cell (rack); `None` if the list names none.
+    pub cell: Option<u64>,
     /// Whether it accepts work.
     pub state: WorkerState,
     /// Capacity relative to other workers; 1.0 is nominal.
@@ -105,16 +107,15 @@
 /// Where a worker is listed.
 #[derive(Clone, Debug)]
 pub struct ListedLocation {
-    /// Its zone, if the list names one.
-    pub zone: Option<Zone>,
-    /// Number of its cell.
-    pub cell: i64,
+    /// Its place as decisions compare it.
+    pub location: Location,
+    zone_name: Option<Arc<str>>,
 }
 
 impl ListedLocation {
-    /// The name of the zone in logs.
+    /// The name of its zone, for logs.
     pub fn zone_name(&self) -> &str {
-        self.zone.as_ref().map_or("unknown", |zone| &zone.name)
+        self.zone_name.as_deref().unwrap_or("unknown")
     }
 }
 
@@ -134,7 +135,6 @@
 
 /// The known workers, by name and by id. Ids are not reused.
 pub struct WorkerDirectory {
-    configured_zones: Vec<String>,
     zones: ZoneTable,
     kinds: Vec<String>,
     hosts: HashMap<WorkerId, KnownWorker>,
@@ -157,7 +157,6 @@
         let zones = ZoneTable::new(names);
         WorkerDirectory {
             held: account.reserve_over_cap(zones.bytes()),
-            configured_zones: names.zones.clone(),
             zones,
             zones_without_room: 0,
             kinds: names.kinds.clone(),
@@ -188,7 +187,8 @@
     /// Where the worker with this id is listed.
     pub fn location(&self, id: WorkerId) -> Option<ListedLocation> {
         let known = self.hosts.get(&id)?;
-        Some(ListedLocation { zone: known.zone.clone(), cell: known.listed.cell })
+        let zone_name = known.zone.as_ref().map(|zone| zone.name.clone());
+        Some(ListedLocation { location: known.listed.location, zone_name })
     }
 
     /// The operators' overrides on hosts.
@@ -344,10 +344,9 @@
             ReportedStart::interpret(listing.since, MonotonicReadings::of(listing.since), report, before);
         let listed = RosterEntry {
             worker: id,
-            zone: position(&self.configured_zones, &listing.zone).unwrap_or(usize::MAX),
-            kind: position(&self.kinds, &listing.kind).unwrap_or(usize::MAX),
+            location: Location { zone: zone.as_ref().map(|zone| zone.id), cell: listing.cell },
+            kind: position(&self.kinds, &listing.kind),
             name: listing.name,
-            cell: listing.cell,
             state: listing.state,
             weight: listing.weight,
             started_at: start.started,
--- a/crates/node/src/state/roster/tests.rs
+++ b/crates/node/src/state/roster/tests.rs
@@ -12,7 +12,7 @@
         address,
         zone,
         kind,
-        cell: 0,
+        cell: Some(0),
         state,
         weight: 1.0,
         since,
@@ -186,3 +186,55 @@
     );
     assert!(account.used() <= account.cap());
 }
+
+fn listed_in(name: usize, zone: &str) -> WorkerListing {
+    WorkerListing { zone: zone.to_string(), ..listing(name, WorkerState::Ready) }
+}
+
+fn zone_of(directory: &mut WorkerDirectory, listing: WorkerListing) -> Option<u64> {
+    match directory.apply(vec![listing], false, false) {
+        RosterUpdate::Changes(entries) => {
+            entries.first().and_then(|entry| entry.location.zone).map(|zone| zone.0)
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against zones that are taken for each other because the settings name neither.
+#[test]
+fn zones_that_the_settings_do_not_name_are_told_apart() {
+    let account = Account::root("roster", 1 << 20);
+    let names = Names { zones: vec!["east".to_string()], ..Names::default() };
+    let mut directory = WorkerDirectory::new(&names, &account);
+    let zones = ["east", "north", "south", "north", ""].map(|zone| zone.to_string());
+    let found: Vec<_> =
+        zones.iter().enumerate().map(|(name, zone)| zone_of(&mut directory, listed_in(name, zone))).collect();
+    assert_eq!(found, [Some(0), Some(1), Some(2), Some(1), None]);
+    assert_eq!(directory.location(WorkerId(1)).expect("known").zone_name(), "north");
+    assert_eq!(directory.location(WorkerId(4)).expect("known").zone_name(), "unknown");
+}
+
+/// Guards against names from outside that take memory without bounds: a zone is charged while a worker is listed in it, and
+/// a zone without room is unknown; it is not taken for another.
+#[test]
+fn zones_are_charged_while_workers_are_listed_in_them() {
+    let long = "z".repeat(1000);
+    let account = Account::root("roster", 2 * worker_bytes("w0") + 2 * ZoneTable::cost(&long));
+    let mut directory = WorkerDirectory::new(&Names::default(), &account);
+    zone_of(&mut directory, listing(0, WorkerState::Ready));
+    let without_zones = account.used();
+    for number in 0..1000 {
+        let zone = zone_of(&mut directory, listed_in(0, &format!("{long}{}", number % 10)));
+        assert_eq!(zone, Some(number), "a name that is no longer used makes room");
+    }
+    assert!(account.used() > without_zones + long.len());
+    let second = zone_of(&mut directory, listed_in(1, &format!("{long}{long}")));
+    assert_eq!(second, None, "there is no room");
+    assert_eq!(directory.location(WorkerId(1)).expect("known").zone_name(), "unknown");
+    assert!(account.used() <= account.cap());
+    assert_eq!(zone_of(&mut directory, listing(0, WorkerState::Ready)), None);
+    zone_of(&mut directory, listing(1, WorkerState::Removed));
+    assert_eq!(account.used(), without_zones + worker_bytes("w1"));
+    drop(directory);
+    assert_eq!(account.used(), 0);
+}
--- a/crates/node/src/wire/command_channel.rs
+++ b/crates/node/src/wire/command_channel.rs
@@ -48,8 +48,9 @@
     zone: String,
     #[serde(default, rename = "type")]
     kind: String,
-    #[serde(default = "no_cell")]
-    group: i64,
+    /// A negative number is no cell.
+    #[serde(default)]
+    group: Option<i64>,
     status: Status,
     #[serde(default = "one")]
     weight: f64,
@@ -68,10 +69,6 @@
     Other,
 }
 
-fn no_cell() -> i64 {
-    -1
-}
-
 fn one() -> f64 {
     1.0
 }
@@ -86,7 +83,7 @@
             address: endpoint.address,
             zone: endpoint.zone,
             kind: endpoint.kind,
-            cell: endpoint.group,
+            cell: endpoint.group.and_then(|group| u64::try_from(group).ok()),
             state: match endpoint.status {
                 Status::Up => WorkerState::Ready,
                 Status::Draining | Status::Other => WorkerState::Draining,
--- a/crates/rig/src/scale/decisions.rs
+++ b/crates/rig/src/scale/decisions.rs
@@ -7,8 +7,8 @@
 use crate::daemon::Deployment;
 use clap::Args;
 use corkbay::{
-    Action, Dispatcher, Event, Finished, ModelId, Ms, Outcome, Request, RequestId, RosterEntry, RosterUpdate,
-    Settings, TableSizes, Warmth, WorkerId, WorkerState,
+    Action, Dispatcher, Event, Finished, Location, ModelId, Ms, Outcome, Request, RequestId, RosterEntry,
+    RosterUpdate, Settings, TableSizes, Warmth, WorkerId, WorkerState, ZoneId,
 };
 use corkbay_node::lifecycle::deploy::{read, Deploy};
 use rand::{Rng, SeedableRng};
@@ -414,13 +414,12 @@
 }
 
 fn entry(number: usize, zones: usize) -> RosterEntry {
-    let zone = number % zones.max(1);
+    let zone = (number % zones.max(1)) as u64;
     RosterEntry {
         worker: WorkerId(number as u32),
         name: format!("worker-{number}"),
-        zone,
-        kind: 0,
-        cell: zone as i64,
+        location: Location { zone: Some(ZoneId(zone)), cell: Some(zone) },
+        kind: Some(0),
         state: WorkerState::Ready,
         weight: 1.0,
         started_at: 0.0,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -14,7 +14,7 @@
     worker: String,
     zone: String,
     kind: String,
-    cell: i64,
+    cell: Option<u64>,
     state: WorkerState,
     weight: f64,
     started_at: f64,
@@ -24,6 +24,7 @@
 struct Instance {
     dispatcher: Dispatcher,
     names: Names,
+    zones: ZoneTable,
     /// Whether `detail` of a `FINISHED` line also carries, from its fourth bit on, how many other calls of the model
     /// are in progress at the worker.
     reports_crowd: bool,
@@ -285,7 +286,7 @@
         worker: message.required("worker")?.to_string(),
         zone: message.get("dc").unwrap_or("").to_string(),
         kind: message.get("flavor").unwrap_or("").to_string(),
-        cell: message.optional_number("cell")?.unwrap_or(-1.0) as i64,
+        cell: message.optional_number("cell")?.filter(|cell| *cell >= 0.0).map(|cell| cell as u64),
         state: match message.required("phase")? {
             "active" => WorkerState::Ready,
             "leaving" => WorkerState::Draining,
@@ -298,9 +299,11 @@
 }
 
 fn create_instance(setup: &Value, salt: u64) -> Instance {
+    let names = Names::from_json(setup);
     Instance {
         dispatcher: Dispatcher::new(Settings::from_json(setup), salt),
-        names: Names::from_json(setup),
+        zones: ZoneTable::new(&names),
+        names,
         reports_crowd: setup["specifics"]["tellsCrowd"].as_bool().unwrap_or(false),
         worker_names: Vec::new(),
         worker_ids: HashMap::new(),
@@ -322,9 +325,8 @@
         RosterEntry {
             worker: self.worker_id(&entry.worker),
             name: entry.worker.clone(),
-            zone: position(&self.names.zones, &entry.zone).unwrap_or(usize::MAX),
-            kind: position(&self.names.kinds, &entry.kind).unwrap_or(usize::MAX),
-            cell: entry.cell,
+            location: Location { zone: self.zones.enter(&entry.zone).map(|zone| zone.id), cell: entry.cell },
+            kind: position(&self.names.kinds, &entry.kind),
             state: entry.state,
             weight: entry.weight,
             started_at: entry.started_at,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -20,6 +20,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u64);
 
+/// Where a worker stands, as far as it is known. Decisions that only compare costs treat all workers of an unknown zone as
+/// one zone; whether two workers share a record of keyed requests has to be known ([`Location::shares_record`]).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Location {
+    /// Its zone; `None` if it is not known.
+    pub zone: Option<ZoneId>,
+    /// Number of its cell; `None` if it is not known.
+    pub cell: Option<u64>,
+}
+
 /// The workers that share a record of keyed requests and drop repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -85,8 +95,8 @@
 /// Settings of a dispatcher.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Index of the invoker's own zone.
-    pub zone: usize,
+    /// The invoker's own zone, if it has one.
+    pub zone: Option<ZoneId>,
     /// The host's batch interval, in ms.
     pub tick: Ms,
     /// Number of invokers, including this one.
@@ -170,12 +180,10 @@
     pub worker: WorkerId,
     /// Its name, the same at every invoker.
     pub name: String,
-    /// Index of its zone.
-    pub zone: usize,
-    /// Index of its machine kind.
-    pub kind: usize,
-    /// Its cell.
-    pub cell: i64,
+    /// Where it stands.
+    pub location: Location,
+    /// Index of its machine kind; `None` if the settings do not name it.
+    pub kind: Option<usize>,
     /// Whether it accepts calls.
     pub state: WorkerState,
     /// Capacity relative to other workers.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod fleet;
 mod interface;
+mod location;
 mod policy;
 mod preferred_workers;
 mod settings;
--- a/src/policy/loading.rs
+++ b/src/policy/loading.rs
@@ -19,7 +19,10 @@
             let recently_unreachable = worker.connect_failed_at > 0.0
                 && now < worker.connect_failed_at + self.settings.overload_span;
             let known_absent = model.entries.get(&worker_id).is_some_and(|entry| entry.absent_until > now);
-            if worker.full_until <= now && !recently_unreachable && zones.insert(worker.zone) && !known_absent
+            if worker.full_until <= now
+                && !recently_unreachable
+                && zones.insert(worker.location.zone)
+                && !known_absent
             {
                 worker.known_models.insert(model_id);
                 model.entries.entry(worker_id).or_default();
@@ -70,8 +73,9 @@
                 || self.loads_in_progress.contains(&(model_id, *id))
                 || self.avoids_cold_worker(pending, worker, *id)
         };
-        let key =
-            |worker: &Worker| (self.failure_odds(worker, class) >= 1.0, worker.zone != self.settings.zone);
+        let key = |worker: &Worker| {
+            (self.failure_odds(worker, class) >= 1.0, worker.location.zone != self.settings.zone)
+        };
         let preferred =
             model.preferred.iter().filter_map(|id| self.workers.get(&id).map(|worker| (id, worker)));
         let open = preferred.filter(|(id, worker)| !is_unsuitable(id, worker));
@@ -100,7 +104,8 @@
     /// Evicts idle models at a worker, drawn at random by weight, until the model fits into its memory.
     pub(super) fn evict_for(&mut self, worker_id: WorkerId, model_id: ModelId, actions: &mut Vec<Action>) {
         let Some(worker) = self.workers.get(&worker_id) else { return };
-        let Some(&total_mb) = self.settings.kind_memory.get(worker.kind) else { return };
+        let total_mb = worker.kind.and_then(|kind| self.settings.kind_memory.get(kind).copied());
+        let Some(total_mb) = total_mb else { return };
         let mut placed_mb = self.models.get(&model_id).map_or(0.0, |model| model.memory);
         let mut idle: Vec<(ModelId, f64, f64)> = Vec::new();
         for &id in worker.known_models.iter().filter(|id| **id != model_id) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -104,7 +104,7 @@
     /// The shortest latency target of all classes.
     min_aim: Ms,
     /// Fastest answer seen from each zone, in ms.
-    fastest_answer_ms: BTreeMap<usize, Ms>,
+    fastest_answer_ms: BTreeMap<Option<ZoneId>, Ms>,
     last_subscribed_at: Ms,
 }
 
@@ -213,7 +213,8 @@
 
     /// Sizes of the tables, for monitoring.
     pub fn table_sizes(&self) -> TableSizes {
-        TableSizes::of(&self.models, &self.workers, &self.fleet, self.scheduled_tasks.len())
+        let (zones, planned) = (self.fastest_answer_ms.len(), self.scheduled_tasks.len());
+        TableSizes::of(&self.models, &self.workers, &self.fleet, zones, planned)
     }
 
     /// Memory that a call of the model would add to the tables, in bytes: 0 if the model is known.
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -100,7 +100,7 @@
                     );
                     worker.latency_ratio_at = now;
                     update_moving_average(usual_latency_ms, took);
-                    let fastest = self.fastest_answer_ms.entry(worker.zone).or_insert(took);
+                    let fastest = self.fastest_answer_ms.entry(worker.location.zone).or_insert(took);
                     *fastest = fastest.min(took);
                     if took < aim / 2.0 {
                         worker.in_flight_limit =
--- a/src/policy/roster.rs
+++ b/src/policy/roster.rs
@@ -13,7 +13,7 @@
     /// Whether a roster entry brings no change.
     fn matches_entry(&self, entry: &RosterEntry, hash: u64) -> bool {
         !self.health.is_empty()
-            && (self.hash, self.zone, self.kind, self.cell) == (hash, entry.zone, entry.kind, entry.cell)
+            && (self.hash, self.location, self.kind) == (hash, entry.location, entry.kind)
             && (self.ready, self.gone)
                 == (entry.state == WorkerState::Ready, entry.state == WorkerState::Removed)
             && (self.weight, self.started_at) == (weight_of(entry), entry.started_at)
@@ -86,7 +86,7 @@
             };
         }
         worker.hash = hash;
-        (worker.zone, worker.kind, worker.cell) = (entry.zone, entry.kind, entry.cell);
+        (worker.location, worker.kind) = (entry.location, entry.kind);
         worker.ready = entry.state == WorkerState::Ready;
         worker.gone = entry.state == WorkerState::Removed;
         worker.weight = weight_of(entry);
@@ -104,7 +104,7 @@
             self.full_workers.remove(&id);
             return;
         }
-        let side = if worker.zone == self.settings.zone { Side::Own } else { Side::Foreign };
+        let side = if worker.location.zone == self.settings.zone { Side::Own } else { Side::Foreign };
         self.fleet.set(side, RankedWorker { id, hash: worker.hash, weight: worker.weight });
         if worker.full_until > self.now {
             self.full_workers.insert(id, worker.full_until);
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -65,11 +65,10 @@
             return true;
         };
         self.now + self.settings.tick < ran.2 + window
-            && self.workers.get(&ran.1).is_some_and(|first| match group {
-                Group::All => true,
-                Group::Zone => first.zone == worker.zone,
-                Group::Cell => first.cell == worker.cell && first.cell >= 0,
-            })
+            && self
+                .workers
+                .get(&ran.1)
+                .is_some_and(|first| first.location.shares_record(worker.location, group))
     }
 
     /// Expected cost of a call at a worker, in ms: its expected time plus its failure odds times the
--- a/src/policy/survey.rs
+++ b/src/policy/survey.rs
@@ -15,7 +15,7 @@
     /// and another attempt is left, or where no load may be ordered.
     may_try_unloaded: bool,
     /// Zones with a worker that is more likely to answer than to fail.
-    healthy_zones: BTreeSet<usize>,
+    healthy_zones: BTreeSet<Option<ZoneId>>,
     /// Preferred workers examined so far.
     examined: Vec<WorkerId>,
     found: SearchResult,
@@ -75,7 +75,7 @@
     }
 
     /// Whether sending a call to another zone is cheaper than waiting for a load.
-    fn crossing_beats_load(&self, zone: usize) -> bool {
+    fn crossing_beats_load(&self, zone: Option<ZoneId>) -> bool {
         let own = self.fastest_answer_ms.get(&self.settings.zone).copied().unwrap_or(0.0);
         let there = self.fastest_answer_ms.get(&zone).copied().unwrap_or(own);
         let crossing = self.settings.price_cross + (there - own).max(0.0) / self.min_aim;
@@ -118,7 +118,7 @@
         // allowance of calls is small.
         let within_reach = self.healthy_zones.is_empty()
             || finds_copies_by_calls
-                && !self.healthy_zones.contains(&worker.zone)
+                && !self.healthy_zones.contains(&worker.location.zone)
                 && !worker.is_cold(now, settings);
         if !(is_loaded || within_reach)
             || dispatcher.avoids_cold_worker(pending, worker, worker_id)
@@ -127,7 +127,7 @@
             return;
         }
         let odds = dispatcher.failure_odds(worker, class);
-        self.healthy_zones.extend((odds < 1.0).then_some(worker.zone));
+        self.healthy_zones.extend((odds < 1.0).then_some(worker.location.zone));
         let Class { aim, effect, .. } = settings.classes[class];
         // Unsafe calls aren't used to test a worker that probably fails, unless they fail as often
         // everywhere.
@@ -141,12 +141,12 @@
             return;
         }
         self.found.copy_known |= is_loaded;
-        let is_foreign = worker.zone != settings.zone;
+        let is_foreign = worker.location.zone != settings.zone;
         let (cost, queue) = dispatcher.expected_cost(worker, entry, pending, model.lanes);
         // In another zone the call must not wait at all; in the own zone the wait must leave enough of the
         // latency target.
         let fits = if is_foreign {
-            queue <= 0.0 && dispatcher.crossing_beats_load(worker.zone)
+            queue <= 0.0 && dispatcher.crossing_beats_load(worker.location.zone)
         } else {
             queue < MAX_QUEUE_AIM_RATIO * aim
         };
--- a/src/policy/timers.rs
+++ b/src/policy/timers.rs
@@ -76,6 +76,9 @@
         let (now, keep) = (self.now, self.settings.min_idle_keep);
         self.schedule(now + keep + 4.0 * (self.timer_period() + self.settings.tick), ScheduledTask::Sweep);
         self.workers.retain(|_, worker| !worker.gone || worker.in_flight > 0);
+        let zones: BTreeSet<Option<ZoneId>> =
+            self.workers.values().map(|worker| worker.location.zone).collect();
+        self.fastest_answer_ms.retain(|zone, _| zones.contains(zone));
         for (model_id, model) in &mut self.models {
             model.preferred.reset_widened();
             model.entries.retain(|worker_id, entry| {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,7 +9,7 @@
     pub classes: Vec<String>,
     /// Tenants.
     pub tenants: Vec<String>,
-    /// Zones.
+    /// Zones, the own one among them if the settings name it.
     pub zones: Vec<String>,
     /// Machine kinds.
     pub kinds: Vec<String>,
@@ -27,13 +27,26 @@
     items.iter().map(|item| of(item).as_str().unwrap_or_default().to_string()).collect()
 }
 
+/// The zones that the settings name.
+fn zone_names(setup: &Value) -> Vec<String> {
+    let mut zones = names(&setup["zones"], |zone| zone);
+    let own = own_zone_name(setup).map(str::to_string);
+    zones.extend(own.filter(|own| !zones.contains(own)));
+    zones
+}
+
+/// The name of the own zone; `None` if the settings name none.
+fn own_zone_name(setup: &Value) -> Option<&str> {
+    setup["myZone"].as_str().filter(|name| !name.is_empty())
+}
+
 impl Names {
     /// Reads the names from the settings object.
     pub fn from_json(setup: &Value) -> Self {
         Names {
             classes: names(&setup["classes"], |class| &class["name"]),
             tenants: names(&setup["customers"], |tenant| &tenant["name"]),
-            zones: names(&setup["zones"], |zone| zone),
+            zones: zone_names(setup),
             kinds: names(&setup["models"], |kind| kind),
             fields: names(&setup["report"]["fields"], |field| field),
         }
@@ -48,7 +61,6 @@
             value.as_f64().filter(|number| *number >= 0.0).unwrap_or(default)
         };
         let flag = |group: &str, key: &str| setup[group][key].as_bool().unwrap_or(false);
-        let zones = names(&setup["zones"], |zone| zone);
         let list = |key: &str| setup[key].as_array().cloned().unwrap_or_default();
         let class = |class: &Value| {
             let field = |key: &str, default: f64| class[key].as_f64().unwrap_or(default);
@@ -71,7 +83,9 @@
         };
         let memory = &setup["specifics"]["ramMbByKind"];
         Settings {
-            zone: position(&zones, setup["myZone"].as_str().unwrap_or_default()).unwrap_or(0),
+            zone: own_zone_name(setup)
+                .and_then(|own| position(&zone_names(setup), own))
+                .map(|position| ZoneId(position as u64)),
             tick: number("", "periodMs", 1.0),
             invokers: number("", "balancers", 1.0).clamp(1.0, 1e6) as u32,
             classes: list("classes").iter().map(class).collect(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,9 +103,8 @@
 #[derive(Default)]
 pub(crate) struct Worker {
     pub hash: u64,
-    pub zone: usize,
-    pub kind: usize,
-    pub cell: i64,
+    pub location: Location,
+    pub kind: Option<usize>,
     pub ready: bool,
     pub gone: bool,
     pub weight: f64,
@@ -290,16 +289,19 @@
 }
 
 impl TableSizes {
-    /// Memory of a ready worker without entries for models, with `classes` classes of calls, in bytes.
+    /// Memory of a ready worker without entries for models, with `classes` classes of calls, in bytes; it may be the only
+    /// one of its zone.
     pub fn worker_cost(classes: usize) -> usize {
         let health = classes.max(1) * std::mem::size_of::<Health>();
-        map_entry_bytes::<WorkerId, Worker>() + health + Fleet::WORKER_COST
+        let zone = map_entry_bytes::<Option<ZoneId>, Ms>();
+        map_entry_bytes::<WorkerId, Worker>() + health + zone + Fleet::WORKER_COST
     }
 
     pub(crate) fn of(
         models: &BTreeMap<ModelId, Model>,
         workers: &BTreeMap<WorkerId, Worker>,
         fleet: &Fleet,
+        zones: usize,
         planned: usize,
     ) -> Self {
         TableSizes {
@@ -309,6 +311,7 @@
             bytes: models.values().map(Model::bytes).sum::<usize>()
                 + workers.values().map(Worker::bytes).sum::<usize>()
                 + fleet.bytes()
+                + map_bytes::<Option<ZoneId>, Ms>(zones)
                 + planned * map_entry_bytes::<(u64, ScheduledTask), ()>(),
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -108,6 +108,28 @@
     );
 }
 
+/// Guards against a keyed call that runs in two zones or cells because nothing is known of either: such a call that may
+/// have run is not sent again.
+#[test]
+fn a_keyed_call_is_not_sent_again_where_places_are_unknown() {
+    for (group, place) in [
+        (Group::Zone, Location { zone: None, ..location(0, 1) }),
+        (Group::Cell, Location { cell: None, ..location(0, 1) }),
+    ] {
+        let settings = Settings { classes: vec![class(Effect::Keyed(group, 2000.0), 1.0)], ..settings() };
+        let entries = (0..3).map(|number| RosterEntry { location: place, ..entry(number, 0) }).collect();
+        let mut invoker = Invoker::new(settings, entries);
+        let at = deliver(&mut invoker, call(1, 0, 5, 60000.0));
+        let mut actions = invoker.finish(1, 0, at, Outcome::Reset);
+        for (worker, _) in loads(&actions.clone()) {
+            actions.extend(invoker.loaded(worker, 5, Outcome::Ok, 1, 1.0));
+        }
+        actions.extend(invoker.wait(60000.0));
+        assert!(sends(&actions).is_empty(), "{group:?}: {actions:?}");
+        assert_eq!(ended(&actions), vec![(1, false)]);
+    }
+}
+
 #[test]
 fn a_keyed_call_stays_in_its_group_and_window() {
     let keyed = |group| Settings { classes: vec![class(Effect::Keyed(group, 2000.0), 1.0)], ..settings() };
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -50,8 +50,8 @@
 pub struct Fleet {
     pub now: Ms,
     pub invokers: Vec<Dispatcher>,
-    pub zones: Vec<usize>,
-    pub workers: BTreeMap<u32, (usize, EmulatedWorker)>,
+    pub zones: Vec<Option<ZoneId>>,
+    pub workers: BTreeMap<u32, (Option<ZoneId>, EmulatedWorker)>,
     pub totals: Totals,
     /// Future events, by time in microseconds and order of scheduling.
     queue: BTreeMap<(u64, u64), (usize, Event)>,
@@ -63,7 +63,11 @@
     /// Creates invokers and workers, spread evenly over the zones; all invokers get the roster.
     pub fn new(settings: &Settings, invokers: usize, workers: u32, zones: usize) -> Fleet {
         let invoker = |number: usize| {
-            let own = Settings { zone: number % zones, invokers: invokers as u32, ..settings.clone() };
+            let own = Settings {
+                zone: Some(ZoneId((number % zones) as u64)),
+                invokers: invokers as u32,
+                ..settings.clone()
+            };
             Dispatcher::new(own, 100 + number as u64)
         };
         let list: Vec<RosterEntry> =
@@ -71,10 +75,10 @@
         let mut fleet = Fleet {
             now: 1000.0,
             invokers: (0..invokers).map(invoker).collect(),
-            zones: (0..invokers).map(|number| number % zones).collect(),
+            zones: (0..invokers).map(|number| Some(ZoneId((number % zones) as u64))).collect(),
             workers: list
                 .iter()
-                .map(|entry| (entry.worker.0, (entry.zone, EmulatedWorker::default())))
+                .map(|entry| (entry.worker.0, (entry.location.zone, EmulatedWorker::default())))
                 .collect(),
             totals: Totals::default(),
             queue: BTreeMap::new(),
@@ -90,7 +94,9 @@
     /// Sends roster changes to all invokers.
     pub fn announce(&mut self, entries: &[RosterEntry]) {
         for entry in entries {
-            self.workers.entry(entry.worker.0).or_insert_with(|| (entry.zone, EmulatedWorker::default()));
+            self.workers
+                .entry(entry.worker.0)
+                .or_insert_with(|| (entry.location.zone, EmulatedWorker::default()));
         }
         for number in 0..self.invokers.len() {
             self.schedule(0.0, number, Event::Roster(RosterUpdate::Changes(entries.to_vec())));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 pub fn settings() -> Settings {
     Settings {
-        zone: 0,
+        zone: Some(ZoneId(0)),
         tick: 2.0,
         invokers: 3,
         classes: vec![class(Effect::Repeatable, 1.0), class(Effect::Unsafe, 3.0)],
@@ -45,13 +45,16 @@
     }
 }
 
+pub fn location(zone: u64, cell: u64) -> Location {
+    Location { zone: Some(ZoneId(zone)), cell: Some(cell) }
+}
+
 pub fn entry(number: u32, zone: usize) -> RosterEntry {
     RosterEntry {
         worker: WorkerId(number),
         name: format!("w{number}"),
-        zone,
-        kind: 0,
-        cell: zone as i64,
+        location: location(zone as u64, zone as u64),
+        kind: Some(0),
         state: WorkerState::Ready,
         weight: 1.0,
         started_at: 0.0,
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -214,7 +214,8 @@
 
 #[test]
 fn invalid_input_neither_panics_nor_loses_a_request() {
-    let mut invoker = Invoker::new(settings(), vec![entry(0, usize::MAX)]);
+    let nowhere = RosterEntry { location: Location::default(), ..entry(0, 0) };
+    let mut invoker = Invoker::new(settings(), vec![nowhere]);
     invoker.finish(77, 3, 9, Outcome::Ok);
     invoker.loaded(9, 9, Outcome::Error, u32::MAX, f64::INFINITY);
     invoker.handle_event(Event::Withdrawn { id: RequestId(5) });
@@ -222,7 +223,7 @@
     invoker.handle_event(Event::Timer { token: u64::MAX });
     invoker.handle_event(Event::Roster(RosterUpdate::Refused));
     invoker.handle_event(Event::Roster(RosterUpdate::Changes(vec![RosterEntry {
-        kind: usize::MAX,
+        kind: Some(usize::MAX),
         weight: -1.0,
         started_at: 1e300,
         ..entry(3, 9)
@@ -404,7 +405,8 @@
 fn a_keyed_call_that_may_have_run_has_its_model_loaded_in_its_group() {
     let keyed = class(Effect::Keyed(Group::Cell, 20000.0), 1.0);
     let settings = Settings { classes: vec![keyed], ..settings() };
-    let in_cell = |number: u32| RosterEntry { cell: i64::from(number > 1), ..entry(number, 0) };
+    let in_cell =
+        |number: u32| RosterEntry { location: location(0, u64::from(number > 1)), ..entry(number, 0) };
     for model in 1..20 {
         let mut invoker = Invoker::new(settings.clone(), (0..10).map(in_cell).collect());
         invoker.request(call(1, 0, model, 60000.0));
