A keyed call that may have run doesn't follow a worker that is listed elsewhere

What callers could see: a worker's entry names another zone or cell while a keyed call is out there; the call was then sent again in the new zone, to the worker itself or to others. Cause: the group of the first attempt was read from its worker's present entry, not from the one at the time of sending. Change: each attempt that may have run keeps the place of its worker when it was sent (SentAttempt, in place of a tuple). A repeat needs a worker in that place, and the first worker still listed there: after a change, one of the two listings may have been wrong, and nothing is known. Result: a_keyed_call_does_not_follow_a_worker_that_is_listed_elsewhere and random_legal_events_keep_all_invariants_while_workers_move were red before (the first: sent again to worker 0 in its new zone) and are green. The random runs without moves draw as before.

--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -20,12 +20,12 @@
         pending.in_flight = pending.in_flight.saturating_sub(1);
         let not_run = outcome.proves_not_run();
         if not_run {
-            pending.may_have_run.retain(|ran| ran.0 != attempt);
+            pending.may_have_run.retain(|sent| sent.attempt != attempt);
         }
         let may_repeat = match self.settings.classes[pending.request.class].effect {
             Effect::Unsafe => pending.may_have_run.is_empty(),
             Effect::Keyed(_, window) => {
-                pending.may_have_run.first().is_none_or(|ran| self.now < ran.2 + window)
+                pending.may_have_run.first().is_none_or(|first| self.now < first.sent_at + window)
             }
             Effect::Repeatable => true,
         };
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -61,14 +61,20 @@
     /// calls that may have run: to the deduplication group and window of the first attempt.
     pub(super) fn within_dedup_group(&self, worker: &Worker, pending: &PendingRequest) -> bool {
         let effect = self.settings.classes[pending.request.class].effect;
-        let (Effect::Keyed(group, window), Some(ran)) = (effect, pending.may_have_run.first()) else {
+        let (Effect::Keyed(group, window), Some(first)) = (effect, pending.may_have_run.first()) else {
             return true;
         };
-        self.now + self.settings.tick < ran.2 + window
-            && self
-                .workers
-                .get(&ran.1)
-                .is_some_and(|first| first.location.shares_record(worker.location, group))
+        self.now + self.settings.tick < first.sent_at + window
+            && self.is_still_in_group(first, group)
+            && first.location.shares_record(worker.location, group)
+    }
+
+    /// Whether the worker of an attempt is listed in the group in which it was when the attempt was sent. If
+    /// it is listed elsewhere, either listing may be wrong, and the group of the attempt is not known.
+    fn is_still_in_group(&self, sent: &SentAttempt, group: Group) -> bool {
+        self.workers
+            .get(&sent.worker)
+            .is_some_and(|worker| sent.location.shares_record(worker.location, group))
     }
 
     /// Expected cost of a call at a worker, in ms: its expected time plus its failure odds times the
@@ -166,7 +172,8 @@
         worker.in_flight += 1;
         worker.recent_sends.add(now, self.settings.overload_span.min(self.settings.cold_span));
         (pending.attempts, pending.in_flight) = (attempt + 1, pending.in_flight + 1);
-        pending.may_have_run.push((attempt, worker_id, now));
+        let location = worker.location;
+        pending.may_have_run.push(SentAttempt { attempt, worker: worker_id, sent_at: now, location });
         let entry = self.models.entry(model).or_default().entries.entry(worker_id).or_default();
         entry.in_flight += 1;
         worker.known_models.insert(model);
--- a/src/policy/survey.rs
+++ b/src/policy/survey.rs
@@ -151,7 +151,8 @@
             queue < MAX_QUEUE_AIM_RATIO * aim
         };
         // Workers where an earlier attempt may have run are tried last.
-        let cost = cost + if pending.may_have_run.iter().any(|ran| ran.1 == worker_id) { aim } else { 0.0 };
+        let cost =
+            cost + if pending.may_have_run.iter().any(|sent| sent.worker == worker_id) { aim } else { 0.0 };
         let key = (is_foreign, is_foreign && finds_copies_by_calls && !is_loaded, cost);
         if fits && self.found.best.is_none_or(|best| key < best.0) {
             self.found.best = Some((key, worker_id));
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,17 @@
     pub entries: BTreeMap<WorkerId, CopyEntry>,
 }
 
+/// An attempt that was sent and is not proved not to have run.
+#[derive(Clone, Copy)]
+pub(crate) struct SentAttempt {
+    /// Its number among the attempts of its request.
+    pub attempt: u32,
+    pub worker: WorkerId,
+    pub sent_at: Ms,
+    /// Where the worker stood when it was sent.
+    pub location: Location,
+}
+
 /// A request that has not been answered or ended.
 #[derive(Default)]
 pub(crate) struct PendingRequest {
@@ -175,8 +186,8 @@
     pub value: f64,
     pub attempts: u32,
     pub in_flight: u32,
-    /// Attempts that may have run, oldest first: number, worker and time of sending.
-    pub may_have_run: Vec<(u32, WorkerId, Ms)>,
+    /// Attempts that may have run, oldest first.
+    pub may_have_run: Vec<SentAttempt>,
     pub streaming: bool,
     /// Admission draws at cold workers: the worker, whether the call was admitted, and the time.
     pub cold_draws: Vec<(WorkerId, bool, Ms)>,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -125,7 +125,29 @@
             actions.extend(invoker.loaded(worker, 5, Outcome::Ok, 1, 1.0));
         }
         actions.extend(invoker.wait(60000.0));
-        assert!(sends(&actions).is_empty(), "{group:?}: {actions:?}");
+        assert_eq!(sends(&actions), [], "{group:?}");
+        assert_eq!(ended(&actions), vec![(1, false)]);
+    }
+}
+
+/// Guards against a keyed call that runs in two zones or cells because its worker is listed elsewhere after it was sent: the
+/// first run stays where it was.
+#[test]
+fn a_keyed_call_does_not_follow_a_worker_that_is_listed_elsewhere() {
+    for (group, place) in [(Group::Zone, location(1, 0)), (Group::Cell, location(0, 1))] {
+        let settings = Settings { classes: vec![class(Effect::Keyed(group, 2000.0), 1.0)], ..settings() };
+        let elsewhere = |number| RosterEntry { location: place, ..entry(number, 0) };
+        let mut invoker = Invoker::new(settings, vec![entry(0, 0), elsewhere(1), elsewhere(2)]);
+        invoker.request(call(1, 0, 5, 60000.0));
+        let actions = invoker.loaded(0, 5, Outcome::Ok, 1, 1.0);
+        assert_eq!(sends(&actions), [(1, 0)], "{group:?}");
+        invoker.handle_event(Event::Roster(RosterUpdate::Changes(vec![elsewhere(0)])));
+        let mut actions = invoker.finish(1, 0, 0, Outcome::Reset);
+        for (worker, _) in loads(&actions.clone()) {
+            actions.extend(invoker.loaded(worker, 5, Outcome::Ok, 1, 1.0));
+        }
+        actions.extend(invoker.wait(60000.0));
+        assert_eq!(sends(&actions), [], "{group:?}");
         assert_eq!(ended(&actions), vec![(1, false)]);
     }
 }
@@ -400,6 +422,8 @@
 
 struct SentAttempt {
     worker: u32,
+    /// The zone of its worker when it was sent.
+    zone: u32,
     at: Ms,
     done: bool,
 }
@@ -470,14 +494,14 @@
     )
 }
 
-/// Feeds random but legal events and checks the invariants on every action. Returns the calls served and
-/// taken.
-fn run_random_events(seed: u64, set: Settings, zones: u32) -> (usize, usize) {
+/// Feeds random but legal events and checks the invariants on every action. A listing moves its worker to another zone
+/// with the probability `moves`. Returns the calls served and taken.
+fn run_random_events(seed: u64, set: Settings, zones: u32, moves: f64) -> (usize, usize) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let (cancel, orders, max) = (set.cancel, set.load_orders_allowed, set.max_attempts as usize);
     let (window, free, share) = (set.load_window, set.load_quota_base, set.load_quota_per_request);
     let mut invoker = Invoker::new(set, vec![]);
-    let zone = |worker: u32| (worker % zones) as usize;
+    let mut zone_of: BTreeMap<u32, u32> = (0..7).map(|worker| (worker, worker % zones)).collect();
     let mut ready: BTreeMap<u32, bool> = BTreeMap::new();
     let mut open: BTreeMap<u64, (Ms, Vec<SentAttempt>)> = BTreeMap::new();
     let mut queries: VecDeque<(u32, u64)> = VecDeque::new();
@@ -495,7 +519,11 @@
                 ready.insert(number, state == WorkerState::Ready);
                 // One in four has just started.
                 let started_at = if rng.random_bool(0.25) { invoker.now } else { 0.0 };
-                let entry_update = RosterEntry { state, started_at, ..entry(number, zone(number)) };
+                if moves > 0.0 && rng.random_bool(moves) {
+                    zone_of.insert(number, rng.random_range(0..zones));
+                }
+                let zone = zone_of[&number] as usize;
+                let entry_update = RosterEntry { state, started_at, ..entry(number, zone) };
                 Event::Roster(RosterUpdate::Changes(vec![entry_update]))
             }
             1..=3 if !drain => {
@@ -580,12 +608,13 @@
                     match ran {
                         Some(_) if class == 1 => panic!("an unsafe call was repeated"),
                         Some(ran) if class == 2 => {
-                            assert!(zone(ran.worker) == zone(worker.0) && invoker.now <= ran.at + 700.0)
+                            assert!(ran.zone == zone_of[&worker.0] && invoker.now <= ran.at + 700.0)
                         }
                         Some(ran) if class == 3 => assert!(invoker.now <= ran.at + 700.0),
                         _ => {}
                     }
-                    attempts.push(SentAttempt { worker: worker.0, at: invoker.now, done: false });
+                    let zone = zone_of[&worker.0];
+                    attempts.push(SentAttempt { worker: worker.0, zone, at: invoker.now, done: false });
                 }
                 Action::Refuse { id, .. } => {
                     let (_, attempts) = open.remove(&id.0).expect("ended twice");
@@ -625,7 +654,17 @@
 fn random_legal_events_keep_all_invariants() {
     for seed in 0..12 {
         let set = random_settings(&mut SmallRng::seed_from_u64(seed));
-        let (served, taken) = run_random_events(seed, set, 2);
+        let (served, taken) = run_random_events(seed, set, 2, 0.0);
+        assert!(taken > 500 && served > 5, "seed {seed}: {served} of {taken}");
+    }
+}
+
+/// Guards the same invariants while workers are listed in other zones with calls out.
+#[test]
+fn random_legal_events_keep_all_invariants_while_workers_move() {
+    for seed in 0..12 {
+        let set = random_settings(&mut SmallRng::seed_from_u64(seed));
+        let (served, taken) = run_random_events(seed, set, 3, 0.5);
         assert!(taken > 500 && served > 5, "seed {seed}: {served} of {taken}");
     }
 }
@@ -654,7 +693,7 @@
     let config = Config { cases: 64, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
     let result = runner.run(&any_settings(), |(set, zones, seed)| {
-        let (_, taken) = run_random_events(seed, set, zones);
+        let (_, taken) = run_random_events(seed, set, zones, 0.0);
         prop_assert!(taken > 500);
         Ok(())
     });
