A retry is withheld where its worker left the group after the decision

Cause: only the dispatcher compared places, by its entries at the time of the decision. Change: the task of the request keeps the place of each sent attempt, and compares it with the present entry before it sends. If they share no record of keys, nothing is sent: the dispatcher is told that the attempt never ran, and the log says `retry withheld`.

--- a/crates/node/src/core/invoker/attempts.rs
+++ b/crates/node/src/core/invoker/attempts.rs
@@ -33,6 +33,24 @@
     location: ListedLocation,
 }
 
+/// What becomes of a retry that the dispatcher asked for.
+#[derive(Clone, Copy)]
+enum RetryStep {
+    Sent,
+    /// Its worker is no longer known to drop it as a repeat.
+    Withheld,
+}
+
+impl RetryStep {
+    /// The text of its log line.
+    fn name(self) -> &'static str {
+        match self {
+            RetryStep::Sent => "retry",
+            RetryStep::Withheld => "retry withheld",
+        }
+    }
+}
+
 /// The attempts in flight of a request. However the task of the request ends, each attempt is cancelled and
 /// reported to the dispatcher.
 pub(super) struct InFlightAttempts<'a> {
@@ -97,7 +115,8 @@
     }
 
     /// Starts an attempt. A retry of an attempt that may have run must be sent within the deduplication
-    /// window of its class.
+    /// window of its class, and to a worker that is still listed in the group of workers that drop it: its entry may have
+    /// changed since the dispatcher chose it.
     pub(super) fn start(&mut self, worker: WorkerId, within: Ms) {
         let (attempt, call, invoker) = (self.requested, &self.request.call, &self.request.invoker);
         self.requested += 1;
@@ -105,6 +124,10 @@
         let Some((host, location)) = invoker.listed_host(worker) else {
             return self.request.report_finished(attempt, worker, started, Outcome::Moot, false);
         };
+        if !self.drops_repeats(&location) {
+            self.log_retry(RetryStep::Withheld, attempt, &host.name, &location);
+            return self.request.report_finished(attempt, worker, started, Outcome::Moot, false);
+        }
         let expires = call.request.expires;
         let until = if within > 0.0 { expires.min(started + within) } else { expires };
         let window = match invoker.settings.classes.get(call.request.class).map(|class| class.effect) {
@@ -124,22 +147,39 @@
         self.in_flight.push(InFlightAttempt { attempt, worker, started, until, exchange, ended_with: None });
     }
 
-    /// Counts and logs a retry: where it goes, how the attempt before it ended, and which workers drop its repeats.
+    /// Whether a worker there drops the call as a repeat if an earlier attempt has run; always true for calls that are not
+    /// keyed or cannot have run.
+    fn drops_repeats(&self, location: &ListedLocation) -> bool {
+        let class = self.request.invoker.settings.classes.get(self.request.call.request.class);
+        let (Some(Effect::Keyed(group, _)), Some(first)) =
+            (class.map(|class| class.effect), self.may_have_run.first())
+        else {
+            return true;
+        };
+        first.location.location.shares_record(location.location, group)
+    }
+
+    /// Counts a retry, and logs it if an earlier attempt may have run.
     fn record_retry(&self, attempt: u32, host: &str, location: &ListedLocation) {
-        let (invoker, call) = (&self.request.invoker, &self.request.call);
-        let Some(last) = self.last_failure else { return };
-        invoker.counters.retried.increment();
-        // Retries of attempts that never ran are common; only those that may have run are logged.
-        let Some(first) = self.may_have_run.first() else { return };
-        if invoker.lines.take() {
-            let request = hex(call.request.id);
-            let scope = invoker.dedup_scope(call.request.class);
-            let (zone, first_zone) = (location.zone_name(), first.location.zone_name());
-            let (cell, first_cell) = (location.location.cell, first.location.location.cell);
-            tracing::info!(%request, attempt, host, last = ?last, scope, zone, first_zone, cell, first_cell, "retry");
+        if self.last_failure.is_some() {
+            self.request.invoker.counters.retried.increment();
+            self.log_retry(RetryStep::Sent, attempt, host, location);
         }
     }
 
+    /// Logs a retry: where it goes, how the attempt before it ended, and which workers drop its repeats. Retries of attempts
+    /// that never ran are common and are not logged.
+    fn log_retry(&self, step: RetryStep, attempt: u32, host: &str, location: &ListedLocation) {
+        let (invoker, call) = (&self.request.invoker, &self.request.call);
+        let Some(first) = self.may_have_run.first().filter(|_| invoker.lines.take()) else { return };
+        let request = hex(call.request.id);
+        let last = self.last_failure.map(tracing::field::debug);
+        let scope = invoker.dedup_scope(call.request.class);
+        let (zone, first_zone) = (location.zone_name(), first.location.zone_name());
+        let (cell, first_cell) = (location.location.cell, first.location.location.cell);
+        tracing::info!(%request, attempt, host, last, scope, zone, first_zone, cell, first_cell, "{}", step.name());
+    }
+
     /// Reports an attempt that produced no result.
     fn report_failure(&mut self, entry: &InFlightAttempt, error: AttemptError, closed: bool) {
         let outcome = error.outcome();
--- a/crates/node/src/core/invoker/tests.rs
+++ b/crates/node/src/core/invoker/tests.rs
@@ -194,3 +194,50 @@
     drop((taken, others));
     assert_eq!(calls.used(), 0);
 }
+
+/// A worker whose place the test names.
+fn listed(name: &str, zone: &str, cell: Option<u64>) -> WorkerListing {
+    WorkerListing {
+        name: name.to_string(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        zone: zone.to_string(),
+        kind: String::new(),
+        cell,
+        state: WorkerState::Ready,
+        weight: 1.0,
+        since: UnixTime::NONE,
+        last_contact_without_report: Ms::NEG_INFINITY,
+    }
+}
+
+/// Guards against a keyed call that runs in two zones or cells because its worker is listed elsewhere between the
+/// dispatcher's decision and the sending: a retry is sent only to a worker that is still in the group of the first attempt.
+#[test]
+fn a_retry_is_withheld_where_its_worker_left_the_group() {
+    for (scope, sends) in [("zone", 2), ("cell", 2), ("all", 4)] {
+        let count = Arc::new(AtomicUsize::new(0));
+        let counter = count.clone();
+        let workers = scripted(move |_, _, _| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            Box::new(EndedExchange)
+        });
+        let setup = serde_json::json!({
+            "classes": [{"name": "post", "aimMs": 1000.0, "giveUpMs": 4000.0, "idempotency": "token",
+                         "dedupScope": scope, "dedupWindowMs": 4000.0}],
+            "ceilings": {"attemptsCap": 5}, "specifics": {"notLoaded": "load", "keepMs": 1000.0}, "safety": {},
+        });
+        let invoker = Invoker::new(&setup, 1, Arc::new(workers), crate::state::test_ledger());
+        let in_group = |name| listed(name, "north", Some(1));
+        invoker.update_roster(vec![in_group("w0"), in_group("w1"), in_group("w2")], true, false);
+        let request = Request { id: RequestId(1), expires: monotonic_ms() + 4000.0, ..Request::default() };
+        let accepted = invoker.accept(Call { request, ..Call::default() }).expect("accepted");
+        let mut attempts = attempts::InFlightAttempts::new(&accepted);
+        attempts.start(corkbay::WorkerId(0), 0.0);
+        attempts.start(corkbay::WorkerId(1), 0.0);
+        invoker.update_roster(vec![listed("w1", "south", Some(2))], false, false);
+        attempts.start(corkbay::WorkerId(1), 0.0);
+        invoker.update_roster(vec![listed("w2", "", None)], false, false);
+        attempts.start(corkbay::WorkerId(2), 0.0);
+        assert_eq!(count.load(Ordering::Relaxed), sends, "{scope}");
+    }
+}
