A keyed call whose group is not known fails at once after it may have run

What callers saw, since places that are not known count as different: the client waited until its deadline for a repeat that no worker may get. Change: such an end is final, with the reason `may_not_repeat`, as for calls that must not run twice.

--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -24,9 +24,10 @@
         }
         let may_repeat = match self.settings.classes[pending.request.class].effect {
             Effect::Unsafe => pending.may_have_run.is_empty(),
-            Effect::Keyed(_, window) => {
-                pending.may_have_run.first().is_none_or(|first| self.now < first.sent_at + window)
-            }
+            Effect::Keyed(group, window) => pending.may_have_run.first().is_none_or(|first| {
+                let is_group_known = first.location.shares_record(first.location, group);
+                is_group_known && self.now < first.sent_at + window
+            }),
             Effect::Repeatable => true,
         };
         // Only retries of attempts that may have run use up the budget, since only they add work. Calls of
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -120,13 +120,12 @@
         let entries = (0..3).map(|number| RosterEntry { location: place, ..entry(number, 0) }).collect();
         let mut invoker = Invoker::new(settings, entries);
         let at = deliver(&mut invoker, call(1, 0, 5, 60000.0));
-        let mut actions = invoker.finish(1, 0, at, Outcome::Reset);
-        for (worker, _) in loads(&actions.clone()) {
-            actions.extend(invoker.loaded(worker, 5, Outcome::Ok, 1, 1.0));
-        }
-        actions.extend(invoker.wait(60000.0));
-        assert_eq!(sends(&actions), [], "{group:?}");
-        assert_eq!(ended(&actions), vec![(1, false)]);
+        let actions = invoker.finish(1, 0, at, Outcome::Reset);
+        assert!(
+            actions.contains(&Action::Fail { id: RequestId(1), reason: EndReason::MayNotRepeat }),
+            "its client need not wait: {actions:?}"
+        );
+        assert_eq!(sends(&invoker.wait(60000.0)), [], "{group:?}");
     }
 }
 
