A worker without a cell is in no cell, instead of in cell 0

What callers could see: a keyed call of a class with dedup_scope = "cell" that may have run was sent again to any worker whose entry names no cell. Cause: the deploy file and the API took a missing cell for cell 0, and `corkbay import` wrote cell 0 for all workers. Change: a missing cell is none, as on the platform. Earlier versions stored cell 0 for such entries of the deploy file: these are written again without it at the next start, unless the worker was changed by API since (a drain stays).

--- a/crates/node/src/lifecycle/deploy/entries.rs
+++ b/crates/node/src/lifecycle/deploy/entries.rs
@@ -59,8 +59,8 @@
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub kind: String,
     /// Its cell (rack).
-    #[serde(default)]
-    pub cell: i64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cell: Option<i64>,
     /// Capacity relative to other workers.
     #[serde(default = "default_one")]
     pub weight: f64,
--- a/crates/node/src/lifecycle/import.rs
+++ b/crates/node/src/lifecycle/import.rs
@@ -212,7 +212,7 @@
         }
         let address = format_address(host, port);
         let kind = String::new();
-        imported.file.workers.push(WorkerEntry { name, address, zone, kind, cell: 0, weight, state });
+        imported.file.workers.push(WorkerEntry { name, address, zone, kind, cell: None, weight, state });
     }
     imported.unsupported.sort_by_key(|note| note.line);
     Ok(imported)
@@ -418,7 +418,7 @@
     }
     let (zone, kind) = (String::new(), String::new());
     let address = format_address(host, port);
-    imported.file.workers.push(WorkerEntry { name, address, zone, kind, cell: 0, weight, state });
+    imported.file.workers.push(WorkerEntry { name, address, zone, kind, cell: None, weight, state });
     Ok(())
 }
 
--- a/crates/node/src/state/catalog.rs
+++ b/crates/node/src/state/catalog.rs
@@ -71,9 +71,9 @@
     /// Name of its machine kind.
     #[serde(default)]
     pub kind: String,
-    /// Number of its cell (rack).
-    #[serde(default)]
-    pub cell: i64,
+    /// Number of its cell (rack); without one, or with a negative one, its cell is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cell: Option<i64>,
     /// Capacity relative to other workers; 1.0 is nominal.
     #[serde(default = "nominal")]
     pub weight: f64,
@@ -228,8 +228,7 @@
         address: worker.address,
         zone: worker.zone,
         kind: worker.kind,
-        // A negative number is no cell.
-        cell: u64::try_from(worker.cell).ok(),
+        cell: worker.cell.and_then(|cell| u64::try_from(cell).ok()),
         state: match worker.state {
             State::Up => WorkerState::Ready,
             State::Draining => WorkerState::Draining,
--- a/crates/node/src/state/deploy_entries.rs
+++ b/crates/node/src/state/deploy_entries.rs
@@ -6,7 +6,8 @@
 //! which comes last, so that an interrupted start continues where it stopped.
 //!
 //! Earlier versions stored one record for each entry, with the complete value. Such records are still read, and are
-//! replaced by the pages.
+//! replaced by the pages. They also wrote cell 0 for a worker whose entry names no cell; such an entry is written again
+//! without a cell, unless its worker was changed by API.
 use super::catalog::{Catalog, CatalogError, Function, Worker};
 use super::keys::{FUNCTION, SEED, WORKER};
 use super::record::{Record, Text};
@@ -15,6 +16,8 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
+/// The cell that earlier versions wrote for a worker whose entry names none.
+const EARLIER_DEFAULT_CELL: i64 = 0;
 /// Number of pages of digests.
 const PAGES: usize = 256;
 /// Maximum number of entries of one page in one batch: each may need a write of its own and a write that deletes the
@@ -29,6 +32,19 @@
 pub struct DeployEntry {
     key: String,
     value: Text,
+    /// What earlier versions wrote for the same entry, if that differs.
+    earlier_value: Option<Text>,
+}
+
+/// How an entry relates to the version of the file that was last seen.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Change {
+    /// The file has changed the entry, or names it for the first time.
+    ByFile,
+    /// The file is the same, but an earlier version of this program wrote the entry differently.
+    ByProgram,
+    /// None.
+    None,
 }
 
 impl DeployEntry {
@@ -39,23 +55,41 @@
 
     /// An entry for a worker.
     pub fn worker(name: &str, worker: &Worker) -> Result<Self, CatalogError> {
-        DeployEntry::new(format!("{WORKER}{name}"), worker)
+        let mut entry = DeployEntry::new(format!("{WORKER}{name}"), worker)?;
+        if worker.cell.is_none() {
+            let earlier = Worker { cell: Some(EARLIER_DEFAULT_CELL), ..worker.clone() };
+            entry.earlier_value = Some(text_of(&earlier)?);
+        }
+        Ok(entry)
     }
 
     fn new(key: String, value: &impl Serialize) -> Result<Self, CatalogError> {
-        let value = Text::of(value).map_err(|error| CatalogError::Value(error.to_string()))?;
-        Ok(DeployEntry { key, value })
+        Ok(DeployEntry { key, value: text_of(value)?, earlier_value: None })
     }
 
     fn page(&self) -> usize {
         fnv1a(self.key.as_bytes()) as usize % PAGES
     }
 
-    fn digest(&self) -> String {
-        format!("{:016x}", fnv1a(self.value.as_str().as_bytes()))
+    /// Compares the entry with what was last seen of it: its digest, or its value in the record of an earlier version.
+    fn change_since(&self, digest: Option<&String>, legacy_value: Option<&Text>) -> Change {
+        let is_seen = |value: &Text| digest == Some(&digest_of(value)) || legacy_value == Some(value);
+        match &self.earlier_value {
+            _ if is_seen(&self.value) => Change::None,
+            Some(earlier) if is_seen(earlier) => Change::ByProgram,
+            _ => Change::ByFile,
+        }
     }
 }
 
+fn text_of(value: &impl Serialize) -> Result<Text, CatalogError> {
+    Text::of(value).map_err(|error| CatalogError::Value(error.to_string()))
+}
+
+fn digest_of(value: &Text) -> String {
+    format!("{:016x}", fnv1a(value.as_str().as_bytes()))
+}
+
 /// Memory that an entry of the deploy file takes in the store of a node, including its digest, in bytes.
 pub fn configured_size(node: &str, prefix: &str, name: &str, value: &impl Serialize) -> usize {
     let key = prefix.len() + name.len();
@@ -149,16 +183,15 @@
         let mut batch = Batch::default();
         let mut is_page_changed = false;
         for entry in entries {
-            let digest = entry.digest();
+            let digest = digest_of(&entry.value);
             let legacy_key = self.legacy_key(&entry.key);
-            let legacy_value = self.store().get(&legacy_key).and_then(|record| record.value);
-            let is_unchanged = digests.get(&entry.key) == Some(&digest);
-            if !is_unchanged {
-                if legacy_value.as_ref() != Some(&entry.value) {
-                    batch
-                        .writes
-                        .push(PlannedWrite { key: entry.key.clone(), value: Some(entry.value.clone()) });
-                }
+            let legacy_value = self.value(&legacy_key);
+            let change = entry.change_since(digests.get(&entry.key), legacy_value.as_ref());
+            if self.is_to_be_written(entry, change) {
+                let (key, value) = (entry.key.clone(), Some(entry.value.clone()));
+                batch.writes.push(PlannedWrite { key, value });
+            }
+            if digests.get(&entry.key) != Some(&digest) {
                 digests.insert(entry.key.clone(), digest);
                 is_page_changed = true;
             }
@@ -173,9 +206,21 @@
         Ok(batch)
     }
 
+    /// Whether an entry is written over its record. A change by API is kept unless the file has changed the entry.
+    fn is_to_be_written(&self, entry: &DeployEntry, change: Change) -> bool {
+        match change {
+            Change::ByFile => true,
+            Change::ByProgram => self.value(&entry.key) == entry.earlier_value,
+            Change::None => false,
+        }
+    }
+
+    fn value(&self, key: &str) -> Option<Text> {
+        self.store().get(key)?.value
+    }
+
     fn digests(&self, number: usize) -> Result<Digests, CatalogError> {
-        let page = self.store().get(&self.page_key(number)).and_then(|record| record.value);
-        let Some(page) = page else { return Ok(Digests::new()) };
+        let Some(page) = self.value(&self.page_key(number)) else { return Ok(Digests::new()) };
         page.read().map_err(|error| CatalogError::Value(format!("{}: {error}", self.page_key(number))))
     }
 
--- a/crates/node/tests/dedup_groups.rs
+++ b/crates/node/tests/dedup_groups.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 use support::nodes::{classes_only, deploy, start_node};
 use support::platform::{dispatch, fields, Fixture};
 use support::workers::{Behaviour, Fleet};
@@ -13,8 +14,8 @@
 /// The zones of the workers; the node itself is in another one.
 const ZONES: [&str; 4] = ["hall-b", "hall-c", "hall-d", "hall-d"];
 const CALLS: usize = 12;
-/// The client's time, in milliseconds.
-const DEADLINE_MS: &str = "1500";
+/// The client's time.
+const DEADLINE: Duration = Duration::from_millis(1500);
 
 /// Replaces the scope of the keyed class.
 fn with_scope(classes: &str, scope: &str) -> String {
@@ -96,9 +97,10 @@
 /// Sends keyed calls, none of which is answered by a worker. Their keys begin with `prefix`.
 fn call(node: &Daemon, prefix: &str) {
     let path = "/v1/functions/post/invocations";
+    let deadline = DEADLINE.as_millis().to_string();
     for number in 0..CALLS {
         let key = format!("{prefix}-{number}");
-        let headers = [("Idempotency-Key", key.as_str()), ("Corkbay-Deadline-Ms", DEADLINE_MS)];
+        let headers = [("Idempotency-Key", key.as_str()), ("Corkbay-Deadline-Ms", deadline.as_str())];
         let answer = ask(node.address, "POST", path, &headers, key.as_bytes());
         assert!(matches!(answer.status, 502..=504), "{}", answer.status);
     }
@@ -178,10 +180,36 @@
         ask(fixture.admin, "PUT", "/v1/hosts/w0/resume", &[], b"").status == 200
     });
     let mut client = fixture.client();
+    let deadline = DEADLINE.as_millis().to_string();
     for number in 0..CALLS {
         let (id, body) = (format!("{:016x}", number + 1), format!("call-{number}"));
-        client.send(&dispatch(number as i32, &fields("post", &id, DEADLINE_MS), body.as_bytes()));
+        client.send(&dispatch(number as i32, &fields("post", &id, &deadline), body.as_bytes()));
         client.receive().expect("an answer");
     }
     workers.assert_each_call_in_one_zone(&fixture.daemon);
 }
+
+/// Guards against a keyed call that runs in two zones or cells because the entries name neither: it is sent only once, and
+/// its client is told at once.
+#[test]
+fn a_keyed_call_is_not_sent_again_where_no_place_is_named() {
+    for scope in ["zone", "cell"] {
+        for is_put in [false, true] {
+            let (folder, workers) = (Folder::new(), Workers::http());
+            let text = deploy("n", &with_scope(CLASSES, scope));
+            let entries = if is_put { String::new() } else { workers.entries(|_| String::new()) };
+            let node = Daemon::serve(&folder.write("n.toml", &(text + &entries)));
+            for (number, address) in workers.addresses.iter().enumerate().filter(|_| is_put) {
+                let worker = json!({"address": address.to_string()}).to_string();
+                let path = format!("/v1/workers/w{number}");
+                assert_eq!(ask(node.address, "PUT", &path, &[], worker.as_bytes()).status, 204);
+            }
+            let start = Instant::now();
+            call(&node, "key");
+            assert!(start.elapsed() < DEADLINE * CALLS as u32, "clients wait for nothing");
+            let calls = workers.workers_by_call();
+            assert_eq!(calls.len(), CALLS, "{scope}");
+            assert!(calls.values().all(|workers| workers.len() == 1), "{scope}: {calls:?}");
+        }
+    }
+}
--- a/crates/rig/src/scale/worker_list.rs
+++ b/crates/rig/src/scale/worker_list.rs
@@ -241,7 +241,7 @@
         address: address(number),
         zone: zone_name(number, options),
         kind: "standard".into(),
-        cell: cell(number, options) as i64,
+        cell: Some(cell(number, options) as i64),
         weight: 1.0,
         state: State::Up,
     }
