--- a/src/policy/roster.rs
+++ b/src/policy/roster.rs
@@ -4,6 +4,10 @@
 /// Initial limit of attempts in flight at a worker; its answers adapt the limit.
 const INITIAL_LIMIT: f64 = 4.0;
 
+/// Number of zones whose estimates are kept while their workers are away. Entries can name new zones without
+/// end.
+const MIN_REMEMBERED_ZONES: usize = 64;
+
 fn hash_name(name: &str) -> u64 {
     name.bytes()
         .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
@@ -39,6 +43,9 @@
             RosterUpdate::Refused => return,
         };
         entries.iter().for_each(|entry| self.apply_entry(entry));
+        if self.fastest_answer_ms.len() > self.workers.len().max(MIN_REMEMBERED_ZONES) {
+            self.forget_unused_zones();
+        }
     }
 
     /// Marks workers that a complete list doesn't contain as gone.
--- a/src/policy/timers.rs
+++ b/src/policy/timers.rs
@@ -76,9 +76,6 @@
         let (now, keep) = (self.now, self.settings.min_idle_keep);
         self.schedule(now + keep + 4.0 * (self.timer_period() + self.settings.tick), ScheduledTask::Sweep);
         self.workers.retain(|_, worker| !worker.gone || worker.in_flight > 0);
-        let zones: BTreeSet<Option<ZoneId>> =
-            self.workers.values().map(|worker| worker.location.zone).collect();
-        self.fastest_answer_ms.retain(|zone, _| zones.contains(zone));
         for (model_id, model) in &mut self.models {
             model.preferred.reset_widened();
             model.entries.retain(|worker_id, entry| {
@@ -101,6 +98,13 @@
         self.models.retain(|_, model| used(model) || now - model.recent_calls.last_added_at < kept(model));
     }
 
+    /// Removes the estimates of zones without workers.
+    pub(super) fn forget_unused_zones(&mut self) {
+        let zones: BTreeSet<Option<ZoneId>> =
+            self.workers.values().map(|worker| worker.location.zone).collect();
+        self.fastest_answer_ms.retain(|zone, _| zones.contains(zone));
+    }
+
     /// Forgets models until `bytes` bytes are freed: those never loaded first, then the least recently
     /// used. Models with calls waiting or in flight or loads under way are kept. Returns the number of
     /// bytes freed.
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -421,6 +421,25 @@
     }
 }
 
+/// Guards against memory that grows with every zone that a worker was ever listed in, also between sweeps.
+#[test]
+fn estimates_of_zones_without_workers_are_forgotten() {
+    let bytes_after_listings_in = |zones: u64| {
+        let mut invoker = Invoker::new(settings(), vec![entry(0, 0)]);
+        load_and_send(&mut invoker, 1, 0, 5);
+        invoker.finish(1, 0, 0, Outcome::Ok);
+        for id in 2..2000 {
+            let moved = RosterEntry { location: location(id % zones, 0), ..entry(0, 0) };
+            invoker.handle_event(Event::Roster(RosterUpdate::Changes(vec![moved])));
+            invoker.request(call(id, 0, 5, invoker.now + 1000.0));
+            invoker.finish(id, 0, 0, Outcome::Ok);
+        }
+        invoker.dispatcher.table_sizes().bytes
+    };
+    let (few, many) = (bytes_after_listings_in(2), bytes_after_listings_in(u64::MAX));
+    assert!(many < few + 8 * 1024, "{few} bytes with two zones, {many} with many");
+}
+
 #[test]
 fn a_connection_reset_alone_does_not_make_a_worker_cold() {
     // Each broken connection made its worker count as just started with nothing loaded, until all workers
