--- a/crates/node/tests/dedup_groups.rs
+++ b/crates/node/tests/dedup_groups.rs
@@ -4,12 +4,13 @@
 
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::io::{BufReader, Read};
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
-use support::nodes::{classes_only, deploy, start_node};
+use support::nodes::{classes_only, deploy, replication, start_node};
 use support::platform::{dispatch, fields, Fixture};
 use support::workers::{Behaviour, Fleet};
-use support::{ask, free_address, until, Daemon, Folder, CLASSES};
+use support::{ask, free_address, head, receive, start, until, Daemon, Folder, CLASSES};
 
 /// The zones of the workers; the node itself is in another one.
 const ZONES: [&str; 4] = ["hall-b", "hall-c", "hall-d", "hall-d"];
@@ -94,6 +95,58 @@
     }
 }
 
+/// Guards against the same for deferred calls.
+#[test]
+fn a_deferred_keyed_call_stays_in_its_zone() {
+    let (folder, workers) = (Folder::new(), Workers::http());
+    let node = Daemon::serve(&folder.write("n.toml", &deploy("n", &with_scope(CLASSES, "zone"))));
+    workers.put(node.address);
+    let deadline = DEADLINE.as_millis().to_string();
+    for number in 0..CALLS {
+        let key = format!("key-{number}");
+        let headers = [
+            ("Idempotency-Key", key.as_str()),
+            ("Corkbay-Deadline-Ms", deadline.as_str()),
+            ("Prefer", "respond-async"),
+        ];
+        let accepted = ask(node.address, "POST", "/v1/functions/post/invocations", &headers, key.as_bytes());
+        let location = accepted.header("location").expect("accepted").to_string();
+        until("it has ended", || {
+            ask(node.address, "GET", &location, &[("Prefer", "wait=1")], b"").status != 202
+        });
+    }
+    workers.assert_each_call_in_one_zone(&node);
+}
+
+/// Guards against a keyed call that runs in two zones because its worker is listed in another one while the call is there.
+#[test]
+fn a_keyed_call_does_not_follow_its_worker_to_another_zone() {
+    let folder = Folder::new();
+    let node = Daemon::serve(&folder.write("n.toml", &deploy("n", &with_scope(CLASSES, "zone"))));
+    let put = |name: &str, address: SocketAddr, zone: &str| {
+        let worker = json!({"address": address.to_string(), "zone": zone}).to_string();
+        let path = format!("/v1/workers/{name}");
+        assert_eq!(ask(node.address, "PUT", &path, &[], worker.as_bytes()).status, 204);
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    put("first", address, "north");
+    let deadline = DEADLINE.as_millis().to_string();
+    let headers = [("Idempotency-Key", "key"), ("Corkbay-Deadline-Ms", deadline.as_str())];
+    let mut client = start(node.address, "POST", "/v1/functions/post/invocations", &headers, b"a call");
+    let (socket, _) = listener.accept().expect("the call");
+    let mut reader = BufReader::new(socket);
+    head(&mut reader).expect("the head of the call");
+    reader.read_exact(&mut [0; "a call".len()]).expect("the call");
+    let others = Fleet::new(&[Behaviour::Serve]);
+    put("second", others.http("second"), "south");
+    put("first", address, "south");
+    drop((reader, listener));
+    let answer = receive(&mut BufReader::new(&mut client));
+    assert_eq!(others.sent(), [], "{}; log:\n{}", answer.status, node.errors());
+    assert_eq!(answer.header("corkbay-may-have-run"), Some("true"));
+}
+
 /// Sends keyed calls, none of which is answered by a worker. Their keys begin with `prefix`.
 fn call(node: &Daemon, prefix: &str) {
     let path = "/v1/functions/post/invocations";
@@ -130,6 +183,19 @@
     assert!(log.contains("scope=\"zone\" zone=\"hall-"), "the log tells the zones of retries:\n{log}");
 }
 
+/// Guards against the same where a peer was told of the workers.
+#[test]
+fn a_keyed_call_stays_in_its_zone_where_a_peer_names_it() {
+    let (folder, workers) = (Folder::new(), Workers::http());
+    let addresses = [free_address(), free_address()];
+    let nodes = [0, 1].map(|number| {
+        let peers = replication(addresses[number], &addresses[1 - number..=1 - number], 100);
+        start_node(&folder, &format!("n{number}"), &(peers + &with_scope(CLASSES, "zone")))
+    });
+    workers.put(nodes[0].address);
+    workers.assert_calls_stay_in_their_zone(&nodes[1]);
+}
+
 /// Guards against the same at a node alone whose workers are added by API, and after its restart from disk.
 #[test]
 fn a_keyed_call_stays_in_its_zone_where_workers_are_added_by_api() {
