--- a/crates/node/src/core/invoker/tests.rs
+++ b/crates/node/src/core/invoker/tests.rs
@@ -73,6 +73,21 @@
     }
 }
 
+/// A worker whose place the test names.
+fn listed(name: &str, zone: &str, cell: Option<u64>) -> WorkerListing {
+    WorkerListing {
+        name: name.to_string(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        zone: zone.to_string(),
+        kind: String::new(),
+        cell,
+        state: WorkerState::Ready,
+        weight: 1.0,
+        since: UnixTime::NONE,
+        last_contact_without_report: Ms::NEG_INFINITY,
+    }
+}
+
 /// An invoker with one ready worker, and its memory accounts.
 fn with_one_worker(workers: impl Workers, second_copies: bool) -> (Arc<Invoker>, Arc<Ledger>) {
     let setup = serde_json::json!({
@@ -83,22 +98,7 @@
     });
     let ledger = crate::state::test_ledger();
     let invoker = Invoker::new(&setup, 1, Arc::new(workers), ledger.clone());
-    let address = "127.0.0.1:1".parse().expect("address");
-    let (name, zone, kind) = ("w".to_string(), "a".to_string(), String::new());
-    let (state, since) = (WorkerState::Ready, UnixTime::NONE);
-    let last_contact_without_report = Ms::NEG_INFINITY;
-    let listing = WorkerListing {
-        name,
-        address,
-        zone,
-        kind,
-        cell: Some(0),
-        state,
-        weight: 1.0,
-        since,
-        last_contact_without_report,
-    };
-    invoker.update_roster(vec![listing], true, true);
+    invoker.update_roster(vec![listed("w", "a", Some(0))], true, true);
     (invoker, ledger)
 }
 
@@ -195,21 +195,6 @@
     assert_eq!(calls.used(), 0);
 }
 
-/// A worker whose place the test names.
-fn listed(name: &str, zone: &str, cell: Option<u64>) -> WorkerListing {
-    WorkerListing {
-        name: name.to_string(),
-        address: "127.0.0.1:1".parse().expect("address"),
-        zone: zone.to_string(),
-        kind: String::new(),
-        cell,
-        state: WorkerState::Ready,
-        weight: 1.0,
-        since: UnixTime::NONE,
-        last_contact_without_report: Ms::NEG_INFINITY,
-    }
-}
-
 /// Guards against a keyed call that runs in two zones or cells because its worker is listed elsewhere between the
 /// dispatcher's decision and the sending: a retry is sent only to a worker that is still in the group of the first attempt.
 #[test]
--- a/crates/node/src/state/roster.rs
+++ b/crates/node/src/state/roster.rs
@@ -1,5 +1,7 @@
 //! The known workers. Combines the list from the command channel with the operators' overrides into the roster that the
 //! decision logic receives, and into whether work may be sent to each worker.
+mod host;
+
 use super::start_times::{MonotonicReadings, ReportTime, ReportedStart};
 use crate::clock::{monotonic_ms, UnixTime};
 use corkbay::{
@@ -8,10 +10,10 @@
 use corkbay_duty::HostOverrides;
 use corkbay_ledger::pressure::{decide_at_cap, Decision, FullAccount};
 use corkbay_ledger::{Account, Purpose, Reservation};
+pub use host::Host;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 /// One entry of the list of workers, with zone and kind by name as on the wire.
@@ -38,47 +40,6 @@
     pub last_contact_without_report: Ms,
 }
 
-/// One worker. A new name at a known address is another worker, with its own connections.
-#[derive(Debug)]
-pub struct Host {
-    /// Id of the worker.
-    pub id: WorkerId,
-    /// Name of the worker.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    blocked: AtomicBool,
-    suspended: AtomicBool,
-}
-
-impl Host {
-    /// A host that accepts work.
-    pub fn new(id: WorkerId, name: &str, address: SocketAddr) -> Arc<Self> {
-        let (blocked, suspended) = (AtomicBool::new(false), AtomicBool::new(false));
-        Arc::new(Host { id, name: name.to_string(), address, blocked, suspended })
-    }
-
-    /// Whether no new work may be sent to it, as it is draining, gone or suspended.
-    pub fn is_blocked(&self) -> bool {
-        self.blocked.load(Ordering::Acquire)
-    }
-
-    /// Sets whether new work is blocked.
-    pub fn set_blocked(&self, blocked: bool) {
-        self.blocked.store(blocked, Ordering::Release);
-    }
-
-    /// Sets whether operators have suspended it.
-    pub fn suspend(&self, suspended: bool) {
-        self.suspended.store(suspended, Ordering::Release);
-    }
-
-    /// Whether operators have suspended it: nothing new may be sent to it, not even probes.
-    pub fn suspended(&self) -> bool {
-        self.suspended.load(Ordering::Acquire)
-    }
-}
-
 /// A known worker, with its last listed state.
 struct KnownWorker {
     host: Arc<Host>,
