--- a/crates/wirehost/tests/dialogue.rs
+++ b/crates/wirehost/tests/dialogue.rs
@@ -4,6 +4,10 @@
 
 const SETUP: &str = r#"{"balancers":1,"classes":[{"name":"look","aimMs":1000.0,"giveUpMs":5000.0,"idempotency":"pure","worth":1.0,"later":"unknown key"}],"ceilings":{"attemptsCap":3,"cancel":true},"specifics":{"keepMs":8000.0,"notLoaded":"load","placementCalls":true,"ramMbByKind":[1000.0]},"models":["std"],"zones":["a"],"myZone":"a","periodMs":2.0,"safety":{"coldFrom":0.2,"coldMs":5000.0,"fallMultiple":2.0,"fallMs":1500.0,"drainGraceMs":1000.0}}"#;
 
+/// Codes of outcomes in a `FINISHED` line.
+const CONNECT_FAILED: u32 = 4;
+const RESET: u32 = 5;
+
 fn run(input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_corkbay-drill"))
         .stdin(Stdio::piped())
@@ -109,3 +113,32 @@
         assert!(errors.starts_with("corkbay-drill: line "), "{errors}");
     }
 }
+
+/// Guards against a keyed call that is dispatched to a second zone because the settings name neither zone.
+#[test]
+fn a_keyed_call_is_not_dispatched_to_a_second_zone_that_the_settings_do_not_name() {
+    let keyed = r#""idempotency":"token","dedupScope":"zone","dedupWindowMs":4000.0"#;
+    let setup = SETUP
+        .replace(r#""idempotency":"pure""#, keyed)
+        .replace(r#""placementCalls":true"#, r#""placementCalls":false"#);
+    let start = format!(
+        "TURN timeMs=100.0\nTARGET_INSTANCE who=3\nLAUNCH salt=9 setup={setup}\nCATALOG bank=0 nodesList=2\n\
+         ENTRY worker=worker-b dc=b flavor=std cell=1 phase=active size=1\n\
+         ENTRY worker=worker-c dc=c flavor=std cell=2 phase=active size=1\n\
+         ANNOUNCE kind=remembered gen=1 bank=0\nEND\nTURN timeMs=110.0\nTARGET_INSTANCE who=3\n{QUERY}\nEND\n"
+    );
+    let first = stdout(&run(&start));
+    let worker =
+        ["worker-b", "worker-c"].into_iter().find(|worker| first.contains(worker)).expect("dispatched");
+    let end = |outcome: u32| {
+        format!(
+            "TURN timeMs=150.0\nTARGET_INSTANCE who=3\nFINISHED id=00000000000000aa worker={worker} doneFlag=0 \
+             rc={outcome} hop=0 timeTakenMs=40.0 detail=0\nEND\n"
+        )
+    };
+    let other = if worker == "worker-b" { "worker-c" } else { "worker-b" };
+    let not_run = stdout(&run(&(start.clone() + &end(CONNECT_FAILED))));
+    assert!(not_run.contains(&format!("worker={other}")), "it has not run: {not_run}");
+    let may_have_run = stdout(&run(&(start + &end(RESET))));
+    assert!(!may_have_run.contains(&format!("worker={other}")), "it may have run: {may_have_run}");
+}
