--- a/crates/node/src/state/roster.rs
+++ b/crates/node/src/state/roster.rs
@@ -4,6 +4,7 @@
 
 use super::start_times::{MonotonicReadings, ReportTime, ReportedStart};
 use crate::clock::{monotonic_ms, UnixTime};
+use crate::core::peer_lines;
 use corkbay::{
     position, Location, Ms, Names, RosterEntry, RosterUpdate, WorkerId, WorkerState, Zone, ZoneTable,
 };
@@ -202,7 +203,7 @@
                 "there is no room for all workers that are listed"
             );
         }
-        if self.zones_without_room > zones_without_room {
+        if self.zones_without_room > zones_without_room && peer_lines().take() {
             tracing::warn!(
                 workers = self.zones_without_room - zones_without_room,
                 "there is no room for the names of all zones: the zones of these workers count as unknown"
