Names of zones are held by the directory alone, not by each open call

Cause: the log of a retry needs the first attempt's zone by name, and each sent attempt held that name; a zone that was no longer used stayed in memory with open calls, and no account counted it. Change: attempts keep numbers; the zone table finds the name of a number, and its second map is charged.

--- a/crates/node/src/core/invoker/actions.rs
+++ b/crates/node/src/core/invoker/actions.rs
@@ -2,9 +2,9 @@
 use super::messages::TaskMessage;
 use super::{lock, DispatcherState, Invoker};
 use crate::core::{monotonic_ms, AttemptError};
-use crate::state::roster::{Host, ListedLocation};
+use crate::state::roster::Host;
 use crate::timers;
-use corkbay::{Action, Event, ModelId, Ms, Outcome, WorkerId};
+use corkbay::{Action, Event, Location, ModelId, Ms, Outcome, WorkerId};
 use corkbay_ledger::{Purpose, Reservation};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -129,11 +129,16 @@
     }
 
     /// The host of a worker, and where it is listed.
-    pub(super) fn listed_host(&self, worker: WorkerId) -> Option<(Arc<Host>, ListedLocation)> {
+    pub(super) fn listed_host(&self, worker: WorkerId) -> Option<(Arc<Host>, Location)> {
         let directory = lock(&self.directory);
         Some((directory.host(worker)?, directory.location(worker)?))
     }
 
+    /// The name of the zone of a place, for logs.
+    pub(super) fn zone_name(&self, location: Location) -> String {
+        lock(&self.directory).zone_name(location).to_string()
+    }
+
     /// Reserves memory for the task of an order to a worker.
     fn reserve_order_task(&self) -> Option<Reservation> {
         self.ledger.account(Purpose::Workers).reserve(TASK_STACK_BYTES).ok()
--- a/crates/node/src/core/invoker/attempts.rs
+++ b/crates/node/src/core/invoker/attempts.rs
@@ -3,8 +3,7 @@
 use super::request::AcceptedRequest;
 use crate::core::unserved::hex;
 use crate::core::{monotonic_ms, AbortReason, AttemptError, Exchange};
-use crate::state::roster::ListedLocation;
-use corkbay::{Effect, Ms, Outcome, WorkerId};
+use corkbay::{Effect, Location, Ms, Outcome, WorkerId};
 
 /// How long after its deadline a request waits for the dispatcher's decision before it fails here.
 pub(super) const DECISION_GRACE_MS: Ms = 10.0;
@@ -30,7 +29,7 @@
     attempt: u32,
     started: Ms,
     /// Where its worker was listed.
-    location: ListedLocation,
+    location: Location,
 }
 
 /// What becomes of a retry that the dispatcher asked for.
@@ -124,8 +123,8 @@
         let Some((host, location)) = invoker.listed_host(worker) else {
             return self.request.report_finished(attempt, worker, started, Outcome::Moot, false);
         };
-        if !self.drops_repeats(&location) {
-            self.log_retry(RetryStep::Withheld, attempt, &host.name, &location);
+        if !self.drops_repeats(location) {
+            self.log_retry(RetryStep::Withheld, attempt, &host.name, location);
             return self.request.report_finished(attempt, worker, started, Outcome::Moot, false);
         }
         let expires = call.request.expires;
@@ -135,7 +134,7 @@
             _ => None,
         };
         let by = window.unwrap_or(until).min(until);
-        self.record_retry(attempt, &host.name, &location);
+        self.record_retry(attempt, &host.name, location);
         if attempt == 0 && !invoker.may_repeat(call.request.class) {
             invoker.recent_ids().insert(call.request.id);
         }
@@ -149,18 +148,18 @@
 
     /// Whether a worker there drops the call as a repeat if an earlier attempt has run; always true for calls that are not
     /// keyed or cannot have run.
-    fn drops_repeats(&self, location: &ListedLocation) -> bool {
+    fn drops_repeats(&self, location: Location) -> bool {
         let class = self.request.invoker.settings.classes.get(self.request.call.request.class);
         let (Some(Effect::Keyed(group, _)), Some(first)) =
             (class.map(|class| class.effect), self.may_have_run.first())
         else {
             return true;
         };
-        first.location.location.shares_record(location.location, group)
+        first.location.shares_record(location, group)
     }
 
     /// Counts a retry, and logs it if an earlier attempt may have run.
-    fn record_retry(&self, attempt: u32, host: &str, location: &ListedLocation) {
+    fn record_retry(&self, attempt: u32, host: &str, location: Location) {
         if self.last_failure.is_some() {
             self.request.invoker.counters.retried.increment();
             self.log_retry(RetryStep::Sent, attempt, host, location);
@@ -169,15 +168,15 @@
 
     /// Logs a retry: where it goes, how the attempt before it ended, and which workers drop its repeats. Retries of attempts
     /// that never ran are common and are not logged.
-    fn log_retry(&self, step: RetryStep, attempt: u32, host: &str, location: &ListedLocation) {
+    fn log_retry(&self, step: RetryStep, attempt: u32, host: &str, location: Location) {
         let (invoker, call) = (&self.request.invoker, &self.request.call);
         let Some(first) = self.may_have_run.first().filter(|_| invoker.lines.take()) else { return };
         let request = hex(call.request.id);
         let last = self.last_failure.map(tracing::field::debug);
         let scope = invoker.dedup_scope(call.request.class);
-        let (zone, first_zone) = (location.zone_name(), first.location.zone_name());
-        let (cell, first_cell) = (location.location.cell, first.location.location.cell);
-        tracing::info!(%request, attempt, host, last, scope, zone, first_zone, cell, first_cell, "{}", step.name());
+        let (zone, first_zone) = (invoker.zone_name(location), invoker.zone_name(first.location));
+        let (cell, first_cell) = (location.cell, first.location.cell);
+        tracing::info!(%request, attempt, host, last, scope, ?zone, ?first_zone, cell, first_cell, "{}", step.name());
     }
 
     /// Reports an attempt that produced no result.
--- a/crates/node/src/state/roster.rs
+++ b/crates/node/src/state/roster.rs
@@ -66,21 +66,6 @@
     }
 }
 
-/// Where a worker is listed.
-#[derive(Clone, Debug)]
-pub struct ListedLocation {
-    /// Its place as decisions compare it.
-    pub location: Location,
-    zone_name: Option<Arc<str>>,
-}
-
-impl ListedLocation {
-    /// The name of its zone, for logs.
-    pub fn zone_name(&self) -> &str {
-        self.zone_name.as_deref().unwrap_or("unknown")
-    }
-}
-
 /// Why an operator's override on a host is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SuspensionError {
@@ -147,10 +132,13 @@
     }
 
     /// Where the worker with this id is listed.
-    pub fn location(&self, id: WorkerId) -> Option<ListedLocation> {
-        let known = self.hosts.get(&id)?;
-        let zone_name = known.zone.as_ref().map(|zone| zone.name.clone());
-        Some(ListedLocation { location: known.listed.location, zone_name })
+    pub fn location(&self, id: WorkerId) -> Option<Location> {
+        self.hosts.get(&id).map(|known| known.listed.location)
+    }
+
+    /// The name of the zone of a place, for logs.
+    pub fn zone_name(&self, location: Location) -> &str {
+        location.zone.and_then(|id| self.zones.name(id)).unwrap_or("unknown")
     }
 
     /// The operators' overrides on hosts.
--- a/crates/node/src/state/roster/tests.rs
+++ b/crates/node/src/state/roster/tests.rs
@@ -200,6 +200,10 @@
     }
 }
 
+fn zone_name(directory: &WorkerDirectory, worker: u32) -> &str {
+    directory.zone_name(directory.location(WorkerId(worker)).expect("known"))
+}
+
 /// Guards against zones that are taken for each other because the settings name neither.
 #[test]
 fn zones_that_the_settings_do_not_name_are_told_apart() {
@@ -210,8 +214,8 @@
     let found: Vec<_> =
         zones.iter().enumerate().map(|(name, zone)| zone_of(&mut directory, listed_in(name, zone))).collect();
     assert_eq!(found, [Some(0), Some(1), Some(2), Some(1), None]);
-    assert_eq!(directory.location(WorkerId(1)).expect("known").zone_name(), "north");
-    assert_eq!(directory.location(WorkerId(4)).expect("known").zone_name(), "unknown");
+    assert_eq!(zone_name(&directory, 1), "north");
+    assert_eq!(zone_name(&directory, 4), "unknown");
 }
 
 /// Guards against names from outside that take memory without bounds: a zone is charged while a worker is listed in it, and
@@ -230,7 +234,7 @@
     assert!(account.used() > without_zones + long.len());
     let second = zone_of(&mut directory, listed_in(1, &format!("{long}{long}")));
     assert_eq!(second, None, "there is no room");
-    assert_eq!(directory.location(WorkerId(1)).expect("known").zone_name(), "unknown");
+    assert_eq!(zone_name(&directory, 1), "unknown");
     assert!(account.used() <= account.cap());
     assert_eq!(zone_of(&mut directory, listing(0, WorkerState::Ready)), None);
     zone_of(&mut directory, listing(1, WorkerState::Removed));
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -23,13 +23,14 @@
 #[derive(Debug)]
 pub struct ZoneTable {
     zones: BTreeMap<Arc<str>, CountedZone>,
+    names: BTreeMap<ZoneId, Arc<str>>,
     next_id: u64,
 }
 
 impl ZoneTable {
     /// A table in which the zones of the settings are always in use, numbered by their positions.
     pub fn new(names: &Names) -> Self {
-        let mut table = ZoneTable { zones: BTreeMap::new(), next_id: 0 };
+        let mut table = ZoneTable { zones: BTreeMap::new(), names: BTreeMap::new(), next_id: 0 };
         for (position, name) in names.zones.iter().enumerate() {
             table.next_id = position as u64;
             table.enter(name);
@@ -43,6 +44,11 @@
         self.zones.contains_key(name)
     }
 
+    /// The name of a zone in use.
+    pub fn name(&self, id: ZoneId) -> Option<&str> {
+        self.names.get(&id).map(|name| &**name)
+    }
+
     /// Adds a user to the zone with this name; an empty name names no zone.
     pub fn enter(&mut self, name: &str) -> Option<Zone> {
         if name.is_empty() {
@@ -51,6 +57,7 @@
         if !self.contains(name) {
             let zone = Zone { id: ZoneId(self.next_id), name: Arc::from(name) };
             self.next_id += 1;
+            self.names.insert(zone.id, zone.name.clone());
             self.zones.insert(zone.name.clone(), CountedZone { zone, users: 0 });
         }
         let counted = self.zones.get_mut(name)?;
@@ -65,6 +72,7 @@
         let is_unused = counted.users == 0;
         if is_unused {
             self.zones.remove(&zone.name);
+            self.names.remove(&zone.id);
         }
         is_unused
     }
@@ -74,11 +82,13 @@
         self.zones.keys().map(|name| Self::cost(name)).sum()
     }
 
-    /// Memory of one zone, in bytes: its name with the two counters of its references, and its entry in a map whose nodes
-    /// may be half empty.
+    /// Memory of one zone, in bytes: its name with the two counters of its references, and its entries in two maps whose
+    /// nodes may be half empty.
     pub fn cost(name: &str) -> usize {
         let name_bytes = 2 * std::mem::size_of::<usize>() + name.len();
-        name_bytes + 2 * std::mem::size_of::<(Arc<str>, CountedZone)>()
+        let entry_bytes =
+            std::mem::size_of::<(Arc<str>, CountedZone)>() + std::mem::size_of::<(ZoneId, Arc<str>)>();
+        name_bytes + 2 * entry_bytes
     }
 }
 
--- a/src/zones/tests.rs
+++ b/src/zones/tests.rs
@@ -28,6 +28,8 @@
     let left: Vec<bool> = zones.iter().map(|zone| table.leave(zone)).collect();
     assert_eq!(left.iter().filter(|is_unused| **is_unused).count(), 1, "the last user removes it");
     assert_eq!(table.bytes(), before);
+    assert_eq!(table.name(zones[0].id), None);
+    assert_eq!(table.name(ZoneId(0)), Some("east"));
     assert_eq!(id(&mut table, "south"), Some(2));
     let east = table.enter("east").expect("named");
     assert!(!table.leave(&east) && table.contains("east"), "a zone of the settings stays");
