Test of a flooding worker waits until the daemon knows the workers

Cause: the test announced its flooding workers and called at once. Where the first call came before the list was applied, the only worker known answered it, had the model from then on, and got all later calls, as it should: no connection to a flooding worker was ever made. Counters of such a play: served=3586 dials=1; of a green one the first attempt is at f3. The fault is in the test, not in the daemon, and is as old as the test. Change: Fixture::await_known, which dedup_groups had inline, before the first call. All assertions and bounds stay.

--- a/crates/node/tests/dedup_groups.rs
+++ b/crates/node/tests/dedup_groups.rs
@@ -225,9 +225,7 @@
     let endpoints: Vec<_> = workers.addresses.iter().enumerate().map(endpoint).collect();
     let event = json!({"cursor": 2, "nodes": {"index": 2, "snapshot": true, "endpoints": endpoints}});
     fixture.channel.events.send(format!("id: 2\ndata: {event}\n\n")).expect("channel");
-    until("the workers are known", || {
-        ask(fixture.admin, "PUT", "/v1/hosts/w0/resume", &[], b"").status == 200
-    });
+    fixture.await_known("w0");
     let mut client = fixture.client();
     let deadline = deadline_ms();
     for number in 0..CALLS {
--- a/crates/node/tests/flooding_peers.rs
+++ b/crates/node/tests/flooding_peers.rs
@@ -182,6 +182,8 @@
     for number in 0..CONNECTIONS as u64 {
         fixture.channel.tell(2 + number, &format!("f{number}"), address, "up");
     }
+    // A call that is made before would load the model at the other worker, and later calls would stay there.
+    fixture.await_known(&format!("f{}", CONNECTIONS - 1));
     let mut other: Client = fixture.client();
     until("the worker floods", || {
         let number = fixture.fleet.sent().len() as u64;
--- a/crates/node/tests/support/platform.rs
+++ b/crates/node/tests/support/platform.rs
@@ -1,6 +1,6 @@
 //! The daemon with its Thrift front, workers and command channel, and a Thrift client that shares no code with the daemon.
 use super::workers::{Behaviour, Fleet};
-use super::{free_address, head, Daemon, Folder, TEST_TIMEOUT};
+use super::{ask, free_address, head, until, Daemon, Folder, TEST_TIMEOUT};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::{BufReader, Read, Write};
@@ -154,6 +154,12 @@
         Client::new(self.daemon.address)
     }
 
+    /// Waits until the daemon knows a worker that was announced on the command channel. Events are applied in their order.
+    pub fn await_known(&self, worker: &str) {
+        let path = format!("/v1/hosts/{worker}/resume");
+        until("the worker is known", || ask(self.admin, "PUT", &path, &[], b"").status == 200);
+    }
+
     /// Sends calls on a connection until a worker has received one, and returns its sequence number. The dispatcher may
     /// refuse a call, for example when the machine stalls for a moment; the counters and the log are printed then.
     pub fn send_until_dispatched(&self, client: &mut Client, id: u64, allow: &str) -> i32 {
