A follower tells which change it can't keep, for want of what, and how far it is behind

Change: the line names key, version and account and has `behind`; `follow.behind` in /v1/status and the gauge corkbay_follow_behind tell the changes that the control node has told of and that are not on disk.

--- a/crates/feed/src/follower.rs
+++ b/crates/feed/src/follower.rs
@@ -39,6 +39,8 @@
     /// message received in it.
     timeout_start: Ms,
     last_heard: Option<Ms>,
+    /// The latest position that the control node has told on this connection.
+    control_position: Option<Position>,
     /// When the follower returns to a control node that it prefers.
     planned_return: PlannedReturn,
     deferred: DeferredMessage,
@@ -68,6 +70,7 @@
             connection: ConnectionNumber(0),
             timeout_start: Ms::MIN,
             last_heard: None,
+            control_position: None,
             planned_return: PlannedReturn::default(),
             deferred: DeferredMessage::Nothing,
             submitted_position: position,
@@ -84,6 +87,7 @@
             return;
         }
         self.state = FollowerState::Greeting { control };
+        self.control_position = None;
         self.timeout_start = now;
         self.deferred = DeferredMessage::Hello;
         self.send_deferred(records, now);
@@ -181,7 +185,12 @@
 
     /// The current state, position and time of the last message.
     pub fn status(&self) -> FollowerStatus {
-        FollowerStatus { state: self.state, position: self.persisted_position, last_heard: self.last_heard }
+        FollowerStatus {
+            state: self.state,
+            position: self.persisted_position,
+            control_position: self.control_position,
+            last_heard: self.last_heard,
+        }
     }
 
     fn connect(&mut self, now: Ms) {
--- a/crates/feed/src/follower/receiving.rs
+++ b/crates/feed/src/follower/receiving.rs
@@ -68,6 +68,7 @@
         if self.submitted_position != Some(after) || upto <= after.revision {
             return Err(UnexpectedMessage);
         }
+        self.control_position = Some(after.at(upto));
         self.persist(changes, Some(after.at(upto)), records)
     }
 
@@ -111,6 +112,7 @@
             return Err(UnexpectedMessage);
         }
         if last.is_some() {
+            self.control_position = last;
             self.state = FollowerState::Following { control };
             self.choice.succeeded(control);
         }
@@ -128,6 +130,7 @@
             FollowerState::Greeting { .. } => self.start_following_at(position)?,
             _ => {}
         }
+        self.control_position = Some(position);
         self.send(FollowerMessage::Applied { position: self.persisted_position });
         Ok(())
     }
--- a/crates/feed/src/follower/state.rs
+++ b/crates/feed/src/follower/state.rs
@@ -95,6 +95,15 @@
     pub state: FollowerState,
     /// The position on disk.
     pub position: Option<Position>,
+    /// The latest position known of the control node being followed; `None` until it has told one on this connection.
+    pub control_position: Option<Position>,
     /// When the last message from a control node was received, in milliseconds; `None` before the first one.
     pub last_heard: Option<Ms>,
 }
+
+impl FollowerStatus {
+    /// How many changes of the control node are not on disk, as far as it has told; `None` if that isn't known.
+    pub fn behind(&self) -> Option<u64> {
+        self.position?.behind(self.control_position?)
+    }
+}
--- a/crates/node/src/state/store/merge.rs
+++ b/crates/node/src/state/store/merge.rs
@@ -56,11 +56,11 @@
         let mut new_records = Vec::new();
         for record in incoming {
             if record.text().len() > MAX_VALUE {
-                return Err(StoreError::Large);
+                return Err(not_kept(&record, StoreError::Large));
             }
             if self.supersedes_local(&record, now) {
                 let held = self.reserve_merged(&record);
-                let held = held.map_err(|full| refuse(record.purpose(), full, None))?;
+                let held = held.map_err(|full| not_kept(&record, refuse(record.purpose(), full, None)))?;
                 new_records.push((record, held));
             }
         }
@@ -144,6 +144,10 @@
     }
 }
 
+fn not_kept(record: &Record, cause: StoreError) -> StoreError {
+    StoreError::NotKept { key: record.key.clone(), version: record.version, cause: Box::new(cause) }
+}
+
 /// Whether a record is sent to other nodes.
 fn is_shared(record: &Record, now: UnixTime) -> bool {
     !is_node_local(&record.key) && !record.expired(now)
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -88,6 +88,8 @@
     pub state: FollowerState,
     /// The stored position.
     pub position: Option<Position>,
+    /// Number of changes of the control node that are not on disk, as far as it has told.
+    pub behind: Option<u64>,
     /// Time since the last message from the control node, in milliseconds.
     pub silent_ms: Option<Ms>,
     /// Counters since the start.
@@ -121,10 +123,11 @@
     /// The current state.
     pub fn report(&self) -> FollowerReport {
         let published = lock(&self.shared.published);
-        let FollowerStatus { state, position, last_heard } = published.status.clone();
+        let behind = published.status.behind();
+        let FollowerStatus { state, position, last_heard, .. } = published.status.clone();
         let control = state.control().map(|ControlNumber(number)| self.controls[number].address);
         let silent_ms = last_heard.map(|at| monotonic_ms() - at);
-        FollowerReport { control, state, position, silent_ms, counters: published.counters }
+        FollowerReport { control, state, position, behind, silent_ms, counters: published.counters }
     }
 
     /// The address where configuration can be changed: the invoke API of the followed control node, or else of another one.
@@ -317,7 +320,8 @@
                 self.follower.persisted(batch, &records, monotonic_ms());
             }
             Err(error) => {
-                tracing::error!(%error, "feed: what came can't be kept");
+                let behind = self.follower.status().behind();
+                tracing::error!(%error, behind, "feed: what came can't be kept");
                 self.counters.failed_writes += 1;
                 self.pause_writes();
                 self.follower.persist_failed(monotonic_ms(), &mut rand::rng());
--- a/crates/node/src/wire/feed/status.rs
+++ b/crates/node/src/wire/feed/status.rs
@@ -135,6 +135,7 @@
         "control": report.control,
         "state": state_name(report.state),
         "position": report.position,
+        "behind": report.behind,
         "silent_ms": report.silent_ms.map(f64::round),
         "connections": counters.connections,
         "comparisons": counters.comparisons,
--- a/crates/node/src/wire/metrics.rs
+++ b/crates/node/src/wire/metrics.rs
@@ -152,6 +152,9 @@
     registry.register_with_unit("follow_silent", help, Unit::Seconds, silent);
     add_gauge(registry, "follow_ready", "Whether there is a whole copy", report.is_ready().into());
     add_gauge(registry, "follow_revision", "Revision of the control node that is on disk", revision);
+    if let Some(behind) = report.behind {
+        add_gauge(registry, "follow_behind", "Changes of the control node that are not on disk", behind);
+    }
     let counters = report.counters;
     add_counter(registry, "follow_connections", "Connections to control nodes", counters.connections);
     add_counter(registry, "follow_comparisons", "Comparisons with them", counters.comparisons);
