--- a/crates/feed/src/buckets.rs
+++ b/crates/feed/src/buckets.rs
@@ -13,7 +13,8 @@
 const COUNT_WEIGHT: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// The number of one of the [`BUCKETS`] buckets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct BucketNumber(pub u8);
 
 impl BucketNumber {
@@ -33,8 +34,9 @@
     }
 }
 
-/// A set of buckets.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// A set of buckets. As text, and so in messages and on disk: base64 of its bits as four big-endian words.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct BucketSet {
     words: [u64; BUCKETS / WORD_BITS],
 }
@@ -50,6 +52,29 @@
         self.words[bucket.index() / WORD_BITS] |= 1 << (bucket.index() % WORD_BITS);
     }
 
+    /// Removes a bucket from the set.
+    pub fn remove(&mut self, bucket: BucketNumber) {
+        self.words[bucket.index() / WORD_BITS] &= !(1 << (bucket.index() % WORD_BITS));
+    }
+
+    /// The buckets of either set.
+    pub fn union(&self, other: BucketSet) -> Self {
+        let mut union = *self;
+        union.words.iter_mut().zip(other.words).for_each(|(word, other)| *word |= other);
+        union
+    }
+
+    /// The number of buckets in the set.
+    pub fn len(&self) -> usize {
+        self.words.iter().map(|word| word.count_ones() as usize).sum()
+    }
+
+    /// The next bucket of the set after another one, continuing with the first one; `None` if the set is empty.
+    pub fn next_after(&self, bucket: BucketNumber) -> Option<BucketNumber> {
+        let (upto, after): (Vec<_>, Vec<_>) = BucketNumber::all().partition(|other| *other <= bucket);
+        after.into_iter().chain(upto).find(|candidate| self.contains(*candidate))
+    }
+
     /// Whether the set contains a bucket.
     pub fn contains(&self, bucket: BucketNumber) -> bool {
         self.words[bucket.index() / WORD_BITS] & (1 << (bucket.index() % WORD_BITS)) != 0
@@ -69,6 +94,34 @@
     }
 }
 
+impl From<BucketSet> for String {
+    fn from(set: BucketSet) -> String {
+        let bytes: Vec<u8> = set.words.iter().flat_map(|word| word.to_be_bytes()).collect();
+        STANDARD.encode(bytes)
+    }
+}
+
+/// The text can't be parsed as a [`BucketSet`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("expected a set of {BUCKETS} buckets in base64")]
+pub struct BadBucketSet;
+
+impl TryFrom<String> for BucketSet {
+    type Error = BadBucketSet;
+
+    fn try_from(text: String) -> Result<Self, BadBucketSet> {
+        let bytes = STANDARD.decode(text).map_err(|_| BadBucketSet)?;
+        let mut set = BucketSet::default();
+        if bytes.len() != size_of_val(&set.words) {
+            return Err(BadBucketSet);
+        }
+        for (word, bytes) in set.words.iter_mut().zip(bytes.chunks_exact(size_of::<u64>())) {
+            *word = u64::from_be_bytes(bytes.try_into().map_err(|_| BadBucketSet)?);
+        }
+        Ok(set)
+    }
+}
+
 /// One hash per bucket over the records in it. As text, and so in messages: base64 of 8 big-endian bytes per bucket.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
--- a/crates/feed/src/copies.rs
+++ b/crates/feed/src/copies.rs
@@ -61,6 +61,11 @@
         self.page_queue.push_back(session);
     }
 
+    /// Removes a session from the queue of those that are to be sent a page.
+    pub fn cancel_page(&mut self, session: SessionNumber) {
+        self.page_queue.retain(|waiting| *waiting != session);
+    }
+
     /// Takes the session that is to be sent a page now, if the rate limit allows one.
     pub fn next_page(&mut self, now: Ms) -> Option<SessionNumber> {
         if self.page_queue.is_empty() || !self.tokens.may_send(now) {
@@ -77,7 +82,7 @@
     /// Removes a session from both queues.
     pub fn remove_session(&mut self, session: SessionNumber) {
         self.waiting.retain(|waiting| *waiting != session);
-        self.page_queue.retain(|waiting| *waiting != session);
+        self.cancel_page(session);
     }
 
     pub fn running(&self) -> usize {
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -1,8 +1,10 @@
 //! The control node's side of the feed.
 mod copying;
+mod repairing;
 mod streaming;
 
 use crate::copies::CopyQueue;
+use crate::repair::RepairRequest;
 use crate::session::{Session, Stage};
 use crate::{
     BucketNumber, ChangeHistory, ControlMessage, FeedCounters, FeedLimits, FeedRecord, FollowerLag,
@@ -135,7 +137,13 @@
             FollowerMessage::Hello { node, position } => self.handle_hello(number, node, position, now),
             FollowerMessage::Buckets { hashes } => self.handle_buckets(number, &hashes, records, now),
             FollowerMessage::NextPage => self.handle_next_page(number),
-            FollowerMessage::Applied { position } => self.handle_applied(number, position),
+            FollowerMessage::Applied { position, left_out_buckets } => {
+                self.handle_applied(number, position, left_out_buckets, now);
+            }
+            FollowerMessage::Repair { bucket, held, max_bytes } => {
+                let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+                self.handle_repair(number, RepairRequest { bucket, held, max_bytes });
+            }
         }
         self.send_changes(number, records, now);
         self.send_pages(records, now);
@@ -279,6 +287,7 @@
             node: session.node.clone()?,
             stage: session.reported_stage(),
             applied: session.applied.map(|applied| self.start.at(applied)),
+            left_out_buckets: session.left_out_buckets,
             behind: revision - session.applied.unwrap_or(0),
             behind_ms: session.behind_since.map_or(0.0, |since| now - since),
             silent_ms: now - session.last_received,
--- a/crates/feed/src/feed/copying.rs
+++ b/crates/feed/src/feed/copying.rs
@@ -10,6 +10,9 @@
     pub(super) fn request_buckets(&mut self, number: SessionNumber, now: Ms) {
         let Some(session) = self.sessions.get_mut(&number) else { return };
         session.stage = Stage::AwaitingBuckets;
+        if session.repair.take().is_some() {
+            self.copies.cancel_page(number);
+        }
         self.counters.comparisons += 1;
         self.send(number, ControlMessage::SendBuckets, now);
     }
@@ -53,7 +56,10 @@
     pub(super) fn send_pages(&mut self, records: &impl Records<R>, now: Ms) {
         while let Some(number) = self.copies.next_page(now) {
             let Some(session) = self.sessions.get(&number) else { continue };
-            let Stage::Copying(copying) = &session.stage else { continue };
+            let Stage::Copying(copying) = &session.stage else {
+                self.send_missing(number, records, now);
+                continue;
+            };
             let page = records.page(&copying.buckets, copying.after.as_deref(), self.limits.page_bytes);
             // A difference that fits in one page needs no copy slot.
             let needs_slot = !page.is_last && !session.holds_copy_slot;
--- a/crates/feed/src/feed/streaming.rs
+++ b/crates/feed/src/feed/streaming.rs
@@ -31,7 +31,14 @@
     }
 
     /// Handles an acknowledgement of the position that the follower has on disk.
-    pub(super) fn handle_applied(&mut self, number: SessionNumber, position: Option<Position>) {
+    pub(super) fn handle_applied(
+        &mut self,
+        number: SessionNumber,
+        position: Option<Position>,
+        left_out_buckets: u16,
+        now: Ms,
+    ) {
+        self.note_left_out(number, left_out_buckets, now);
         // A position of another control node's incarnation can't be compared with this feed's: the follower is still
         // comparing buckets.
         let Some(position) = position.filter(|position| position.incarnation == self.start.incarnation)
--- a/crates/feed/src/follower.rs
+++ b/crates/feed/src/follower.rs
@@ -1,15 +1,17 @@
 //! The follower's side of the feed.
 mod in_flight;
 mod receiving;
+mod repairing;
 mod returning;
 mod state;
 
 use crate::{
-    ChangeOrder, ConnectDecision, ControlChoice, ControlMessage, FeedRecord, FollowerLimits, FollowerMessage,
-    Ms, Position, Records,
+    BucketSet, ChangeOrder, ConnectDecision, ControlChoice, ControlMessage, FeedRecord, FollowerLimits,
+    FollowerMessage, LeftOutRecords, Ms, Position, Progress, ProgressUpdate, Records,
 };
 use in_flight::InFlight;
 use rand::Rng;
+use repairing::Repair;
 use returning::PlannedReturn;
 
 pub use state::{BatchNumber, ConnectionNumber, FollowerAction, FollowerState, FollowerStatus};
@@ -46,20 +48,23 @@
     deferred: DeferredMessage,
     /// The position of the last batch handed to the caller to be written.
     submitted_position: Option<Position>,
-    /// The position on disk.
-    persisted_position: Option<Position>,
+    /// The progress on disk.
+    progress: Option<Progress>,
+    /// The buckets of the records that were left out of the difference being received.
+    left_out_of_pages: BucketSet,
+    repair: Repair,
     in_flight: InFlight<R>,
     actions: Vec<FollowerAction<R>>,
 }
 
 impl<R: FeedRecord, O: ChangeOrder<R>> Follower<R, O> {
-    /// A follower named `node` that has `position` on disk. It connects with the first [`tick`](Self::tick).
+    /// A follower named `node` that has `progress` on disk. It connects with the first [`tick`](Self::tick).
     pub fn new(
         node: &str,
         limits: FollowerLimits,
         choice: ControlChoice,
         order: O,
-        position: Option<Position>,
+        progress: Option<Progress>,
     ) -> Self {
         Follower {
             node: node.to_string(),
@@ -73,8 +78,10 @@
             control_position: None,
             planned_return: PlannedReturn::default(),
             deferred: DeferredMessage::Nothing,
-            submitted_position: position,
-            persisted_position: position,
+            submitted_position: progress.map(|progress| progress.position),
+            progress,
+            left_out_of_pages: BucketSet::default(),
+            repair: Repair::new(),
             in_flight: InFlight::new(),
             actions: Vec::new(),
         }
@@ -131,11 +138,26 @@
         self.plan_return(now, rng);
     }
 
-    /// Reports that a batch and all batches before it are on disk.
-    pub fn persisted(&mut self, batch: BatchNumber, records: &impl Records<R>, now: Ms) {
+    /// Reports that a batch and all batches before it are on disk, and which of its records were left out.
+    pub fn persisted(
+        &mut self,
+        batch: BatchNumber,
+        left_out: LeftOutRecords,
+        records: &impl Records<R>,
+        now: Ms,
+    ) {
         while let Some(written) = self.in_flight.pop_upto(batch) {
-            self.persisted_position = written.position.or(self.persisted_position);
-            self.acknowledge(written.position);
+            self.progress = written.update.apply(self.progress, left_out);
+            match written.update {
+                ProgressUpdate::Page => {
+                    self.left_out_of_pages = self.left_out_of_pages.union(left_out.buckets());
+                }
+                ProgressUpdate::Repaired { bucket, .. } => {
+                    self.finish_repair(bucket, written.keys.len(), left_out, now);
+                }
+                ProgressUpdate::Changes { .. } | ProgressUpdate::Copied { .. } => {}
+            }
+            self.acknowledge(&written.update);
         }
         self.send_deferred(records, now);
     }
@@ -143,7 +165,7 @@
     /// Reports that the oldest batch in flight couldn't be written and that none after it will be.
     pub fn persist_failed(&mut self, now: Ms, rng: &mut impl Rng) {
         self.in_flight.clear();
-        self.submitted_position = self.persisted_position;
+        self.submitted_position = self.persisted_position();
         self.fail_over(now, rng);
     }
 
@@ -187,12 +209,27 @@
     pub fn status(&self) -> FollowerStatus {
         FollowerStatus {
             state: self.state,
-            position: self.persisted_position,
+            progress: self.progress,
             control_position: self.control_position,
             last_heard: self.last_heard,
         }
     }
 
+    /// The progress on disk.
+    pub fn progress(&self) -> Option<Progress> {
+        self.progress
+    }
+
+    fn persisted_position(&self) -> Option<Position> {
+        self.progress.map(|progress| progress.position)
+    }
+
+    /// Acknowledges the position on disk.
+    fn send_applied(&mut self) {
+        let left_out_buckets = self.progress.map_or(0, |progress| progress.left_out.len() as u16);
+        self.send(FollowerMessage::Applied { position: self.persisted_position(), left_out_buckets });
+    }
+
     fn connect(&mut self, now: Ms) {
         match self.choice.next(now) {
             ConnectDecision::WaitUntil(until) => self.state = FollowerState::Waiting { until },
@@ -221,6 +258,7 @@
     fn disconnect_and_reconnect(&mut self, now: Ms) {
         self.planned_return.cancel();
         self.deferred = DeferredMessage::Nothing;
+        self.repair.disconnected();
         self.actions.push(FollowerAction::Disconnect { connection: self.connection });
         self.connect(now);
     }
--- a/crates/feed/src/follower/in_flight.rs
+++ b/crates/feed/src/follower/in_flight.rs
@@ -1,6 +1,6 @@
 //! The batches that a follower has handed to its caller to be written.
 use super::BatchNumber;
-use crate::{ChangeOrder, FeedRecord, Position, Records};
+use crate::{ChangeOrder, FeedRecord, ProgressUpdate, Records};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -8,9 +8,9 @@
 #[derive(Debug)]
 pub(super) struct Batch {
     pub number: BatchNumber,
-    /// The position that the follower reaches with this batch, if it completes one.
-    pub position: Option<Position>,
-    keys: Vec<Arc<str>>,
+    /// How the batch changes the follower's progress.
+    pub update: ProgressUpdate,
+    pub keys: Vec<Arc<str>>,
 }
 
 /// The batches being written to disk and their records, which the store may not return yet.
@@ -40,14 +40,14 @@
         order.supersedes(record, in_flight) && order.supersedes(record, held.get(record.key()).as_ref())
     }
 
-    pub fn push(&mut self, records: &[R], position: Option<Position>) -> BatchNumber {
+    pub fn push(&mut self, records: &[R], update: ProgressUpdate) -> BatchNumber {
         self.last.0 += 1;
         let number = self.last;
         for record in records {
             self.records.insert(record.key().clone(), (number, record.clone()));
         }
         let keys = records.iter().map(|record| record.key().clone()).collect();
-        self.batches.push_back(Batch { number, position, keys });
+        self.batches.push_back(Batch { number, update, keys });
         number
     }
 
--- a/crates/feed/src/follower/receiving.rs
+++ b/crates/feed/src/follower/receiving.rs
@@ -1,6 +1,9 @@
 //! Handles messages from the control node.
 use super::{DeferredMessage, Follower, FollowerAction, FollowerState};
-use crate::{ChangeOrder, ControlMessage, FeedRecord, FollowerMessage, Ms, Position, Records};
+use crate::{
+    BucketNumber, BucketSet, ChangeOrder, ControlMessage, FeedRecord, FollowerMessage, Ms, Position,
+    ProgressUpdate, Records,
+};
 
 /// The message violates the protocol in the follower's current state.
 pub(super) struct UnexpectedMessage;
@@ -19,6 +22,13 @@
             ControlMessage::SendBuckets => self.handle_send_buckets(records, now),
             ControlMessage::Difference { records: page, last } => self.handle_difference(page, last, records),
             ControlMessage::Heartbeat { position } => self.handle_heartbeat(position),
+            ControlMessage::OfferRepair => {
+                self.repair.offer();
+                Ok(())
+            }
+            ControlMessage::Missing { bucket, records: missing, skipped } => {
+                self.handle_missing(bucket, missing, skipped, records)
+            }
             // Handled by `Follower::message`.
             ControlMessage::Busy { .. } => Ok(()),
         }
@@ -36,7 +46,7 @@
                 self.timeout_start = now;
                 self.send(FollowerMessage::Hello {
                     node: self.node.clone(),
-                    position: self.persisted_position,
+                    position: self.persisted_position(),
                 });
             }
             DeferredMessage::Buckets => {
@@ -47,12 +57,13 @@
 
     /// Acknowledges a batch that is on disk. Batches from an earlier connection aren't acknowledged: the hello of a new
     /// connection waits until all of them are on disk.
-    pub(super) fn acknowledge(&mut self, position: Option<Position>) {
-        match (position, self.state) {
-            (Some(_), FollowerState::Following { .. } | FollowerState::Comparing { .. }) => {
-                self.send(FollowerMessage::Applied { position: self.persisted_position });
-            }
-            (None, FollowerState::Comparing { .. }) => self.send(FollowerMessage::NextPage),
+    pub(super) fn acknowledge(&mut self, update: &ProgressUpdate) {
+        match (update, self.state) {
+            (ProgressUpdate::Page, FollowerState::Comparing { .. }) => self.send(FollowerMessage::NextPage),
+            (
+                ProgressUpdate::Changes { .. } | ProgressUpdate::Copied { .. },
+                FollowerState::Following { .. } | FollowerState::Comparing { .. },
+            ) => self.send_applied(),
             _ => {}
         }
     }
@@ -69,7 +80,7 @@
             return Err(UnexpectedMessage);
         }
         self.control_position = Some(after.at(upto));
-        self.persist(changes, Some(after.at(upto)), records)
+        self.persist(changes, ProgressUpdate::Changes { position: after.at(upto) }, records)
     }
 
     /// Enters the following state if the control node's first message shows that it resumes at the position in the
@@ -96,6 +107,8 @@
             return Err(UnexpectedMessage);
         }
         self.state = FollowerState::Comparing { control };
+        self.repair.abandon();
+        self.left_out_of_pages = BucketSet::default();
         self.deferred = DeferredMessage::Buckets;
         self.send_deferred(records, now);
         Ok(())
@@ -111,12 +124,25 @@
         if self.deferred != DeferredMessage::Nothing {
             return Err(UnexpectedMessage);
         }
-        if last.is_some() {
-            self.control_position = last;
-            self.state = FollowerState::Following { control };
-            self.choice.succeeded(control);
+        let Some(position) = last else { return self.persist(page, ProgressUpdate::Page, records) };
+        self.control_position = last;
+        self.state = FollowerState::Following { control };
+        self.choice.succeeded(control);
+        self.persist(page, ProgressUpdate::Copied { position, left_out: self.left_out_of_pages }, records)
+    }
+
+    fn handle_missing(
+        &mut self,
+        bucket: BucketNumber,
+        missing: Vec<R>,
+        skipped: usize,
+        records: &impl Records<R>,
+    ) -> Result<(), UnexpectedMessage> {
+        let is_following = matches!(self.state, FollowerState::Following { .. });
+        if !is_following || !self.repair.expects(bucket) {
+            return Err(UnexpectedMessage);
         }
-        self.persist(page, last, records)
+        self.persist(missing, ProgressUpdate::Repaired { bucket, is_complete: skipped == 0 }, records)
     }
 
     fn handle_heartbeat(&mut self, position: Position) -> Result<(), UnexpectedMessage> {
@@ -131,7 +157,7 @@
             _ => {}
         }
         self.control_position = Some(position);
-        self.send(FollowerMessage::Applied { position: self.persisted_position });
+        self.send_applied();
         Ok(())
     }
 
@@ -139,16 +165,16 @@
     fn persist(
         &mut self,
         mut incoming: Vec<R>,
-        position: Option<Position>,
+        update: ProgressUpdate,
         records: &impl Records<R>,
     ) -> Result<(), UnexpectedMessage> {
         if self.in_flight.len() >= self.limits.pending_batches {
             return Err(UnexpectedMessage);
         }
         incoming.retain(|record| self.in_flight.is_newer(record, &self.order, records));
-        self.submitted_position = position.or(self.submitted_position);
-        let batch = self.in_flight.push(&incoming, position);
-        self.actions.push(FollowerAction::Persist { batch, records: incoming, position });
+        self.submitted_position = update.position().or(self.submitted_position);
+        let batch = self.in_flight.push(&incoming, update);
+        self.actions.push(FollowerAction::Persist { batch, records: incoming, update });
         Ok(())
     }
 }
--- a/crates/feed/src/follower/state.rs
+++ b/crates/feed/src/follower/state.rs
@@ -1,5 +1,5 @@
 //! The states of a follower, and the actions that it requests from its caller.
-use crate::{ControlNumber, FollowerMessage, Ms, Position};
+use crate::{ControlNumber, FollowerMessage, Ms, Position, Progress, ProgressUpdate};
 
 /// Identifies a connection of a follower; failed connection attempts are numbered too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -32,16 +32,17 @@
         /// The connection to close.
         connection: ConnectionNumber,
     },
-    /// Write records to disk, replacing those under their keys, and the position after the records; batches must be
-    /// written in order. Then call [`Follower::persisted`](crate::Follower::persisted). Until then
+    /// Write records to disk, replacing those under their keys, and after them the progress that
+    /// [`ProgressUpdate::apply`] returns; batches must be written in order. A record that there is no room for is left
+    /// out, but a new version of a held record never waits for the room that a new key needs. Then call [`Follower::persisted`](crate::Follower::persisted). Until then
     /// [`Records`](crate::Records) may return either the old or the new records.
     Persist {
         /// The number of the batch.
         batch: BatchNumber,
         /// Its records, each of which supersedes the held record of its key.
         records: Vec<R>,
-        /// The position that the follower reaches with this batch; `None` if the batch doesn't complete one.
-        position: Option<Position>,
+        /// How the batch changes the progress on disk.
+        update: ProgressUpdate,
     },
 }
 
@@ -93,8 +94,8 @@
 pub struct FollowerStatus {
     /// The connection state.
     pub state: FollowerState,
-    /// The position on disk.
-    pub position: Option<Position>,
+    /// The progress on disk.
+    pub progress: Option<Progress>,
     /// The latest position known of the control node being followed; `None` until it has told one on this connection.
     pub control_position: Option<Position>,
     /// When the last message from a control node was received, in milliseconds; `None` before the first one.
@@ -104,6 +105,6 @@
 impl FollowerStatus {
     /// How many changes of the control node are not on disk, as far as it has told; `None` if that isn't known.
     pub fn behind(&self) -> Option<u64> {
-        self.position?.behind(self.control_position?)
+        self.progress?.position.behind(self.control_position?)
     }
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -13,7 +13,8 @@
 //!   so a stale control node can't overwrite it with an older one.
 //!
 //! A follower acknowledges a position only once the records up to it are on disk, and writes the position after the
-//! records.
+//! records. Records that it has no room for are left out: its [`Progress`] names the buckets that lack some, and it
+//! requests them once there is room.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -28,12 +29,16 @@
 mod messages;
 mod order;
 mod position;
+mod progress;
 mod records;
+mod repair;
 mod report;
 mod session;
 mod token_bucket;
 
-pub use buckets::{BadBucketHashes, BucketHashes, BucketIndex, BucketNumber, BucketSet, BUCKETS};
+pub use buckets::{
+    BadBucketHashes, BadBucketSet, BucketHashes, BucketIndex, BucketNumber, BucketSet, BUCKETS,
+};
 pub use choice::{ConnectDecision, ControlChoice, ControlNode, ControlNumber, NoControlNodes};
 pub use feed::{CloseReason, Feed, FeedAction, SessionNumber};
 pub use follower::{BatchNumber, ConnectionNumber, Follower, FollowerAction, FollowerState, FollowerStatus};
@@ -43,7 +48,9 @@
 pub use messages::{ControlMessage, FollowerMessage};
 pub use order::{ChangeOrder, GreaterRecord};
 pub use position::{BadPosition, Position};
+pub use progress::{LeftOutRecords, Progress, ProgressUpdate};
 pub use records::{FeedRecord, Page, Records};
+pub use repair::{BadRecordHashes, RecordHashes};
 pub use report::{FeedCounters, FollowerLag, FollowerStage};
 pub use token_bucket::TokenBucket;
 
--- a/crates/feed/src/messages.rs
+++ b/crates/feed/src/messages.rs
@@ -1,5 +1,5 @@
 //! Messages between followers and control nodes. A connection delivers messages in order.
-use crate::{BucketHashes, Position};
+use crate::{BucketHashes, BucketNumber, Position, RecordHashes};
 use serde::{Deserialize, Serialize};
 
 /// A message from a follower to its control node.
@@ -24,7 +24,23 @@
     Applied {
         /// Everything up to this position is on disk; `None` if the follower has no position yet.
         position: Option<Position>,
+        /// The number of buckets with records before the position that the follower left out.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        left_out_buckets: u16,
     },
+    /// Requests the records of a bucket that the follower left out; sent only after [`ControlMessage::OfferRepair`].
+    Repair {
+        /// The bucket.
+        bucket: BucketNumber,
+        /// The hashes of the records in the bucket that the follower holds.
+        held: RecordHashes,
+        /// How many bytes of records the follower has room for.
+        max_bytes: u64,
+    },
+}
+
+fn is_zero(number: &u16) -> bool {
+    *number == 0
 }
 
 /// A message from a control node to a follower.
@@ -49,6 +65,18 @@
         /// The position that the follower reaches with the last page; `None` on earlier pages.
         last: Option<Position>,
     },
+    /// The answer to the first [`FollowerMessage::Applied`] of a connection that says that records were left out: the
+    /// control node answers [`FollowerMessage::Repair`].
+    OfferRepair,
+    /// The answer to [`FollowerMessage::Repair`]: records that the follower lacks. Unlike a change it has no position.
+    Missing {
+        /// The bucket of the records.
+        bucket: BucketNumber,
+        /// The records.
+        records: Vec<R>,
+        /// The number of further records of the bucket that the follower lacks.
+        skipped: usize,
+    },
     /// Sent when no other message was sent for [`FeedLimits::heartbeat_ms`](crate::FeedLimits::heartbeat_ms).
     Heartbeat {
         /// The control node's current position.
--- a/crates/feed/src/records.rs
+++ b/crates/feed/src/records.rs
@@ -30,6 +30,9 @@
     /// The hashes of all records, as a [`BucketIndex`](crate::BucketIndex) keeps them.
     fn bucket_hashes(&self) -> BucketHashes;
 
+    /// The keys and hashes of the records in a bucket, those first that are to be sent first.
+    fn bucket(&self, bucket: BucketNumber) -> Vec<(Arc<str>, u64)>;
+
     /// A page of the records in `buckets` whose keys come after the key `after`, in key order: at least one record if
     /// there is one, and otherwise at most `max_bytes` of them. [`Page::fill`] builds such a page from records in key
     /// order.
--- a/crates/feed/src/report.rs
+++ b/crates/feed/src/report.rs
@@ -26,6 +26,8 @@
     pub applied: Option<Position>,
     /// Number of changes that the follower hasn't acknowledged; all of them if `applied` is `None`.
     pub behind: u64,
+    /// Number of the 256 buckets with records that the follower left out, for want of room; 0 if it left out none.
+    pub left_out_buckets: u16,
     /// For how long the follower hasn't been up to date, in milliseconds; 0 if it is.
     pub behind_ms: Ms,
     /// Time since the last message from the follower, in milliseconds.
@@ -47,6 +49,10 @@
     pub difference_bytes: u64,
     /// Changes sent, counted once per follower.
     pub changes: u64,
+    /// Answers to requests for records that a follower left out.
+    pub repairs: u64,
+    /// Bytes of records sent in these answers.
+    pub repair_bytes: u64,
     /// Followers rejected with [`ControlMessage::Busy`](crate::ControlMessage::Busy).
     pub busy: u64,
     /// Connected followers whose position dropped out of the history.
--- a/crates/feed/src/session.rs
+++ b/crates/feed/src/session.rs
@@ -1,4 +1,5 @@
 //! A control node's connection to one follower.
+use crate::repair::RepairRequest;
 use crate::{BucketSet, FeedLimits, FollowerStage, Ms};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -14,6 +15,12 @@
     pub stage: Stage,
     /// The revision that the follower has acknowledged as on disk.
     pub applied: Option<u64>,
+    /// The number of buckets with records that the follower left out.
+    pub left_out_buckets: u16,
+    /// Whether the follower was told that it may ask for these records.
+    pub is_repair_offered: bool,
+    /// A request for records that the follower left out, until it is answered.
+    pub repair: Option<RepairRequest>,
     /// Since when the follower hasn't been up to date.
     pub behind_since: Option<Ms>,
     /// Whether the session counts towards the limit of concurrent copies.
@@ -68,6 +75,9 @@
             last_sent: now,
             stage: Stage::AwaitingHello,
             applied: None,
+            left_out_buckets: 0,
+            is_repair_offered: false,
+            repair: None,
             behind_since: Some(now),
             holds_copy_slot: false,
             unconfirmed_page_since: None,
--- a/crates/feed/tests/startup.rs
+++ b/crates/feed/tests/startup.rs
@@ -26,6 +26,7 @@
         follower_limits: FollowerLimits::default(),
         control_records,
         follower_records,
+        follower_caps: Vec::new(),
         faults_until: 0,
     };
     let mut cluster = SimulatedCluster::new(config);
@@ -93,6 +94,7 @@
             follower_limits: FollowerLimits::default(),
             control_records: control_records.clone(),
             follower_records: control_records.clone(),
+            follower_caps: Vec::new(),
             faults_until: 0,
         };
         let mut cluster = SimulatedCluster::new(config);
--- a/crates/feed/tests/support/cluster/checks.rs
+++ b/crates/feed/tests/support/cluster/checks.rs
@@ -1,6 +1,6 @@
 //! The checks after the injection of faults has ended.
 use super::*;
-use corkbay_feed::FollowerState;
+use corkbay_feed::{BucketNumber, FollowerState};
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Time = 50 * MS;
@@ -30,6 +30,45 @@
         }
     }
 
+    /// Runs for `span` and checks that the followers hold what they have room for: the disk of each holds the current
+    /// versions of all its keys, and its progress names the buckets of the keys that it lacks.
+    pub fn check_full_followers(&mut self, span: Time) -> Checked {
+        let end = self.now + span;
+        while self.now < end && self.check_current().is_err() {
+            self.run_until((self.now + POLL_INTERVAL).min(end))?;
+        }
+        self.check_current()
+    }
+
+    fn check_current(&self) -> Checked {
+        let control_records = &self.controls[0].store.records;
+        let is_current = |disk: &Disk, record: &TestRecord| match disk.store.records.get(&record.key) {
+            Some(held) => held == record,
+            None => disk
+                .progress
+                .is_some_and(|(progress, _)| progress.left_out.contains(BucketNumber::of(&record.key))),
+        };
+        let lacks =
+            |node: &FollowerNode| control_records.values().any(|record| !is_current(&node.disk, record));
+        match self.followers.iter().position(lacks) {
+            Some(follower) => Err(Violation::NotConverged { follower }),
+            None => Ok(()),
+        }
+    }
+
+    /// Gives all followers room for all records.
+    pub fn lift_caps(&mut self) {
+        self.followers.iter_mut().for_each(|follower| follower.disk.cap = None);
+    }
+
+    /// The number of followers that lack records for want of room.
+    pub fn full_followers(&self) -> usize {
+        let has_left_out = |node: &&FollowerNode| {
+            node.disk.progress.is_some_and(|(progress, _)| !progress.left_out.is_empty())
+        };
+        self.followers.iter().filter(has_left_out).count()
+    }
+
     /// The number of followers that don't follow their first choice.
     pub fn followers_not_at_first_choice(&self) -> usize {
         let is_not_at_first_choice = |(number, follower): &(usize, &FollowerNode)| {
--- a/crates/feed/tests/support/mod.rs
+++ b/crates/feed/tests/support/mod.rs
@@ -3,7 +3,9 @@
 pub mod checker;
 pub mod cluster;
 
-use corkbay_feed::{stable_hash, BucketHashes, BucketIndex, BucketSet, FeedRecord, Page, Records};
+use corkbay_feed::{
+    stable_hash, BucketHashes, BucketIndex, BucketNumber, BucketSet, FeedRecord, Page, Records,
+};
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -73,6 +75,11 @@
         is_newer
     }
 
+    /// The total size of the records, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.records.values().map(FeedRecord::size).sum()
+    }
+
     /// Stores the records `first..first + count`, each with a value of `bytes` bytes.
     pub fn fill(&mut self, first: usize, count: usize, version: u64, bytes: usize) {
         for number in first..first + count {
@@ -90,6 +97,11 @@
         self.index.hashes()
     }
 
+    fn bucket(&self, bucket: BucketNumber) -> Vec<(Arc<str>, u64)> {
+        let in_bucket = self.records.values().filter(|record| BucketNumber::of(&record.key) == bucket);
+        in_bucket.map(|record| (record.key.clone(), record.hash())).collect()
+    }
+
     fn page(&self, buckets: &BucketSet, after: Option<&str>, max_bytes: usize) -> Page<TestRecord> {
         let from = after.map_or(Bound::Unbounded, Bound::Excluded);
         let records = self.records.range::<str, _>((from, Bound::Unbounded));
--- a/crates/node/src/state/store/batch.rs
+++ b/crates/node/src/state/store/batch.rs
@@ -1,4 +1,5 @@
 //! Local writes, one record at a time or in atomic batches.
+use super::admission::RecordMemory;
 use super::draft::{Draft, Writers};
 use super::error::StoreError;
 use super::expiry::ExpiryState;
@@ -50,7 +51,7 @@
         for (draft, Prepared { record, held }) in drafts.iter_mut().zip(prepared) {
             let over_cap = || self.ledger.reserve_over_cap(record.purpose(), record.size());
             let held = draft.held.take().or(held).unwrap_or_else(over_cap);
-            self.apply(&mut expiry, record, held);
+            self.apply(&mut expiry, record, RecordMemory::Whole(held));
         }
         let listeners = lock(&self.listeners);
         for record in &records {
--- a/crates/node/src/state/store/error.rs
+++ b/crates/node/src/state/store/error.rs
@@ -39,16 +39,6 @@
         /// Suggested delay before a retry, in milliseconds; `None` if a retry won't help.
         retry_after: Option<Ms>,
     },
-    /// A record of another node was not kept.
-    #[error("version {version} of {key} is not kept: {cause}")]
-    NotKept {
-        /// Key of the record.
-        key: Arc<str>,
-        /// Version of the record.
-        version: u64,
-        /// Why it was not kept.
-        cause: Box<StoreError>,
-    },
     /// The record could not be written to the log.
     #[error(transparent)]
     Log(#[from] LogError),
--- a/crates/node/src/state/store/merge.rs
+++ b/crates/node/src/state/store/merge.rs
@@ -1,77 +1,79 @@
 //! Replication: merging records of other nodes, and finding the records that another node lacks.
-use super::error::{refuse, StoreError};
+use super::admission::{LeftOut, Merged, RecordMemory};
+use super::error::StoreError;
 use super::expiry::ExpiryState;
-use super::{Store, MAX_VALUE};
+use super::Store;
 use crate::core::{lock, UnixTime};
 use crate::state::keys::is_node_local;
+use crate::state::log::LogError;
 use crate::state::record::{Record, Stamp, Text};
-use corkbay_ledger::{CapExceeded, Reservation};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// The records of a merge that are new.
+#[derive(Default)]
+struct Selection {
+    kept: Vec<(Record, RecordMemory)>,
+    left_out: Vec<LeftOut>,
+}
+
 impl Store {
-    /// Merges records that another node sent; returns the number of records that were new, once they are durable.
-    /// Records that don't fit in memory are skipped; the other node sends them again. Node-local records are never
-    /// accepted.
-    pub fn merge(&self, incoming: Vec<Record>) -> Result<usize, StoreError> {
+    /// Merges records that another node sent; returns which of them were new and not kept, once the others are durable.
+    /// Node-local records are never accepted.
+    pub fn merge(&self, incoming: Vec<Record>) -> Result<Merged, StoreError> {
         let mut expiry = lock(&self.writing);
-        let now = UnixTime::steady();
-        let mut new_records: Vec<(Record, Reservation)> = Vec::new();
-        let mut left_out = 0;
-        for record in incoming {
-            if record.text().len() > MAX_VALUE || !self.supersedes_local(&record, now) {
-                continue;
-            }
-            match self.reserve_merged(&record) {
-                Ok(held) => new_records.push((record, held)),
-                Err(_) => left_out += 1,
-            }
-        }
-        if left_out > 0 {
-            tracing::warn!(left_out, "replication: there is no room for records of a peer");
-        }
-        let records: Vec<Record> = new_records.iter().map(|(record, _)| record.clone()).collect();
+        let Selection { kept, left_out } = self.select(incoming);
+        let records: Vec<Record> = kept.iter().map(|(record, _)| record.clone()).collect();
         self.append_in_pages(&records)?;
-        Ok(self.apply_all(&mut expiry, new_records))
+        Ok(Merged { new_records: self.apply_all(&mut expiry, kept), left_out })
     }
 
     /// Merges records that another node sent and then writes a node-local record (the note), such as the position up
-    /// to which changes were received. Returns the number of merged records that were new, once all is durable.
+    /// to which changes were received. `note` returns its value, given the records that are not kept. Returns the result
+    /// once all is durable.
     ///
     /// Everything goes into one append if the log's account has room for it. The note is always the last record of the
-    /// last append: wherever a crash truncates the log, a note found there follows all records that it covers. No
-    /// record is skipped: if one is too large or doesn't fit in memory, nothing is merged and the old note stays.
+    /// last append: wherever a crash truncates the log, a note found there follows all records that it covers.
     pub fn merge_with_note(
         &self,
         incoming: Vec<Record>,
         note_key: &str,
-        note: Text,
-    ) -> Result<usize, StoreError> {
+        note: impl FnOnce(&[LeftOut]) -> serde_json::Result<Text>,
+    ) -> Result<Merged, StoreError> {
         if !is_node_local(note_key) {
             return Err(StoreError::NotLocal(note_key.into()));
         }
         let mut expiry = lock(&self.writing);
+        let Selection { kept, left_out } = self.select(incoming);
+        let note = note(&left_out).map_err(|error| LogError::Io(error.to_string()))?;
+        let note = self.next_note(&expiry, note_key, note);
+        let note_held = self.ledger.reserve_over_cap(note.purpose(), note.size());
+        let records: Vec<Record> =
+            kept.iter().map(|(record, _)| record.clone()).chain([note.clone()]).collect();
+        self.append_in_pages(&records)?;
+        let new_records = self.apply_all(&mut expiry, kept);
+        self.apply(&mut expiry, note, RecordMemory::Whole(note_held));
+        Ok(Merged { new_records, left_out })
+    }
+
+    /// Selects the records that are new, and reserves memory for them.
+    fn select(&self, incoming: Vec<Record>) -> Selection {
         let now = UnixTime::steady();
-        let mut new_records = Vec::new();
+        let mut selection = Selection::default();
         for record in incoming {
-            if record.text().len() > MAX_VALUE {
-                return Err(not_kept(&record, StoreError::Large));
+            if !self.supersedes_local(&record, now) {
+                continue;
             }
-            if self.supersedes_local(&record, now) {
-                let held = self.reserve_merged(&record);
-                let held = held.map_err(|full| not_kept(&record, refuse(record.purpose(), full, None)))?;
-                new_records.push((record, held));
+            match self.admit(&record) {
+                Ok(memory) => selection.kept.push((record, memory)),
+                Err(reason) => {
+                    let (key, version) = (record.key, record.version);
+                    selection.left_out.push(LeftOut { key, version, reason });
+                }
             }
         }
-        let note = self.next_note(&expiry, note_key, note);
-        let note_held = self.ledger.reserve_over_cap(note.purpose(), note.size());
-        let records: Vec<Record> =
-            new_records.iter().map(|(record, _)| record.clone()).chain([note.clone()]).collect();
-        self.append_in_pages(&records)?;
-        let count = self.apply_all(&mut expiry, new_records);
-        self.apply(&mut expiry, note, note_held);
-        Ok(count)
+        selection
     }
 
     fn next_note(&self, expiry: &ExpiryState, key: &str, value: Text) -> Record {
@@ -102,20 +104,10 @@
         old.is_none_or(|old| record.order(&old.record) == Ordering::Greater)
     }
 
-    /// Reserves memory for a record of another node. Updates of known keys are accepted even if the account is full, so
-    /// that a worker can always be drained.
-    fn reserve_merged(&self, record: &Record) -> Result<Reservation, CapExceeded> {
-        let is_known = lock(&self.records).contains_key(&record.key);
-        if is_known {
-            return Ok(self.ledger.reserve_over_cap(record.purpose(), record.size()));
-        }
-        self.ledger.reserve(record.purpose(), None, record.size())
-    }
-
-    fn apply_all(&self, expiry: &mut ExpiryState, records: Vec<(Record, Reservation)>) -> usize {
+    fn apply_all(&self, expiry: &mut ExpiryState, records: Vec<(Record, RecordMemory)>) -> usize {
         let count = records.len();
-        for (record, held) in records {
-            self.apply(expiry, record, held);
+        for (record, memory) in records {
+            self.apply(expiry, record, memory);
         }
         count
     }
@@ -144,10 +136,6 @@
     }
 }
 
-fn not_kept(record: &Record, cause: StoreError) -> StoreError {
-    StoreError::NotKept { key: record.key.clone(), version: record.version, cause: Box::new(cause) }
-}
-
 /// Whether a record is sent to other nodes.
 fn is_shared(record: &Record, now: UnixTime) -> bool {
     !is_node_local(&record.key) && !record.expired(now)
--- a/crates/node/src/state/store/mod.rs
+++ b/crates/node/src/state/store/mod.rs
@@ -6,11 +6,13 @@
 //!
 //! | module | contents |
 //! | --- | --- |
+//! | `admission` | which records of other nodes are kept when memory is short |
 //! | `batch` | local writes |
 //! | `merge` | replication: records of other nodes, digests |
 //! | `configuration` | paged reads of functions and workers |
 //! | `listeners` | notification of writes and changes |
 //! | `expiry` | expired records, tombstones, log compaction |
+mod admission;
 mod batch;
 mod configuration;
 mod draft;
@@ -21,6 +23,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use admission::{LeftOut, LeftOutReason, Merged};
 pub use batch::MAX_BATCH;
 pub use configuration::ConfigurationPages;
 pub use draft::{Draft, Writers};
@@ -31,6 +34,7 @@
 use super::record::Record;
 use crate::clock::UnixTime;
 use crate::core::{lock, monotonic_ms};
+use admission::RecordMemory;
 use corkbay::Ms;
 use corkbay_ledger::{Ledger, Purpose, Reservation};
 use expiry::ExpiryState;
@@ -40,6 +44,7 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
 
 /// Maximum length of a value as JSON text, in bytes.
@@ -52,7 +57,7 @@
     record: Record,
     /// When the record expires, on the monotonic clock in milliseconds; infinity if never.
     keep_until: Ms,
-    _held: Reservation,
+    held: Reservation,
 }
 
 impl Entry {
@@ -89,6 +94,8 @@
     /// that a crash could undo, and log compaction misses no write.
     writing: Mutex<ExpiryState>,
     listeners: Mutex<Listeners>,
+    /// What the indexes of its records take for each record, in bytes.
+    index_entry_bytes: AtomicUsize,
     log: Option<Log>,
     /// Whether there were records in the log when it was opened, and nothing behind them.
     is_restored: bool,
@@ -103,6 +110,7 @@
             records: Mutex::default(),
             writing: Mutex::default(),
             listeners: Mutex::default(),
+            index_entry_bytes: AtomicUsize::new(0),
             log: None,
             is_restored: false,
         }
@@ -128,7 +136,7 @@
                 never if never.is_none() => Ms::INFINITY,
                 expires => kept.keep_until(expires, now),
             };
-            store.apply_until(&mut lock(&store.writing), record, held, keep_until);
+            store.apply_until(&mut lock(&store.writing), record, RecordMemory::Whole(held), keep_until);
         })?;
         store.is_restored = !lock(&store.records).is_empty() && !log.was_truncated();
         store.log = Some(log);
@@ -141,6 +149,12 @@
         !self.is_restored
     }
 
+    /// Announces an index that reserves so many bytes for each record once the record is stored. Records of other nodes
+    /// are kept only if there is room for these as well.
+    pub fn add_index(&self, entry_bytes: usize) {
+        self.index_entry_bytes.fetch_add(entry_bytes, Relaxed);
+    }
+
     /// The name of this node.
     pub fn node(&self) -> &str {
         &self.node
@@ -196,13 +210,19 @@
 
     /// Stores a record if it is greater than the current version, and notifies listeners. The caller must hold
     /// `writing`.
-    fn apply(&self, expiry: &mut ExpiryState, record: Record, held: Reservation) {
+    fn apply(&self, expiry: &mut ExpiryState, record: Record, memory: RecordMemory) {
         let expires = record.expires;
         let keep_until = if expires.is_none() { Ms::INFINITY } else { expires.at_start_clock() };
-        self.apply_until(expiry, record, held, keep_until);
+        self.apply_until(expiry, record, memory, keep_until);
     }
 
-    fn apply_until(&self, expiry: &mut ExpiryState, mut record: Record, held: Reservation, keep_until: Ms) {
+    fn apply_until(
+        &self,
+        expiry: &mut ExpiryState,
+        mut record: Record,
+        memory: RecordMemory,
+        keep_until: Ms,
+    ) {
         if record.node == self.node {
             // Each record from the log has its own copy of the node name; share one.
             record.node = self.node.clone();
@@ -215,8 +235,22 @@
                 }
                 record.key = old.record.key.clone();
             }
-            let entry = Entry { record: record.clone(), keep_until, _held: held };
-            records.insert(record.key.clone(), entry);
+            let held = match memory {
+                RecordMemory::Whole(mut held) => {
+                    held.shrink_to(record.size());
+                    held
+                }
+                RecordMemory::Growth(growth) => {
+                    let mut held = match records.remove(&record.key) {
+                        Some(old) => old.held,
+                        None => growth.account().empty_reservation(),
+                    };
+                    drop(growth);
+                    held.reserve_over_cap(record.size());
+                    held
+                }
+            };
+            records.insert(record.key.clone(), Entry { record: record.clone(), keep_until, held });
             expiry.note_expiry(keep_until);
         }
         lock(&self.listeners).notify_change(&record);
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -1,11 +1,11 @@
 //! The follower's side of the feed: receives configuration from a control node and stores it.
+use super::progress::{left_out_records, stored_progress, write_batch};
 use super::records::ConfigurationRecords;
-use crate::core::lock;
 use crate::core::monotonic_ms;
+use crate::core::{lock, peer_lines};
 use crate::lifecycle::spawn;
-use crate::state::log::LogError;
-use crate::state::record::{Record, Text};
-use crate::state::store::{Store, StoreError};
+use crate::state::record::Record;
+use crate::state::store::{LeftOut, Store};
 use crate::timers;
 use crate::wire::framing::{self, FramingError, Head, Received, MAX_MESSAGE};
 use crate::wire::record_changes::{OnRecordChanges, RecordChanges};
@@ -13,9 +13,9 @@
 use crate::wire::socket::Socket;
 use corkbay::Ms;
 use corkbay_feed::{
-    BatchNumber, ConnectionNumber, ControlChoice, ControlMessage, ControlNode, ControlNumber, Follower,
-    FollowerAction, FollowerLimits, FollowerMessage, FollowerState, FollowerStatus, GreaterRecord,
-    NoControlNodes, Position,
+    BatchNumber, BucketSet, ConnectionNumber, ControlChoice, ControlMessage, ControlNode, ControlNumber,
+    Follower, FollowerAction, FollowerLimits, FollowerMessage, FollowerState, FollowerStatus, GreaterRecord,
+    NoControlNodes, Position, Progress, ProgressUpdate,
 };
 use corkbay_ledger::{Account, Purpose};
 use may::sync::{mpsc, Mutex};
@@ -25,10 +25,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Key of the stored feed position.
-const POSITION_KEY: &str = "local/feed-position";
-/// Key of the last stored page of an incomplete copy.
-const PAGE_KEY: &str = "local/feed-page";
 /// A message fails if the control node sends or accepts no bytes for this long after it has begun.
 const STALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pauses after consecutive failed writes, in milliseconds: the first one, doubled each time up to the maximum.
@@ -71,8 +67,10 @@
     pub copied_records: u64,
     /// Records received as changes.
     pub changed_records: u64,
-    /// Batches that could not be written.
+    /// Batches that could not be written, or not completely.
     pub failed_writes: u64,
+    /// Records that were left out for want of room, counted anew for each try.
+    pub left_out_records: u64,
     /// Bytes of messages received.
     pub received_bytes: u64,
     /// Bytes of messages sent.
@@ -86,8 +84,8 @@
     pub control: Option<SocketAddr>,
     /// The state of the feed protocol.
     pub state: FollowerState,
-    /// The stored position.
-    pub position: Option<Position>,
+    /// The stored progress.
+    pub progress: Option<Progress>,
     /// Number of changes of the control node that are not on disk, as far as it has told.
     pub behind: Option<u64>,
     /// Time since the last message from the control node, in milliseconds.
@@ -97,9 +95,20 @@
 }
 
 impl FollowerReport {
-    /// Whether it holds a complete copy of the configuration, received by this or an earlier process.
+    /// Whether it has received a complete copy of the configuration, now or in an earlier process. Records may have been left
+    /// out of it for want of room.
     pub fn is_ready(&self) -> bool {
-        self.position.is_some()
+        self.progress.is_some()
+    }
+
+    /// The stored position.
+    pub fn position(&self) -> Option<Position> {
+        self.progress.map(|progress| progress.position)
+    }
+
+    /// The buckets with records that were left out for want of room.
+    pub fn left_out(&self) -> BucketSet {
+        self.progress.map(|progress| progress.left_out).unwrap_or_default()
     }
 }
 
@@ -124,10 +133,10 @@
     pub fn report(&self) -> FollowerReport {
         let published = lock(&self.shared.published);
         let behind = published.status.behind();
-        let FollowerStatus { state, position, last_heard, .. } = published.status.clone();
+        let FollowerStatus { state, progress, last_heard, .. } = published.status.clone();
         let control = state.control().map(|ControlNumber(number)| self.controls[number].address);
         let silent_ms = last_heard.map(|at| monotonic_ms() - at);
-        FollowerReport { control, state, position, behind, silent_ms, counters: published.counters }
+        FollowerReport { control, state, progress, behind, silent_ms, counters: published.counters }
     }
 
     /// The address where configuration can be changed: the invoke API of the followed control node, or else of another one.
@@ -144,24 +153,6 @@
     }
 }
 
-/// The store holds configuration that was not received over the feed and would be mixed with that of the control nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("holds functions or workers of another role; a follower starts with an empty data_dir")]
-pub struct OtherConfiguration;
-
-/// Checks that a node with this store can follow: configuration received over the feed is stored together with a position or
-/// page number.
-///
-/// # Errors
-/// [`OtherConfiguration`] if the store holds configuration without either.
-pub fn check_store(store: &Store) -> Result<(), OtherConfiguration> {
-    let is_from_feed = [POSITION_KEY, PAGE_KEY].iter().any(|key| store.get(key).is_some());
-    if is_from_feed || store.configuration_after(None, 1).is_empty() {
-        return Ok(());
-    }
-    Err(OtherConfiguration)
-}
-
 /// Follows control nodes for as long as the handle lives: stores received records and reports changes to `on_record_changes`.
 ///
 /// # Errors
@@ -173,9 +164,9 @@
 ) -> Result<FollowerHandle, NoControlNodes> {
     let nodes: Vec<ControlNode> = options.controls.iter().map(control_node).collect();
     let choice = ControlChoice::new(store.node(), options.zone.as_deref(), &nodes)?;
-    let position = stored_position(&store);
+    let progress = stored_progress(&store);
     let limits = FollowerLimits { return_ms: options.return_ms, ..FollowerLimits::default() };
-    let follower = Follower::new(store.node(), limits, choice, GreaterRecord, position);
+    let follower = Follower::new(store.node(), limits, choice, GreaterRecord, progress);
     let (index, changes) = RecordIndex::of_store(Scope::Configuration, &store);
     let published = PublishedState { status: follower.status(), counters: FollowerCounters::default() };
     let shared =
@@ -200,11 +191,6 @@
     ControlNode { address: control.address.to_string(), zone: control.zone.clone() }
 }
 
-fn stored_position(store: &Store) -> Option<Position> {
-    let text = store.get(POSITION_KEY)?.value?;
-    text.read().inspect_err(|error| tracing::warn!(%error, "feed: the position on disk")).ok()
-}
-
 /// A connection to a control node.
 struct ControlConnection {
     number: ConnectionNumber,
@@ -232,6 +218,8 @@
         while !self.shared.is_stopped.load(Ordering::Acquire) {
             self.follower.tick(monotonic_ms(), &mut rand::rng());
             self.perform_all();
+            self.request_left_out();
+            self.perform_all();
             self.publish();
             self.wait();
         }
@@ -255,7 +243,7 @@
             FollowerAction::Connect { connection, control } => self.connect(connection, control),
             FollowerAction::Send { connection, message } => self.send(connection, &message),
             FollowerAction::Disconnect { connection } => self.disconnect(connection),
-            FollowerAction::Persist { batch, records, position } => self.persist(batch, records, position),
+            FollowerAction::Persist { batch, records, update } => self.persist(batch, records, update),
         }
     }
 
@@ -307,17 +295,19 @@
         self.follower.disconnected(number, monotonic_ms(), &mut rand::rng());
     }
 
-    fn persist(&mut self, batch: BatchNumber, records: Vec<Record>, position: Option<Position>) {
+    fn persist(&mut self, batch: BatchNumber, records: Vec<Record>, update: ProgressUpdate) {
         let changes = RecordChanges::of(&records, &self.store);
-        match self.write(batch, records, position) {
-            Ok(count) => {
+        match write_batch(&self.store, self.follower.progress(), batch, records, update) {
+            Ok(merged) => {
                 self.write_pause_ms = FIRST_WRITE_PAUSE_MS;
-                if count > 0 && changes.workers {
+                if merged.new_records > 0 && changes.workers {
                     (self.on_record_changes)(changes);
                 }
                 self.update_index();
+                let left_out = left_out_records(&merged.left_out);
                 let records = ConfigurationRecords { store: &self.store, index: &self.index };
-                self.follower.persisted(batch, &records, monotonic_ms());
+                self.follower.persisted(batch, left_out, &records, monotonic_ms());
+                self.report_left_out(&merged.left_out);
             }
             Err(error) => {
                 let behind = self.follower.status().behind();
@@ -339,19 +329,28 @@
         self.write_pause_ms = (2.0 * self.write_pause_ms).min(MAX_WRITE_PAUSE_MS);
     }
 
-    /// Writes records and, after them, the position or page that they lead to.
-    fn write(
-        &self,
-        BatchNumber(batch): BatchNumber,
-        records: Vec<Record>,
-        position: Option<Position>,
-    ) -> Result<usize, StoreError> {
-        let (key, progress) = match position {
-            Some(position) => (POSITION_KEY, Text::of(&position)),
-            None => (PAGE_KEY, Text::of(&batch)),
-        };
-        let progress = progress.map_err(|error| LogError::Io(error.to_string()))?;
-        self.store.merge_with_note(records, key, progress)
+    /// Counts the records of a batch that were left out, and names the first of them.
+    fn report_left_out(&mut self, left_out: &[LeftOut]) {
+        let Some(first) = left_out.first() else { return };
+        self.counters.failed_writes += 1;
+        self.counters.left_out_records += left_out.len() as u64;
+        if peer_lines().take() {
+            tracing::warn!(
+                records = left_out.len(),
+                key = &*first.key,
+                version = first.version,
+                reason = %first.reason,
+                left_out_buckets = self.follower.progress().map_or(0, |progress| progress.left_out.len()),
+                "feed: records are left out until there is room"
+            );
+        }
+    }
+
+    /// Requests records that were left out, if there is room by now.
+    fn request_left_out(&mut self) {
+        let room_bytes = self.store.ledger().account(Purpose::Catalog).free();
+        let records = ConfigurationRecords { store: &self.store, index: &self.index };
+        self.follower.report_room(room_bytes, &records, monotonic_ms());
     }
 
     fn update_index(&mut self) {
--- a/crates/node/src/wire/feed/records.rs
+++ b/crates/node/src/wire/feed/records.rs
@@ -1,8 +1,10 @@
 //! Read access to the configuration records of a store for the protocol logic.
+use crate::state::keys::WORKER;
 use crate::state::record::Record;
 use crate::state::store::Store;
 use crate::wire::record_index::{RecordIndex, Scope};
-use corkbay_feed::{BucketHashes, BucketSet, Page, Records};
+use corkbay_feed::{BucketHashes, BucketNumber, BucketSet, Page, Records};
+use std::sync::Arc;
 
 /// Number of records that are read from the store at a time.
 const READ_BATCH_RECORDS: usize = 64;
@@ -24,6 +26,13 @@
         self.index.hashes()
     }
 
+    /// Workers come first: they are few, and without them no function can be served.
+    fn bucket(&self, bucket: BucketNumber) -> Vec<(Arc<str>, u64)> {
+        let mut entries: Vec<_> = self.index.bucket(bucket).map(|(key, hash)| (key.clone(), hash)).collect();
+        entries.sort_by_key(|(key, _)| !key.starts_with(WORKER));
+        entries
+    }
+
     fn page(&self, buckets: &BucketSet, after: Option<&str>, max_bytes: usize) -> Page<Record> {
         let mut page = Page { records: Vec::new(), is_last: true };
         let mut last_key = after.map(str::to_string);
--- a/crates/node/src/wire/feed/server.rs
+++ b/crates/node/src/wire/feed/server.rs
@@ -71,6 +71,8 @@
     pub laggards: usize,
     /// Some of the laggards.
     pub named_laggards: Vec<FollowerLag>,
+    /// Number of followers that left out records for want of room.
+    pub incomplete: usize,
     /// Bytes sent to followers.
     pub sent_bytes: u64,
     /// Bytes received from followers.
@@ -130,6 +132,7 @@
             followers: followers.len(),
             oldest,
             laggards: laggards.clone().count(),
+            incomplete: followers.iter().filter(|lag| lag.left_out_buckets > 0).count(),
             named_laggards: laggards.take(MAX_NAMED_LAGGARDS).cloned().collect(),
             sent_bytes: self.sent_bytes.load(Relaxed),
             received_bytes: self.received_bytes.load(Relaxed),
--- a/crates/node/src/wire/feed/status.rs
+++ b/crates/node/src/wire/feed/status.rs
@@ -1,7 +1,8 @@
 //! Status report of a node's role in the distribution of configuration.
 use super::{FeedReport, FeedServer, FollowerHandle, FollowerReport};
+use crate::state::keys::FUNCTION;
 use crate::wire::replication::Mesh;
-use corkbay_feed::{FollowerLag, FollowerStage, FollowerState};
+use corkbay_feed::{BucketNumber, FollowerLag, FollowerStage, FollowerState};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -63,6 +64,12 @@
         is_ready(self.follower_report().as_ref())
     }
 
+    /// Whether a function that this node doesn't hold may exist, as a follower had no room for some records.
+    pub fn may_lack_function(&self, name: &str) -> bool {
+        let bucket = BucketNumber::of(&format!("{FUNCTION}{name}"));
+        self.follower_report().is_some_and(|report| report.left_out().contains(bucket))
+    }
+
     /// Adds the role's entries to a node's status.
     pub fn add_status(&self, status: &mut Value) {
         if let Some(mesh) = &self.mesh {
@@ -106,6 +113,9 @@
         "changes": counters.changes,
         "busy": counters.busy,
         "compacted": counters.compacted,
+        "incomplete": report.incomplete,
+        "repairs": counters.repairs,
+        "repair_bytes": counters.repair_bytes,
     })
 }
 
@@ -115,6 +125,7 @@
         "stage": stage_name(lag.stage),
         "applied": lag.applied,
         "behind": lag.behind,
+        "left_out_buckets": lag.left_out_buckets,
         "behind_ms": lag.behind_ms.round(),
         "silent_ms": lag.silent_ms.round(),
     })
@@ -134,8 +145,12 @@
     json!({
         "control": report.control,
         "state": state_name(report.state),
-        "position": report.position,
+        "position": report.position(),
         "behind": report.behind,
+        "left_out": {
+            "buckets": report.left_out().len(),
+            "records": counters.left_out_records,
+        },
         "silent_ms": report.silent_ms.map(f64::round),
         "connections": counters.connections,
         "comparisons": counters.comparisons,
--- a/crates/node/src/wire/invoke/calls.rs
+++ b/crates/node/src/wire/invoke/calls.rs
@@ -23,6 +23,8 @@
 pub(super) const ENDING_RETRY_AFTER_MS: Ms = 1000.0;
 /// `Retry-After` for clients of a follower that has no configuration yet.
 const NOT_READY_RETRY_AFTER_MS: Ms = 1000.0;
+/// `Retry-After` for calls of functions that a follower may have left out; other nodes may have them.
+const LEFT_OUT_RETRY_AFTER_MS: Ms = 10_000.0;
 
 /// The result of admission: a call to run, or the response to a repeat of an earlier call.
 pub(super) enum Admitted {
@@ -73,12 +75,18 @@
     }
 
     /// The response to a call of an unconfigured function. Until a follower has a complete copy of the
-    /// configuration the call is refused, as the function may exist.
+    /// configuration, or if it may have left out the function for want of room, the call is refused, as the function may
+    /// exist.
     fn unknown_function(&self, name: &str) -> Response {
-        if self.role.is_ready() {
-            problem(404, "unknown-function", &format!("no function {name:?}"), Some(false))
-        } else {
+        if !self.role.is_ready() {
             refused("this node has no whole copy of its configuration yet", Some(NOT_READY_RETRY_AFTER_MS))
+        } else if self.role.may_lack_function(name) {
+            let detail = format!(
+                "this node has no function {name:?}, but had to leave out some for want of room in the account catalog"
+            );
+            refused(&detail, Some(LEFT_OUT_RETRY_AFTER_MS))
+        } else {
+            problem(404, "unknown-function", &format!("no function {name:?}"), Some(false))
         }
     }
 
--- a/crates/node/src/wire/metrics.rs
+++ b/crates/node/src/wire/metrics.rs
@@ -133,6 +133,7 @@
     add_gauge(registry, "feed_followers", "Followers that are connected", report.followers as u64);
     add_gauge(registry, "feed_most_behind", "Changes that the last of them lacks", behind);
     add_gauge(registry, "feed_laggards", "Followers behind for over 6 seconds", report.laggards as u64);
+    add_gauge(registry, "feed_incomplete", "Followers that left out records", report.incomplete as u64);
     add_gauge(registry, "feed_copies_running", "Copies under way", report.copies_running as u64);
     add_gauge(registry, "feed_copies_waiting", "Followers that wait for one", report.copies_waiting as u64);
     add_counter(registry, "feed_sent_bytes", "Bytes sent to followers", report.sent_bytes);
@@ -145,7 +146,7 @@
 }
 
 fn add_follower(registry: &mut Registry, report: &FollowerReport) {
-    let revision = report.position.map_or(0, |position| position.revision);
+    let revision = report.position().map_or(0, |position| position.revision);
     let silent = Gauge::<f64, AtomicU64>::default();
     silent.set(report.silent_ms.map_or(-1.0, |span| span / 1000.0));
     let help = "Since the last word of a control node; -1 before the first";
@@ -155,7 +156,10 @@
     if let Some(behind) = report.behind {
         add_gauge(registry, "follow_behind", "Changes of the control node that are not on disk", behind);
     }
+    let left_out_buckets = report.left_out().len() as u64;
+    add_gauge(registry, "follow_left_out_buckets", "Of 256, those with records left out", left_out_buckets);
     let counters = report.counters;
+    add_counter(registry, "follow_left_out_records", "Records left out", counters.left_out_records);
     add_counter(registry, "follow_connections", "Connections to control nodes", counters.connections);
     add_counter(registry, "follow_comparisons", "Comparisons with them", counters.comparisons);
     add_counter(registry, "follow_copied_records", "Records these led to", counters.copied_records);
--- a/crates/node/src/wire/record_index.rs
+++ b/crates/node/src/wire/record_index.rs
@@ -141,6 +141,7 @@
         // Subscribed before the scan, so that no change is missed; a record that changes during the scan may be
         // applied twice.
         store.on_change(sender);
+        store.add_index(ENTRY_BYTES);
         let mut index = RecordIndex::new(scope, store.ledger().clone());
         match scope {
             Scope::Configuration => {
--- a/crates/node/src/wire/replication/mesh.rs
+++ b/crates/node/src/wire/replication/mesh.rs
@@ -149,11 +149,11 @@
     /// Stores records that a peer sent, and reports changes. Returns the number of records that were new.
     pub fn store_records(&self, records: Vec<Record>) -> Result<usize, ReplicationError> {
         let changes = RecordChanges::of(&records, &self.store);
-        let count = self.store.merge(records)?;
-        if count > 0 && !changes.is_empty() {
+        let merged = self.store.merge(records)?;
+        if merged.new_records > 0 && !changes.is_empty() {
             (self.on_record_changes)(changes);
         }
-        Ok(count)
+        Ok(merged.new_records)
     }
 
     /// Records the name of the peer at a configured address.
