A copy of the configuration begins with the workers

Cause: pages of a copy were in key order, functions before workers, so that a follower without room for all records filled it with functions and knew no worker: it could serve nothing.

--- a/crates/feed/src/records.rs
+++ b/crates/feed/src/records.rs
@@ -33,23 +33,23 @@
     /// The keys and hashes of the records in a bucket, those first that are to be sent first.
     fn bucket(&self, bucket: BucketNumber) -> Vec<(Arc<str>, u64)>;
 
-    /// A page of the records in `buckets` whose keys come after the key `after`, in key order: at least one record if
-    /// there is one, and otherwise at most `max_bytes` of them. [`Page::fill`] builds such a page from records in key
-    /// order.
+    /// A page of the records in `buckets` whose keys come after the key `after`, in a fixed order of the keys: at least one
+    /// record if there is one, and otherwise at most `max_bytes` of them. [`Page::fill`] builds such a page from records in
+    /// this order.
     fn page(&self, buckets: &BucketSet, after: Option<&str>, max_bytes: usize) -> Page<R>;
 }
 
-/// A run of records in key order.
+/// A run of records in the order of their keys that [`Records::page`] uses.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page<R> {
-    /// The records in key order.
+    /// The records in that order.
     pub records: Vec<R>,
     /// Whether no records follow this page.
     pub is_last: bool,
 }
 
 impl<R: FeedRecord> Page<R> {
-    /// Builds a page from those `records` that are in `buckets`. `records` must be in key order and start where the
+    /// Builds a page from those `records` that are in `buckets`. `records` must be in that order and start where the
     /// page starts. The page holds at most `max_bytes`, unless its only record is larger.
     pub fn fill<'a>(records: impl Iterator<Item = &'a R>, buckets: &BucketSet, max_bytes: usize) -> Self
     where
--- a/crates/node/src/state/keys.rs
+++ b/crates/node/src/state/keys.rs
@@ -11,8 +11,9 @@
 /// Other records that are not replicated.
 pub const LOCAL: &str = "local/";
 
-/// Prefixes of configuration records, in key order.
-pub const CONFIGURATION: [&str; 2] = [FUNCTION, WORKER];
+/// Prefixes of configuration records, in the order in which they are copied to other nodes. Workers come first: they are
+/// few, and a node that has no room for all records can serve no function without them.
+pub const CONFIGURATION: [&str; 2] = [WORKER, FUNCTION];
 
 /// Whether the record of this key is not replicated to other nodes.
 pub fn is_node_local(key: &str) -> bool {
--- a/crates/node/src/state/store/configuration.rs
+++ b/crates/node/src/state/store/configuration.rs
@@ -7,15 +7,18 @@
 use std::sync::Arc;
 
 impl Store {
-    /// Up to `most` configuration records after `key` in key order, tombstones included. Starts at the first record
-    /// if `key` is `None`.
+    /// Up to `most` configuration records after `key`, tombstones included: in the order of the prefixes in
+    /// [`CONFIGURATION`], and in key order within each. Starts at the first record if `key` is `None`.
     pub fn configuration_after(&self, key: Option<&str>, most: usize) -> Vec<Record> {
         let now = UnixTime::steady();
         let records = lock(&self.records);
-        let start = key.unwrap_or_default();
+        let first = key.and_then(|key| CONFIGURATION.iter().position(|prefix| key.starts_with(prefix)));
         let mut page = Vec::new();
-        for prefix in CONFIGURATION {
-            let from = if start < prefix { Bound::Included(prefix) } else { Bound::Excluded(start) };
+        for prefix in &CONFIGURATION[first.unwrap_or(0)..] {
+            let from = match key {
+                Some(key) if key.starts_with(prefix) => Bound::Excluded(key),
+                _ => Bound::Included(*prefix),
+            };
             let range = records.range::<str, _>((from, Bound::Unbounded));
             let with_prefix = range.take_while(|(key, _)| key.starts_with(prefix));
             let live = with_prefix.map(|(_, entry)| &entry.record).filter(|record| !record.expired(now));
