A change of what a full peer knows doesn't wait behind records that it has no room for

What callers saw: with two peers of which one has no room for all records, a drain whose push was lost (a partition) came late or by chance, a worker that the full node didn't know never came, and the two sent each other hashes and records again at each interval. Cause: an exchange took as many differing buckets as fit into a message, from a random one on, and their records in key order, functions first, whether or not the receiver has room for them; and nothing remembered what led to nothing. Change: a comparison goes through all differing buckets; records go out known keys first, then workers, then the rest; a node says how much room it has and isn't sent new functions and workers beyond that. Buckets whose exchange led to nothing are left alone until a hash changes, there is more room or a minute has passed. Status and metrics tell how many peers hold more than there is room for (peers_with_more) and what was left out (left_out_records); both fields of the messages are optional.

--- a/crates/feed/src/buckets.rs
+++ b/crates/feed/src/buckets.rs
@@ -133,6 +133,11 @@
 pub struct BadBucketHashes;
 
 impl BucketHashes {
+    /// The hash of a bucket.
+    pub fn get(&self, bucket: BucketNumber) -> u64 {
+        self.0[bucket.index()]
+    }
+
     /// The buckets whose hashes differ, in ascending order.
     pub fn differing(&self, other: &BucketHashes) -> Vec<BucketNumber> {
         let differs = |bucket: &BucketNumber| self.0[bucket.index()] != other.0[bucket.index()];
--- a/crates/node/src/wire/feed/status.rs
+++ b/crates/node/src/wire/feed/status.rs
@@ -73,7 +73,11 @@
     /// Adds the role's entries to a node's status.
     pub fn add_status(&self, status: &mut Value) {
         if let Some(mesh) = &self.mesh {
-            status["replication"] = json!({ "sent_bytes": mesh.sent_bytes() });
+            status["replication"] = json!({
+                "sent_bytes": mesh.sent_bytes(),
+                "left_out_records": mesh.left_out_records(),
+                "peers_with_more": mesh.peers_with_more(),
+            });
         }
         if let Some(report) = self.feed_report() {
             status["feed"] = feed_status(&report);
--- a/crates/node/src/wire/metrics.rs
+++ b/crates/node/src/wire/metrics.rs
@@ -118,6 +118,20 @@
 fn add_role(registry: &mut Registry, role: &Role) {
     if let Some(mesh) = &role.mesh {
         add_counter(registry, "replication_sent_bytes", "Bytes of messages to peers", mesh.sent_bytes());
+        let more = mesh.peers_with_more() as u64;
+        add_gauge(
+            registry,
+            "replication_peers_with_more",
+            "Peers with records that there is no room for",
+            more,
+        );
+        let left_out = mesh.left_out_records();
+        add_counter(
+            registry,
+            "replication_left_out_records",
+            "Records of peers that were not kept",
+            left_out,
+        );
     }
     if let Some(report) = role.feed_report() {
         add_feed(registry, &report);
--- a/crates/node/src/wire/replication.rs
+++ b/crates/node/src/wire/replication.rs
@@ -9,6 +9,7 @@
 mod mesh;
 mod messages;
 mod server;
+mod settled;
 
 pub use error::ReplicationError;
 pub use mesh::Mesh;
--- a/crates/node/src/wire/replication/agreements.rs
+++ b/crates/node/src/wire/replication/agreements.rs
@@ -17,19 +17,24 @@
     found_at: Ms,
 }
 
-/// The last equal comparison with each peer, by the peer's name.
+/// The last equal comparison with each peer, by the peer's name, and the last one that found no difference but records that
+/// one of the two has no room for.
 #[derive(Default)]
 pub struct Agreements {
     by_peer: HashMap<Arc<str>, Agreement>,
+    settled_by_peer: HashMap<Arc<str>, Agreement>,
 }
 
 impl Agreements {
     /// Records that a peer holds the same records as this node, with the given hash over all of them.
     pub fn record(&mut self, peer: &Arc<str>, root_hash: u64, now: Ms) {
-        if self.by_peer.len() >= MAX_PEERS && !self.by_peer.contains_key(peer) {
-            self.by_peer.clear();
-        }
-        self.by_peer.insert(peer.clone(), Agreement { root_hash, found_at: now });
+        insert(&mut self.by_peer, peer, Agreement { root_hash, found_at: now });
+    }
+
+    /// Records that nothing can be exchanged with a peer although its records differ from those of this node, which have
+    /// the given hash.
+    pub fn record_settled(&mut self, peer: &Arc<str>, root_hash: u64, now: Ms) {
+        insert(&mut self.settled_by_peer, peer, Agreement { root_hash, found_at: now });
     }
 
     /// When a peer was last found to hold the same records, in milliseconds; `None` if never.
@@ -40,10 +45,19 @@
     /// Whether a comparison with a peer is due: at once if the hash over this node's records has changed since the last
     /// equal comparison, otherwise after a pause.
     pub fn is_due(&self, own_name: &str, peer: &str, root_hash: u64, now: Ms) -> bool {
-        let Some(agreement) = self.by_peer.get(peer) else { return true };
         let pause = if own_name < peer { PAUSE_MS } else { GREATER_NAME_PAUSE_MS };
-        agreement.root_hash != root_hash || now - agreement.found_at >= pause
+        let found =
+            [&self.by_peer, &self.settled_by_peer].into_iter().filter_map(|by_peer| by_peer.get(peer));
+        let mut found = found.filter(|found| found.root_hash == root_hash && now - found.found_at < pause);
+        found.next().is_none()
+    }
+}
+
+fn insert(by_peer: &mut HashMap<Arc<str>, Agreement>, peer: &Arc<str>, agreement: Agreement) {
+    if by_peer.len() >= MAX_PEERS && !by_peer.contains_key(peer) {
+        by_peer.clear();
     }
+    by_peer.insert(peer.clone(), agreement);
 }
 
 #[cfg(test)]
--- a/crates/node/src/wire/replication/client.rs
+++ b/crates/node/src/wire/replication/client.rs
@@ -1,12 +1,15 @@
 //! The client side of replication: pushes this node's writes to a peer and periodically compares records with it.
 use super::error::ReplicationError;
 use super::mesh::Mesh;
-use super::messages::{Hello, Reply, Request, PROTOCOL_VERSION};
+use super::messages::{Held, Hello, Reply, Request, PROTOCOL_VERSION};
+use super::settled::SettledBuckets;
 use super::STALL_TIMEOUT;
+use crate::core::monotonic_ms;
 use crate::state::record::Record;
 use crate::timers;
 use crate::wire::framing::FramingError;
 use crate::wire::socket::Socket;
+use corkbay_feed::{BucketHashes, BucketNumber};
 use may::sync::mpsc;
 use std::net::SocketAddr;
 use std::sync::mpsc::RecvTimeoutError;
@@ -21,8 +24,20 @@
 
 /// A connection to a peer after the exchange of greetings.
 struct PeerConnection {
+    address: SocketAddr,
     socket: Socket,
     node: Arc<str>,
+    settled: SettledBuckets,
+}
+
+/// The result of an exchange of some buckets.
+struct ExchangeOutcome {
+    /// Number of records that were new to this node.
+    received: usize,
+    /// Whether the peer lacks further records that it has room for.
+    has_more_to_send: bool,
+    /// Number of the peer's records that this node lacks and has no room for.
+    without_room: usize,
 }
 
 /// Replicates to one peer.
@@ -158,7 +173,9 @@
             reply => reply?.message,
         };
         match reply {
-            Reply::Hello(Hello { version: PROTOCOL_VERSION, node }) => Ok(PeerConnection { socket, node }),
+            Reply::Hello(Hello { version: PROTOCOL_VERSION, node }) => {
+                Ok(PeerConnection { address: *peer, socket, node, settled: SettledBuckets::default() })
+            }
             Reply::Hello(Hello { version, .. }) => Err(ReplicationError::UnknownVersion(version)),
             _ => Err(ReplicationError::UnexpectedMessage),
         }
@@ -166,36 +183,78 @@
 
     /// Compares hashes and exchanges the records that either side lacks in the buckets that differ. Returns the number of
     /// records that were new to this node.
-    fn compare(&self, mesh: &Mesh) -> Result<usize, ReplicationError> {
+    fn compare(&mut self, mesh: &Mesh) -> Result<usize, ReplicationError> {
         let root_hash = mesh.root_hash();
         let peer_hashes = match self.request(mesh, &Request::Compare(root_hash))? {
             Reply::Equal => {
                 mesh.record_agreement(&self.node, root_hash);
+                mesh.record_more_at_peer(self.address, false);
                 return Ok(0);
             }
             Reply::Buckets(peer_hashes) => peer_hashes,
             _ => return Err(ReplicationError::UnexpectedMessage),
         };
-        let mut differing = mesh.bucket_hashes().differing(&peer_hashes);
+        let own_hashes = mesh.bucket_hashes();
+        let mut differing = own_hashes.differing(&peer_hashes);
         if differing.is_empty() {
             return Ok(0);
         }
-        // A message may not hold all differing buckets. A random start prevents buckets that stay different from blocking
-        // the others forever.
+        self.settled.refresh(mesh.room_bytes(), monotonic_ms());
+        differing.retain(|bucket| !self.settled.contains(*bucket, &own_hashes, &peer_hashes));
+        if differing.is_empty() {
+            mesh.record_settled(&self.node, root_hash);
+            return Ok(0);
+        }
+        // A random start prevents a bucket whose exchange fails from blocking the others forever.
         let start = rand::random_range(0..differing.len());
         differing.rotate_left(start);
-        let own_contents = mesh.bucket_contents(differing.into_iter());
-        let Reply::Difference { records, held } = self.request(mesh, &Request::Held(own_contents))? else {
+        self.exchange_all(mesh, &differing, &own_hashes, &peer_hashes)
+    }
+
+    /// Exchanges the records of buckets, as many buckets at a time as fit into a message. Returns the number of records that
+    /// were new to this node.
+    fn exchange_all(
+        &mut self,
+        mesh: &Mesh,
+        mut buckets: &[BucketNumber],
+        own_hashes: &BucketHashes,
+        peer_hashes: &BucketHashes,
+    ) -> Result<usize, ReplicationError> {
+        let (mut received, mut without_room) = (0, 0);
+        while !buckets.is_empty() {
+            let own_contents = mesh.bucket_contents(buckets.iter().copied());
+            let (exchanged, rest) = buckets.split_at(own_contents.buckets.len());
+            let outcome = self.exchange(mesh, own_contents)?;
+            if outcome.received == 0 && !outcome.has_more_to_send {
+                // If the peer has kept a record that it was sent, the hash of its bucket changes.
+                exchanged.iter().for_each(|bucket| self.settled.note(*bucket, own_hashes, peer_hashes));
+            }
+            received += outcome.received;
+            without_room += outcome.without_room;
+            buckets = rest;
+        }
+        if without_room > 0 {
+            mesh.record_more_at_peer(self.address, true);
+        }
+        Ok(received)
+    }
+
+    /// Exchanges the records of some buckets.
+    fn exchange(&self, mesh: &Mesh, own_contents: Held) -> Result<ExchangeOutcome, ReplicationError> {
+        let Reply::Difference { records, held, without_room } =
+            self.request(mesh, &Request::Held(own_contents))?
+        else {
             return Err(ReplicationError::UnexpectedMessage);
         };
         // Computed before the received records are stored, so that these are not sent back.
         let missing = mesh.records_missing_at(&held);
         let received = mesh.store_records(records)?;
-        if missing.is_empty() {
-            return Ok(received);
+        let has_more_to_send = missing.is_truncated;
+        if missing.records.is_empty() {
+            return Ok(ExchangeOutcome { received, has_more_to_send, without_room });
         }
-        match self.request(mesh, &Request::Records(missing))? {
-            Reply::Taken => Ok(received),
+        match self.request(mesh, &Request::Records(missing.records))? {
+            Reply::Taken => Ok(ExchangeOutcome { received, has_more_to_send, without_room }),
             _ => Err(ReplicationError::UnexpectedMessage),
         }
     }
--- a/crates/node/src/wire/replication/mesh.rs
+++ b/crates/node/src/wire/replication/mesh.rs
@@ -2,9 +2,10 @@
 use super::agreements::Agreements;
 use super::error::ReplicationError;
 use super::messages::Held;
-use crate::core::{lock, monotonic_ms, UnixTime};
+use crate::core::{lock, monotonic_ms, peer_lines, UnixTime};
+use crate::state::keys::WORKER;
 use crate::state::record::Record;
-use crate::state::store::Store;
+use crate::state::store::{LeftOut, Store};
 use crate::wire::framing::{self, Received, MAX_MESSAGE};
 use crate::wire::record_changes::{OnRecordChanges, RecordChanges};
 use crate::wire::record_index::{RecordIndex, Scope};
@@ -32,6 +33,42 @@
     peers: Mutex<HashMap<SocketAddr, ConfiguredPeer>>,
     on_record_changes: OnRecordChanges,
     sent_bytes: AtomicU64,
+    left_out_records: AtomicU64,
+}
+
+/// Records to be sent to a peer.
+#[derive(Default)]
+pub struct MissingRecords {
+    /// As many of the records as fit into a message.
+    pub records: Vec<Record>,
+    /// Whether there are more that the peer has room for.
+    pub is_truncated: bool,
+    /// Number of records that the peer lacks and has no room for.
+    pub without_room: usize,
+}
+
+/// The order in which records are sent to a peer that lacks them. Changes of what it knows need no room there, so that they
+/// must not wait behind records that do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// The peer holds another version.
+    Known,
+    /// A worker that the peer doesn't know.
+    UnknownWorker,
+    /// Any other record that the peer doesn't know.
+    Unknown,
+}
+
+impl Urgency {
+    fn of(key: &str, peer_held: &Held) -> Self {
+        if peer_held.hashes.contains_key(key) {
+            Urgency::Known
+        } else if key.starts_with(WORKER) {
+            Urgency::UnknownWorker
+        } else {
+            Urgency::Unknown
+        }
+    }
 }
 
 /// What is known of a configured peer.
@@ -41,6 +78,8 @@
     name: Option<Arc<str>>,
     /// Whether the first attempt to receive all its records has ended.
     is_tried: bool,
+    /// Whether it holds records that this node lacks and has no room for.
+    has_more: bool,
 }
 
 impl Mesh {
@@ -60,6 +99,7 @@
             peers: Mutex::new(peers),
             on_record_changes,
             sent_bytes: AtomicU64::new(0),
+            left_out_records: AtomicU64::new(0),
         };
         (Arc::new(mesh), changes)
     }
@@ -83,6 +123,16 @@
         self.sent_bytes.load(Relaxed)
     }
 
+    /// Records of peers that were not kept, counted anew for each time that they were sent.
+    pub fn left_out_records(&self) -> u64 {
+        self.left_out_records.load(Relaxed)
+    }
+
+    /// How many bytes of further functions and workers there is room for.
+    pub fn room_bytes(&self) -> usize {
+        self.store.ledger().account(Purpose::Catalog).free()
+    }
+
     /// Hash over all records.
     pub fn root_hash(&self) -> u64 {
         let mut index = lock(&self.index);
@@ -108,11 +158,17 @@
         lock(&self.agreements).record(peer, root_hash, monotonic_ms());
     }
 
+    /// Records that nothing can be exchanged with a peer for want of room.
+    pub fn record_settled(&self, peer: &Arc<str>, root_hash: u64) {
+        lock(&self.agreements).record_settled(peer, root_hash, monotonic_ms());
+    }
+
     /// The hashes of this node's records in the given buckets: as many buckets from the first on as fit into a message, and
     /// at least one.
     pub fn bucket_contents(&self, buckets: impl Iterator<Item = BucketNumber>) -> Held {
         let (index, max_bytes) = (lock(&self.index), self.max_message_bytes());
-        let (mut held, mut bytes) = (Held::default(), 0);
+        let room_bytes = Some(self.room_bytes() as u64);
+        let (mut held, mut bytes) = (Held { room_bytes, ..Held::default() }, 0);
         for bucket in buckets {
             let entry_bytes = |(key, _): (&Arc<str>, u64)| key.len() + HASH_ENTRY_OVERHEAD_BYTES;
             bytes += index.bucket(bucket).map(entry_bytes).sum::<usize>();
@@ -125,25 +181,40 @@
         held
     }
 
-    /// The records that a peer lacks or has in another version, given its hashes. Returns as many as fit into a message, and
-    /// at least one; the rest follows with the next comparison.
-    pub fn records_missing_at(&self, peer_held: &Held) -> Vec<Record> {
-        let keys: Vec<Arc<str>> = {
-            let index = lock(&self.index);
-            let entries =
-                peer_held.bucket_numbers().flat_map(|bucket| index.bucket(bucket).collect::<Vec<_>>());
-            let differing = entries.filter(|(key, hash)| peer_held.hashes.get(*key) != Some(hash));
-            differing.map(|(key, _)| key.clone()).collect()
-        };
-        let (mut records, mut bytes) = (Vec::new(), 0);
+    /// The records that a peer lacks or has in another version, given its hashes, the most urgent first. Returns as many as
+    /// fit into a message, and at least one; the rest follows with the next comparison. Functions and workers that the
+    /// peer has no room for are not sent.
+    pub fn records_missing_at(&self, peer_held: &Held) -> MissingRecords {
+        let mut room_bytes = peer_held.room_bytes.map_or(usize::MAX, |bytes| bytes as usize);
+        let (mut missing, mut bytes) = (MissingRecords::default(), 0);
+        let keys = self.keys_missing_at(peer_held);
         for record in keys.iter().filter_map(|key| self.store.get(key)) {
+            let is_known = peer_held.hashes.contains_key(&record.key);
+            if !is_known && record.purpose() == Purpose::Catalog {
+                let Some(left) = room_bytes.checked_sub(record.size()) else {
+                    missing.without_room += 1;
+                    continue;
+                };
+                room_bytes = left;
+            }
             bytes += record.size();
-            if bytes > self.max_message_bytes() && !records.is_empty() {
+            if bytes > self.max_message_bytes() && !missing.records.is_empty() {
+                missing.is_truncated = true;
                 break;
             }
-            records.push(record);
+            missing.records.push(record);
         }
-        records
+        missing
+    }
+
+    /// The keys of the records that a peer lacks or has in another version, the most urgent first.
+    fn keys_missing_at(&self, peer_held: &Held) -> Vec<Arc<str>> {
+        let index = lock(&self.index);
+        let entries = peer_held.bucket_numbers().flat_map(|bucket| index.bucket(bucket).collect::<Vec<_>>());
+        let differing = entries.filter(|(key, hash)| peer_held.hashes.get(*key) != Some(hash));
+        let mut keys: Vec<Arc<str>> = differing.map(|(key, _)| key.clone()).collect();
+        keys.sort_by_key(|key| Urgency::of(key, peer_held));
+        keys
     }
 
     /// Stores records that a peer sent, and reports changes. Returns the number of records that were new.
@@ -153,9 +224,25 @@
         if merged.new_records > 0 && !changes.is_empty() {
             (self.on_record_changes)(changes);
         }
+        self.report_left_out(&merged.left_out);
         Ok(merged.new_records)
     }
 
+    /// Counts records that were not kept, and names the first of them.
+    fn report_left_out(&self, left_out: &[LeftOut]) {
+        let Some(first) = left_out.first() else { return };
+        self.left_out_records.fetch_add(left_out.len() as u64, Relaxed);
+        if peer_lines().take() {
+            tracing::warn!(
+                records = left_out.len(),
+                key = &*first.key,
+                version = first.version,
+                reason = %first.reason,
+                "replication: records of a peer are left out until there is room"
+            );
+        }
+    }
+
     /// Records the name of the peer at a configured address.
     pub fn record_peer(&self, address: SocketAddr, name: &Arc<str>) {
         lock(&self.peers).entry(address).and_modify(|peer| peer.name = Some(name.clone()));
@@ -166,6 +253,16 @@
         lock(&self.peers).entry(address).and_modify(|peer| peer.is_tried = true);
     }
 
+    /// Records whether a configured peer holds records that this node lacks and has no room for.
+    pub fn record_more_at_peer(&self, address: SocketAddr, has_more: bool) {
+        lock(&self.peers).entry(address).and_modify(|peer| peer.has_more = has_more);
+    }
+
+    /// The number of configured peers that hold records that this node lacks and has no room for.
+    pub fn peers_with_more(&self) -> usize {
+        lock(&self.peers).values().filter(|peer| peer.has_more).count()
+    }
+
     /// Whether the first attempt to receive all records of each configured peer has ended.
     pub fn has_tried_all_peers(&self) -> bool {
         lock(&self.peers).values().all(|peer| peer.is_tried)
@@ -200,7 +297,8 @@
         self.store.ledger().account(Purpose::Replication)
     }
 
-    fn max_message_bytes(&self) -> usize {
+    /// Maximum size of the records or the hash list of one message, in bytes.
+    pub fn max_message_bytes(&self) -> usize {
         self.account().cap() / MESSAGE_SHARE_DIVISOR
     }
 }
--- a/crates/node/src/wire/replication/messages.rs
+++ b/crates/node/src/wire/replication/messages.rs
@@ -62,11 +62,18 @@
         records: Vec<Record>,
         /// The sender's record hashes.
         held: Held,
+        /// Number of functions and workers that the receiver lacks and has no room for.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        without_room: usize,
     },
     /// The records are stored.
     Taken,
 }
 
+fn is_zero(number: &usize) -> bool {
+    *number == 0
+}
+
 /// The hashes of a node's records in some buckets. A hash covers a record's version.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Held {
@@ -74,6 +81,10 @@
     pub buckets: Vec<u8>,
     /// The hash of each record in these buckets by key.
     pub hashes: BTreeMap<Arc<str>, u64>,
+    /// How many bytes of functions and workers that it doesn't hold yet the node has room for; `None` from a node of an
+    /// earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub room_bytes: Option<u64>,
 }
 
 impl Held {
--- a/crates/node/src/wire/replication/server.rs
+++ b/crates/node/src/wire/replication/server.rs
@@ -1,6 +1,6 @@
 //! The server side of replication: answers the requests of a peer that connected to this node.
 use super::error::ReplicationError;
-use super::mesh::Mesh;
+use super::mesh::{Mesh, MissingRecords};
 use super::messages::{Hello, Opening, Reply, Request, PROTOCOL_VERSION};
 use super::STALL_TIMEOUT;
 use crate::wire::accept::Connection;
@@ -52,9 +52,9 @@
         }
         Request::Compare(_) => Reply::Buckets(mesh.bucket_hashes()),
         Request::Held(peer_held) => {
-            let records = mesh.records_missing_at(&peer_held);
+            let MissingRecords { records, without_room, .. } = mesh.records_missing_at(&peer_held);
             let held = mesh.bucket_contents(peer_held.bucket_numbers());
-            Reply::Difference { records, held }
+            Reply::Difference { records, held, without_room }
         }
         Request::Records(records) => {
             mesh.store_records(records)?;
--- /dev/null
+++ b/crates/node/src/wire/replication/settled.rs
@@ -0,0 +1,50 @@
+//! Buckets that stay different from a peer's because one of the two has no room for records of the other.
+use corkbay::Ms;
+use corkbay_feed::{BucketHashes, BucketNumber};
+use std::collections::HashMap;
+
+/// All buckets that differ are exchanged again after this time, in milliseconds.
+const RECHECK_MS: Ms = 60_000.0;
+/// They are also exchanged again once there is so much more room than before, in bytes.
+const MORE_ROOM_BYTES: usize = 1 << 10;
+
+/// The hashes of a bucket at both nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct HashPair {
+    own: u64,
+    peer: u64,
+}
+
+/// The buckets for which the last exchange with a peer led to nothing, with their hashes at that time. There is no point
+/// in exchanging them again before one of the hashes changes or there is more room.
+#[derive(Debug, Default)]
+pub struct SettledBuckets {
+    pairs: HashMap<u8, HashPair>,
+    recheck_at: Ms,
+    room_bytes: usize,
+}
+
+impl SettledBuckets {
+    /// Forgets all buckets if that is due, given the room for further records, in bytes.
+    pub fn refresh(&mut self, room_bytes: usize, now: Ms) {
+        if now >= self.recheck_at || room_bytes >= self.room_bytes + MORE_ROOM_BYTES {
+            self.pairs.clear();
+            self.recheck_at = now + RECHECK_MS;
+            self.room_bytes = room_bytes;
+        }
+        self.room_bytes = self.room_bytes.min(room_bytes);
+    }
+
+    /// Notes that an exchange of a bucket with these hashes led to nothing here.
+    pub fn note(&mut self, bucket: BucketNumber, own: &BucketHashes, peer: &BucketHashes) {
+        self.pairs.insert(bucket.0, HashPair { own: own.get(bucket), peer: peer.get(bucket) });
+    }
+
+    /// Whether the last exchange of a bucket with the same hashes led to nothing.
+    pub fn contains(&self, bucket: BucketNumber, own: &BucketHashes, peer: &BucketHashes) -> bool {
+        self.pairs.get(&bucket.0) == Some(&HashPair { own: own.get(bucket), peer: peer.get(bucket) })
+    }
+}
+
+#[cfg(test)]
+mod tests;
