A drain in the deploy file holds although a new entry of the file has no room

What callers saw: after a reload of a file that drains a worker and names a new function, at a node whose account catalog is full, the worker went on to get calls. Cause: entries were written in the order of their pages, and the first one without room ended the reload, before the list of workers was passed on. Change: changes of known records are written first, then new workers, then new functions; the list is passed on also after a refusal, which is reported as before. Evidence: crates/node/tests/full_node.rs timed out waiting for the drain on; it passes now.

--- a/crates/node/src/lifecycle/service.rs
+++ b/crates/node/src/lifecycle/service.rs
@@ -120,9 +120,10 @@
     let reload = || {
         let next = Deploy::load(path)?;
         ledger.apply_budget(&accounts::deploy_budget(&next.memory_settings(), base_bytes)?);
-        seed(&api.catalog, &next)?;
+        let seeded = seed(&api.catalog, &next);
+        // What could be written takes effect, also if there was no room for the rest.
         api.catalog.announce(&api.invoker);
-        Ok(())
+        seeded
     };
     let terminate_after = ACCEPT_AFTER_SIGTERM + longest_deadline(&settings) + FINAL_ANSWER_TIME;
     let shutdown = Shutdown {
--- a/crates/node/src/state/deploy_entries.rs
+++ b/crates/node/src/state/deploy_entries.rs
@@ -151,7 +151,17 @@
 
 impl Catalog {
     /// Writes the entries of the deploy file that changed since the file was last read on this node.
+    ///
+    /// Changes of known records are written first, as they need no room, and then new workers and new functions: if there
+    /// is no room for an entry, those of the earlier groups are in force.
     pub fn seed(&self, entries: Vec<DeployEntry>) -> Result<(), CatalogError> {
+        let is_known = |entry: &DeployEntry| self.store().get(&entry.key).is_some();
+        let (known, new): (Vec<_>, Vec<_>) = entries.into_iter().partition(is_known);
+        let (workers, others) = new.into_iter().partition(|entry| entry.key.starts_with(WORKER));
+        [known, workers, others].into_iter().try_for_each(|group| self.seed_group(group))
+    }
+
+    fn seed_group(&self, entries: Vec<DeployEntry>) -> Result<(), CatalogError> {
         let mut pages: Vec<Vec<DeployEntry>> = Vec::new();
         pages.resize_with(PAGES, Vec::new);
         for entry in entries {
