A drain holds at a follower or peer whose disk is full

What callers saw: a follower that can't write its log went on to send calls to a worker whose drain it had received, for as long as the disk was full; pauses after failed writes grew to 10 s, in which it heard of no other drain. Cause: a record takes effect only once it is on disk, and a failed write ended the connection. Change: where the log can't be written, changes of known workers take effect in memory. They are not acknowledged, so that they come again after a crash, and are the first that is written once the log can be written, before any position. Pauses after failed writes are 2 s at most. Open: what is behind more than a window of unacknowledged changes (256, 1 MB) isn't sent to such a follower.

--- a/crates/node/src/state/store/merge.rs
+++ b/crates/node/src/state/store/merge.rs
@@ -20,12 +20,16 @@
 
 impl Store {
     /// Merges records that another node sent; returns which of them were new and not kept, once the others are durable.
-    /// Node-local records are never accepted.
+    /// Node-local records are never accepted. If the log can't be written, changes of known workers are applied all the
+    /// same, and the error is returned.
     pub fn merge(&self, incoming: Vec<Record>) -> Result<Merged, StoreError> {
         let mut expiry = lock(&self.writing);
         let Selection { kept, left_out } = self.select(incoming);
         let records: Vec<Record> = kept.iter().map(|(record, _)| record.clone()).collect();
-        self.append_in_pages(&records)?;
+        if let Err(error) = self.append_in_pages(&records) {
+            self.apply_unlogged(&mut expiry, kept);
+            return Err(error);
+        }
         Ok(Merged { new_records: self.apply_all(&mut expiry, kept), left_out })
     }
 
@@ -34,7 +38,8 @@
     /// once all is durable.
     ///
     /// Everything goes into one append if the log's account has room for it. The note is always the last record of the
-    /// last append: wherever a crash truncates the log, a note found there follows all records that it covers.
+    /// last append: wherever a crash truncates the log, a note found there follows all records that it covers. If the log
+    /// can't be written, the old note stays, and changes of known workers are applied all the same.
     pub fn merge_with_note(
         &self,
         incoming: Vec<Record>,
@@ -51,7 +56,10 @@
         let note_held = self.ledger.reserve_over_cap(note.purpose(), note.size());
         let records: Vec<Record> =
             kept.iter().map(|(record, _)| record.clone()).chain([note.clone()]).collect();
-        self.append_in_pages(&records)?;
+        if let Err(error) = self.append_in_pages(&records) {
+            self.apply_unlogged(&mut expiry, kept);
+            return Err(error);
+        }
         let new_records = self.apply_all(&mut expiry, kept);
         self.apply(&mut expiry, note, RecordMemory::Whole(note_held));
         Ok(Merged { new_records, left_out })
--- a/crates/node/src/state/store/mod.rs
+++ b/crates/node/src/state/store/mod.rs
@@ -11,6 +11,7 @@
 //! | `merge` | replication: records of other nodes, digests |
 //! | `configuration` | paged reads of functions and workers |
 //! | `listeners` | notification of writes and changes |
+//! | `unlogged` | changes of workers that hold although the log can't be written |
 //! | `expiry` | expired records, tombstones, log compaction |
 mod admission;
 mod batch;
@@ -22,6 +23,7 @@
 mod merge;
 #[cfg(test)]
 mod tests;
+mod unlogged;
 
 pub use admission::{LeftOut, LeftOutReason, Merged};
 pub use batch::MAX_BATCH;
@@ -97,6 +99,9 @@
     /// What the indexes of its records take for each record, in bytes.
     index_entry_bytes: AtomicUsize,
     log: Option<Log>,
+    /// Records that are in force although the log could not be written, by key; see [`unlogged`]. Accessed only under the
+    /// write lock.
+    unlogged: Mutex<BTreeMap<Arc<str>, Record>>,
     /// Whether there were records in the log when it was opened, and nothing behind them.
     is_restored: bool,
 }
@@ -112,6 +117,7 @@
             listeners: Mutex::default(),
             index_entry_bytes: AtomicUsize::new(0),
             log: None,
+            unlogged: Mutex::default(),
             is_restored: false,
         }
     }
@@ -189,22 +195,27 @@
 
     /// Appends records to the log durably, in as few appends as the log's account has room for.
     fn append_in_pages(&self, records: &[Record]) -> Result<(), StoreError> {
-        let most_bytes = self.ledger.account(Purpose::Log).cap() / 2;
         let mut rest = records;
         while !rest.is_empty() {
-            let (page, remaining) = rest.split_at(page_length(rest, most_bytes));
+            let (page, remaining) = rest.split_at(page_length(rest, self.max_append_bytes()));
             self.append(page)?;
             rest = remaining;
         }
         Ok(())
     }
 
+    /// Maximum size of one append, in bytes.
+    fn max_append_bytes(&self) -> usize {
+        self.ledger.account(Purpose::Log).cap() / 2
+    }
+
     /// Appends records to the log durably in one append.
     fn append(&self, records: &[Record]) -> Result<(), StoreError> {
         let Some(log) = &self.log else { return Ok(()) };
         if records.is_empty() {
             return Ok(());
         }
+        self.append_unlogged(log)?;
         Ok(log.append(records)?)
     }
 
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -27,9 +27,10 @@
 
 /// A message fails if the control node sends or accepts no bytes for this long after it has begun.
 const STALL_TIMEOUT: Duration = Duration::from_secs(3);
-/// Pauses after consecutive failed writes, in milliseconds: the first one, doubled each time up to the maximum.
+/// Pauses after consecutive failed writes, in milliseconds: the first one, doubled each time up to the maximum, within which
+/// a drain must be heard of.
 const FIRST_WRITE_PAUSE_MS: Ms = 500.0;
-const MAX_WRITE_PAUSE_MS: Ms = 10_000.0;
+const MAX_WRITE_PAUSE_MS: Ms = 2000.0;
 /// Maximum wait before the follower checks whether it has been stopped, in milliseconds.
 const MAX_WAIT_MS: Ms = 500.0;
 
@@ -313,6 +314,9 @@
                 let behind = self.follower.status().behind();
                 tracing::error!(%error, behind, "feed: what came can't be kept");
                 self.counters.failed_writes += 1;
+                if changes.workers {
+                    (self.on_record_changes)(changes);
+                }
                 self.pause_writes();
                 self.follower.persist_failed(monotonic_ms(), &mut rand::rng());
             }
--- a/crates/node/src/wire/replication/mesh.rs
+++ b/crates/node/src/wire/replication/mesh.rs
@@ -220,7 +220,15 @@
     /// Stores records that a peer sent, and reports changes. Returns the number of records that were new.
     pub fn store_records(&self, records: Vec<Record>) -> Result<usize, ReplicationError> {
         let changes = RecordChanges::of(&records, &self.store);
-        let merged = self.store.merge(records)?;
+        let merged = match self.store.merge(records) {
+            Ok(merged) => merged,
+            Err(error) => {
+                if changes.workers {
+                    (self.on_record_changes)(changes);
+                }
+                return Err(error.into());
+            }
+        };
         if merged.new_records > 0 && !changes.is_empty() {
             (self.on_record_changes)(changes);
         }
--- a/crates/node/tests/full_follower.rs
+++ b/crates/node/tests/full_follower.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use support::faults::{Call, Faults};
 use support::nodes::{
     classes_only, delete_function, deploy, function_memory, put_function, replication, start_node, status,
 };
@@ -20,6 +21,8 @@
 /// What new versions of known records and the two stored notes (page and position) take beyond the cap in these tests, in
 /// bytes.
 const MOST_OVER_CAP_BYTES: u64 = 1024;
+/// No space left on device.
+const ENOSPC: i32 = 28;
 /// Number of functions that are put at a time.
 const FUNCTIONS_AT_A_TIME: usize = 20;
 /// Number of functions that don't fit.
@@ -290,3 +293,44 @@
     assert_eq!([worker_state(&follower, "w1"), worker_state(&follower, "w2")], [json!("up"), json!("up")]);
     assert_eq!(call(&follower, "check").body, b"done: x");
 }
+
+/// Guards against a drain that a follower hears of and ignores, because its disk is full; and against one that is lost once
+/// the disk has room again, because it seemed to be stored.
+#[test]
+fn a_drain_holds_at_a_follower_whose_disk_is_full() {
+    let (mut cluster, fleet) = (Cluster::new(1), Fleet::new(&[Behaviour::Serve; 2]));
+    for name in ["w1", "w2"] {
+        put_worker(&cluster.controls[0], name, fleet.http(name), "up");
+    }
+    let faults = Faults::new();
+    let file = cluster.folder.write("f.toml", &deploy("f", &cluster.follower_sections(LARGE_SHARE)));
+    let follower = Daemon::serve_with(&file, &faults.environment());
+    until("it knows both workers", || worker_state(&follower, "w2") == json!("up"));
+    faults.fail(Call::FileWrite, 1, ENOSPC, u64::MAX);
+    put_worker(&cluster.controls[0], "w1", fleet.http("w1"), "draining");
+    let drained = Instant::now();
+    until("the follower knows of the drain", || worker_state(&follower, "w1") == json!("draining"));
+    assert!(drained.elapsed() <= PROPAGATION_LIMIT, "{:?}", drained.elapsed());
+    // Nor does a pause after failed writes delay the next drain.
+    std::thread::sleep(Duration::from_secs(4));
+    put_worker(&cluster.controls[0], "w2", fleet.http("w2"), "draining");
+    let drained = Instant::now();
+    until("the follower knows of the second drain", || worker_state(&follower, "w2") == json!("draining"));
+    assert!(drained.elapsed() <= PROPAGATION_LIMIT, "{:?}", drained.elapsed());
+    let behind = status(&follower)["follow"]["behind"].as_u64();
+    assert!(
+        behind.is_some_and(|behind| behind > 0),
+        "it doesn't acknowledge what is not on disk: {behind:?}"
+    );
+
+    faults.mend(Call::FileWrite);
+    cluster.put_functions(1);
+    until("it goes on", || function_memory(&follower, &function(0)).is_some());
+    drop(follower);
+    cluster.controls.clear();
+    let follower = start_node(&cluster.folder, "f", &cluster.follower_sections(LARGE_SHARE));
+    assert_eq!(
+        [worker_state(&follower, "w1"), worker_state(&follower, "w2")],
+        ["draining"; 2].map(|state| json!(state))
+    );
+}
