A full peer refuses calls of functions that it may have left out, instead of denying them

Cause: a node that has no room for functions of its peers answered calls of them with 404, as if they didn't exist. Change: while a peer holds more than there is room for, or a record was left out since the last agreement, such a call is refused with 503 and Retry-After, as at followers.

--- a/crates/node/src/wire/feed/status.rs
+++ b/crates/node/src/wire/feed/status.rs
@@ -64,8 +64,11 @@
         is_ready(self.follower_report().as_ref())
     }
 
-    /// Whether a function that this node doesn't hold may exist, as a follower had no room for some records.
+    /// Whether a function that this node doesn't hold may exist, as there was no room for some records.
     pub fn may_lack_function(&self, name: &str) -> bool {
+        if self.mesh.as_ref().is_some_and(|mesh| mesh.lacks_records()) {
+            return true;
+        }
         let bucket = BucketNumber::of(&format!("{FUNCTION}{name}"));
         self.follower_report().is_some_and(|report| report.left_out().contains(bucket))
     }
--- a/crates/node/src/wire/replication/mesh.rs
+++ b/crates/node/src/wire/replication/mesh.rs
@@ -17,7 +17,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 
 /// The records or the hash list of one message may take up to one part in this many of the account's cap.
@@ -34,6 +34,8 @@
     on_record_changes: OnRecordChanges,
     sent_bytes: AtomicU64,
     left_out_records: AtomicU64,
+    /// Whether a record of a peer was left out since this node last held the same records as a peer.
+    has_left_out: AtomicBool,
 }
 
 /// Records to be sent to a peer.
@@ -100,6 +102,7 @@
             on_record_changes,
             sent_bytes: AtomicU64::new(0),
             left_out_records: AtomicU64::new(0),
+            has_left_out: AtomicBool::new(false),
         };
         (Arc::new(mesh), changes)
     }
@@ -128,6 +131,11 @@
         self.left_out_records.load(Relaxed)
     }
 
+    /// Whether peers hold records that this node lacks for want of room.
+    pub fn lacks_records(&self) -> bool {
+        self.has_left_out.load(Relaxed) || self.peers_with_more() > 0
+    }
+
     /// How many bytes of further functions and workers there is room for.
     pub fn room_bytes(&self) -> usize {
         self.store.ledger().account(Purpose::Catalog).free()
@@ -155,6 +163,7 @@
 
     /// Records that a peer holds the same records.
     pub fn record_agreement(&self, peer: &Arc<str>, root_hash: u64) {
+        self.has_left_out.store(false, Relaxed);
         lock(&self.agreements).record(peer, root_hash, monotonic_ms());
     }
 
@@ -240,6 +249,7 @@
     fn report_left_out(&self, left_out: &[LeftOut]) {
         let Some(first) = left_out.first() else { return };
         self.left_out_records.fetch_add(left_out.len() as u64, Relaxed);
+        self.has_left_out.store(true, Relaxed);
         if peer_lines().take() {
             tracing::warn!(
                 records = left_out.len(),
--- a/crates/node/tests/full_peer.rs
+++ b/crates/node/tests/full_peer.rs
@@ -102,6 +102,16 @@
     assert_eq!(worker_state(&pair.small, "only-large"), json!("up"));
     until("it says so", || status(&pair.small)["replication"]["peers_with_more"] == json!(1));
     assert_eq!(status(&pair.large)["replication"]["peers_with_more"], json!(0));
+    // A function that may have been left out is told from one that doesn't exist.
+    let held = ask(pair.small.address, "GET", "/v1/functions", &[], b"").json();
+    let missing = (0..FUNCTIONS).map(|number| format!("x{number}")).find(|name| held[name].is_null());
+    let call = |node: &Daemon, name: &str| {
+        let path = format!("/v1/functions/{name}/invocations");
+        ask(node.address, "POST", &path, &[], b"x")
+    };
+    let refused = call(&pair.small, &missing.expect("some have no room"));
+    assert_eq!((refused.status, refused.header("corkbay-may-have-run")), (503, Some("false")));
+    assert_eq!(call(&pair.large, "no-such-function").status, 404);
 }
 
 /// Guards against peers that send each other the same hashes and records again at each interval, because one has no room for
