One text form of 64-bit words and one log line on records that were left out

Bucket hashes, bucket sets and record hashes had three conversions to and from base64, followers and peers a log line each. Texts on the wire and on disk stay (their tests pass unchanged).

--- a/crates/feed/src/buckets.rs
+++ b/crates/feed/src/buckets.rs
@@ -1,14 +1,11 @@
 //! Hashes over the records of a node, which let two nodes find the buckets in which they differ.
-use crate::{stable_hash, FeedRecord};
-use base64::engine::general_purpose::STANDARD;
-use base64::Engine;
+use crate::{stable_hash, words, FeedRecord};
 use serde::{Deserialize, Serialize};
 
 /// The number of buckets into which keys are partitioned.
 pub const BUCKETS: usize = 256;
 
 const WORD_BITS: usize = u64::BITS as usize;
-const HASH_BYTES: usize = size_of::<u64>();
 /// Multiplier of the record count in a bucket's hash. It is odd, so that different counts give different products.
 const COUNT_WEIGHT: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -96,8 +93,7 @@
 
 impl From<BucketSet> for String {
     fn from(set: BucketSet) -> String {
-        let bytes: Vec<u8> = set.words.iter().flat_map(|word| word.to_be_bytes()).collect();
-        STANDARD.encode(bytes)
+        words::encode(set.words)
     }
 }
 
@@ -110,15 +106,8 @@
     type Error = BadBucketSet;
 
     fn try_from(text: String) -> Result<Self, BadBucketSet> {
-        let bytes = STANDARD.decode(text).map_err(|_| BadBucketSet)?;
-        let mut set = BucketSet::default();
-        if bytes.len() != size_of_val(&set.words) {
-            return Err(BadBucketSet);
-        }
-        for (word, bytes) in set.words.iter_mut().zip(bytes.chunks_exact(size_of::<u64>())) {
-            *word = u64::from_be_bytes(bytes.try_into().map_err(|_| BadBucketSet)?);
-        }
-        Ok(set)
+        let words = words::decode(&text).and_then(|words| words.try_into().ok()).ok_or(BadBucketSet)?;
+        Ok(BucketSet { words })
     }
 }
 
@@ -147,8 +136,7 @@
 
 impl From<BucketHashes> for String {
     fn from(hashes: BucketHashes) -> String {
-        let bytes: Vec<u8> = hashes.0.iter().flat_map(|hash| hash.to_be_bytes()).collect();
-        STANDARD.encode(bytes)
+        words::encode(*hashes.0)
     }
 }
 
@@ -156,14 +144,8 @@
     type Error = BadBucketHashes;
 
     fn try_from(text: String) -> Result<Self, BadBucketHashes> {
-        let bytes = STANDARD.decode(text).map_err(|_| BadBucketHashes)?;
-        if bytes.len() != BUCKETS * HASH_BYTES {
-            return Err(BadBucketHashes);
-        }
-        let mut hashes = Box::new([0; BUCKETS]);
-        for (hash, bytes) in hashes.iter_mut().zip(bytes.chunks_exact(HASH_BYTES)) {
-            *hash = u64::from_be_bytes(bytes.try_into().map_err(|_| BadBucketHashes)?);
-        }
+        let hashes = words::decode(&text).ok_or(BadBucketHashes)?;
+        let hashes = hashes.into_boxed_slice().try_into().map_err(|_| BadBucketHashes)?;
         Ok(BucketHashes(hashes))
     }
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -35,6 +35,7 @@
 mod report;
 mod session;
 mod token_bucket;
+mod words;
 
 pub use buckets::{
     BadBucketHashes, BadBucketSet, BucketHashes, BucketIndex, BucketNumber, BucketSet, BUCKETS,
--- a/crates/feed/src/repair.rs
+++ b/crates/feed/src/repair.rs
@@ -1,12 +1,8 @@
 //! The control node's answer to a follower that asks for records that it had to leave out.
-use crate::{BucketNumber, FeedRecord, Records};
-use base64::engine::general_purpose::STANDARD;
-use base64::Engine;
+use crate::{words, BucketNumber, FeedRecord, Records};
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 
-const HASH_BYTES: usize = size_of::<u64>();
-
 /// The hashes of single records. As text, and so in messages: base64 of 8 big-endian bytes per hash.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
@@ -25,8 +21,7 @@
 
 impl From<RecordHashes> for String {
     fn from(hashes: RecordHashes) -> String {
-        let bytes: Vec<u8> = hashes.0.iter().flat_map(|hash| hash.to_be_bytes()).collect();
-        STANDARD.encode(bytes)
+        words::encode(hashes.0)
     }
 }
 
@@ -34,12 +29,7 @@
     type Error = BadRecordHashes;
 
     fn try_from(text: String) -> Result<Self, BadRecordHashes> {
-        let bytes = STANDARD.decode(text).map_err(|_| BadRecordHashes)?;
-        if bytes.len() % HASH_BYTES != 0 {
-            return Err(BadRecordHashes);
-        }
-        let hash = |bytes: &[u8]| bytes.iter().fold(0, |hash, byte| (hash << u8::BITS) | u64::from(*byte));
-        Ok(RecordHashes(bytes.chunks_exact(HASH_BYTES).map(hash).collect()))
+        words::decode(&text).map(RecordHashes).ok_or(BadRecordHashes)
     }
 }
 
--- a/crates/feed/tests/units/repairing.rs
+++ b/crates/feed/tests/units/repairing.rs
@@ -51,11 +51,10 @@
     /// The request that the follower sends when it has so much room.
     fn request(&mut self, room: usize, now: Ms) -> Option<FollowerMessage> {
         self.follower.report_room(room, &self.store, now);
-        let sent = self.follower.actions().into_iter().find_map(|action| match action {
+        self.follower.actions().into_iter().find_map(|action| match action {
             FollowerAction::Send { message, .. } => Some(message),
             _ => None,
-        });
-        sent
+        })
     }
 
     /// Receives an answer without records and writes it.
--- a/crates/node/src/wire/feed/follower.rs
+++ b/crates/node/src/wire/feed/follower.rs
@@ -1,13 +1,14 @@
 //! The follower's side of the feed: receives configuration from a control node and stores it.
 use super::progress::{left_out_records, stored_progress, write_batch};
 use super::records::ConfigurationRecords;
+use crate::core::lock;
 use crate::core::monotonic_ms;
-use crate::core::{lock, peer_lines};
 use crate::lifecycle::spawn;
 use crate::state::record::Record;
 use crate::state::store::{LeftOut, Store};
 use crate::timers;
 use crate::wire::framing::{self, FramingError, Head, Received, MAX_MESSAGE};
+use crate::wire::left_out::log_left_out;
 use crate::wire::record_changes::{OnRecordChanges, RecordChanges};
 use crate::wire::record_index::{RecordIndex, Scope};
 use crate::wire::socket::Socket;
@@ -333,20 +334,12 @@
         self.write_pause_ms = (2.0 * self.write_pause_ms).min(MAX_WRITE_PAUSE_MS);
     }
 
-    /// Counts the records of a batch that were left out, and names the first of them.
+    /// Counts and logs the records of a batch that were left out.
     fn report_left_out(&mut self, left_out: &[LeftOut]) {
-        let Some(first) = left_out.first() else { return };
-        self.counters.failed_writes += 1;
-        self.counters.left_out_records += left_out.len() as u64;
-        if peer_lines().take() {
-            tracing::warn!(
-                records = left_out.len(),
-                key = &*first.key,
-                version = first.version,
-                reason = %first.reason,
-                left_out_buckets = self.follower.progress().map_or(0, |progress| progress.left_out.len()),
-                "feed: records are left out until there is room"
-            );
+        if !left_out.is_empty() {
+            self.counters.failed_writes += 1;
+            self.counters.left_out_records += left_out.len() as u64;
+            log_left_out("feed", left_out);
         }
     }
 
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod http_workers;
 pub mod invoke;
+pub mod left_out;
 pub mod metrics;
 pub mod operators;
 pub mod receive_buffer;
--- a/crates/node/src/wire/replication/mesh.rs
+++ b/crates/node/src/wire/replication/mesh.rs
@@ -2,11 +2,12 @@
 use super::agreements::Agreements;
 use super::error::ReplicationError;
 use super::messages::Held;
-use crate::core::{lock, monotonic_ms, peer_lines, UnixTime};
+use crate::core::{lock, monotonic_ms, UnixTime};
 use crate::state::keys::WORKER;
 use crate::state::record::Record;
 use crate::state::store::{LeftOut, Store};
 use crate::wire::framing::{self, Received, MAX_MESSAGE};
+use crate::wire::left_out::log_left_out;
 use crate::wire::record_changes::{OnRecordChanges, RecordChanges};
 use crate::wire::record_index::{RecordIndex, Scope};
 use corkbay::Ms;
@@ -245,19 +246,12 @@
         Ok(merged.new_records)
     }
 
-    /// Counts records that were not kept, and names the first of them.
+    /// Counts and logs records that were left out.
     fn report_left_out(&self, left_out: &[LeftOut]) {
-        let Some(first) = left_out.first() else { return };
-        self.left_out_records.fetch_add(left_out.len() as u64, Relaxed);
-        self.has_left_out.store(true, Relaxed);
-        if peer_lines().take() {
-            tracing::warn!(
-                records = left_out.len(),
-                key = &*first.key,
-                version = first.version,
-                reason = %first.reason,
-                "replication: records of a peer are left out until there is room"
-            );
+        if !left_out.is_empty() {
+            self.left_out_records.fetch_add(left_out.len() as u64, Relaxed);
+            self.has_left_out.store(true, Relaxed);
+            log_left_out("replication", left_out);
         }
     }
 
