--- a/crates/node/src/wire/replication/settled.rs
+++ b/crates/node/src/wire/replication/settled.rs
@@ -5,8 +5,10 @@
 
 /// All buckets that differ are exchanged again after this time, in milliseconds.
 const RECHECK_MS: Ms = 60_000.0;
-/// They are also exchanged again once there is so much more room than before, in bytes.
+/// They are also exchanged again once there is so much more room than before, in bytes, but not more often than at this
+/// interval, in milliseconds.
 const MORE_ROOM_BYTES: usize = 1 << 10;
+const MORE_ROOM_PAUSE_MS: Ms = 10_000.0;
 
 /// The hashes of a bucket at both nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,19 +22,23 @@
 #[derive(Debug, Default)]
 pub struct SettledBuckets {
     pairs: HashMap<u8, HashPair>,
-    recheck_at: Ms,
-    room_bytes: usize,
+    /// When the buckets were last forgotten, on the monotonic clock in milliseconds.
+    refreshed_at: Option<Ms>,
+    /// The least room since then, in bytes.
+    least_room_bytes: usize,
 }
 
 impl SettledBuckets {
     /// Forgets all buckets if that is due, given the room for further records, in bytes.
     pub fn refresh(&mut self, room_bytes: usize, now: Ms) {
-        if now >= self.recheck_at || room_bytes >= self.room_bytes + MORE_ROOM_BYTES {
+        self.least_room_bytes = self.least_room_bytes.min(room_bytes);
+        let has_more_room = room_bytes >= self.least_room_bytes + MORE_ROOM_BYTES;
+        let pause = if has_more_room { MORE_ROOM_PAUSE_MS } else { RECHECK_MS };
+        if self.refreshed_at.is_none_or(|at| now - at >= pause) {
             self.pairs.clear();
-            self.recheck_at = now + RECHECK_MS;
-            self.room_bytes = room_bytes;
+            self.refreshed_at = Some(now);
+            self.least_room_bytes = room_bytes;
         }
-        self.room_bytes = self.room_bytes.min(room_bytes);
     }
 
     /// Notes that an exchange of a bucket with these hashes led to nothing here.
--- a/crates/node/src/wire/replication/settled/tests.rs
+++ b/crates/node/src/wire/replication/settled/tests.rs
@@ -14,7 +14,8 @@
     index.hashes()
 }
 
-/// Guards against a change that is not exchanged because its bucket was settled before, and against room that is not used.
+/// Guards against a change that is not exchanged because its bucket was settled before, against room that is not used, and
+/// against an exchange of everything whenever some room frees.
 #[test]
 fn a_bucket_is_exchanged_again_after_a_change_with_more_room_and_after_a_while() {
     let (bucket, own, peer) = (BucketNumber::of(KEY), hashes(1), hashes(2));
@@ -25,9 +26,13 @@
     settled.refresh(MORE_ROOM_BYTES - 1, RECHECK_MS - 1.0);
     assert!(settled.contains(bucket, &own, &peer));
     assert!(!settled.contains(bucket, &hashes(3), &peer) && !settled.contains(bucket, &own, &hashes(3)));
-    settled.refresh(MORE_ROOM_BYTES, RECHECK_MS - 1.0);
+    settled.refresh(MORE_ROOM_BYTES, MORE_ROOM_PAUSE_MS - 1.0);
+    assert!(settled.contains(bucket, &own, &peer), "more room, but too early");
+    settled.refresh(MORE_ROOM_BYTES, MORE_ROOM_PAUSE_MS);
     assert!(!settled.contains(bucket, &own, &peer), "more room");
     settled.note(bucket, &own, &peer);
-    settled.refresh(MORE_ROOM_BYTES, 2.0 * RECHECK_MS);
+    settled.refresh(MORE_ROOM_BYTES, MORE_ROOM_PAUSE_MS + RECHECK_MS - 1.0);
+    assert!(settled.contains(bucket, &own, &peer));
+    settled.refresh(MORE_ROOM_BYTES, MORE_ROOM_PAUSE_MS + RECHECK_MS);
     assert!(!settled.contains(bucket, &own, &peer), "after a while");
 }
--- a/crates/node/tests/full_follower.rs
+++ b/crates/node/tests/full_follower.rs
@@ -128,6 +128,10 @@
     assert_eq!(response.status, 204);
 }
 
+fn delete_worker(node: &Daemon, name: &str) {
+    assert_eq!(ask(node.address, "DELETE", &format!("/v1/workers/{name}"), &[], b"").status, 204);
+}
+
 fn worker_state(node: &Daemon, name: &str) -> Value {
     ask(node.address, "GET", "/v1/workers", &[], b"").json()[name]["state"].clone()
 }
@@ -155,13 +159,18 @@
     let drained = Instant::now();
     until("the follower knows of the drain", || worker_state(&follower, "w1") == json!("draining"));
     assert!(drained.elapsed() <= PROPAGATION_LIMIT, "{:?}", drained.elapsed());
-    // Changes and deletions of known functions, and the worker's return, arrive as well.
+    // Changes and deletions of known functions, and moves and returns of workers, arrive as well.
     put_function(&cluster.controls[0], "once", 7);
     delete_function(&cluster.controls[0], &function(0));
-    put_worker(&cluster.controls[0], "w1", fleet.http("w1"), "up");
+    let other_address = fleet.http("w1");
+    delete_worker(&cluster.controls[0], "w1");
+    put_worker(&cluster.controls[0], "w1", other_address, "up");
     until("the function has changed", || function_memory(&follower, "once") == Some(7.0));
     until("the function is deleted", || function_memory(&follower, &function(0)).is_none());
-    until("the worker is back", || worker_state(&follower, "w1") == json!("up"));
+    until("the worker is back at another address", || {
+        let worker = ask(follower.address, "GET", "/v1/workers", &[], b"").json()["w1"].clone();
+        worker["state"] == json!("up") && worker["address"] == json!(other_address.to_string())
+    });
     assert_eq!(call(&follower, "check").body, b"done: x");
     let account = catalog_account(&follower);
     let bytes = |name: &str| account[name].as_u64().expect("a number");
