--- a/crates/feed/src/buckets.rs
+++ b/crates/feed/src/buckets.rs
@@ -68,8 +68,8 @@
 
     /// The next bucket of the set after another one, continuing with the first one; `None` if the set is empty.
     pub fn next_after(&self, bucket: BucketNumber) -> Option<BucketNumber> {
-        let (upto, after): (Vec<_>, Vec<_>) = BucketNumber::all().partition(|other| *other <= bucket);
-        after.into_iter().chain(upto).find(|candidate| self.contains(*candidate))
+        let others = (0..=u8::MAX).map(|offset| bucket.0.wrapping_add(1).wrapping_add(offset));
+        others.map(BucketNumber).find(|candidate| self.contains(*candidate))
     }
 
     /// Whether the set contains a bucket.
--- a/crates/feed/src/follower/repairing.rs
+++ b/crates/feed/src/follower/repairing.rs
@@ -4,8 +4,8 @@
 
 /// Less room than this is not used, in bytes: hardly any record is smaller.
 const MIN_ROOM_BYTES: usize = 512;
-/// Maximum number of hashes in a request, which keeps the message below the control node's limit. If the follower holds more
-/// records in a bucket, it is sent some of them again.
+/// Maximum number of hashes in a request, which keeps the message below the control node's limit. If the follower holds
+/// more records in a bucket, it is sent some of them again.
 const MAX_HELD_HASHES: usize = 640;
 /// Pauses after consecutive requests that led to nothing, in milliseconds: the first one, doubled each time up to the
 /// maximum.
--- a/crates/feed/src/follower/state.rs
+++ b/crates/feed/src/follower/state.rs
@@ -34,8 +34,9 @@
     },
     /// Write records to disk, replacing those under their keys, and after them the progress that
     /// [`ProgressUpdate::apply`] returns; batches must be written in order. A record that there is no room for is left
-    /// out, but a new version of a held record never waits for the room that a new key needs. Then call [`Follower::persisted`](crate::Follower::persisted). Until then
-    /// [`Records`](crate::Records) may return either the old or the new records.
+    /// out, but a new version of a held record never waits for the room that a new key needs. Then call
+    /// [`Follower::persisted`](crate::Follower::persisted). Until then [`Records`](crate::Records) may return either the
+    /// old or the new records.
     Persist {
         /// The number of the batch.
         batch: BatchNumber,
--- a/crates/node/src/state/deploy_entries.rs
+++ b/crates/node/src/state/deploy_entries.rs
@@ -157,8 +157,11 @@
     pub fn seed(&self, entries: Vec<DeployEntry>) -> Result<(), CatalogError> {
         let is_known = |entry: &DeployEntry| self.store().get(&entry.key).is_some();
         let (known, new): (Vec<_>, Vec<_>) = entries.into_iter().partition(is_known);
-        let (workers, others) = new.into_iter().partition(|entry| entry.key.starts_with(WORKER));
-        [known, workers, others].into_iter().try_for_each(|group| self.seed_group(group))
+        let (workers, functions): (Vec<_>, Vec<_>) =
+            new.into_iter().partition(|entry| entry.key.starts_with(WORKER));
+        self.seed_group(known)?;
+        let mut new = [workers, functions].into_iter().filter(|group| !group.is_empty());
+        new.try_for_each(|group| self.seed_group(group))
     }
 
     fn seed_group(&self, entries: Vec<DeployEntry>) -> Result<(), CatalogError> {
--- a/crates/node/src/state/store/mod.rs
+++ b/crates/node/src/state/store/mod.rs
@@ -195,18 +195,18 @@
 
     /// Appends records to the log durably, in as few appends as the log's account has room for.
     fn append_in_pages(&self, records: &[Record]) -> Result<(), StoreError> {
-        let mut rest = records;
-        while !rest.is_empty() {
-            let (page, remaining) = rest.split_at(page_length(rest, self.max_append_bytes()));
-            self.append(page)?;
-            rest = remaining;
-        }
-        Ok(())
+        self.pages(records).try_for_each(|page| self.append(page))
     }
 
-    /// Maximum size of one append, in bytes.
-    fn max_append_bytes(&self) -> usize {
-        self.ledger.account(Purpose::Log).cap() / 2
+    /// Splits records into pages of which the log's account has room for one at a time.
+    fn pages<'a>(&self, records: &'a [Record]) -> impl Iterator<Item = &'a [Record]> {
+        let most_bytes = self.ledger.account(Purpose::Log).cap() / 2;
+        let mut rest = records;
+        std::iter::from_fn(move || {
+            let (page, remaining) = rest.split_at(page_length(rest, most_bytes));
+            rest = remaining;
+            (!page.is_empty()).then_some(page)
+        })
     }
 
     /// Appends records to the log durably in one append.
@@ -268,12 +268,12 @@
     }
 }
 
-/// Number of records at the front that fit in `most_bytes`: at least one, at most [`MAX_BATCH`].
+/// Number of records at the front that fit in `most_bytes`: at least one if there is one, at most [`MAX_BATCH`].
 fn page_length(records: &[Record], most_bytes: usize) -> usize {
     let mut bytes = 0;
     let fitting = records.iter().take(MAX_BATCH).take_while(|record| {
         bytes += record.size();
         bytes <= most_bytes
     });
-    fitting.count().max(1)
+    fitting.count().max(1).min(records.len())
 }
--- a/crates/node/src/state/store/unlogged.rs
+++ b/crates/node/src/state/store/unlogged.rs
@@ -1,11 +1,11 @@
 //! Changes of known workers that hold although the log can't be written, for example because the disk is full.
 //!
-//! A node that hears of a drain must heed it, whether or not it can store it. Such a change is applied in memory at once. It
-//! is not acknowledged to the node that sent it, which therefore sends it again after a crash of this one; and it is the
-//! first to be written once the log can be written again, before anything that implies it.
+//! A node that hears of a drain must heed it, whether or not it can store it. Such a change is applied in memory at once.
+//! It is not acknowledged to the node that sent it, which therefore sends it again after a crash of this one; and it is
+//! the first to be written once the log can be written again, before anything that implies it.
 use super::admission::RecordMemory;
 use super::expiry::ExpiryState;
-use super::{page_length, Store};
+use super::Store;
 use crate::core::lock;
 use crate::state::keys::WORKER;
 use crate::state::log::{Log, LogError};
@@ -27,12 +27,7 @@
     pub(super) fn append_unlogged(&self, log: &Log) -> Result<(), LogError> {
         let mut unlogged = lock(&self.unlogged);
         let records: Vec<Record> = unlogged.values().cloned().collect();
-        let mut rest = &records[..];
-        while !rest.is_empty() {
-            let (page, remaining) = rest.split_at(page_length(rest, self.max_append_bytes()));
-            log.append(page)?;
-            rest = remaining;
-        }
+        self.pages(&records).try_for_each(|page| log.append(page))?;
         unlogged.clear();
         Ok(())
     }
--- a/crates/node/src/wire/feed/progress.rs
+++ b/crates/node/src/wire/feed/progress.rs
@@ -1,10 +1,8 @@
 //! The follower's progress on disk.
-use crate::state::record::Text;
+use crate::state::record::{Record, Text};
 use crate::state::store::{LeftOut, Merged, Store, StoreError};
 use corkbay_feed::{BatchNumber, LeftOutRecords, Progress, ProgressUpdate};
 
-use crate::state::record::Record;
-
 /// Key of the stored progress.
 const PROGRESS_KEY: &str = "local/feed-position";
 /// Key of the last stored page of an incomplete copy.
@@ -42,11 +40,12 @@
     records: Vec<Record>,
     update: ProgressUpdate,
 ) -> Result<Merged, StoreError> {
-    let after = |left_out: &[LeftOut]| update.apply(before, left_out_records(left_out));
-    match update {
-        ProgressUpdate::Page => store.merge_with_note(records, PAGE_KEY, |_| Text::of(&batch)),
-        _ => store.merge_with_note(records, PROGRESS_KEY, |left_out| Text::of(&after(left_out))),
+    if update == ProgressUpdate::Page {
+        return store.merge_with_note(records, PAGE_KEY, |_| Text::of(&batch));
     }
+    store.merge_with_note(records, PROGRESS_KEY, |left_out| {
+        Text::of(&update.apply(before, left_out_records(left_out)))
+    })
 }
 
 /// The buckets and the number of records that were left out.
--- a/crates/node/src/wire/replication/mesh.rs
+++ b/crates/node/src/wire/replication/mesh.rs
@@ -219,11 +219,14 @@
 
     /// The keys of the records that a peer lacks or has in another version, the most urgent first.
     fn keys_missing_at(&self, peer_held: &Held) -> Vec<Arc<str>> {
-        let index = lock(&self.index);
-        let entries = peer_held.bucket_numbers().flat_map(|bucket| index.bucket(bucket).collect::<Vec<_>>());
-        let differing = entries.filter(|(key, hash)| peer_held.hashes.get(*key) != Some(hash));
-        let mut keys: Vec<Arc<str>> = differing.map(|(key, _)| key.clone()).collect();
-        keys.sort_by_key(|key| Urgency::of(key, peer_held));
+        let mut keys: Vec<Arc<str>> = {
+            let index = lock(&self.index);
+            let entries =
+                peer_held.bucket_numbers().flat_map(|bucket| index.bucket(bucket).collect::<Vec<_>>());
+            let differing = entries.filter(|(key, hash)| peer_held.hashes.get(*key) != Some(hash));
+            differing.map(|(key, _)| key.clone()).collect()
+        };
+        keys.sort_by_cached_key(|key| Urgency::of(key, peer_held));
         keys
     }
 
@@ -310,7 +313,7 @@
     }
 
     /// Maximum size of the records or the hash list of one message, in bytes.
-    pub fn max_message_bytes(&self) -> usize {
+    fn max_message_bytes(&self) -> usize {
         self.account().cap() / MESSAGE_SHARE_DIVISOR
     }
 }
--- a/crates/node/tests/full_follower.rs
+++ b/crates/node/tests/full_follower.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 use support::faults::{Call, Faults};
 use support::nodes::{
-    classes_only, delete_function, deploy, function_memory, put_function, replication, start_node, status,
+    catalog_account, classes_only, delete_function, deploy, function_memory, put_function, put_worker,
+    replication, start_node, status, worker_state,
 };
 use support::workers::{Behaviour, Fleet};
 use support::{ask, free_address, until, Daemon, Folder, CLASSES};
@@ -116,26 +117,10 @@
     status(follower)["follow"]["left_out"]["buckets"].as_u64().expect("a number")
 }
 
-fn catalog_account(node: &Daemon) -> Value {
-    let status = status(node);
-    let accounts = status["memory"]["accounts"].as_array().expect("a list");
-    accounts.iter().find(|account| account["purpose"] == json!("catalog")).expect("is there").clone()
-}
-
-fn put_worker(node: &Daemon, name: &str, address: SocketAddr, state: &str) {
-    let body = json!({"address": address.to_string(), "state": state}).to_string();
-    let response = ask(node.address, "PUT", &format!("/v1/workers/{name}"), &[], body.as_bytes());
-    assert_eq!(response.status, 204);
-}
-
 fn delete_worker(node: &Daemon, name: &str) {
     assert_eq!(ask(node.address, "DELETE", &format!("/v1/workers/{name}"), &[], b"").status, 204);
 }
 
-fn worker_state(node: &Daemon, name: &str) -> Value {
-    ask(node.address, "GET", "/v1/workers", &[], b"").json()[name]["state"].clone()
-}
-
 fn counter(follower: &Daemon, name: &str) -> u64 {
     status(follower)["follow"][name].as_u64().unwrap_or_else(|| panic!("{name} is no counter"))
 }
--- a/crates/node/tests/full_node.rs
+++ b/crates/node/tests/full_node.rs
@@ -3,7 +3,7 @@
 
 use serde_json::json;
 use std::net::SocketAddr;
-use support::nodes::{classes_only, deploy, function_memory, start_node};
+use support::nodes::{classes_only, deploy, function_memory, start_node, worker_state};
 use support::workers::{Behaviour, Fleet};
 use support::{ask, until, Daemon, Folder};
 
@@ -19,10 +19,6 @@
     format!("[[worker]]\nname = \"{name}\"\naddress = \"{address}\"\nstate = \"{state}\"\n")
 }
 
-fn worker_state(node: &Daemon, name: &str) -> serde_json::Value {
-    ask(node.address, "GET", "/v1/workers", &[], b"").json()[name]["state"].clone()
-}
-
 /// Puts functions until one is refused.
 fn fill(node: &Daemon) {
     let body = json!({"class": "check"}).to_string();
--- a/crates/node/tests/full_peer.rs
+++ b/crates/node/tests/full_peer.rs
@@ -4,7 +4,9 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use support::nodes::{classes_only, replication, start_node, status, Relay};
+use support::nodes::{
+    catalog_account, classes_only, put_worker, replication, start_node, status, worker_state, Relay,
+};
 use support::{ask, free_address, until, Daemon, Folder, TEST_TIMEOUT};
 
 /// Time within which a change reaches a peer.
@@ -40,8 +42,8 @@
         let functions: String = (0..FUNCTIONS).map(function).collect();
         let small = start(1, ", catalog = 0.2", "");
         let worker = "[[worker]]\nname = \"only-large\"\naddress = \"127.0.0.1:9\"\n";
-        put_worker(&small, "w1", "up");
-        put_worker(&small, "w2", "up");
+        put_worker(&small, "w1", worker_address(), "up");
+        put_worker(&small, "w2", worker_address(), "up");
         let large = start(0, "", &format!("{functions}{worker}"));
         until("the larger node knows the workers", || {
             worker_state(&large, "w1") == json!("up") && worker_state(&large, "w2") == json!("up")
@@ -51,21 +53,14 @@
     }
 }
 
-fn worker_state(node: &Daemon, name: &str) -> serde_json::Value {
-    ask(node.address, "GET", "/v1/workers", &[], b"").json()[name]["state"].clone()
-}
-
-fn put_worker(node: &Daemon, name: &str, state: &str) {
-    let body = json!({"address": SocketAddr::from(([127, 0, 0, 1], 9)), "state": state}).to_string();
-    let response = ask(node.address, "PUT", &format!("/v1/workers/{name}"), &[], body.as_bytes());
-    assert_eq!(response.status, 204);
+/// An address at which no worker listens.
+fn worker_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
 }
 
 /// The room of a node for functions and workers, in bytes.
 fn free_bytes(node: &Daemon) -> u64 {
-    let status = status(node);
-    let accounts = status["memory"]["accounts"].as_array().expect("a list");
-    let catalog = accounts.iter().find(|account| account["purpose"] == json!("catalog")).expect("is there");
+    let catalog = catalog_account(node);
     let bytes = |name: &str| catalog[name].as_u64().expect("a number");
     bytes("cap_bytes").saturating_sub(bytes("used_bytes"))
 }
@@ -81,7 +76,7 @@
     let pair = Pair::new();
     for name in ["w1", "w2"] {
         pair.relays.iter().for_each(Relay::cut);
-        put_worker(&pair.large, name, "draining");
+        put_worker(&pair.large, name, worker_address(), "draining");
         std::thread::sleep(Duration::from_millis(500));
         assert_eq!(worker_state(&pair.small, name), json!("up"), "the nodes are partitioned");
         pair.relays.iter().for_each(Relay::mend);
@@ -90,7 +85,7 @@
         assert!(mended.elapsed() <= PROPAGATION_LIMIT, "{:?}", mended.elapsed());
     }
     // Changes of the smaller node arrive as well.
-    put_worker(&pair.small, "w1", "removed");
+    put_worker(&pair.small, "w1", worker_address(), "removed");
     until("the worker is removed", || worker_state(&pair.large, "w1") == json!("removed"));
 }
 
--- a/crates/node/tests/support/nodes.rs
+++ b/crates/node/tests/support/nodes.rs
@@ -52,6 +52,25 @@
     ask(node.address, "GET", "/v1/functions", &[], b"").json()[name]["memory_mb"].as_f64()
 }
 
+/// Adds or changes a worker.
+pub fn put_worker(node: &Daemon, name: &str, address: SocketAddr, state: &str) {
+    let body = json!({"address": address.to_string(), "state": state}).to_string();
+    let response = ask(node.address, "PUT", &format!("/v1/workers/{name}"), &[], body.as_bytes());
+    assert_eq!(response.status, 204, "{}", String::from_utf8_lossy(&response.body));
+}
+
+/// The state of a worker on a node; null if the node has no such worker.
+pub fn worker_state(node: &Daemon, name: &str) -> Value {
+    ask(node.address, "GET", "/v1/workers", &[], b"").json()[name]["state"].clone()
+}
+
+/// The account of functions and workers of a node.
+pub fn catalog_account(node: &Daemon) -> Value {
+    let status = status(node);
+    let accounts = status["memory"]["accounts"].as_array().expect("a list");
+    accounts.iter().find(|account| account["purpose"] == json!("catalog")).expect("is there").clone()
+}
+
 /// Forwards connections to an address until it is cut or silenced.
 pub struct Relay {
     pub address: SocketAddr,
